--- /dev/null
+++ b/Makefile
@@ -0,0 +1,47 @@
+# Every task of the project. `make help` lists them.
+
+GO ?= go
+BENCH_SECONDS ?= 60
+FUZZ_TIME ?= 20s
+
+.DEFAULT_GOAL := help
+
+.PHONY: help
+help: ## List the tasks.
+	@grep -E '^[a-z-]+:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /\t/' | expand -t 12
+
+.PHONY: build
+build: ## Build both programs into bin/.
+	$(GO) build -o bin/ ./cmd/...
+
+.PHONY: demo
+demo: build ## Run the whole system, break it, check every answer. Under 45 s.
+	bin/endivespoke-lab demo --bin bin --example examples/villarreal.json
+
+.PHONY: test
+test: lint ## Run all tests with the race detector, after the linters.
+	$(GO) test -race -timeout 20m ./...
+
+.PHONY: lint
+lint: ## gofmt, vet and staticcheck.
+	@unformatted="$$(gofmt -l cmd internal)"; if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+.PHONY: golden
+golden: ## Write the golden files anew. Read the difference before committing it.
+	$(GO) test ./... -run Golden -update
+
+.PHONY: fuzz
+fuzz: ## Fuzz each target for FUZZ_TIME.
+	$(GO) test ./internal/request/generation -run '^$$' -fuzz FuzzCursor -fuzztime $(FUZZ_TIME)
+	$(GO) test ./internal/peer/wire -run '^$$' -fuzz FuzzFrame -fuzztime $(FUZZ_TIME)
+	$(GO) test ./internal/config/object -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME)
+
+.PHONY: bench
+bench: build ## Measure; see docs/MEASUREMENTS.md.
+	bin/endivespoke-lab bench --bin bin --output docs/measurements
+
+.PHONY: clean
+clean: ## Remove what was built.
+	rm -rf bin
--- /dev/null
+++ b/internal/backend/engine/engine.go
@@ -0,0 +1,342 @@
+// Package engine speaks to model engines over the OpenAI-compatible streaming
+// API with its published extensions. Nothing else in the product knows the
+// engines' wire format.
+//
+// # Usage
+//
+//	client := engine.New(httpClient)
+//	stream, err := client.Start(ctx, address, engine.Request{ID: "g1.1", Model: "m", Prompt: "...", MaxTokens: 100}, 0)
+//	for {
+//		event, err := stream.Next() // io.EOF never comes before an event with Finish set
+//	}
+//	stream, err = client.Resume(ctx, address, "g1.1", 40, 40) // the same generation from token 40
+//
+// Extensions used: prompts as token ids, token ids on each chunk
+// (return_token_ids), priority, and background generations that outlive a
+// connection, with resuming (starting_after) and cancelling by id in the shape
+// that the OpenAI Responses API publishes.
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"syscall"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/node/trace"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+)
+
+const (
+	// ErrGone means that the engine is up but no longer knows the generation.
+	ErrGone = errors.ConstError("engine does not know the generation")
+	// ErrUnreachable means that no connection to the engine was made.
+	ErrUnreachable = errors.ConstError("engine can't be reached")
+	// ErrRefused means that nothing listens at the engine's address.
+	ErrRefused = errors.ConstError("engine refuses connections")
+	// ErrBusy means that the engine takes no new work now.
+	ErrBusy = errors.ConstError("engine takes no new work")
+	// ErrRejected means that the engine calls the request itself wrong.
+	ErrRejected = errors.ConstError("engine rejected the request")
+	// ErrBroken means that an open stream ended before its end mark.
+	ErrBroken = errors.ConstError("engine stream broke")
+)
+
+// maxEventBytes bounds one line of an event stream.
+const maxEventBytes = 4 << 20
+
+// readBufferBytes is the buffer of one open stream.
+const readBufferBytes = 4 << 10
+
+// Request starts one generation. Exactly one of Prompt, Messages and TokenIDs
+// is used; TokenIDs go first. A lower Priority is served first.
+type Request struct {
+	ID        string
+	Model     string
+	Prompt    string
+	Messages  []generation.Message
+	TokenIDs  []int
+	Seed      int64
+	MaxTokens int
+	Priority  int
+	Sampling  generation.Sampling
+}
+
+// Event is one step of a stream. Offset is the index of the first of Tokens
+// within the generation. PromptTokenIDs come with the first event of a stream.
+// A non-empty Finish ends the stream.
+type Event struct {
+	Offset         int
+	Tokens         []generation.Token
+	PromptTokenIDs []int
+	Finish         string
+}
+
+// Client calls engines.
+type Client struct {
+	HTTP *http.Client
+}
+
+// New makes a client. The HTTP client must have no overall timeout, since
+// streams last minutes.
+func New(httpClient *http.Client) *Client {
+	return &Client{HTTP: httpClient}
+}
+
+type requestBody struct {
+	Model          string               `json:"model"`
+	Prompt         any                  `json:"prompt,omitempty"`
+	Messages       []generation.Message `json:"messages,omitempty"`
+	Seed           int64                `json:"seed"`
+	MaxTokens      int                  `json:"max_tokens"`
+	Priority       int                  `json:"priority"`
+	Temperature    *float64             `json:"temperature,omitempty"`
+	TopP           *float64             `json:"top_p,omitempty"`
+	Stop           []string             `json:"stop,omitempty"`
+	Stream         bool                 `json:"stream"`
+	Background     bool                 `json:"background"`
+	ReturnTokenIDs bool                 `json:"return_token_ids"`
+}
+
+func bodyOf(request Request) (body requestBody, path string) {
+	body = requestBody{
+		Model:          request.Model,
+		Seed:           request.Seed,
+		MaxTokens:      request.MaxTokens,
+		Priority:       request.Priority,
+		Temperature:    request.Sampling.Temperature,
+		TopP:           request.Sampling.TopP,
+		Stop:           request.Sampling.Stop,
+		Stream:         true,
+		Background:     true,
+		ReturnTokenIDs: true,
+	}
+	switch {
+	case len(request.TokenIDs) > 0:
+		body.Prompt = request.TokenIDs
+	case len(request.Messages) > 0:
+		body.Messages = request.Messages
+		return body, "/v1/chat/completions"
+	default:
+		body.Prompt = request.Prompt
+	}
+	return body, "/v1/completions"
+}
+
+// Start begins an engine generation and opens its stream, whose first token has
+// the given offset in the whole answer. It returns as soon as the engine has
+// accepted the request.
+func (c *Client) Start(ctx context.Context, address string, request Request, offset int) (stream *Stream, err error) {
+	body, path := bodyOf(request)
+	var encoded []byte
+	if encoded, err = json.Marshal(body); err != nil {
+		return nil, errors.Trace(err)
+	}
+	var call *http.Request
+	if call, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(encoded)); err != nil {
+		return nil, errors.Trace(err)
+	}
+	call.Header.Set("Content-Type", "application/json")
+	call.Header.Set("X-Request-Id", request.ID)
+	return c.open(call, offset)
+}
+
+// Resume opens a new stream of a running or finished engine generation, after
+// as many of its own tokens. The next one has the given offset in the whole
+// answer.
+func (c *Client) Resume(ctx context.Context, address, id string, after, offset int) (stream *Stream, err error) {
+	target := "http://" + address + "/v1/completions/" + url.PathEscape(id) + "?stream=true&starting_after=" + strconv.Itoa(after)
+	var call *http.Request
+	if call, err = http.NewRequestWithContext(ctx, http.MethodGet, target, nil); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return c.open(call, offset)
+}
+
+// Cancel frees what the engine holds for a generation.
+func (c *Client) Cancel(ctx context.Context, address, id string) (err error) {
+	var call *http.Request
+	if call, err = http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions/"+url.PathEscape(id)+"/cancel", nil); err != nil {
+		return errors.Trace(err)
+	}
+	var response *http.Response
+	if response, err = c.HTTP.Do(call); err != nil {
+		return errors.Annotatef(ErrUnreachable, "cancelling %s: %v", id, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		return errors.Annotatef(ErrGone, "cancelling %s", id)
+	}
+	return nil
+}
+
+func (c *Client) open(call *http.Request, offset int) (stream *Stream, err error) {
+	trace.Outgoing(call)
+	ctx, cancel := context.WithCancel(call.Context())
+	var response *http.Response
+	if response, err = c.HTTP.Do(call.WithContext(ctx)); err != nil {
+		cancel()
+		return nil, classify(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		reader := bufio.NewReaderSize(response.Body, readBufferBytes)
+		return &Stream{offset: offset, reader: reader, body: response.Body, cancel: cancel}, nil
+	}
+	defer cancel()
+	defer response.Body.Close()
+	detail, _ := io.ReadAll(io.LimitReader(response.Body, 512)) // Only for the error's text.
+	switch {
+	case response.StatusCode == http.StatusNotFound:
+		return nil, errors.Trace(ErrGone)
+	case response.StatusCode == http.StatusTooManyRequests || response.StatusCode >= 500:
+		return nil, errors.Annotatef(ErrBusy, "%s: %s", response.Status, detail)
+	}
+	return nil, errors.Annotatef(ErrRejected, "%s: %s", response.Status, detail)
+}
+
+func classify(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return errors.Annotatef(ErrRefused, "%v", err)
+	}
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return errors.Annotatef(ErrUnreachable, "%v", err)
+	}
+	return errors.Annotatef(ErrBroken, "%v", err)
+}
+
+// Stream is one open event stream. It belongs to one goroutine, except Close,
+// which any may call.
+type Stream struct {
+	offset int
+	reader *bufio.Reader
+	body   io.Closer
+	cancel context.CancelFunc
+
+	onClose func()
+}
+
+// OnClose has a function called with each Close. It must be set before the
+// stream is shared.
+func (s *Stream) OnClose(onClose func()) {
+	s.onClose = onClose
+}
+
+// Close drops the connection. The engine's generation goes on until it is
+// cancelled.
+func (s *Stream) Close() {
+	s.cancel()
+	if s.onClose != nil {
+		s.onClose()
+	}
+	_ = s.body.Close() // A connection that is given up has no error worth telling.
+}
+
+type chunk struct {
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		TokenIDs     []int  `json:"token_ids"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	PromptTokenIDs []int `json:"prompt_token_ids"`
+}
+
+// Next waits for the next event. Any error means that the stream is of no
+// further use; ErrBroken is the usual one.
+func (s *Stream) Next() (event Event, err error) {
+	for {
+		var line []byte
+		if line, err = s.readLine(); err != nil {
+			return Event{}, errors.Annotatef(ErrBroken, "%v", err)
+		}
+		data, isData := bytes.CutPrefix(line, []byte("data: "))
+		if !isData || bytes.Equal(data, []byte("[DONE]")) {
+			continue
+		}
+		var decoded chunk
+		if err = json.Unmarshal(data, &decoded); err != nil {
+			return Event{}, errors.Annotatef(ErrBroken, "event is not JSON: %v", err)
+		}
+		if event = s.eventOf(decoded); len(event.Tokens) > 0 || event.Finish != "" {
+			return event, nil
+		}
+	}
+}
+
+// readLine returns one line without its end. The bytes are valid until the
+// next call.
+func (s *Stream) readLine() (line []byte, err error) {
+	if line, err = s.reader.ReadSlice('\n'); err == nil {
+		return bytes.TrimRight(line, "\r\n"), nil
+	}
+	if err != bufio.ErrBufferFull {
+		return nil, err
+	}
+	long := bytes.Clone(line)
+	for err == bufio.ErrBufferFull && len(long) < maxEventBytes {
+		line, err = s.reader.ReadSlice('\n')
+		long = append(long, line...)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return bytes.TrimRight(long, "\r\n"), nil
+}
+
+// eventOf turns a chunk into an event. An engine may put several tokens into
+// one chunk with one text; the text then belongs to the last of them.
+//
+//	{"text":" a b","token_ids":[7,8]}  ->  {7 ""} {8 " a b"}
+func (s *Stream) eventOf(decoded chunk) Event {
+	event := Event{Offset: s.offset, PromptTokenIDs: decoded.PromptTokenIDs}
+	if len(decoded.Choices) == 0 {
+		return event
+	}
+	choice := decoded.Choices[0]
+	event.Finish = choice.FinishReason
+	for _, id := range choice.TokenIDs {
+		event.Tokens = append(event.Tokens, generation.Token{ID: id})
+	}
+	if last := len(event.Tokens) - 1; last >= 0 {
+		event.Tokens[last].Text = choice.Text + choice.Delta.Content
+	}
+	s.offset += len(event.Tokens)
+	return event
+}
+
+// Load is what an engine reports about itself, always a little late.
+type Load struct {
+	Running int `json:"running"`
+	Waiting int `json:"waiting"`
+}
+
+// Load asks an engine for its load.
+func (c *Client) Load(ctx context.Context, address string) (load Load, err error) {
+	var call *http.Request
+	if call, err = http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/load", nil); err != nil {
+		return Load{}, errors.Trace(err)
+	}
+	var response *http.Response
+	if response, err = c.HTTP.Do(call); err != nil {
+		return Load{}, errors.Annotatef(ErrUnreachable, "%v", err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return Load{}, errors.Annotatef(ErrBusy, "%s", response.Status)
+	}
+	if err = json.NewDecoder(response.Body).Decode(&load); err != nil {
+		return Load{}, errors.Annotate(err, "load report is not JSON")
+	}
+	return load, nil
+}
--- /dev/null
+++ b/internal/caller/openai/openai.go
@@ -0,0 +1,200 @@
+// Package openai serves generations to callers over the OpenAI-compatible API,
+// with the additions that let an answer outlive a connection.
+//
+// # Usage
+//
+//	handler := &openai.Handler{Owner: owner, Snapshot: loop.Snapshot, Sealer: sealer, Now: time.Now}
+//	handler.Register(mux)
+//
+// Routes: POST /v1/completions, POST /v1/chat/completions, GET /v1/models, and
+// GET /v1/requests/{key}. Idempotency-Key names the request; every SSE event
+// has an id, and the last one seen, sent back as Last-Event-ID by the same POST
+// or by GET /v1/requests/{key} to any VM, goes on behind it.
+package openai
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/endivespoke/endivespoke/internal/caller/bearer"
+	"github.com/endivespoke/endivespoke/internal/caller/problem"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/node/control"
+	"github.com/endivespoke/endivespoke/internal/node/trace"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+	"github.com/endivespoke/endivespoke/internal/request/owner"
+)
+
+var (
+	requestsStarted = metrics.NewCounter(`endivespoke_caller_generations_total`)
+	requestsRefused = metrics.NewCounter(`endivespoke_caller_generations_refused_total`)
+)
+
+// Handler serves the routes.
+type Handler struct {
+	Owner    *owner.Owner
+	Snapshot func() *control.Snapshot
+	Arrived  func(account string)
+	Sealer   generation.Sealer
+	Now      func() time.Time
+}
+
+// Register puts the routes into a mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /v1/completions", func(w http.ResponseWriter, r *http.Request) { h.complete(w, r, false) })
+	mux.HandleFunc("POST /v1/chat/completions", func(w http.ResponseWriter, r *http.Request) { h.complete(w, r, true) })
+	mux.HandleFunc("GET /v1/requests/{key}", h.resume)
+	mux.HandleFunc("GET /v1/models", h.models)
+}
+
+// complete serves a POST: a new request, or one that goes on behind a cursor.
+func (h *Handler) complete(w http.ResponseWriter, r *http.Request, chat bool) {
+	ctx, span := trace.Incoming(r, "caller")
+	defer span.End()
+	snapshot := h.Snapshot()
+	account, p := bearer.Account(r, snapshot)
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	body, p := ReadBody(w, r)
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	parsed, p := parse(r, body, chat, account, snapshot.Set, h.Now())
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	cursor, p := h.cursor(r, account)
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	requestsStarted.Inc()
+	h.Arrived(account.Name)
+	span.SetAttributes(attribute.String("account", account.Name), attribute.String("model", parsed.spec.Model))
+	running, p := h.Owner.Submit(ctx, owner.Submission{Request: parsed.request, Spec: parsed.spec, KeyGiven: parsed.keyGiven, Cursor: cursor})
+	if p != nil {
+		requestsRefused.Inc()
+		problem.Write(w, p)
+		return
+	}
+	w.Header().Set("Idempotency-Key", parsed.request.Key)
+	h.answer(ctx, w, running, account, parsed.stream, chat, cursor)
+}
+
+// resume serves GET /v1/requests/{key}.
+func (h *Handler) resume(w http.ResponseWriter, r *http.Request) {
+	ctx, span := trace.Incoming(r, "callerResume")
+	defer span.End()
+	account, p := bearer.Account(r, h.Snapshot())
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	cursor, p := h.cursor(r, account)
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	key := r.PathValue("key")
+	if p = CheckKey(key); p != nil {
+		problem.Write(w, p)
+		return
+	}
+	running := h.Owner.Resume(ctx, generation.Request{Account: account.Name, Key: key}, cursor)
+	if running == nil {
+		problem.Write(w, &problem.Problem{Code: problem.NotFound, Outcome: problem.StateNotKnown, Detail: "no VM that answers has this request; send it again with the same key and Last-Event-ID"})
+		return
+	}
+	stream := strings.Contains(r.Header.Get("Accept"), "text/event-stream") || cursor != nil
+	h.answer(ctx, w, running, account, stream, len(running.Spec().Messages) > 0, cursor)
+}
+
+// ReadBody reads a request's body within the bound.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, problem.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, &problem.Problem{Code: problem.BodyTooLarge, Outcome: problem.NotRun, Detail: "the body is larger than 4 MiB"}
+	}
+	if err != nil {
+		return nil, badRequest("body: " + err.Error())
+	}
+	return body, nil
+}
+
+func (h *Handler) cursor(r *http.Request, account *object.ClientAccount) (*generation.Cursor, *problem.Problem) {
+	text := r.Header.Get("Last-Event-ID")
+	if text == "" {
+		return nil, nil
+	}
+	cursor, err := h.Sealer.Open(account.Name, text)
+	if err != nil {
+		return nil, &problem.Problem{Code: problem.CursorInvalid, Outcome: problem.NotRun, Detail: "Last-Event-ID is not a cursor of this client account: " + err.Error()}
+	}
+	return &cursor, nil
+}
+
+// answer delivers a generation, from the cursor on if there is one.
+func (h *Handler) answer(ctx context.Context, w http.ResponseWriter, running *owner.Running, account *object.ClientAccount, stream, chat bool, cursor *generation.Cursor) {
+	changed := running.Attach()
+	defer running.Detach(changed)
+	place := generation.Cursor{}
+	if cursor != nil {
+		place.Offset, place.Hash = cursor.Offset, cursor.Hash
+		if err := running.Confirm(ctx, *cursor, changed); err != nil {
+			problem.Write(w, confirmProblem(err))
+			return
+		}
+	}
+	d := &delivery{handler: h, running: running, account: account.Name, chat: chat, changed: changed, offset: place.Offset, hash: generation.HashFrom(place.Hash)}
+	if stream {
+		d.stream(ctx, w)
+		return
+	}
+	d.whole(ctx, w)
+}
+
+func confirmProblem(err error) *problem.Problem {
+	if errors.Is(err, generation.ErrMixed) || errors.Is(err, generation.ErrAhead) {
+		return &problem.Problem{Code: problem.RestartRequired, Outcome: problem.Failed, Detail: "the part of the answer that was delivered can't be continued; drop it and send the request again without Last-Event-ID"}
+	}
+	return &problem.Problem{Code: problem.DeadlinePassed, Outcome: problem.StateNotKnown, Detail: err.Error()}
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// models lists what the account may use.
+func (h *Handler) models(w http.ResponseWriter, r *http.Request) {
+	account, p := bearer.Account(r, h.Snapshot())
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range account.Models {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "endivespoke"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // The caller may have gone; there is nobody left to tell.
+}
--- /dev/null
+++ b/internal/caller/services/services.go
@@ -0,0 +1,330 @@
+// Package services serves calls to plain services: idempotent lookups, which
+// are retried and hedged, and actions, which run at most once.
+//
+// # Usage
+//
+//	handler := services.New(services.Options{...})
+//	handler.Register(mux) // /v1/services/{service}/{path...}
+//
+// Which calls are idempotent is published in the configuration. A call that is
+// not declared is refused.
+package services
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/backend/service"
+	"github.com/endivespoke/endivespoke/internal/caller/bearer"
+	"github.com/endivespoke/endivespoke/internal/caller/openai"
+	"github.com/endivespoke/endivespoke/internal/caller/problem"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/node/control"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/trace"
+	"github.com/endivespoke/endivespoke/internal/platform/table"
+	"github.com/endivespoke/endivespoke/internal/request/action"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/owner"
+)
+
+const (
+	// defaultDeadline is used when the caller sets none.
+	defaultDeadline = 10 * time.Second
+	// longestAction bounds the wait for a service's answer to an action.
+	longestAction = 2 * time.Minute
+	// keepKey is how long a key stands for its request.
+	keepKey = 7 * 24 * time.Hour
+	// otherVMWait bounds the wait for another VM that works on the same key.
+	otherVMWait = 800 * time.Millisecond
+	// answerMargin is kept of the caller's deadline for the final answer.
+	answerMargin = 100 * time.Millisecond
+)
+
+var (
+	actionsStarted = metrics.NewCounter(`endivespoke_caller_actions_total`)
+	actionsUnknown = metrics.NewCounter(`endivespoke_caller_actions_unknown_total`)
+	actionSeconds  = metrics.NewHistogram(`endivespoke_caller_action_seconds`)
+)
+
+// Options shapes a Handler. All fields must be set, but for FaultPoint.
+type Options struct {
+	Table      *table.Client
+	Services   *service.Client
+	Fleet      *fleet.Fleet
+	Gate       *admission.Gate
+	Hedges     *budget.Budget
+	Snapshot   func() *control.Snapshot
+	Arrived    func(account string)
+	Logger     hclog.Logger
+	Now        func() time.Time
+	FaultPoint func(op action.Op)
+}
+
+// Handler serves the calls.
+type Handler struct {
+	options Options
+	keeping sync.WaitGroup
+	latency *latencies
+}
+
+// New makes a handler.
+func New(options Options) *Handler {
+	return &Handler{options: options, latency: newLatencies()}
+}
+
+// Register puts the route into a mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("/v1/services/{service}/{path...}", h.serve)
+}
+
+// Drain waits for results that are still being written down.
+func (h *Handler) Drain() {
+	h.keeping.Wait()
+}
+
+// request is one checked call.
+type request struct {
+	account   *object.ClientAccount
+	service   string
+	operation object.Operation
+	call      service.Call
+	priority  object.Priority
+	deadline  time.Time
+}
+
+func (h *Handler) serve(w http.ResponseWriter, r *http.Request) {
+	ctx, span := trace.Incoming(r, "callerService")
+	defer span.End()
+	parsed, p := h.parse(w, r)
+	if p != nil {
+		problem.Write(w, p)
+		return
+	}
+	span.SetAttributes(attribute.String("service", parsed.service), attribute.Bool("idempotent", parsed.operation.Idempotent))
+	h.options.Arrived(parsed.account.Name)
+	if parsed.operation.Idempotent {
+		h.lookup(ctx, w, parsed)
+		return
+	}
+	h.act(ctx, w, parsed)
+}
+
+func (h *Handler) parse(w http.ResponseWriter, r *http.Request) (parsed request, p *problem.Problem) {
+	snapshot := h.options.Snapshot()
+	if parsed.account, p = bearer.Account(r, snapshot); p != nil {
+		return request{}, p
+	}
+	parsed.service = r.PathValue("service")
+	path := "/" + r.PathValue("path")
+	found := false
+	if parsed.operation, found = snapshot.Set.Operation(parsed.service, r.Method, path); !found {
+		return request{}, &problem.Problem{Code: problem.UnknownService, Outcome: problem.NotRun, Detail: "no published operation " + r.Method + " " + path + " of service " + strconv.Quote(parsed.service)}
+	}
+	if !slices.Contains(parsed.account.Services, parsed.service) {
+		return request{}, &problem.Problem{Code: problem.Forbidden, Outcome: problem.NotRun, Detail: "the client account may not use service " + strconv.Quote(parsed.service)}
+	}
+	if parsed.priority, p = openai.Priority(r.Header.Get("Request-Priority"), parsed.account, snapshot.Set); p != nil {
+		return request{}, p
+	}
+	if parsed.deadline, p = openai.Deadline(r, h.options.Now(), defaultDeadline); p != nil {
+		return request{}, p
+	}
+	parsed.call = service.Call{Method: r.Method, Path: path, Query: r.URL.RawQuery, ContentType: r.Header.Get("Content-Type")}
+	if parsed.call.Body, p = openai.ReadBody(w, r); p != nil {
+		return request{}, p
+	}
+	if parsed.call.Key, p = h.key(r, parsed.operation); p != nil {
+		return request{}, p
+	}
+	if !snapshot.Accepting(h.options.Now()) {
+		return request{}, h.outdated(parsed.operation)
+	}
+	return parsed, nil
+}
+
+// outdated refuses a request on a VM that may have an old configuration. Of an
+// action it can't say notRun, since the key may be running through another VM.
+func (h *Handler) outdated(operation object.Operation) *problem.Problem {
+	p := &problem.Problem{Code: problem.ConfigurationOutdated, Outcome: problem.NotRun, Detail: "this VM can't tell whether its configuration is current; use another", RetryAt: h.options.Now().Add(time.Second)}
+	if !operation.Idempotent {
+		p.Outcome = problem.StateNotKnown
+	}
+	return p
+}
+
+func (h *Handler) key(r *http.Request, operation object.Operation) (string, *problem.Problem) {
+	key := r.Header.Get("Idempotency-Key")
+	if key == "" && !operation.Idempotent {
+		return "", &problem.Problem{Code: problem.KeyRequired, Outcome: problem.NotRun, Detail: "a call that must not be repeated needs an Idempotency-Key"}
+	}
+	if key == "" {
+		return "", nil
+	}
+	return key, openai.CheckKey(key)
+}
+
+// act runs a call at most once.
+func (h *Handler) act(ctx context.Context, w http.ResponseWriter, parsed request) {
+	now := h.options.Now()
+	if issued, known := keyIssued(parsed.call.Key); known && now.After(issued.Add(keepKey)) {
+		problem.Write(w, answerProblem(action.Answer{Kind: action.AnswerKeyExpired}, now))
+		return
+	}
+	actionsStarted.Inc()
+	ticket, refusal := h.options.Gate.Ask(admission.Ask{Account: parsed.account.Name, Rank: parsed.priority.Rank, Lookup: true, Deadline: parsed.deadline})
+	if refusal != nil {
+		p := owner.RefusalProblem(refusal)
+		p.Outcome = problem.StateNotKnown // The key may be running through another VM.
+		problem.Write(w, p)
+		return
+	}
+	defer ticket.Leave()
+	if !h.waitForRoom(ctx, ticket, parsed.deadline) {
+		problem.Write(w, &problem.Problem{Code: problem.Overloaded, Outcome: problem.StateNotKnown, Detail: "there was no room before the deadline", RetryAt: now.Add(time.Second)})
+		return
+	}
+	runner := &action.Runner{
+		Table:      h.options.Table,
+		Send:       h.send(ctx, parsed),
+		Now:        h.options.Now,
+		FaultPoint: h.options.FaultPoint,
+		Keeping:    &h.keeping,
+	}
+	// The caller may leave; what was begun is still brought to its end.
+	answer := runner.Run(context.WithoutCancel(ctx), h.ask(parsed))
+	actionSeconds.UpdateDuration(now)
+	h.answer(w, parsed, answer)
+}
+
+func (h *Handler) ask(parsed request) action.Ask {
+	now := h.options.Now()
+	until := parsed.deadline.Add(-answerMargin)
+	if latest := now.Add(longestAction); until.After(latest) {
+		until = latest
+	}
+	wait := now.Add(otherVMWait)
+	if wait.After(until) {
+		wait = until
+	}
+	return action.Ask{
+		Account:    parsed.account.Name,
+		Key:        parsed.call.Key,
+		Attempt:    uuid.NewString(),
+		VM:         h.options.Snapshot().Self.ID,
+		BodyHash:   action.HashBody(parsed.service+" "+parsed.call.Method, parsed.call.Path+"?"+parsed.call.Query, parsed.call.Body),
+		HonoursKey: parsed.operation.HonoursIdempotencyKey,
+		Until:      until,
+		WaitUntil:  wait,
+		ExpiresAt:  now.Add(keepKey),
+	}
+}
+
+func (h *Handler) waitForRoom(ctx context.Context, ticket *admission.Ticket, deadline time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	select {
+	case <-ticket.Granted:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// send tries the servers of the service until one is reached.
+func (h *Handler) send(ctx context.Context, parsed request) func(context.Context, time.Time) (action.SendOutcome, *action.Result) {
+	return func(_ context.Context, until time.Time) (action.SendOutcome, *action.Result) {
+		sendCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), until)
+		defer cancel()
+		tried := []string{}
+		for {
+			lease, err := h.options.Fleet.Pick(fleet.Ask{Service: parsed.service, Exclude: tried})
+			if err != nil {
+				return action.SendNever, nil
+			}
+			reply, err := h.call(sendCtx, lease, parsed.call)
+			switch {
+			case err == nil:
+				return action.SendAnswered, &action.Result{Status: reply.Status, ContentType: reply.ContentType, Body: reply.Body}
+			case errors.Is(err, service.ErrNeverSent):
+				tried = append(tried, lease.Server.Name)
+			default:
+				return action.SendNotKnown, nil
+			}
+		}
+	}
+}
+
+// call makes one call and tells the fleet how it went.
+func (h *Handler) call(ctx context.Context, lease *fleet.Lease, call service.Call) (reply service.Reply, err error) {
+	defer lease.Release()
+	ctx, span := trace.Span(ctx, "serviceCall")
+	defer span.End()
+	span.SetAttributes(attribute.String("server", lease.Server.Name))
+	if reply, err = h.options.Services.Call(ctx, lease.Server.Address, call); err != nil {
+		if !errors.Is(ctx.Err(), context.Canceled) && h.options.Fleet.Failed(lease.Server.Name) {
+			event.ServerEjected.Warn(h.options.Logger, "server", lease.Server.Name, "cause", err)
+		}
+		return service.Reply{}, err
+	}
+	if h.options.Fleet.Succeeded(lease.Server.Name) {
+		event.ServerReturned.Info(h.options.Logger, "server", lease.Server.Name)
+	}
+	return reply, nil
+}
+
+func (h *Handler) answer(w http.ResponseWriter, parsed request, answer action.Answer) {
+	if answer.Kind == action.AnswerResult {
+		writeReply(w, service.Reply{Status: answer.Result.Status, ContentType: answer.Result.ContentType, Body: answer.Result.Body})
+		return
+	}
+	if answer.Kind == action.AnswerUnknownEnd {
+		actionsUnknown.Inc()
+		event.ActionUnknown.Warn(h.options.Logger, "account", parsed.account.Name, "service", parsed.service, "reason", answer.Reason)
+	}
+	problem.Write(w, answerProblem(answer, h.options.Now()))
+}
+
+func answerProblem(answer action.Answer, now time.Time) *problem.Problem {
+	switch answer.Kind {
+	case action.AnswerNotRun:
+		return &problem.Problem{Code: problem.Refused, Outcome: problem.NotRun, Detail: answer.Reason + "; use a new key to try again", RetryAt: now.Add(time.Second)}
+	case action.AnswerUnknownEnd:
+		return &problem.Problem{Code: problem.UnknownEnd, Outcome: problem.OutcomeUnknown, Detail: answer.Reason}
+	case action.AnswerKeyReused:
+		return &problem.Problem{Code: problem.KeyReused, Outcome: problem.NotRun, Detail: "the key was used before with another body"}
+	case action.AnswerKeyExpired:
+		return &problem.Problem{Code: problem.KeyExpired, Outcome: problem.StateNotKnown, Detail: "the key is too old to tell whether it ran"}
+	}
+	return &problem.Problem{Code: problem.PlatformUnavailable, Outcome: problem.StateNotKnown, Detail: answer.Reason + "; ask again with the same key", RetryAt: now.Add(time.Second)}
+}
+
+func writeReply(w http.ResponseWriter, reply service.Reply) {
+	if reply.ContentType != "" {
+		w.Header().Set("Content-Type", reply.ContentType)
+	}
+	w.WriteHeader(reply.Status)
+	_, _ = w.Write(reply.Body) // The caller may have gone; it can ask again.
+}
+
+// keyIssued reads the time out of a key that is a UUID of version 7.
+func keyIssued(key string) (time.Time, bool) {
+	id, err := uuid.Parse(key)
+	if err != nil || id.Version() != 7 {
+		return time.Time{}, false
+	}
+	seconds, nanoseconds := id.Time().UnixTime()
+	return time.Unix(seconds, nanoseconds), true
+}
--- /dev/null
+++ b/internal/config/object/diff.go
@@ -0,0 +1,70 @@
+package object
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+)
+
+// Change is one object that differs between two configurations. Before is
+// empty for an added object and After for a removed one.
+type Change struct {
+	Path   string          `json:"path"`
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+// Diff lists the objects that differ, by path, as in "models/drafting".
+func Diff(before, after Set) []Change {
+	old := flatten(before)
+	young := flatten(after)
+	changes := []Change{}
+	for path, value := range old {
+		if !bytes.Equal(value, young[path]) {
+			changes = append(changes, Change{Path: path, Before: value, After: young[path]})
+		}
+	}
+	for path, value := range young {
+		if _, existed := old[path]; !existed {
+			changes = append(changes, Change{Path: path, After: value})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Path, b.Path) })
+	return changes
+}
+
+// flatten gives the JSON of each object by its path.
+func flatten(set Set) map[string]json.RawMessage {
+	objects := map[string]json.RawMessage{}
+	add := func(kind, name string, value any) {
+		body, err := json.Marshal(value)
+		if err != nil {
+			panic(err) // No field of an object can fail to encode.
+		}
+		objects[kind+"/"+name] = body
+	}
+	add("profile", "", set.Profile)
+	for _, model := range set.Models {
+		add("models", model.Name, model)
+	}
+	for _, version := range set.Versions {
+		add("versions", version.Name, version)
+	}
+	for _, priority := range set.Priorities {
+		add("priorities", priority.Name, priority)
+	}
+	for _, account := range set.ClientAccounts {
+		add("clientAccounts", account.Name, account)
+	}
+	for _, operator := range set.Operators {
+		add("operators", operator.Name, operator)
+	}
+	for _, service := range set.Services {
+		add("services", service.Name, service)
+	}
+	for _, server := range set.BackendServers {
+		add("backendServers", server.Name, server)
+	}
+	return objects
+}
--- /dev/null
+++ b/internal/lab/command/command.go
@@ -0,0 +1,126 @@
+// Package command is the command line of the lab.
+//
+// # Usage
+//
+//	os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr))
+package command
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/lab/demo"
+	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
+	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
+	"github.com/endivespoke/endivespoke/internal/lab/servicefake"
+)
+
+type commands struct {
+	Platform platformCommand `cmd:"" help:"Stand in for the platform."`
+	Engine   engineCommand   `cmd:"" help:"Stand in for one model engine."`
+	Service  serviceCommand  `cmd:"" help:"Stand in for one plain service."`
+	Demo     demoCommand     `cmd:"" help:"Run the whole system, break it, check every answer."`
+}
+
+// lab is what commands write to.
+type lab struct {
+	out io.Writer
+}
+
+// Run runs one command and gives its exit code.
+func Run(arguments []string, out, errOut io.Writer) int {
+	var cli commands
+	code := -1
+	parser, err := kong.New(&cli, kong.Name("endivespoke-lab"), kong.Writers(out, errOut), kong.Exit(func(status int) { code = status }))
+	if err != nil {
+		fmt.Fprintln(errOut, "endivespoke-lab:", err)
+		return 2
+	}
+	parsed, err := parser.Parse(arguments)
+	if code >= 0 {
+		return code // Help was printed.
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "endivespoke-lab:", err)
+		return 2
+	}
+	if err := parsed.Run(&lab{out: out}); err != nil {
+		fmt.Fprintln(errOut, "endivespoke-lab:", err)
+		return 1
+	}
+	return 0
+}
+
+// serve answers HTTP until SIGTERM or SIGINT.
+func serve(address string, handler http.Handler) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 10 * time.Second}
+	context.AfterFunc(ctx, func() { _ = server.Close() }) // A stand-in keeps nothing.
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Trace(err)
+	}
+	return nil
+}
+
+type platformCommand struct {
+	Listen string `help:"IP:PORT to listen on." default:"127.0.0.1:7000"`
+}
+
+// Run serves an empty platform.
+func (c *platformCommand) Run(*lab) error {
+	return serve(c.Listen, platformfake.New())
+}
+
+type engineCommand struct {
+	Listen     string        `help:"IP:PORT to listen on." default:"127.0.0.1:9000"`
+	TokenGap   time.Duration `help:"Time between two tokens." default:"25ms"`
+	Prefill    time.Duration `help:"Time to read one token of a prompt." default:"20us"`
+	Slots      int           `help:"Generations run side by side." default:"16"`
+	BurstEvery int           `help:"Every so many tokens the gap is longer." default:"0"`
+	BurstGap   time.Duration `help:"The longer gap." default:"0s"`
+}
+
+// Run serves an engine. A fault that kills it ends the process.
+func (c *engineCommand) Run(*lab) error {
+	engine := enginefake.New(enginefake.Options{
+		TokenGap:        c.TokenGap,
+		PrefillPerToken: c.Prefill,
+		Slots:           c.Slots,
+		BurstEvery:      c.BurstEvery,
+		BurstGap:        c.BurstGap,
+	})
+	engine.OnDeath = func() { os.Exit(1) }
+	return serve(c.Listen, engine)
+}
+
+type serviceCommand struct {
+	Listen     string `help:"IP:PORT to listen on." default:"127.0.0.1:9100"`
+	HonourKeys bool   `help:"Run one Idempotency-Key once."`
+}
+
+// Run serves a plain service.
+func (c *serviceCommand) Run(*lab) error {
+	service := servicefake.New()
+	service.HonourKeys = c.HonourKeys
+	return serve(c.Listen, service)
+}
+
+type demoCommand struct {
+	Bin     string `help:"Folder with the two programs." default:"bin"`
+	Example string `help:"Configuration to publish." default:"examples/villarreal.json"`
+}
+
+// Run demonstrates the system.
+func (c *demoCommand) Run(l *lab) error {
+	return demo.Run(context.Background(), l.out, c.Bin, c.Example)
+}
--- /dev/null
+++ b/internal/lab/demo/process.go
@@ -0,0 +1,147 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// startLimit bounds the wait for a process to answer.
+	startLimit = 10 * time.Second
+	// stopLimit is how long a process may take after SIGTERM.
+	stopLimit = 3 * time.Second
+)
+
+// process is one started process, with its log in a file.
+type process struct {
+	name    string
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+// start runs a program with some flags.
+func start(logs, name, program string, arguments ...string) (p *process, err error) {
+	var log *os.File
+	if log, err = os.Create(filepath.Join(logs, name+".log")); err != nil {
+		return nil, errors.Trace(err)
+	}
+	command := exec.Command(program, arguments...)
+	command.Stdout = log
+	command.Stderr = log
+	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // None outlives the runner.
+	if err = command.Start(); err != nil {
+		return nil, errors.Annotatef(err, "starting %s", name)
+	}
+	p = &process{name: name, command: command, done: make(chan struct{})}
+	go func() {
+		_ = command.Wait() // How it ended is in its log.
+		_ = log.Close()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	_ = p.command.Process.Signal(signal) // One that has ended needs no signal.
+}
+
+// kill ends the process at once, as a failing VM does.
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop asks the process to end, and ends it if it does not.
+func (p *process) stop() {
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(stopLimit):
+		p.kill()
+	}
+}
+
+// freePorts gives loopback addresses that nothing listens on.
+func freePorts(count int) (addresses []string, err error) {
+	for range count {
+		var listener net.Listener
+		if listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, errors.Trace(err)
+		}
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// waitFor asks a URL until it answers with success.
+func waitFor(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode/100 == 2 {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(30 * time.Millisecond):
+		case <-ctx.Done():
+			return errors.Errorf("%s does not answer", url)
+		}
+	}
+}
+
+// put sends a body and wants success.
+func put(url string, body []byte, header map[string]string) (err error) {
+	var request *http.Request
+	if request, err = http.NewRequest(http.MethodPut, url, bytes.NewReader(body)); err != nil {
+		return errors.Trace(err)
+	}
+	for name, value := range header {
+		request.Header.Set(name, value)
+	}
+	var response *http.Response
+	if response, err = http.DefaultClient.Do(request); err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode/100 != 2 {
+		reply, _ := io.ReadAll(response.Body) // Only for the error's text.
+		return errors.Errorf("%s: %s: %s", url, response.Status, reply)
+	}
+	return nil
+}
+
+// get reads a body and wants success.
+func get(url string) (body []byte, err error) {
+	var response *http.Response
+	if response, err = http.Get(url); err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	if body, err = io.ReadAll(response.Body); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if response.StatusCode/100 != 2 {
+		return nil, errors.Errorf("%s: %s", url, fmt.Sprint(response.Status))
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/lab/enginefake/enginefake.go
@@ -0,0 +1,516 @@
+// Package enginefake stands in for a model engine with the OpenAI-compatible
+// streaming API and the published extensions that the product uses: token ids
+// in and out, priority, background generations that are resumed with
+// starting_after and cancelled by id (the shape of the Responses API).
+//
+// # Usage
+//
+//	engine := enginefake.New(enginefake.Options{TokenGap: 10 * time.Millisecond, Slots: 16})
+//	http.Serve(listener, engine)
+//	engine.SetFaults(enginefake.Faults{DieAtToken: 40})
+//
+// The tokens are deterministic (see Expected), so that a checker knows the
+// failure-free answer.
+package enginefake
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Options shapes one engine. PrefillPerToken is the time to read one token of
+// a prompt that is not in the prefix cache. RequestWords limits nothing when 0.
+type Options struct {
+	TokenGap        time.Duration
+	PrefillPerToken time.Duration
+	Slots           int
+	BurstEvery      int           // Every so many tokens the gap is BurstGap.
+	BurstGap        time.Duration // The long gap of a burst.
+	Salt            string        // Mixed into the seed: makes regeneration differ between engines.
+}
+
+// Faults is what goes wrong from now on. Token counts are over all requests of
+// the engine. A zero field is no fault.
+type Faults struct {
+	DieAtToken      int    `json:"dieAtToken"`      // Die when this many more tokens have been made.
+	SilentAtToken   int    `json:"silentAtToken"`   // Open streams fall silent then; new ones work.
+	PauseAtToken    int    `json:"pauseAtToken"`    // Nothing answers from then on for PauseMillis.
+	PauseMillis     int    `json:"pauseMillis"`     //
+	CrashOnWord     string `json:"crashOnWord"`     // Die when a prompt has this word and CrashAfter tokens are out.
+	CrashAfter      int    `json:"crashAfter"`      //
+	DieBeforeEnd    bool   `json:"dieBeforeEnd"`    // Die after a last token, before its end mark.
+	RefuseNew       bool   `json:"refuseNew"`       // Answer 503 to new work.
+	LoseStateOnNext bool   `json:"loseStateOnNext"` // Forget all running work, as after a restart.
+}
+
+// Stats counts the work done. Prompt tokens are split into those read and
+// those found in the prefix cache.
+type Stats struct {
+	Requests     int `json:"requests"`
+	Resumes      int `json:"resumes"`
+	Prefilled    int `json:"prefilled"`
+	CacheHits    int `json:"cacheHits"`
+	Generated    int `json:"generated"`
+	Running      int `json:"running"`
+	Waiting      int `json:"waiting"`
+	Cancelled    int `json:"cancelled"`
+	FenceRefused int `json:"fenceRefused"`
+}
+
+// generation is one background generation, kept after its end so that it can
+// be resumed.
+type generation struct {
+	id        string
+	body      requestBody
+	prompt    []int
+	priority  int
+	arrival   int
+	tokens    []int
+	finish    string
+	cancelled bool
+	silenced  int           // Streams opened before this mark send nothing more.
+	changed   chan struct{} // Closed and replaced at every change.
+	admitted  chan struct{} // Closed when a slot is given.
+}
+
+// Engine is the stand-in. OnDeath, when set, is called once when a fault kills
+// the engine; a process exits there, a test closes the listener.
+type Engine struct {
+	Options Options
+	OnDeath func()
+
+	mu          sync.Mutex
+	faults      Faults
+	stats       Stats
+	generations map[string]*generation
+	waiting     []*generation
+	running     int
+	arrivals    int
+	streams     int
+	dead        bool
+	pausedUntil time.Time
+	prefixes    map[uint64]bool
+	mux         *http.ServeMux
+}
+
+// New makes an engine with no faults.
+func New(options Options) *Engine {
+	e := &Engine{Options: options, generations: map[string]*generation{}, prefixes: map[uint64]bool{}, mux: http.NewServeMux()}
+	e.mux.HandleFunc("POST /v1/completions", e.start)
+	e.mux.HandleFunc("POST /v1/chat/completions", e.start)
+	e.mux.HandleFunc("GET /v1/completions/{id}", e.resume)
+	e.mux.HandleFunc("POST /v1/completions/{id}/cancel", e.cancel)
+	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("PUT /faults", e.putFaults)
+	return e
+}
+
+// ServeHTTP answers one call.
+func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/faults" {
+		e.waitWhilePaused()
+	}
+	if e.isDead() {
+		panic(http.ErrAbortHandler)
+	}
+	e.mux.ServeHTTP(w, r)
+}
+
+// SetFaults replaces the faults.
+func (e *Engine) SetFaults(faults Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+	if faults.LoseStateOnNext {
+		e.generations = map[string]*generation{}
+	}
+}
+
+// Stats gives the counts so far.
+func (e *Engine) Stats() Stats {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	stats := e.stats
+	stats.Running = e.running
+	stats.Waiting = len(e.waiting)
+	return stats
+}
+
+// Kill makes the engine dead: streams break, nothing is answered.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	already := e.dead
+	e.dead = true
+	for _, g := range e.generations {
+		g.wake()
+	}
+	e.mu.Unlock()
+	if !already && e.OnDeath != nil {
+		e.OnDeath()
+	}
+}
+
+func (e *Engine) isDead() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.dead
+}
+
+func (e *Engine) waitWhilePaused() {
+	for {
+		e.mu.Lock()
+		rest := time.Until(e.pausedUntil)
+		e.mu.Unlock()
+		if rest <= 0 {
+			return
+		}
+		time.Sleep(rest)
+	}
+}
+
+// wake tells every stream of the generation to look again. Callers hold mu.
+func (g *generation) wake() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type requestBody struct {
+	Model     string          `json:"model"`
+	Prompt    json.RawMessage `json:"prompt"`
+	Messages  []message       `json:"messages"`
+	Seed      int64           `json:"seed"`
+	MaxTokens int             `json:"max_tokens"`
+	Priority  int             `json:"priority"`
+}
+
+// promptTokens reads a prompt given as text, as token ids or as messages.
+func (b requestBody) promptTokens() ([]int, error) {
+	if len(b.Messages) > 0 {
+		var text strings.Builder
+		for _, m := range b.Messages {
+			fmt.Fprintf(&text, "<%s> %s ", m.Role, m.Content)
+		}
+		return Tokenize(text.String()), nil
+	}
+	var ids []int
+	if err := json.Unmarshal(b.Prompt, &ids); err == nil {
+		return ids, nil
+	}
+	var text string
+	if err := json.Unmarshal(b.Prompt, &text); err != nil {
+		return nil, err
+	}
+	return Tokenize(text), nil
+}
+
+func (e *Engine) start(w http.ResponseWriter, r *http.Request) {
+	var body requestBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	prompt, err := body.promptTokens()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	e.mu.Lock()
+	if e.faults.RefuseNew {
+		e.mu.Unlock()
+		http.Error(w, "no capacity", http.StatusServiceUnavailable)
+		return
+	}
+	g := &generation{id: id, body: body, prompt: prompt, priority: body.Priority, changed: make(chan struct{}), admitted: make(chan struct{})}
+	e.arrivals++
+	g.arrival = e.arrivals
+	e.generations[id] = g
+	e.stats.Requests++
+	e.waiting = append(e.waiting, g)
+	e.admit()
+	e.mu.Unlock()
+	go e.generate(g)
+	e.stream(w, r, g, 0)
+}
+
+// admit gives free slots to the waiting generations, lowest priority value and
+// then earliest arrival first. Callers hold mu.
+func (e *Engine) admit() {
+	slices.SortStableFunc(e.waiting, func(a, b *generation) int {
+		if a.priority != b.priority {
+			return a.priority - b.priority
+		}
+		return a.arrival - b.arrival
+	})
+	for len(e.waiting) > 0 && (e.Options.Slots == 0 || e.running < e.Options.Slots) {
+		e.running++
+		close(e.waiting[0].admitted)
+		e.waiting = e.waiting[1:]
+	}
+}
+
+// generate makes the tokens of one generation.
+func (e *Engine) generate(g *generation) {
+	<-g.admitted
+	time.Sleep(e.prefill(g))
+	m := newModel(g.body.Model, g.body.Seed+saltOf(e.Options.Salt), g.prompt)
+	next := time.Now()
+	for i := 0; i < g.body.MaxTokens; i++ {
+		next = next.Add(e.gap(i))
+		time.Sleep(time.Until(next))
+		e.waitWhilePaused()
+		if !e.produce(g, m.next()) {
+			break
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if g.finish == "" && !g.cancelled && !e.dead {
+		g.finish = "length"
+	}
+	e.running--
+	e.admit()
+	g.wake()
+}
+
+func saltOf(salt string) int64 {
+	if salt == "" {
+		return 0
+	}
+	return int64(newModel(salt, 0, nil).state >> 32)
+}
+
+func (e *Engine) gap(index int) time.Duration {
+	if e.Options.BurstEvery > 0 && index%e.Options.BurstEvery == e.Options.BurstEvery-1 {
+		return e.Options.BurstGap
+	}
+	return e.Options.TokenGap
+}
+
+// prefill counts and times the reading of the prompt. Prefixes are cached in
+// blocks of 16 tokens.
+func (e *Engine) prefill(g *generation) time.Duration {
+	const block = 16
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m := newModel(g.body.Model, 0, nil)
+	cached := 0
+	for i, id := range g.prompt {
+		m.absorb(id)
+		if (i+1)%block != 0 {
+			continue
+		}
+		if e.prefixes[m.state] && cached == i+1-block {
+			cached = i + 1
+		}
+		e.prefixes[m.state] = true
+	}
+	e.stats.CacheHits += cached
+	e.stats.Prefilled += len(g.prompt) - cached
+	return time.Duration(len(g.prompt)-cached) * e.Options.PrefillPerToken
+}
+
+// produce adds one token and fires the faults that are due. It reports whether
+// the generation goes on.
+func (e *Engine) produce(g *generation, id int) bool {
+	e.mu.Lock()
+	if g.cancelled || e.dead {
+		e.mu.Unlock()
+		return false
+	}
+	g.tokens = append(g.tokens, id)
+	e.stats.Generated++
+	last := len(g.tokens) == g.body.MaxTokens
+	dies := countdown(&e.faults.DieAtToken)
+	dies = dies || (e.faults.DieBeforeEnd && last)
+	dies = dies || (e.faults.CrashOnWord != "" && len(g.tokens) > e.faults.CrashAfter && slices.Contains(g.prompt, Tokenize(e.faults.CrashOnWord)[0]))
+	if countdown(&e.faults.SilentAtToken) {
+		for _, other := range e.generations {
+			other.silenced = e.streams + 1
+		}
+	}
+	if countdown(&e.faults.PauseAtToken) {
+		e.pausedUntil = time.Now().Add(time.Duration(e.faults.PauseMillis) * time.Millisecond)
+	}
+	g.wake()
+	e.mu.Unlock()
+	if dies {
+		time.Sleep(time.Millisecond) // Lets the last token reach the wire.
+		e.Kill()
+		return false
+	}
+	return true
+}
+
+// countdown lowers a fault's counter and reports the step to zero.
+func countdown(counter *int) bool {
+	if *counter == 0 {
+		return false
+	}
+	*counter--
+	return *counter == 0
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.URL.Query().Get("starting_after"))
+	if err != nil || after < 0 {
+		http.Error(w, "starting_after is not a token count", http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	g := e.generations[r.PathValue("id")]
+	e.stats.Resumes++
+	e.mu.Unlock()
+	if g == nil {
+		http.NotFound(w, r)
+		return
+	}
+	e.stream(w, r, g, after)
+}
+
+// stream sends the tokens from an offset until the end mark.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, offset int) {
+	e.mu.Lock()
+	e.streams++
+	number := e.streams
+	e.mu.Unlock()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Prompt-Tokens", strconv.Itoa(len(g.prompt)))
+	w.WriteHeader(http.StatusOK)
+	flusher := w.(http.Flusher)
+	flusher.Flush()
+	chat := len(g.body.Messages) > 0
+	first := true
+	for {
+		e.mu.Lock()
+		tokens := g.tokens[min(offset, len(g.tokens)):]
+		finish, changed, dead, cancelled := g.finish, g.changed, e.dead, g.cancelled
+		silent := number < g.silenced
+		e.mu.Unlock()
+		if dead || cancelled {
+			panic(http.ErrAbortHandler)
+		}
+		if silent {
+			<-r.Context().Done()
+			return
+		}
+		for _, id := range tokens {
+			chunk := chunkOf(chat, id)
+			if first {
+				chunk.PromptTokenIDs = g.prompt
+				first = false
+			}
+			if !writeEvent(w, chunk) {
+				return
+			}
+			offset++
+		}
+		if finish != "" {
+			writeEvent(w, finishOf(chat, finish))
+			_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+			flusher.Flush()
+			return
+		}
+		flusher.Flush()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+		e.waitWhilePaused()
+	}
+}
+
+type delta struct {
+	Content string `json:"content"`
+}
+
+type choice struct {
+	Index        int     `json:"index"`
+	Text         string  `json:"text,omitempty"`
+	Delta        *delta  `json:"delta,omitempty"`
+	TokenIDs     []int   `json:"token_ids,omitempty"`
+	FinishReason *string `json:"finish_reason"`
+}
+
+type chunk struct {
+	Object         string   `json:"object"`
+	Choices        []choice `json:"choices"`
+	PromptTokenIDs []int    `json:"prompt_token_ids,omitempty"`
+}
+
+func chunkOf(chat bool, id int) chunk {
+	if chat {
+		return chunk{Object: "chat.completion.chunk", Choices: []choice{{Delta: &delta{Content: Text(id)}, TokenIDs: []int{id}}}}
+	}
+	return chunk{Object: "text_completion", Choices: []choice{{Text: Text(id), TokenIDs: []int{id}}}}
+}
+
+func finishOf(chat bool, reason string) chunk {
+	if chat {
+		return chunk{Object: "chat.completion.chunk", Choices: []choice{{Delta: &delta{}, FinishReason: &reason}}}
+	}
+	return chunk{Object: "text_completion", Choices: []choice{{FinishReason: &reason}}}
+}
+
+func writeEvent(w http.ResponseWriter, event chunk) bool {
+	body, err := json.Marshal(event)
+	if err != nil {
+		return false
+	}
+	_, err = fmt.Fprintf(w, "data: %s\n\n", body)
+	return err == nil
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	g := e.generations[r.PathValue("id")]
+	if g == nil {
+		http.NotFound(w, r)
+		return
+	}
+	if g.finish == "" && !g.cancelled {
+		g.cancelled = true
+		e.stats.Cancelled++
+		e.dropWaiting(g)
+		g.wake()
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// dropWaiting takes a cancelled generation out of the queue. Callers hold mu.
+func (e *Engine) dropWaiting(g *generation) {
+	index := slices.Index(e.waiting, g)
+	if index < 0 {
+		return
+	}
+	e.waiting = slices.Delete(e.waiting, index, index+1)
+	e.running++ // generate gives the slot back at once.
+	close(g.admitted)
+}
+
+func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.Stats())
+}
+
+func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
+	var faults Faults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.SetFaults(faults)
+}
--- /dev/null
+++ b/internal/node/event/event.go
@@ -0,0 +1,77 @@
+// Package event lists every numbered log event of the product. The catalogue
+// in docs/EVENTS.md explains each to operators; a test holds the two together.
+//
+// # Usage
+//
+//	event.VMStarted.Info(logger, "vm", id)
+//
+// A number is never given to another event, also not after its event is gone.
+package event
+
+import (
+	"github.com/hashicorp/go-hclog"
+)
+
+// Event is one kind of log entry.
+type Event struct {
+	Number int
+	Text   string
+}
+
+// The events. Hundreds group them: 1 process, 2 configuration, 3 membership,
+// 4 generations, 5 actions, 6 backend servers.
+var (
+	VMStarted            = define(101, "VM is serving")
+	VMStopping           = define(102, "VM is leaving: it finishes what it runs")
+	VMStopped            = define(103, "VM has stopped")
+	ServiceRestarted     = define(104, "a part of the process failed and is restarted")
+	ConfigInForce        = define(201, "configuration is in force")
+	ConfigOutdated       = define(202, "configuration may be outdated: new requests are refused")
+	ConfigCurrent        = define(203, "configuration is known to be current again")
+	ConfigUnreadable     = define(204, "a published configuration could not be read")
+	ConfigPublished      = define(205, "an operator published a configuration")
+	ListUnreadable       = define(301, "the platform's VM list could not be read")
+	PeerDown             = define(302, "a VM does not answer")
+	PeerBack             = define(303, "a VM answers again")
+	StreamLost           = define(401, "an engine stream was lost")
+	GenerationContinued  = define(402, "a generation goes on after a loss")
+	GenerationFailed     = define(403, "a generation was given up")
+	GenerationTakenOver  = define(404, "a generation was taken over from another VM")
+	GenerationMoved      = define(405, "another VM owns a generation now")
+	GenerationCancelled  = define(406, "a generation was cancelled because its caller is gone")
+	HolderChanged        = define(407, "the copy of a generation moved to another VM")
+	ContentCondemned     = define(408, "a request that crashes engines is refused from now on")
+	GenerationRegenerate = define(409, "a generation is made again because no copy was found")
+	ActionUnknown        = define(501, "the end of an action is not known")
+	ActionResolved       = define(502, "the unknown end of an action was resolved")
+	ActionTakenOver      = define(503, "the claim of an action was taken over")
+	ServerEjected        = define(601, "a backend server gets no work for a while")
+	ServerReturned       = define(602, "a backend server gets work again")
+)
+
+var all []Event
+
+func define(number int, text string) Event {
+	event := Event{Number: number, Text: text}
+	all = append(all, event)
+	return event
+}
+
+// All gives every event in the order of its number.
+func All() []Event {
+	return all
+}
+
+// Info logs the event with key-value pairs.
+func (e Event) Info(logger hclog.Logger, pairs ...any) {
+	logger.Info(e.Text, e.numbered(pairs)...)
+}
+
+// Warn logs the event as one that an operator may want to look at.
+func (e Event) Warn(logger hclog.Logger, pairs ...any) {
+	logger.Warn(e.Text, e.numbered(pairs)...)
+}
+
+func (e Event) numbered(pairs []any) []any {
+	return append([]any{"event", e.Number}, pairs...)
+}
--- /dev/null
+++ b/internal/node/vm/services.go
@@ -0,0 +1,151 @@
+package vm
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/node/control"
+	"github.com/endivespoke/endivespoke/internal/peer/gossip"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+)
+
+const (
+	// limitsEvery is the time between two reckonings of this VM's limits.
+	limitsEvery = time.Second
+	// loadsEvery is the time between two readings of the servers' loads.
+	loadsEvery = time.Second
+	// loadLimit bounds one reading.
+	loadLimit = 500 * time.Millisecond
+	// roomFactor is how much more than its even part of the servers' room a VM
+	// may use, since traffic isn't even. The engines queue what is too much.
+	roomFactor = 2
+	// watchersPerServer VMs read the load of each backend server.
+	watchersPerServer = 3
+)
+
+// limits keeps the admission limits in step with the configuration, the number
+// of VMs and this VM's part of each account's traffic.
+type limits struct {
+	vm *VM
+}
+
+// String names the service in the supervisor's messages.
+func (l *limits) String() string {
+	return "limits"
+}
+
+// Serve runs until the context ends.
+func (l *limits) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(limitsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			snapshot := l.vm.loop.Snapshot()
+			if snapshot.Set != nil {
+				l.vm.gate.Configure(l.vm.limitsOf(snapshot.Set, snapshot.Live()))
+			}
+		}
+	}
+}
+
+// limitsOf reckons what this VM may take of each account's limits.
+func (v *VM) limitsOf(set *object.Set, live int) admission.Limits {
+	peers := min(live-1, gossip.MaxNeighbours)
+	reckoned := admission.Limits{Room: roomOf(set, live), Accounts: map[string]admission.Limit{}}
+	for _, account := range set.ClientAccounts {
+		part := v.shares.Part(account.Name, peers, live)
+		reckoned.Accounts[account.Name] = admission.Limit{
+			Rate:       account.RequestsPerSecond * part,
+			Concurrent: max(1, int(math.Ceil(float64(account.ConcurrentRequests)*part))),
+			Weight:     account.Weight,
+		}
+	}
+	return reckoned
+}
+
+func roomOf(set *object.Set, live int) int {
+	total := 0
+	for _, server := range set.BackendServers {
+		if server.State != object.ServerLeaving {
+			total += server.MaxConcurrent
+		}
+	}
+	return max(1, min(total, int(math.Ceil(roomFactor*float64(total)/float64(max(live, 1))))))
+}
+
+// loads reads the loads of the servers that this VM watches. Each server is
+// watched by a few VMs, so that a large system doesn't flood its servers.
+type loads struct {
+	vm *VM
+}
+
+// String names the service in the supervisor's messages.
+func (l *loads) String() string {
+	return "loads"
+}
+
+// Serve runs until the context ends.
+func (l *loads) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(loadsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			l.readAll(ctx)
+		}
+	}
+}
+
+func (l *loads) readAll(ctx context.Context) {
+	snapshot := l.vm.loop.Snapshot()
+	if snapshot.Set == nil {
+		return
+	}
+	var waiting sync.WaitGroup
+	defer waiting.Wait()
+	for _, server := range snapshot.Set.BackendServers {
+		if len(server.Versions) == 0 || !watches(snapshot, server.Name) {
+			continue
+		}
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			l.read(ctx, server)
+		}()
+	}
+}
+
+func watches(snapshot *control.Snapshot, server string) bool {
+	live := []wire.Member{}
+	for _, member := range snapshot.Members {
+		if member.State == wire.MemberLive {
+			live = append(live, member)
+		}
+	}
+	ranked := gossip.Rank(server, live)
+	for _, member := range ranked[:min(watchersPerServer, len(ranked))] {
+		if member.ID == snapshot.Self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *loads) read(ctx context.Context, server object.BackendServer) {
+	ctx, cancel := context.WithTimeout(ctx, loadLimit)
+	defer cancel()
+	load, err := l.vm.engines.Load(ctx, server.Address)
+	if err != nil {
+		return // Requests find out soon enough; a lost reading says little.
+	}
+	l.vm.fleet.Reported(server.Name, load.Running+load.Waiting)
+}
--- /dev/null
+++ b/internal/node/vm/vm.go
@@ -0,0 +1,388 @@
+// Package vm puts the parts of one VM together and runs them under a
+// supervisor: the control loop, the owner's sweeper, the load reader and the
+// listeners for callers, peers and operators.
+//
+// # Usage
+//
+//	machine, err := vm.New(checked, logger)
+//	err = machine.Serve(ctx)      // until ctx ends; then a graceful stop
+//	machine.CallerAddress()       // HOST:PORT, also when port 0 was asked for
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/endivespoke/endivespoke/internal/backend/engine"
+	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/backend/service"
+	"github.com/endivespoke/endivespoke/internal/caller/locate"
+	"github.com/endivespoke/endivespoke/internal/caller/openai"
+	"github.com/endivespoke/endivespoke/internal/caller/services"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/config/revision"
+	"github.com/endivespoke/endivespoke/internal/node/control"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/settings"
+	"github.com/endivespoke/endivespoke/internal/node/trace"
+	"github.com/endivespoke/endivespoke/internal/operator/admin"
+	"github.com/endivespoke/endivespoke/internal/peer/replica"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	platformobject "github.com/endivespoke/endivespoke/internal/platform/object"
+	"github.com/endivespoke/endivespoke/internal/platform/table"
+	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
+	"github.com/endivespoke/endivespoke/internal/request/action"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+	"github.com/endivespoke/endivespoke/internal/request/owner"
+)
+
+const (
+	// platformLimit bounds one call of the platform.
+	platformLimit = 3 * time.Second
+	// platformIdle is short, so that a connection that has gone silent is soon
+	// not used again.
+	platformIdle = 5 * time.Second
+	// dialLimit bounds the opening of a connection to a backend server.
+	dialLimit = 500 * time.Millisecond
+	// stopLimit bounds the closing of listeners at the end of a graceful stop.
+	stopLimit = 5 * time.Second
+	// readHeaderLimit bounds how long a caller may take to send its headers.
+	readHeaderLimit = 10 * time.Second
+)
+
+// VM is one entry VM's process.
+type VM struct {
+	settings  settings.Checked
+	logger    hclog.Logger
+	loop      *control.Loop
+	fleet     *fleet.Fleet
+	gate      *admission.Gate
+	shares    *admission.Shares
+	pool      *wire.Pool
+	store     *replica.Store
+	owner     *owner.Owner
+	services  *services.Handler
+	engines   *engine.Client
+	publisher *revision.Publisher
+	caller    *listener
+	peer      *listener
+	operator  *listener
+
+	// FaultPoint, when set before Serve, is called before each step of an action.
+	FaultPoint func(op action.Op)
+}
+
+// New binds the listeners and builds the parts. Nothing runs yet.
+func New(checked settings.Checked, logger hclog.Logger) (machine *VM, err error) {
+	v := &VM{settings: checked, logger: logger}
+	if v.caller, err = listen("callerListener", checked.CallerListen); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if v.peer, err = listen("peerListener", checked.PeerListen); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if v.operator, err = listen("operatorListener", checked.OperatorListen); err != nil {
+		return nil, errors.Trace(err)
+	}
+	v.build()
+	return v, nil
+}
+
+// CallerAddress is what callers are told.
+func (v *VM) CallerAddress() string {
+	if v.settings.CallerAddress != "" {
+		return v.settings.CallerAddress
+	}
+	return v.caller.address
+}
+
+// PeerAddress is what other VMs connect to.
+func (v *VM) PeerAddress() string {
+	return v.peer.address
+}
+
+// OperatorAddress is what operators connect to.
+func (v *VM) OperatorAddress() string {
+	return v.operator.address
+}
+
+// Snapshot gives the control state, for tests and tools.
+func (v *VM) Snapshot() *control.Snapshot {
+	return v.loop.Snapshot()
+}
+
+// build makes the parts, from those that speak to the platform up to those that
+// speak to callers.
+func (v *VM) build() {
+	platform := &http.Client{Timeout: platformLimit, Transport: &http.Transport{IdleConnTimeout: platformIdle, MaxIdleConnsPerHost: 16}}
+	rows := table.New(v.settings.Platform, platform)
+	v.publisher = &revision.Publisher{Table: rows, Objects: platformobject.New(v.settings.Platform, platform), Now: time.Now}
+	v.fleet = fleet.New(fleet.Options{Now: time.Now, Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))})
+	v.gate = admission.New(admission.Options{Now: time.Now})
+	v.shares = admission.NewShares(time.Now)
+	v.store = replica.New()
+	v.engines = engine.New(&http.Client{Transport: freshConnections()})
+	v.pool = wire.NewPool(wire.PoolOptions{
+		Self:   v.settings.ID,
+		Key:    v.settings.Key,
+		OnAcks: func(peer string, acks []wire.Ack) { v.owner.OnAcks(peer, acks) },
+		OnDown: func(peer string) { v.owner.OnDown(peer) },
+	})
+	v.loop = control.New(control.Options{
+		Self:      v.self(),
+		Pool:      v.pool,
+		Publisher: v.publisher,
+		List:      vmlist.New(v.settings.Platform, platform),
+		Logger:    v.logger,
+		Now:       time.Now,
+		OnSet:     v.onSet,
+		OnDown:    func(peer string) { go v.owner.OnDown(peer) },
+		Uses:      v.uses,
+		OnUses:    v.onUses,
+	})
+	v.owner = owner.New(owner.Options{
+		Engines:  v.engines,
+		Fleet:    v.fleet,
+		Gate:     v.gate,
+		Pool:     v.pool,
+		Store:    v.store,
+		Snapshot: v.loop.Snapshot,
+		Condemn:  v.loop.Condemn,
+		Logger:   v.logger,
+		Now:      time.Now,
+		Grace:    v.settings.Grace,
+		Timing:   v.timing(),
+	})
+	v.services = services.New(services.Options{
+		Table:      rows,
+		Services:   service.New(&http.Client{Transport: freshConnections()}),
+		Fleet:      v.fleet,
+		Gate:       v.gate,
+		Hedges:     budget.New(budget.Options{Part: 0.1, Reserve: 10}),
+		Snapshot:   v.loop.Snapshot,
+		Arrived:    v.shares.Arrived,
+		Logger:     v.logger,
+		Now:        time.Now,
+		FaultPoint: func(op action.Op) { v.faultPoint(op) },
+	})
+}
+
+func (v *VM) faultPoint(op action.Op) {
+	if v.FaultPoint != nil {
+		v.FaultPoint(op)
+	}
+}
+
+// freshConnections opens a connection for each call: one that was kept may have
+// gone silent for good, and it costs one round trip to be sure.
+func freshConnections() *http.Transport {
+	return &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       (&net.Dialer{Timeout: dialLimit}).DialContext,
+	}
+}
+
+func (v *VM) timing() owner.Timing {
+	timing := owner.DefaultTiming
+	timing.Adaptive = v.settings.AdaptiveSilence
+	timing.RestartFromZero = v.settings.BaselineRecovery == "restart"
+	timing.FailoverOnlyByTimer = v.settings.BaselineRecovery == "timer"
+	return timing
+}
+
+func (v *VM) self() wire.Member {
+	return wire.Member{
+		ID:            v.settings.ID,
+		Incarnation:   uint64(time.Now().UnixMilli()), // Above that of the process before this one.
+		State:         wire.MemberLive,
+		FailureDomain: v.settings.FailureDomain,
+		CallerAddress: v.CallerAddress(),
+		PeerAddress:   v.PeerAddress(),
+	}
+}
+
+// onSet puts a configuration to use before it is shown to traffic.
+func (v *VM) onSet(set *object.Set, live int) {
+	v.fleet.Update(set)
+	v.gate.Configure(v.limitsOf(set, live))
+}
+
+func (v *VM) uses() []wire.AccountUse {
+	told := []wire.AccountUse{}
+	for _, use := range v.shares.Uses() {
+		told = append(told, wire.AccountUse{Account: use.Account, Rate: use.Rate})
+	}
+	return told
+}
+
+func (v *VM) onUses(from string, told []wire.AccountUse) {
+	uses := make([]admission.Use, 0, len(told))
+	for _, use := range told {
+		uses = append(uses, admission.Use{Account: use.Account, Rate: use.Rate})
+	}
+	v.shares.Heard(from, uses)
+}
+
+// Serve runs the VM until the context ends, and then stops it gracefully: it
+// tells the others, goes on accepting until every locate answer that names it
+// has lapsed, waits for what runs, and only then closes its listeners.
+func (v *VM) Serve(ctx context.Context) (err error) {
+	var stopTracing func(context.Context) error
+	if stopTracing, err = trace.Start(ctx, v.settings.TraceEndpoint, v.settings.ID); err != nil {
+		return errors.Trace(err)
+	}
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := v.supervisor().ServeBackground(running)
+	event.VMStarted.Info(v.logger, "vm", v.settings.ID, "caller", v.CallerAddress(), "peer", v.PeerAddress(), "operator", v.OperatorAddress())
+	select {
+	case <-ctx.Done():
+		v.leave()
+	case err = <-ended:
+		return errors.Trace(err)
+	}
+	v.closeListeners()
+	cancel()
+	<-ended
+	v.pool.Close()
+	event.VMStopped.Info(v.logger, "vm", v.settings.ID)
+	stopCtx, cancelStop := context.WithTimeout(context.Background(), stopLimit)
+	defer cancelStop()
+	return errors.Trace(stopTracing(stopCtx))
+}
+
+func (v *VM) leave() {
+	event.VMStopping.Info(v.logger, "vm", v.settings.ID)
+	v.loop.Leave()
+	time.Sleep(v.settings.LeaveWait)
+	ctx, cancel := context.WithTimeout(context.Background(), v.settings.DrainLimit)
+	defer cancel()
+	v.owner.Drain(ctx)
+	v.services.Drain()
+}
+
+func (v *VM) closeListeners() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+	defer cancel()
+	v.caller.shutdown(ctx)
+	v.operator.shutdown(ctx)
+}
+
+func (v *VM) supervisor() *suture.Supervisor {
+	supervisor := suture.New("vm", suture.Spec{EventHook: func(e suture.Event) {
+		event.ServiceRestarted.Warn(v.logger, "detail", e.String())
+	}})
+	v.caller.handler = v.callerRoutes()
+	v.peer.handler = v.peerRoutes()
+	v.operator.handler = v.operatorRoutes()
+	v.caller.useTLS(v.settings.TLSCertificate, v.settings.TLSKey)
+	v.operator.useTLS(v.settings.TLSCertificate, v.settings.TLSKey)
+	supervisor.Add(v.loop)
+	supervisor.Add(v.owner)
+	supervisor.Add(&limits{vm: v})
+	supervisor.Add(&loads{vm: v})
+	supervisor.Add(v.peer)
+	supervisor.Add(v.operator)
+	supervisor.Add(v.caller)
+	return supervisor
+}
+
+func (v *VM) callerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	handler := &openai.Handler{
+		Owner:    v.owner,
+		Snapshot: v.loop.Snapshot,
+		Arrived:  v.shares.Arrived,
+		Sealer:   generation.Sealer{Key: v.settings.Key},
+		Now:      time.Now,
+	}
+	handler.Register(mux)
+	v.services.Register(mux)
+	mux.HandleFunc("GET /v1/entries", locate.Handler(v.loop.Snapshot, time.Now))
+	return mux
+}
+
+func (v *VM) peerRoutes() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.Path, &wire.Server{
+		Key:        v.settings.Key,
+		OnEntries:  func(_ string, entries []wire.Entry) []wire.Ack { return v.store.Apply(entries, time.Now()) },
+		OnHandover: v.owner.OnHandover,
+		OnBeat:     v.loop.OnBeat,
+		OnContent:  v.loop.OnContent,
+	})
+	return mux
+}
+
+func (v *VM) operatorRoutes() http.Handler {
+	mux := http.NewServeMux()
+	handler := &admin.Handler{
+		Publisher:     v.publisher,
+		Loop:          v.loop,
+		Fleet:         v.fleet,
+		Owner:         v.owner,
+		BootstrapHash: v.settings.BootstrapHash,
+		Logger:        v.logger,
+		Now:           time.Now,
+	}
+	handler.Register(mux)
+	mux.HandleFunc("GET /metrics", v.writeMetrics)
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	mux.HandleFunc("GET /readyz", v.ready)
+	if v.settings.Pprof {
+		mux.HandleFunc("/debug/pprof/", pprof.Index)
+		mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+		mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	}
+	return mux
+}
+
+func (v *VM) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	active, kept := v.owner.Counts()
+	running, waiting := v.gate.Load()
+	set := metrics.NewSet()
+	gauge := func(name string, value float64) {
+		set.NewGauge(name, func() float64 { return value })
+	}
+	gauge("endivespoke_generations_active", float64(active))
+	gauge("endivespoke_generations_kept", float64(kept))
+	gauge("endivespoke_copies_held", float64(v.store.Len()))
+	gauge("endivespoke_admission_running", float64(running))
+	gauge("endivespoke_admission_waiting", float64(waiting))
+	gauge("endivespoke_peer_sent_bytes", float64(v.pool.SentBytes()))
+	gauge("endivespoke_configuration_revision", float64(v.loop.Snapshot().Head.Revision))
+	set.WritePrometheus(w)
+	metrics.WritePrometheus(w, true)
+}
+
+type readiness struct {
+	Ready    bool   `json:"ready"`
+	Revision uint64 `json:"revision"`
+	Leaving  bool   `json:"leaving"`
+}
+
+func (v *VM) ready(w http.ResponseWriter, _ *http.Request) {
+	snapshot := v.loop.Snapshot()
+	state := readiness{
+		Ready:    snapshot.Accepting(time.Now()) && !snapshot.Leaving,
+		Revision: snapshot.Head.Revision,
+		Leaving:  snapshot.Leaving,
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if !state.Ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	_ = json.NewEncoder(w).Encode(state) // The prober may have gone.
+}
--- /dev/null
+++ b/internal/operator/terminal/terminal.go
@@ -0,0 +1,157 @@
+// Package terminal is the command line of the product.
+//
+// # Usage
+//
+//	os.Exit(terminal.Run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+//
+// Exit codes: 0 done; 1 the system refused or failed; 2 wrong usage or
+// settings; 3 a configuration is not valid; 4 another operator published first;
+// 5 the end is not known.
+package terminal
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/node/settings"
+	"github.com/endivespoke/endivespoke/internal/node/vm"
+)
+
+// The exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitInvalid  = 3
+	exitConflict = 4
+	exitNotKnown = 5
+)
+
+// Version is set by the linker for released builds.
+var Version = "development"
+
+// exitError carries an exit code with its message.
+type exitError struct {
+	code    int
+	message string
+}
+
+// Error gives the message.
+func (e *exitError) Error() string {
+	return e.message
+}
+
+func exit(code int, format string, values ...any) error {
+	return &exitError{code: code, message: fmt.Sprintf(format, values...)}
+}
+
+// commands is the whole command line.
+type commands struct {
+	Serve    serveCommand    `cmd:"" help:"Run one entry VM. Stops gracefully on SIGTERM."`
+	Config   configCommand   `cmd:"" help:"Check, publish and look at configurations."`
+	Status   statusCommand   `cmd:"" help:"Show one VM's picture of the system."`
+	Locate   locateCommand   `cmd:"" help:"Ask which VMs to use."`
+	Generate generateCommand `cmd:"" help:"Ask for a generation and print it as it comes."`
+	Call     callCommand     `cmd:"" help:"Call a plain service."`
+	Version  versionCommand  `cmd:"" help:"Print the version."`
+}
+
+// terminal is what commands read and write.
+type terminal struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+const description = `Serves long generations on engines that fail.
+
+Examples:
+  endivespoke config check examples/villarreal.json
+  endivespoke config publish examples/villarreal.json --base 3
+  endivespoke generate --entry http://10.0.0.1:8080 --model drafting "Crew plan for job 17"
+  endivespoke status --output json
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings,
+3 configuration not valid, 4 another operator published first, 5 end not known.`
+
+// Run runs one command and gives its exit code.
+func Run(arguments []string, in io.Reader, out, errOut io.Writer) int {
+	var cli commands
+	code := -1
+	parser, err := kong.New(&cli,
+		kong.Name("endivespoke"),
+		kong.Description(description),
+		kong.UsageOnError(),
+		kong.Writers(out, errOut),
+		kong.Exit(func(status int) { code = status }),
+	)
+	if err != nil {
+		fmt.Fprintln(errOut, "endivespoke:", err)
+		return exitUsage
+	}
+	parsed, err := parser.Parse(arguments)
+	if code >= 0 {
+		return code // Help was printed.
+	}
+	if err != nil {
+		fmt.Fprintln(errOut, "endivespoke:", err)
+		return exitUsage
+	}
+	return report(parsed.Run(&terminal{in: in, out: out, err: errOut}), errOut)
+}
+
+func report(err error, errOut io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errOut, "endivespoke:", err)
+	var typed *exitError
+	if errors.As(err, &typed) {
+		return typed.code
+	}
+	return exitFailed
+}
+
+type serveCommand struct {
+	settings.Serve
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *serveCommand) Run(t *terminal) error {
+	checked, faults := c.Check()
+	if len(faults) > 0 {
+		for _, fault := range faults {
+			fmt.Fprintln(t.err, fault)
+		}
+		return exit(exitUsage, "%d settings are wrong", len(faults))
+	}
+	logger := hclog.New(&hclog.LoggerOptions{
+		Name:       "endivespoke",
+		Level:      hclog.LevelFromString(checked.LogLevel),
+		JSONFormat: checked.LogJSON,
+		Output:     t.err,
+	})
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	machine, err := vm.New(checked, logger)
+	if err != nil {
+		return exit(exitUsage, "%v", err)
+	}
+	return machine.Serve(ctx)
+}
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (c *versionCommand) Run(t *terminal) error {
+	_, err := fmt.Fprintln(t.out, "endivespoke", Version)
+	return err
+}
--- /dev/null
+++ b/internal/peer/gossip/membership.go
@@ -0,0 +1,308 @@
+// Package gossip keeps one VM's picture of the others: the platform's lagging
+// list joined with heartbeats to a bounded set of peers, and changes of state
+// passed on with them.
+//
+// # Usage
+//
+//	membership := gossip.NewMembership(self)
+//	membership.Listed(vms, now)            // the platform's list
+//	for _, peer := range membership.Targets() { ... } // whom to send a heartbeat to
+//	membership.Merge(beat.Members, now)    // what a peer told
+//	membership.Unanswered(peer, now)       // a heartbeat without an answer
+//	membership.Leave()                     // this VM is about to stop
+//
+// The order of states is that of SWIM (Das, Gupta, Motivala 2002): a higher
+// incarnation goes first, within one the worse state, and only a VM itself
+// raises its incarnation. The aggregate does no I/O.
+package gossip
+
+import (
+	"cmp"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
+)
+
+const (
+	// BeatEvery is the time between heartbeats to one peer.
+	BeatEvery = 500 * time.Millisecond
+	// missedBeats without an answer make a VM count as down.
+	missedBeats = 3
+	// ringNeighbours and farNeighbours bound the peers that get heartbeats.
+	ringNeighbours = 3
+	farNeighbours  = 5
+	// MaxNeighbours bounds the peers that get heartbeats in all.
+	MaxNeighbours = ringNeighbours + farNeighbours
+	// digestMembers bounds the members told in one heartbeat.
+	digestMembers = 24
+	// tellTimes is how often a change is told before it is old news.
+	tellTimes = 12
+	// forgetAfter is how long a VM that is down and unlisted is remembered.
+	forgetAfter = time.Minute
+)
+
+type member struct {
+	wire.Member
+	listed   bool
+	missed   int
+	tellLeft int
+	forgetAt time.Time
+}
+
+// Membership is one VM's picture. It belongs to one goroutine.
+type Membership struct {
+	self       wire.Member
+	members    map[string]*member // All but self.
+	neighbours []string
+	downCursor int
+	tellCursor int
+}
+
+// NewMembership starts with the VM itself alone.
+func NewMembership(self wire.Member) *Membership {
+	return &Membership{self: self, members: map[string]*member{}}
+}
+
+// Self gives this VM as it tells itself to others.
+func (m *Membership) Self() wire.Member {
+	return m.self
+}
+
+// Leave marks this VM as leaving.
+func (m *Membership) Leave() {
+	m.self.State = wire.MemberLeaving
+	m.self.Incarnation++
+}
+
+// Listed takes in the platform's list. The list lags, so a VM that it lacks is
+// kept while it answers, and one that it adds starts as live on trust.
+func (m *Membership) Listed(vms []vmlist.VM, now time.Time) {
+	listed := map[string]bool{}
+	for _, vm := range vms {
+		if vm.ID == m.self.ID {
+			continue
+		}
+		listed[vm.ID] = true
+		m.listedOne(vm)
+	}
+	for id, known := range m.members {
+		known.listed = listed[id]
+		m.plan(known, now)
+	}
+	m.chooseNeighbours()
+}
+
+func (m *Membership) listedOne(vm vmlist.VM) {
+	known := m.members[vm.ID]
+	if known == nil {
+		known = &member{Member: wire.Member{
+			ID:            vm.ID,
+			State:         wire.MemberLive,
+			FailureDomain: vm.FailureDomain,
+			CallerAddress: vm.CallerAddress,
+			PeerAddress:   vm.PeerAddress,
+		}}
+		m.members[vm.ID] = known
+	}
+	if vm.State == vmlist.StateLeaving && known.State == wire.MemberLive {
+		known.State = wire.MemberLeaving
+	}
+}
+
+// plan sets when a VM that is down and unlisted is forgotten.
+func (m *Membership) plan(known *member, now time.Time) {
+	gone := known.State == wire.MemberDown && !known.listed
+	switch {
+	case !gone:
+		known.forgetAt = time.Time{}
+	case known.forgetAt.IsZero():
+		known.forgetAt = now.Add(forgetAfter)
+	case now.After(known.forgetAt):
+		delete(m.members, known.ID)
+	}
+}
+
+// Merge takes in what a peer told. A false word about this VM itself is
+// answered with a higher incarnation.
+func (m *Membership) Merge(told []wire.Member, now time.Time) {
+	changed := false
+	for _, news := range told {
+		if news.ID == m.self.ID {
+			m.refute(news)
+			continue
+		}
+		changed = m.mergeOne(news, now) || changed
+	}
+	if changed {
+		m.chooseNeighbours()
+	}
+}
+
+func (m *Membership) refute(news wire.Member) {
+	if news.Incarnation >= m.self.Incarnation && news.State != m.self.State {
+		m.self.Incarnation = news.Incarnation + 1
+	}
+}
+
+func (m *Membership) mergeOne(news wire.Member, now time.Time) bool {
+	known := m.members[news.ID]
+	if known != nil && !newer(news, known.Member) {
+		return false
+	}
+	if known == nil {
+		if news.State == wire.MemberDown {
+			return false // Nobody needs to hear of a stranger that is gone.
+		}
+		known = &member{}
+		m.members[news.ID] = known
+	}
+	if news.PeerAddress == "" { // Word of a state only.
+		news.FailureDomain = known.FailureDomain
+		news.CallerAddress = known.CallerAddress
+		news.PeerAddress = known.PeerAddress
+	}
+	known.Member = news
+	known.missed = 0
+	known.tellLeft = tellTimes
+	m.plan(known, now)
+	return true
+}
+
+func newer(news, known wire.Member) bool {
+	if news.Incarnation != known.Incarnation {
+		return news.Incarnation > known.Incarnation
+	}
+	return news.State > known.State
+}
+
+// Answered notes that a peer answered a heartbeat.
+func (m *Membership) Answered(id string) {
+	if known := m.members[id]; known != nil {
+		known.missed = 0
+	}
+}
+
+// Unanswered notes that a peer did not. After a few it counts as down.
+func (m *Membership) Unanswered(id string, now time.Time) {
+	known := m.members[id]
+	if known == nil {
+		return
+	}
+	known.missed++
+	if known.missed < missedBeats || known.State == wire.MemberDown {
+		return
+	}
+	known.State = wire.MemberDown
+	known.tellLeft = tellTimes
+	m.plan(known, now)
+	m.chooseNeighbours()
+}
+
+// Digest gives what to tell a peer: this VM, fresh news, and then some of the
+// rest in turn.
+func (m *Membership) Digest() []wire.Member {
+	digest := []wire.Member{m.self}
+	ids := m.sortedIDs()
+	for _, id := range ids {
+		known := m.members[id]
+		if known.tellLeft > 0 && len(digest) < digestMembers {
+			known.tellLeft--
+			digest = append(digest, known.Member)
+		}
+	}
+	for range ids {
+		if len(digest) >= digestMembers/2 {
+			break
+		}
+		m.tellCursor = (m.tellCursor + 1) % len(ids)
+		known := m.members[ids[m.tellCursor]]
+		if known.Incarnation > 0 && known.tellLeft == 0 {
+			digest = append(digest, known.Member)
+		}
+	}
+	return digest
+}
+
+func (m *Membership) sortedIDs() []string {
+	return slices.Sorted(maps.Keys(m.members))
+}
+
+// Targets gives whom to send a heartbeat to: the neighbours, and in turn one VM
+// that is down but may be back, so that a healed partition is noticed.
+func (m *Membership) Targets() []wire.Member {
+	targets := []wire.Member{}
+	for _, id := range m.neighbours {
+		if known := m.members[id]; known != nil {
+			targets = append(targets, known.Member)
+		}
+	}
+	down := []wire.Member{}
+	for _, id := range m.sortedIDs() {
+		if known := m.members[id]; known.State == wire.MemberDown {
+			down = append(down, known.Member)
+		}
+	}
+	if len(down) > 0 {
+		m.downCursor = (m.downCursor + 1) % len(down)
+		targets = append(targets, down[m.downCursor])
+	}
+	return targets
+}
+
+// chooseNeighbours takes the next VMs on a ring of hashes, so that each VM is
+// watched by as many, and some that rendezvous hashing names, so that news
+// crosses the ring in few steps.
+func (m *Membership) chooseNeighbours() {
+	alive := []string{}
+	for _, id := range m.sortedIDs() {
+		if m.members[id].State != wire.MemberDown {
+			alive = append(alive, id)
+		}
+	}
+	ring := slices.Clone(alive)
+	own := hashOf(m.self.ID)
+	slices.SortFunc(ring, func(a, b string) int { return cmp.Compare(hashOf(a)-own, hashOf(b)-own) })
+	chosen := ring[:min(ringNeighbours, len(ring))]
+	far := slices.Clone(ring[len(chosen):])
+	slices.SortFunc(far, func(a, b string) int { return cmp.Compare(hashOf(m.self.ID+a), hashOf(m.self.ID+b)) })
+	m.neighbours = slices.Concat(chosen, far[:min(farNeighbours, len(far))])
+}
+
+// Members gives every VM including this one, sorted by id.
+func (m *Membership) Members() []wire.Member {
+	all := []wire.Member{m.self}
+	for _, known := range m.members {
+		all = append(all, known.Member)
+	}
+	slices.SortFunc(all, func(a, b wire.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// SeesMost reports whether more than half of the known VMs, this one included,
+// are not down.
+func (m *Membership) SeesMost() bool {
+	up := 1
+	for _, known := range m.members {
+		if known.State != wire.MemberDown {
+			up++
+		}
+	}
+	return 2*up > len(m.members)+1
+}
+
+func hashOf(text string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text)) // A hash never fails to write.
+	return mix(hash.Sum64())
+}
+
+// mix is the finalizer of splitmix64; FNV alone orders similar names alike.
+func mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9
+	x = (x ^ (x >> 27)) * 0x94D049BB133111EB
+	return x ^ (x >> 31)
+}
--- /dev/null
+++ b/internal/peer/wire/auth.go
@@ -0,0 +1,47 @@
+package wire
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// proofWindow bounds the age of a peer's proof, and so the clock skew between VMs.
+const proofWindow = time.Minute
+
+const proofScheme = "Peer "
+
+// prove sets the header that shows knowledge of the shared key:
+// "Peer <vm id>:<unix seconds>:<hmac>".
+func prove(header http.Header, key []byte, self string, now time.Time) {
+	at := strconv.FormatInt(now.Unix(), 10)
+	header.Set("Authorization", fmt.Sprintf("%s%s:%s:%s", proofScheme, self, at, proofTag(key, self, at)))
+}
+
+// checkProof returns the peer's id if its header shows knowledge of the key.
+func checkProof(header http.Header, key []byte, now time.Time) (peer string, ok bool) {
+	rest, found := strings.CutPrefix(header.Get("Authorization"), proofScheme)
+	parts := strings.Split(rest, ":")
+	if !found || len(parts) != 3 {
+		return "", false
+	}
+	seconds, err := strconv.ParseInt(parts[1], 10, 64)
+	if err != nil {
+		return "", false
+	}
+	if age := now.Sub(time.Unix(seconds, 0)); age > proofWindow || age < -proofWindow {
+		return "", false
+	}
+	return parts[0], hmac.Equal([]byte(proofTag(key, parts[0], parts[1])), []byte(parts[2]))
+}
+
+func proofTag(key []byte, self, at string) string {
+	mac := hmac.New(sha256.New, key)
+	_, _ = mac.Write([]byte("endivespoke peer " + self + " " + at)) // A hash never fails to write.
+	return hex.EncodeToString(mac.Sum(nil))
+}
--- /dev/null
+++ b/internal/request/owner/owner.go
@@ -0,0 +1,362 @@
+// Package owner drives the generations that this VM owns: admission, the
+// engine's stream, recovery from losses, the copy at a holder, take-over from
+// and by other VMs, and delivery to callers.
+//
+// # Usage
+//
+//	o := owner.New(owner.Options{...})
+//	running, failure := o.Submit(ctx, owner.Submission{Request: request, Spec: spec})
+//	tokens, end := running.Next(ctx, offset, changed)
+//	o.OnHandover(peer, handover)   // another VM takes over
+//	o.Drain(ctx)                   // wait until nothing runs
+//
+// Reading order: this file (the book of generations), running.go (one
+// generation and its callers), drive.go (engine attempts), recover.go (how the
+// next connection is found), holder.go (the copy), takeover.go.
+package owner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivespoke/endivespoke/internal/backend/engine"
+	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/caller/problem"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/node/control"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/replica"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+)
+
+const (
+	// DefaultGrace is how long a generation without a caller goes on.
+	DefaultGrace = 30 * time.Second
+	// keepEnded is how long an ended answer is kept for a caller that asks again.
+	keepEnded = time.Minute
+	// sweepEvery is the time between two looks for generations to forget.
+	sweepEvery = time.Second
+)
+
+var (
+	lateTokens     = metrics.NewCounter(`endivespoke_generation_late_events_total`)
+	takeOvers      = metrics.NewCounter(`endivespoke_generation_takeovers_total`)
+	streamsLost    = metrics.NewCounter(`endivespoke_generation_streams_lost_total`)
+	sameEngine     = metrics.NewCounter(`endivespoke_generation_resumed_same_engine_total`)
+	otherEngine    = metrics.NewCounter(`endivespoke_generation_resumed_other_engine_total`)
+	resumeSeconds  = metrics.NewHistogram(`endivespoke_generation_resume_seconds`)
+	firstSeconds   = metrics.NewHistogram(`endivespoke_generation_first_token_seconds`)
+	unprotectedRun = metrics.NewCounter(`endivespoke_generation_without_copy_total`)
+)
+
+// Options shapes an Owner. All function fields must be set.
+type Options struct {
+	Engines  *engine.Client
+	Fleet    *fleet.Fleet
+	Gate     *admission.Gate
+	Pool     *wire.Pool
+	Store    *replica.Store
+	Snapshot func() *control.Snapshot
+	Condemn  func(contentHash string)
+	Logger   hclog.Logger
+	Now      func() time.Time
+	Grace    time.Duration
+	Timing   Timing
+}
+
+// Owner is the book of the generations that this VM owns. It is safe for
+// concurrent use.
+type Owner struct {
+	options Options
+
+	mu        sync.Mutex
+	byRequest map[generation.Request]*Running
+	byID      map[string]*Running
+	shunned   map[string]time.Time  // Holders not to be chosen until then.
+	suspects  map[string]suspectLog // By content hash.
+}
+
+// suspectLog counts the servers that died while running one content.
+type suspectLog struct {
+	crashes []string
+	until   time.Time
+}
+
+// New makes an empty book.
+func New(options Options) *Owner {
+	if options.Grace == 0 {
+		options.Grace = DefaultGrace
+	}
+	if options.Timing == (Timing{}) {
+		options.Timing = DefaultTiming
+	}
+	return &Owner{
+		options:   options,
+		byRequest: map[generation.Request]*Running{},
+		byID:      map[string]*Running{},
+		shunned:   map[string]time.Time{},
+		suspects:  map[string]suspectLog{},
+	}
+}
+
+// Submission is a request as it reached this VM. KeyGiven says that the caller
+// chose the key, so that the request may be known elsewhere. Cursor, when set,
+// is what the caller already has.
+type Submission struct {
+	Request  generation.Request
+	Spec     generation.Spec
+	KeyGiven bool
+	Cursor   *generation.Cursor
+}
+
+// Submit accepts a request, or finds the generation that the key already has,
+// here or on another VM. The problem, if any, is the final answer.
+func (o *Owner) Submit(ctx context.Context, submission Submission) (*Running, *problem.Problem) {
+	if running := o.local(submission.Request); running != nil {
+		return running.sameBody(submission.Spec)
+	}
+	if submission.KeyGiven {
+		if running := o.takeOver(ctx, submission.Request, submission.Cursor); running != nil {
+			return running.sameBody(submission.Spec)
+		}
+	}
+	snapshot := o.options.Snapshot()
+	hash := submission.Spec.ContentHash()
+	if until, condemned := snapshot.Condemned[hash]; condemned {
+		return nil, condemnedProblem(until)
+	}
+	if !snapshot.Accepting(o.options.Now()) {
+		return nil, &problem.Problem{Code: problem.ConfigurationOutdated, Outcome: problem.NotRun, Detail: "this VM can't tell whether its configuration is current; use another", RetryAt: o.options.Now().Add(time.Second)}
+	}
+	if submission.Cursor == nil || submission.Cursor.Offset == 0 {
+		return o.accept(submission, hash)
+	}
+	event.GenerationRegenerate.Warn(o.options.Logger, "generation", submission.Cursor.Generation, "offset", submission.Cursor.Offset)
+	return o.accept(submission, hash)
+}
+
+// accept passes admission and starts a new generation. A caller who was
+// accepted before and lost every copy is not put to the end of the queue twice:
+// its request asks like any other, since this VM can't tell the difference.
+func (o *Owner) accept(submission Submission, contentHash string) (*Running, *problem.Problem) {
+	ticket, refusal := o.options.Gate.Ask(admission.Ask{
+		Account:  submission.Request.Account,
+		Rank:     submission.Spec.Rank,
+		Lookup:   submission.Spec.Lookup,
+		Deadline: submission.Spec.Deadline,
+	})
+	if refusal != nil {
+		return nil, RefusalProblem(refusal)
+	}
+	journal := generation.New(uuid.NewString(), submission.Request, submission.Spec)
+	running := o.newRunning(journal)
+	running.contentHash = contentHash
+	running.fresh = submission.KeyGiven
+	if submission.Cursor != nil {
+		// The engine may still have the stream that the lost journal was fed by.
+		journal.Server = submission.Cursor.Server
+		journal.EngineRequest = submission.Cursor.EngineRequest
+		running.rebuilding = submission.Cursor.EngineRequest != ""
+	}
+	journal.Crashes = o.knownCrashes(contentHash)
+	if existing := o.register(running); existing != running {
+		ticket.Leave()
+		return existing.sameBody(submission.Spec)
+	}
+	o.start(running, ticket)
+	return running, nil
+}
+
+// RefusalProblem turns an admission refusal into the caller's answer.
+func RefusalProblem(refusal *admission.Refusal) *problem.Problem {
+	p := &problem.Problem{Code: problem.Overloaded, Outcome: problem.NotRun, RetryAt: refusal.RetryAt}
+	switch refusal.Reason {
+	case admission.OverRate:
+		p.Code = problem.AccountLimit
+		p.Detail = "the client account is over its requests per second"
+	case admission.OverConcurrent:
+		p.Code = problem.AccountLimit
+		p.Detail = "the client account has too many requests open"
+	case admission.TooLate:
+		p.Detail = "the request could not be served before its deadline"
+	default:
+		p.Detail = "too much is waiting"
+	}
+	return p
+}
+
+func condemnedProblem(until time.Time) *problem.Problem {
+	return &problem.Problem{Code: problem.CrashesServers, Outcome: problem.Failed, Detail: "every engine that ran this content crashed; it is not run again for now", RetryAt: until}
+}
+
+func (o *Owner) newRunning(journal *generation.Journal) *Running {
+	ctx, cancel := context.WithDeadline(context.Background(), journal.Spec.Deadline)
+	return &Running{
+		owner:      o,
+		request:    journal.Request,
+		spec:       journal.Spec,
+		journal:    journal,
+		ctx:        ctx,
+		cancel:     cancel,
+		acceptedAt: o.options.Now(),
+		opened:     make(chan struct{}),
+		gone:       o.options.Now().Add(o.options.Grace),
+	}
+}
+
+// register books a generation, unless the request has one already.
+func (o *Owner) register(running *Running) *Running {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if existing := o.byRequest[running.request]; existing != nil {
+		return existing
+	}
+	o.byRequest[running.request] = running
+	o.byID[running.journal.ID] = running
+	return running
+}
+
+func (o *Owner) local(request generation.Request) *Running {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.byRequest[request]
+}
+
+func (o *Owner) byGeneration(id string) *Running {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.byID[id]
+}
+
+// forget takes a generation out of the book. id is its journal's.
+func (o *Owner) forget(running *Running, id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.byRequest[running.request] == running {
+		delete(o.byRequest, running.request)
+	}
+	if o.byID[id] == running {
+		delete(o.byID, id)
+	}
+}
+
+func (o *Owner) all() []*Running {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	all := make([]*Running, 0, len(o.byID))
+	for _, running := range o.byID {
+		all = append(all, running)
+	}
+	return all
+}
+
+// Counts tells how many generations run and how many ended ones are kept.
+func (o *Owner) Counts() (active, kept int) {
+	for _, running := range o.all() {
+		if running.ended() {
+			kept++
+		} else {
+			active++
+		}
+	}
+	return active, kept
+}
+
+// Drain waits until no generation runs and no caller reads, or the context ends.
+func (o *Owner) Drain(ctx context.Context) {
+	for o.busy() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+func (o *Owner) busy() bool {
+	for _, running := range o.all() {
+		if running.busy() {
+			return true
+		}
+	}
+	return false
+}
+
+// String names the sweeping service in the supervisor's messages.
+func (o *Owner) String() string {
+	return "owner"
+}
+
+// Serve forgets what is over until the context ends.
+func (o *Owner) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(sweepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			o.sweep()
+		}
+	}
+}
+
+func (o *Owner) sweep() {
+	now := o.options.Now()
+	for _, running := range o.all() {
+		if running.overAt(now) {
+			running.cancel()
+			o.forget(running, running.ID())
+		}
+	}
+	o.options.Store.Expire(now)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for hash, log := range o.suspects {
+		if now.After(log.until) {
+			delete(o.suspects, hash)
+		}
+	}
+	for peer, until := range o.shunned {
+		if now.After(until) {
+			delete(o.shunned, peer)
+		}
+	}
+}
+
+// suspectsKept is how long crashes count against a content.
+const suspectsKept = 2 * time.Minute
+
+func (o *Owner) knownCrashes(contentHash string) []string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]string(nil), o.suspects[contentHash].crashes...)
+}
+
+func (o *Owner) noteCrashes(contentHash string, crashes []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(crashes) == 0 {
+		delete(o.suspects, contentHash)
+		return
+	}
+	o.suspects[contentHash] = suspectLog{
+		crashes: append([]string(nil), crashes...),
+		until:   o.options.Now().Add(suspectsKept),
+	}
+}
+
+func (o *Owner) profile() object.Profile {
+	snapshot := o.options.Snapshot()
+	if snapshot.Set == nil || snapshot.Set.Profile == object.ProfileUnset {
+		return object.ProfileResumeLatency
+	}
+	return snapshot.Set.Profile
+}
