--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -17,6 +17,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -24,7 +26,10 @@
 	"github.com/endivespoke/endivespoke/internal/caller/client"
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
+	"github.com/endivespoke/endivespoke/internal/lab/forward"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
+	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
+	"github.com/endivespoke/endivespoke/internal/lab/servicefake"
 	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
 )
 
@@ -50,19 +55,27 @@
 	Profile   object.Profile // Replaces the example's, if set.
 	BurstGap  time.Duration
 	BurstEach int
+	Forward   bool // Put a forwarder before each caller, peer and engine address.
 }
 
 // VM is one entry VM's process.
 type VM struct {
-	ID       string
-	Caller   string
-	Operator string
-	process  *process
+	ID            string
+	FailureDomain string
+	Caller        string
+	Peer          string
+	Operator      string
+	CallerPath    *forward.Forwarder // Nil without Options.Forward.
+	PeerPath      *forward.Forwarder
+	process       *process
+	gone          bool
 }
 
 // Engine is one engine's process.
 type Engine struct {
 	Server  object.BackendServer
+	Path    *forward.Forwarder // Nil without Options.Forward.
+	listen  string             // The engine's own address.
 	process *process
 	dead    bool
 	flags   []string
@@ -108,7 +121,7 @@
 		return errors.Trace(err)
 	}
 	for _, vm := range s.VMs {
-		if err = waitFor(ctx, "http://"+vm.Operator+"/readyz"); err != nil {
+		if err = s.Ready(ctx, vm); err != nil {
 			return errors.Trace(err)
 		}
 	}
@@ -172,16 +185,24 @@
 	if addresses, err = freePorts(1); err != nil {
 		return errors.Trace(err)
 	}
+	engine := &Engine{listen: addresses[0]}
 	server.Address = addresses[0]
-	engine := &Engine{Server: *server, flags: []string{
+	if s.Options.Forward {
+		if engine.Path, err = forward.New(engine.listen); err != nil {
+			return errors.Trace(err)
+		}
+		server.Address = engine.Path.Address()
+	}
+	engine.Server = *server
+	engine.flags = []string{
 		"engine",
-		"--listen", server.Address,
+		"--listen", engine.listen,
 		"--token-gap", s.Options.TokenGap.String(),
 		"--prefill", s.Options.Prefill.String(),
 		"--slots", fmt.Sprint(server.MaxConcurrent),
 		"--burst-every", fmt.Sprint(s.Options.BurstEach),
 		"--burst-gap", s.Options.BurstGap.String(),
-	}}
+	}
 	s.Engines = append(s.Engines, engine)
 	return errors.Trace(s.run(ctx, engine))
 }
@@ -191,7 +212,7 @@
 		return errors.Trace(err)
 	}
 	engine.dead = false
-	return errors.Trace(waitFor(ctx, "http://"+engine.Server.Address+"/load"))
+	return errors.Trace(waitFor(ctx, "http://"+engine.listen+"/load"))
 }
 
 func (s *System) startService(ctx context.Context, server *object.BackendServer) (err error) {
@@ -213,60 +234,89 @@
 // startVMs starts the VMs, spread over the example's failure domains, and tells
 // the platform of them.
 func (s *System) startVMs(ctx context.Context) (err error) {
+	domains := s.domains()
+	for i := range s.Options.VMs {
+		if _, err = s.StartVM(ctx, fmt.Sprintf("vm-%d", i+1), domains[i%len(domains)]); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return errors.Trace(s.ListVMs())
+}
+
+// domains gives the failure domains of the example, in order.
+func (s *System) domains() []string {
 	domains := []string{}
 	for _, server := range s.Set.BackendServers {
-		if len(domains) == 0 || server.FailureDomain != domains[0] {
+		if !slices.Contains(domains, server.FailureDomain) {
 			domains = append(domains, server.FailureDomain)
 		}
-		if len(domains) == 3 {
-			break
-		}
 	}
+	return domains
+}
+
+// ListVMs tells the platform of the VMs that are not gone.
+func (s *System) ListVMs() error {
 	listed := []vmlist.VM{}
-	for i := range s.Options.VMs {
-		var entry vmlist.VM
-		if entry, err = s.startVM(fmt.Sprintf("vm-%d", i+1), domains[i%len(domains)]); err != nil {
-			return errors.Trace(err)
+	for _, vm := range s.VMs {
+		if !vm.gone {
+			listed = append(listed, vmlist.VM{ID: vm.ID, FailureDomain: vm.FailureDomain, CallerAddress: vm.Caller, PeerAddress: vm.Peer, State: vmlist.StateLive})
 		}
-		listed = append(listed, entry)
 	}
-	var body []byte
-	if body, err = json.Marshal(listed); err != nil {
-		return errors.Trace(err)
-	}
-	if err = put(s.Platform+"/vms", body, nil); err != nil {
+	body, err := json.Marshal(listed)
+	if err != nil {
 		return errors.Trace(err)
 	}
-	for _, vm := range s.VMs {
-		if err = waitFor(ctx, "http://"+vm.Operator+"/healthz"); err != nil {
-			return errors.Trace(err)
-		}
-	}
-	return nil
+	return errors.Trace(put(s.Platform+"/vms", body, nil))
 }
 
-func (s *System) startVM(id, domain string) (entry vmlist.VM, err error) {
+// StartVM starts one more VM. The platform's list has it after ListVMs.
+func (s *System) StartVM(ctx context.Context, id, domain string) (vm *VM, err error) {
 	var addresses []string
 	if addresses, err = freePorts(3); err != nil {
-		return vmlist.VM{}, errors.Trace(err)
+		return nil, errors.Trace(err)
+	}
+	vm = &VM{ID: id, FailureDomain: domain, Caller: addresses[0], Peer: addresses[1], Operator: addresses[2]}
+	if err = s.forwardVM(vm); err != nil {
+		return nil, errors.Trace(err)
 	}
-	vm := &VM{ID: id, Caller: addresses[0], Operator: addresses[2]}
 	flags := append([]string{
 		"serve",
 		"--id", id,
 		"--failure-domain", domain,
 		"--caller-listen", addresses[0],
+		"--caller-address", vm.Caller,
 		"--peer-listen", addresses[1],
+		"--peer-address", vm.Peer,
 		"--operator-listen", addresses[2],
 		"--platform", s.Platform,
 		"--peer-key", peerKey,
 		"--bootstrap-hash", object.HashToken(operatorToken),
 	}, s.Options.VMFlags...)
 	if vm.process, err = start(s.Options.Logs, id, s.program("endivespoke"), flags...); err != nil {
-		return vmlist.VM{}, errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	s.VMs = append(s.VMs, vm)
-	return vmlist.VM{ID: id, FailureDomain: domain, CallerAddress: addresses[0], PeerAddress: addresses[1], State: vmlist.StateLive}, nil
+	return vm, errors.Trace(waitFor(ctx, "http://"+vm.Operator+"/healthz"))
+}
+
+func (s *System) forwardVM(vm *VM) (err error) {
+	if !s.Options.Forward {
+		return nil
+	}
+	if vm.CallerPath, err = forward.New(vm.Caller); err != nil {
+		return errors.Trace(err)
+	}
+	if vm.PeerPath, err = forward.New(vm.Peer); err != nil {
+		return errors.Trace(err)
+	}
+	vm.Caller = vm.CallerPath.Address()
+	vm.Peer = vm.PeerPath.Address()
+	return nil
+}
+
+// Ready waits until a VM takes requests.
+func (s *System) Ready(ctx context.Context, vm *VM) error {
+	return errors.Trace(waitFor(ctx, "http://"+vm.Operator+"/readyz"))
 }
 
 func (s *System) publish() error {
@@ -276,15 +326,76 @@
 
 // KillVM ends a VM's process without notice.
 func (s *System) KillVM(index int) {
+	s.VMs[index].gone = true
 	s.VMs[index].process.kill()
 }
 
+// StopVM asks a VM to stop gracefully and waits until it has.
+func (s *System) StopVM(index int) {
+	s.VMs[index].process.signal(syscall.SIGTERM)
+	<-s.VMs[index].process.done
+	s.VMs[index].gone = true
+}
+
+// PauseVM stops a VM's process where it is; ResumeVM lets it go on.
+func (s *System) PauseVM(index int) {
+	s.VMs[index].process.signal(syscall.SIGSTOP)
+}
+
+// ResumeVM lets a paused VM go on.
+func (s *System) ResumeVM(index int) {
+	s.VMs[index].process.signal(syscall.SIGCONT)
+}
+
 // KillEngine ends an engine's process without notice.
 func (s *System) KillEngine(index int) {
 	s.Engines[index].dead = true
 	s.Engines[index].process.kill()
 }
 
+// PauseEngine stops an engine's process where it is.
+func (s *System) PauseEngine(index int) {
+	s.Engines[index].process.signal(syscall.SIGSTOP)
+}
+
+// ResumeEngine lets a paused engine go on.
+func (s *System) ResumeEngine(index int) {
+	s.Engines[index].process.signal(syscall.SIGCONT)
+}
+
+// EngineFaults tells an engine what to do wrong from now on.
+func (s *System) EngineFaults(index int, faults enginefake.Faults) error {
+	return s.faults("http://"+s.Engines[index].listen, faults)
+}
+
+// ServiceFaults tells a plain service what to do wrong from now on.
+func (s *System) ServiceFaults(index int, faults servicefake.Faults) error {
+	return s.faults(s.ServiceURLs[index], faults)
+}
+
+// PlatformFaults tells the platform what to do wrong from now on.
+func (s *System) PlatformFaults(faults platformfake.Faults) error {
+	return s.faults(s.Platform, faults)
+}
+
+func (s *System) faults(url string, faults any) error {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(put(url+"/faults", body, nil))
+}
+
+// EngineDied reports whether an engine's process has ended.
+func (s *System) EngineDied(index int) bool {
+	select {
+	case <-s.Engines[index].process.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // RestartEngine starts an engine again at its address, with nothing in memory.
 func (s *System) RestartEngine(ctx context.Context, index int) error {
 	return s.run(ctx, s.Engines[index])
@@ -296,7 +407,7 @@
 		if engine.dead {
 			continue
 		}
-		body, err := get("http://" + engine.Server.Address + "/load")
+		body, err := get("http://" + engine.listen + "/load")
 		if err != nil {
 			continue
 		}
@@ -330,11 +441,14 @@
 func (s *System) Stop() {
 	for _, vm := range s.VMs {
 		vm.process.kill()
+		closePath(vm.CallerPath)
+		closePath(vm.PeerPath)
 	}
 	for _, engine := range s.Engines {
 		if engine.process != nil {
-			engine.process.stop()
+			engine.process.kill()
 		}
+		closePath(engine.Path)
 	}
 	for _, service := range s.services {
 		service.stop()
@@ -343,3 +457,9 @@
 		s.platform.stop()
 	}
 }
+
+func closePath(path *forward.Forwarder) {
+	if path != nil {
+		path.Close()
+	}
+}
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -44,6 +45,8 @@
 	storeLimit = 2 * time.Second
 	// condemnedFor is how long a content that crashes engines is refused.
 	condemnedFor = 10 * time.Minute
+	// unpublished is a membership version that no membership has.
+	unpublished = math.MaxUint64
 	// maxCondemned bounds the contents remembered and told in a heartbeat.
 	maxCondemned = 64
 )
@@ -139,6 +142,7 @@
 	leaving     bool
 	outdated    bool
 	down        map[string]bool
+	version     uint64 // Of the membership that was last published.
 }
 
 // New makes a loop. Its snapshot is empty until it runs.
@@ -168,6 +172,7 @@
 		condemned:  map[string]time.Time{},
 		leaving:    last.Leaving,
 		down:       map[string]bool{},
+		version:    unpublished,
 	}
 	ticker := time.NewTicker(gossip.BeatEvery / 10)
 	defer ticker.Stop()
@@ -221,7 +226,7 @@
 	now := l.options.Now()
 	next := &Snapshot{
 		Self:       s.membership.Self(),
-		Members:    s.membership.Members(),
+		Members:    previous.Members,
 		Head:       s.inForce.Head,
 		Set:        s.inForce.Set,
 		FreshUntil: s.inForce.FreshUntil,
@@ -234,8 +239,15 @@
 	if next.Set != previous.Set {
 		next.index()
 	}
+	if s.version != s.membership.Version() {
+		s.version = s.membership.Version()
+		next.Members = s.membership.Members()
+	}
 	l.snapshot.Store(next)
-	l.logChanges(s, next, now)
+	l.logOutdated(s, next, now)
+	if len(next.Members) > 0 && &next.Members[0] != &previous.Members[0] {
+		l.logMembers(s, next)
+	}
 }
 
 func (s *state) condemnedCopy() map[string]time.Time {
@@ -264,7 +276,7 @@
 	}
 }
 
-func (l *Loop) logChanges(s *state, next *Snapshot, now time.Time) {
+func (l *Loop) logOutdated(s *state, next *Snapshot, now time.Time) {
 	outdated := next.Set != nil && !next.Accepting(now)
 	if outdated && !s.outdated {
 		event.ConfigOutdated.Warn(l.options.Logger, "revision", next.Head.Revision)
@@ -273,6 +285,9 @@
 		event.ConfigCurrent.Info(l.options.Logger, "revision", next.Head.Revision)
 	}
 	s.outdated = outdated
+}
+
+func (l *Loop) logMembers(s *state, next *Snapshot) {
 	for _, member := range next.Members {
 		down := member.State == wire.MemberDown
 		if down && !s.down[member.ID] {
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -27,6 +27,7 @@
 	CallerListen     string `help:"IP:PORT for callers." env:"ENDIVESPOKE_CALLER_LISTEN" default:"127.0.0.1:8080"`
 	CallerAddress    string `help:"IP:PORT that callers are told; the listening one if empty." env:"ENDIVESPOKE_CALLER_ADDRESS"`
 	PeerListen       string `help:"IP:PORT for other VMs." env:"ENDIVESPOKE_PEER_LISTEN" default:"127.0.0.1:8081"`
+	PeerAddress      string `help:"IP:PORT that other VMs are told; the listening one if empty." env:"ENDIVESPOKE_PEER_ADDRESS"`
 	OperatorListen   string `help:"IP:PORT for operators, metrics and health." env:"ENDIVESPOKE_OPERATOR_LISTEN" default:"127.0.0.1:8082"`
 	Platform         string `help:"Base URL of the platform's table, object store and VM list." env:"ENDIVESPOKE_PLATFORM" required:""`
 	PeerKey          string `help:"Shared key of all VMs, 32 or more bytes in base64. Seals cursors too." env:"ENDIVESPOKE_PEER_KEY" required:""`
@@ -94,6 +95,9 @@
 		c.address("caller-address", "CALLER_ADDRESS", s.CallerAddress)
 	}
 	c.address("peer-listen", "PEER_LISTEN", s.PeerListen)
+	if s.PeerAddress != "" {
+		c.address("peer-address", "PEER_ADDRESS", s.PeerAddress)
+	}
 	c.address("operator-listen", "OPERATOR_LISTEN", s.OperatorListen)
 	c.url("platform", "PLATFORM", s.Platform)
 	checked.Key = c.key(s.PeerKey)
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -108,8 +108,11 @@
 	return v.caller.address
 }
 
-// PeerAddress is what other VMs connect to.
+// PeerAddress is what other VMs are told.
 func (v *VM) PeerAddress() string {
+	if v.settings.PeerAddress != "" {
+		return v.settings.PeerAddress
+	}
 	return v.peer.address
 }
 
--- /dev/null
+++ b/internal/peer/gossip/gossip_test.go
@@ -0,0 +1,205 @@
+package gossip_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+	"github.com/endivespoke/endivespoke/internal/peer/gossip"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
+)
+
+func init() { property.Fix() }
+
+// group is a set of memberships that beat to each other in rounds, without
+// time or network.
+type group struct {
+	now   time.Time
+	vms   map[string]*gossip.Membership
+	order []string
+	cut   func(from, to string) bool
+}
+
+func newGroup(count int) *group {
+	g := &group{now: time.Unix(1000, 0), vms: map[string]*gossip.Membership{}, cut: func(string, string) bool { return false }}
+	listed := []vmlist.VM{}
+	for i := range count {
+		id := fmt.Sprintf("vm-%03d", i)
+		g.order = append(g.order, id)
+		g.vms[id] = gossip.NewMembership(wire.Member{ID: id, Incarnation: 1, State: wire.MemberLive, FailureDomain: fmt.Sprint("domain-", i%4), PeerAddress: id})
+		listed = append(listed, vmlist.VM{ID: id, PeerAddress: id, FailureDomain: fmt.Sprint("domain-", i%4), State: vmlist.StateLive})
+	}
+	for _, id := range g.order {
+		g.vms[id].Listed(listed, g.now)
+	}
+	return g
+}
+
+// round lets every VM beat once to each of its targets.
+func (g *group) round() {
+	g.now = g.now.Add(gossip.BeatEvery)
+	for _, id := range g.order {
+		membership := g.vms[id]
+		for _, target := range membership.Targets() {
+			other := g.vms[target.ID]
+			if other == nil || g.cut(id, target.ID) || g.cut(target.ID, id) {
+				membership.Unanswered(target.ID, g.now)
+				continue
+			}
+			other.Merge(membership.Digest(), g.now)
+			membership.Answered(target.ID)
+			membership.Merge(other.Digest(), g.now)
+		}
+	}
+}
+
+// stateOf gives what each VM believes of one, without that one itself.
+func (g *group) agree(id string, want wire.MemberState) bool {
+	for _, other := range g.order {
+		if other == id || g.vms[other] == nil {
+			continue
+		}
+		for _, member := range g.vms[other].Members() {
+			if member.ID == id && member.State != want {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (g *group) remove(id string) {
+	delete(g.vms, id)
+	for at, known := range g.order {
+		if known == id {
+			g.order = append(g.order[:at], g.order[at+1:]...)
+			return
+		}
+	}
+}
+
+// roundsUntil gives how many rounds a thing takes, at most limit.
+func (g *group) roundsUntil(limit int, done func() bool) int {
+	for round := range limit {
+		if done() {
+			return round
+		}
+		g.round()
+	}
+	return limit
+}
+
+func TestLossIsKnownEverywhereSoon(t *testing.T) {
+	for _, count := range []int{3, 9, 100, 430} {
+		g := newGroup(count)
+		g.round()
+		g.remove("vm-001")
+		rounds := g.roundsUntil(20, func() bool { return g.agree("vm-001", wire.MemberDown) })
+		t.Logf("%d VMs: %d rounds", count, rounds)
+		qt.Assert(t, time.Duration(rounds)*gossip.BeatEvery <= 8*time.Second, qt.IsTrue)
+	}
+}
+
+func TestLeavingIsKnownEverywhereWithinTwoSeconds(t *testing.T) {
+	for _, count := range []int{9, 430} {
+		g := newGroup(count)
+		g.round()
+		g.vms["vm-002"].Leave()
+		rounds := g.roundsUntil(20, func() bool { return g.agree("vm-002", wire.MemberLeaving) })
+		qt.Assert(t, time.Duration(rounds)*gossip.BeatEvery <= 2*time.Second, qt.IsTrue, qt.Commentf("%d VMs: %d rounds", count, rounds))
+	}
+}
+
+// TestPartitionHeals cuts a third of the VMs off. Each side loses sight of the
+// other, only the larger one sees most, and afterwards all see all again.
+func TestPartitionHeals(t *testing.T) {
+	g := newGroup(30)
+	side := func(id string) bool { return id < "vm-010" }
+	g.cut = func(from, to string) bool { return side(from) != side(to) }
+	for range 20 {
+		g.round()
+	}
+	qt.Assert(t, g.vms["vm-000"].SeesMost(), qt.IsFalse)
+	qt.Assert(t, g.vms["vm-020"].SeesMost(), qt.IsTrue)
+	g.cut = func(string, string) bool { return false }
+	rounds := g.roundsUntil(60, func() bool {
+		for _, id := range g.order {
+			if !g.agree(id, wire.MemberLive) {
+				return false
+			}
+		}
+		return true
+	})
+	qt.Assert(t, rounds < 60, qt.IsTrue, qt.Commentf("%d rounds", rounds))
+}
+
+// TestPausedVMRefutesItsDeath shows that a VM that others gave up is live again
+// for all soon after it goes on.
+func TestPausedVMRefutesItsDeath(t *testing.T) {
+	g := newGroup(9)
+	g.cut = func(from, to string) bool { return from == "vm-004" || to == "vm-004" }
+	g.roundsUntil(20, func() bool { return g.agree("vm-004", wire.MemberDown) })
+	g.cut = func(string, string) bool { return false }
+	rounds := g.roundsUntil(20, func() bool { return g.agree("vm-004", wire.MemberLive) })
+	qt.Assert(t, rounds < 20, qt.IsTrue)
+}
+
+// TestHeartbeatStaysWithinBudget holds the bytes and messages of one VM at the
+// size of the next two years against 14 KB a second.
+func TestHeartbeatStaysWithinBudget(t *testing.T) {
+	g := newGroup(430)
+	for range 4 {
+		g.round()
+	}
+	membership := g.vms["vm-100"]
+	body, err := wire.Encode(wire.Frame{Beat: &wire.Beat{From: "vm-100", Hash: "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef", Members: membership.Digest()}})
+	qt.Assert(t, err, qt.IsNil)
+	targets := len(membership.Targets())
+	qt.Assert(t, targets <= gossip.MaxNeighbours+1, qt.IsTrue)
+	perSecond := float64(targets*len(body)) / gossip.BeatEvery.Seconds()
+	t.Logf("%d bytes to %d targets: %.0f bytes a second", len(body), targets, perSecond)
+	qt.Assert(t, perSecond <= 14_000, qt.IsTrue)
+}
+
+// TestRankMovesOnlyTheLostVMsKeys is the property of rendezvous hashing.
+func TestRankMovesOnlyTheLostVMsKeys(t *testing.T) {
+	members := []wire.Member{}
+	for i := range 12 {
+		members = append(members, wire.Member{ID: fmt.Sprint("vm-", i), State: wire.MemberLive})
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.String().Draw(t, "key")
+		lost := rapid.IntRange(0, 11).Draw(t, "lost")
+		before := gossip.Rank(key, members)
+		fewer := append(append([]wire.Member{}, members[:lost]...), members[lost+1:]...)
+		after := gossip.Rank(key, fewer)
+		kept := []wire.Member{}
+		for _, member := range before {
+			if member.ID != members[lost].ID {
+				kept = append(kept, member)
+			}
+		}
+		property.Assert(t, after, qt.DeepEquals, kept)
+	})
+}
+
+func TestHoldersPreferOtherFailureDomains(t *testing.T) {
+	self := wire.Member{ID: "vm-0", FailureDomain: "a", State: wire.MemberLive}
+	members := []wire.Member{
+		self,
+		{ID: "vm-1", FailureDomain: "a", State: wire.MemberLive},
+		{ID: "vm-2", FailureDomain: "b", State: wire.MemberLive},
+		{ID: "vm-3", FailureDomain: "b", State: wire.MemberDown},
+		{ID: "vm-4", FailureDomain: "c", State: wire.MemberLeaving},
+	}
+	ids := []string{}
+	for _, holder := range gossip.Holders("key", self, members) {
+		ids = append(ids, holder.ID)
+	}
+	qt.Assert(t, ids, qt.DeepEquals, []string{"vm-2", "vm-1"})
+}
--- a/internal/peer/gossip/membership.go
+++ b/internal/peer/gossip/membership.go
@@ -19,7 +19,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"maps"
 	"slices"
 	"time"
 
@@ -57,11 +56,25 @@
 type Membership struct {
 	self       wire.Member
 	members    map[string]*member // All but self.
+	order      []string           // The keys of members, sorted.
 	neighbours []string
+	stale      bool // The neighbours have to be chosen anew.
+	version    uint64
 	downCursor int
 	tellCursor int
 }
 
+// Version changes with every change of what Members gives.
+func (m *Membership) Version() uint64 {
+	return m.version
+}
+
+// changed notes that a member came, went or changed its state.
+func (m *Membership) changed() {
+	m.stale = true
+	m.version++
+}
+
 // NewMembership starts with the VM itself alone.
 func NewMembership(self wire.Member) *Membership {
 	return &Membership{self: self, members: map[string]*member{}}
@@ -76,6 +89,7 @@
 func (m *Membership) Leave() {
 	m.self.State = wire.MemberLeaving
 	m.self.Incarnation++
+	m.changed()
 }
 
 // Listed takes in the platform's list. The list lags, so a VM that it lacks is
@@ -93,7 +107,6 @@
 		known.listed = listed[id]
 		m.plan(known, now)
 	}
-	m.chooseNeighbours()
 }
 
 func (m *Membership) listedOne(vm vmlist.VM) {
@@ -106,11 +119,27 @@
 			CallerAddress: vm.CallerAddress,
 			PeerAddress:   vm.PeerAddress,
 		}}
-		m.members[vm.ID] = known
+		m.add(known)
 	}
 	if vm.State == vmlist.StateLeaving && known.State == wire.MemberLive {
 		known.State = wire.MemberLeaving
+		m.changed()
+	}
+}
+
+func (m *Membership) add(known *member) {
+	m.members[known.ID] = known
+	at, _ := slices.BinarySearch(m.order, known.ID)
+	m.order = slices.Insert(m.order, at, known.ID)
+	m.changed()
+}
+
+func (m *Membership) remove(id string) {
+	delete(m.members, id)
+	if at, found := slices.BinarySearch(m.order, id); found {
+		m.order = slices.Delete(m.order, at, at+1)
 	}
+	m.changed()
 }
 
 // plan sets when a VM that is down and unlisted is forgotten.
@@ -122,43 +151,40 @@
 	case known.forgetAt.IsZero():
 		known.forgetAt = now.Add(forgetAfter)
 	case now.After(known.forgetAt):
-		delete(m.members, known.ID)
+		m.remove(known.ID)
 	}
 }
 
 // Merge takes in what a peer told. A false word about this VM itself is
 // answered with a higher incarnation.
 func (m *Membership) Merge(told []wire.Member, now time.Time) {
-	changed := false
 	for _, news := range told {
 		if news.ID == m.self.ID {
 			m.refute(news)
 			continue
 		}
-		changed = m.mergeOne(news, now) || changed
-	}
-	if changed {
-		m.chooseNeighbours()
+		m.mergeOne(news, now)
 	}
 }
 
 func (m *Membership) refute(news wire.Member) {
 	if news.Incarnation >= m.self.Incarnation && news.State != m.self.State {
 		m.self.Incarnation = news.Incarnation + 1
+		m.changed()
 	}
 }
 
-func (m *Membership) mergeOne(news wire.Member, now time.Time) bool {
+func (m *Membership) mergeOne(news wire.Member, now time.Time) {
 	known := m.members[news.ID]
 	if known != nil && !newer(news, known.Member) {
-		return false
+		return
 	}
 	if known == nil {
 		if news.State == wire.MemberDown {
-			return false // Nobody needs to hear of a stranger that is gone.
+			return // Nobody needs to hear of a stranger that is gone.
 		}
-		known = &member{}
-		m.members[news.ID] = known
+		known = &member{Member: news}
+		m.add(known)
 	}
 	if news.PeerAddress == "" { // Word of a state only.
 		news.FailureDomain = known.FailureDomain
@@ -168,8 +194,8 @@
 	known.Member = news
 	known.missed = 0
 	known.tellLeft = tellTimes
+	m.changed()
 	m.plan(known, now)
-	return true
 }
 
 func newer(news, known wire.Member) bool {
@@ -198,28 +224,27 @@
 	}
 	known.State = wire.MemberDown
 	known.tellLeft = tellTimes
+	m.changed()
 	m.plan(known, now)
-	m.chooseNeighbours()
 }
 
 // Digest gives what to tell a peer: this VM, fresh news, and then some of the
 // rest in turn.
 func (m *Membership) Digest() []wire.Member {
 	digest := []wire.Member{m.self}
-	ids := m.sortedIDs()
-	for _, id := range ids {
+	for _, id := range m.order {
 		known := m.members[id]
 		if known.tellLeft > 0 && len(digest) < digestMembers {
 			known.tellLeft--
 			digest = append(digest, known.Member)
 		}
 	}
-	for range ids {
+	for range m.order {
 		if len(digest) >= digestMembers/2 {
 			break
 		}
-		m.tellCursor = (m.tellCursor + 1) % len(ids)
-		known := m.members[ids[m.tellCursor]]
+		m.tellCursor = (m.tellCursor + 1) % len(m.order)
+		known := m.members[m.order[m.tellCursor]]
 		if known.Incarnation > 0 && known.tellLeft == 0 {
 			digest = append(digest, known.Member)
 		}
@@ -227,13 +252,13 @@
 	return digest
 }
 
-func (m *Membership) sortedIDs() []string {
-	return slices.Sorted(maps.Keys(m.members))
-}
-
 // Targets gives whom to send a heartbeat to: the neighbours, and in turn one VM
 // that is down but may be back, so that a healed partition is noticed.
 func (m *Membership) Targets() []wire.Member {
+	if m.stale {
+		m.chooseNeighbours()
+		m.stale = false
+	}
 	targets := []wire.Member{}
 	for _, id := range m.neighbours {
 		if known := m.members[id]; known != nil {
@@ -241,7 +266,7 @@
 		}
 	}
 	down := []wire.Member{}
-	for _, id := range m.sortedIDs() {
+	for _, id := range m.order {
 		if known := m.members[id]; known.State == wire.MemberDown {
 			down = append(down, known.Member)
 		}
@@ -258,27 +283,42 @@
 // crosses the ring in few steps.
 func (m *Membership) chooseNeighbours() {
 	alive := []string{}
-	for _, id := range m.sortedIDs() {
+	for _, id := range m.order {
 		if m.members[id].State != wire.MemberDown {
 			alive = append(alive, id)
 		}
 	}
-	ring := slices.Clone(alive)
 	own := hashOf(m.self.ID)
-	slices.SortFunc(ring, func(a, b string) int { return cmp.Compare(hashOf(a)-own, hashOf(b)-own) })
+	ring := sortedBy(alive, func(id string) uint64 { return hashOf(id) - own })
 	chosen := ring[:min(ringNeighbours, len(ring))]
-	far := slices.Clone(ring[len(chosen):])
-	slices.SortFunc(far, func(a, b string) int { return cmp.Compare(hashOf(m.self.ID+a), hashOf(m.self.ID+b)) })
+	far := sortedBy(ring[len(chosen):], func(id string) uint64 { return hashOf(m.self.ID + id) })
 	m.neighbours = slices.Concat(chosen, far[:min(farNeighbours, len(far))])
 }
 
+// sortedBy orders ids by a weight that is reckoned once for each.
+func sortedBy(ids []string, weight func(id string) uint64) []string {
+	weights := make(map[string]uint64, len(ids))
+	for _, id := range ids {
+		weights[id] = weight(id)
+	}
+	sorted := slices.Clone(ids)
+	slices.SortFunc(sorted, func(a, b string) int { return cmp.Compare(weights[a], weights[b]) })
+	return sorted
+}
+
 // Members gives every VM including this one, sorted by id.
 func (m *Membership) Members() []wire.Member {
-	all := []wire.Member{m.self}
-	for _, known := range m.members {
-		all = append(all, known.Member)
+	all := make([]wire.Member, 0, len(m.order)+1)
+	at, _ := slices.BinarySearch(m.order, m.self.ID)
+	for i, id := range m.order {
+		if i == at {
+			all = append(all, m.self)
+		}
+		all = append(all, m.members[id].Member)
+	}
+	if at == len(m.order) {
+		all = append(all, m.self)
 	}
-	slices.SortFunc(all, func(a, b wire.Member) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
 
--- /dev/null
+++ b/internal/peer/replica/replica_test.go
@@ -0,0 +1,98 @@
+package replica_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+	"github.com/endivespoke/endivespoke/internal/peer/replica"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+)
+
+func init() { property.Fix() }
+
+var (
+	now     = time.Unix(1000, 0)
+	later   = now.Add(time.Minute)
+	request = generation.Request{Account: "a", Key: "k"}
+)
+
+func open(id string, epoch uint64, fresh bool) wire.Entry {
+	journal := generation.New(id, request, generation.Spec{MaxTokens: 100})
+	journal.Epoch = epoch
+	return wire.Entry{Generation: id, Epoch: epoch, Open: journal, Fresh: fresh, KeepUntil: later}
+}
+
+func apply(store *replica.Store, entry wire.Entry) wire.Ack {
+	return store.Apply([]wire.Entry{entry}, now)[0]
+}
+
+func token(offset int) generation.Token {
+	return generation.Token{ID: offset}
+}
+
+// TestCopyIsAlwaysAPrefix sends entries that overlap, repeat and skip. The copy
+// stays a prefix of the journal, and an ack never says more than it holds.
+func TestCopyIsAlwaysAPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := replica.New()
+		apply(store, open("g", 1, true))
+		held := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"tokens": func(t *rapid.T) {
+				offset := rapid.IntRange(0, held+2).Draw(t, "offset")
+				count := rapid.IntRange(1, 4).Draw(t, "count")
+				entry := wire.Entry{Generation: "g", Epoch: 1, Offset: offset, KeepUntil: later}
+				for i := range count {
+					entry.Tokens = append(entry.Tokens, token(offset+i))
+				}
+				ack := apply(store, entry)
+				if offset > held {
+					property.Assert(t, ack.Verdict, qt.Equals, wire.AckNeedWhole)
+					return
+				}
+				held = max(held, offset+count)
+				property.Assert(t, ack.Held, qt.Equals, held)
+			},
+		})
+		journal := store.Handover(wire.Handover{Request: request}, now)
+		property.Assert(t, len(journal.Tokens), qt.Equals, held)
+		for i, have := range journal.Tokens {
+			property.Assert(t, have, qt.Equals, token(i))
+		}
+	})
+}
+
+func TestHandoverFencesTheEarlierOwner(t *testing.T) {
+	store := replica.New()
+	apply(store, open("g", 1, true))
+	first := store.Handover(wire.Handover{Request: request}, now)
+	second := store.Handover(wire.Handover{Request: request}, now)
+	qt.Assert(t, []uint64{first.Epoch, second.Epoch}, qt.DeepEquals, []uint64{2, 3})
+	entry := wire.Entry{Generation: "g", Epoch: 1, Tokens: []generation.Token{token(0)}, KeepUntil: later}
+	qt.Assert(t, apply(store, entry).Verdict, qt.Equals, wire.AckFenced)
+	entry.Epoch = 2
+	qt.Assert(t, apply(store, entry).Verdict, qt.Equals, wire.AckFenced)
+	entry.Epoch = 3
+	qt.Assert(t, apply(store, entry).Verdict, qt.Equals, wire.AckHeld)
+	qt.Assert(t, apply(store, open("g", 1, false)).Verdict, qt.Equals, wire.AckFenced)
+}
+
+func TestSecondGenerationOfARequestIsNoticed(t *testing.T) {
+	store := replica.New()
+	apply(store, open("g", 1, true))
+	qt.Assert(t, apply(store, open("h", 1, true)).Verdict, qt.Equals, wire.AckExists)
+	store.Expire(later.Add(time.Second))
+	qt.Assert(t, apply(store, open("h", 1, true)).Verdict, qt.Equals, wire.AckHeld)
+}
+
+func TestForgottenCopyIsAskedForWhole(t *testing.T) {
+	store := replica.New()
+	entry := wire.Entry{Generation: "g", Epoch: 1, Offset: 3, KeepUntil: later}
+	qt.Assert(t, apply(store, entry).Verdict, qt.Equals, wire.AckNeedWhole)
+	qt.Assert(t, store.Handover(wire.Handover{Request: request}, now), qt.IsNil)
+}
--- /dev/null
+++ b/internal/peer/wire/wire_test.go
@@ -0,0 +1,131 @@
+package wire
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+)
+
+var testKey = []byte("0123456789abcdef0123456789abcdef")
+
+func startServer(t *testing.T, server *Server) string {
+	mux := http.NewServeMux()
+	mux.Handle(Path, server)
+	listener := httptest.NewServer(mux)
+	t.Cleanup(listener.Close)
+	return strings.TrimPrefix(listener.URL, "http://")
+}
+
+func TestFrameKeepsDeadlines(t *testing.T) {
+	deadline := time.Date(2026, 1, 2, 3, 4, 5, 678901234, time.UTC)
+	journal := generation.New("g", generation.Request{Account: "a", Key: "k"}, generation.Spec{Deadline: deadline})
+	body, err := Encode(Frame{Entries: []Entry{{Generation: "g", Open: journal, KeepUntil: deadline}}})
+	qt.Assert(t, err, qt.IsNil)
+	frame, err := Decode(body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, frame.Entries[0].Open.Spec.Deadline.Equal(deadline), qt.IsTrue)
+	qt.Assert(t, frame.Entries[0].KeepUntil.Equal(deadline), qt.IsTrue)
+}
+
+func TestServerRefusesPeersWithoutTheKey(t *testing.T) {
+	address := startServer(t, &Server{Key: testKey})
+	pool := NewPool(PoolOptions{Self: "vm-1", Key: []byte("wrong"), OnDown: func(string) {}})
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	_, err := pool.Call(ctx, "vm-2", address, Frame{Beat: &Beat{}})
+	qt.Assert(t, err, qt.ErrorMatches, ".*peer is silent")
+}
+
+func TestProofExpiresAndNamesThePeer(t *testing.T) {
+	now := time.Unix(1000000, 0)
+	header := http.Header{}
+	prove(header, testKey, "vm-1", now)
+	peer, ok := checkProof(header, testKey, now.Add(proofWindow))
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, peer, qt.Equals, "vm-1")
+	_, ok = checkProof(header, testKey, now.Add(proofWindow+2*time.Second))
+	qt.Assert(t, ok, qt.IsFalse)
+	header.Set("Authorization", strings.Replace(header.Get("Authorization"), "vm-1", "vm-9", 1))
+	_, ok = checkProof(header, testKey, now)
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestPoolMergesTokensOfOneGeneration shows that entries offered while a peer
+// is slow go out as few, and that none of their tokens is lost or moved.
+func TestPoolMergesTokensOfOneGeneration(t *testing.T) {
+	var mu sync.Mutex
+	got := []generation.Token{}
+	entries := 0
+	address := startServer(t, &Server{Key: testKey, OnEntries: func(_ string, received []Entry) []Ack {
+		mu.Lock()
+		defer mu.Unlock()
+		for _, entry := range received {
+			entries++
+			qt.Check(t, entry.Offset, qt.Equals, len(got))
+			got = append(got, entry.Tokens...)
+		}
+		return []Ack{{Generation: "g", Verdict: AckHeld, Held: len(got)}}
+	}})
+	const total = 500
+	done := make(chan struct{})
+	pool := NewPool(PoolOptions{Self: "vm-1", Key: testKey, AckLimit: 10 * time.Second, OnDown: func(string) {}, OnAcks: func(_ string, acks []Ack) {
+		if acks[0].Held == total {
+			close(done)
+		}
+	}})
+	defer pool.Close()
+	for i := range total {
+		pool.Offer("vm-2", address, Entry{Generation: "g", Offset: i, Tokens: []generation.Token{{ID: i}}})
+	}
+	<-done
+	mu.Lock()
+	defer mu.Unlock()
+	for i, token := range got {
+		qt.Assert(t, token.ID, qt.Equals, i)
+	}
+	qt.Assert(t, entries < total, qt.IsTrue)
+}
+
+// TestPoolTellsOfASilentPeer shows that a peer that takes entries and never
+// answers counts as down.
+func TestPoolTellsOfASilentPeer(t *testing.T) {
+	release := make(chan struct{})
+	defer close(release)
+	address := startServer(t, &Server{Key: testKey, OnEntries: func(string, []Entry) []Ack {
+		<-release
+		return nil
+	}})
+	down := make(chan string, 10)
+	pool := NewPool(PoolOptions{Self: "vm-1", Key: testKey, AckLimit: 50 * time.Millisecond, OnDown: func(peer string) { down <- peer }})
+	defer pool.Close()
+	pool.Offer("vm-2", address, Entry{Generation: "g"})
+	qt.Assert(t, <-down, qt.Equals, "vm-2")
+}
+
+func FuzzFrame(f *testing.F) {
+	for _, frame := range []Frame{{Call: 1, Beat: &Beat{From: "vm-1"}}, {Entries: []Entry{{Generation: "g", Tokens: []generation.Token{{ID: 1, Text: "a"}}}}}} {
+		body, err := Encode(frame)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		frame, err := Decode(body)
+		if err != nil {
+			return
+		}
+		if _, err := Encode(frame); err != nil {
+			t.Fatalf("a decoded frame can't be encoded: %v", err)
+		}
+	})
+}
--- a/internal/request/action/machine.go
+++ b/internal/request/action/machine.go
@@ -131,6 +131,7 @@
 	version  string // Of that row.
 	owns     bool   // Our "dispatched" is known to have taken effect.
 	resolves bool   // We send again for a VM that did not end its work.
+	maySent  bool   // An earlier send of ours may have reached the service.
 	settled  Row    // What phaseSettle writes.
 	tries    int    // Writes without a clear end.
 	answer   Answer
@@ -149,9 +150,8 @@
 	case phaseClaim:
 		return Op{Kind: OpWrite, Row: m.claim(), Expected: ""}
 	case phaseSend:
-		if m.owns && !now.Before(m.ask.Until) {
-			// A pause ate the time. Nothing was sent, and now nothing will be.
-			m.settle(Row{State: StateRefused, Reason: "the deadline passed before the work was sent"})
+		if !now.Before(m.ask.Until) {
+			m.tooLate()
 			return m.Next(now)
 		}
 		return Op{Kind: OpSend}
@@ -163,6 +163,25 @@
 	return Op{Kind: OpAnswer, Answer: m.answer}
 }
 
+// tooLate ends a machine whose time to send is over, for instance because a
+// pause ate it. If nothing was sent, now nothing will be.
+func (m *Machine) tooLate() {
+	if m.owns && !m.maySent {
+		m.settle(Row{State: StateRefused, Reason: "the deadline passed before the work was sent"})
+		return
+	}
+	m.endUnknown()
+}
+
+// endUnknown ends work that may have run.
+func (m *Machine) endUnknown() {
+	if m.row.State == StateUnknown {
+		m.end(Answer{Kind: AnswerUnknownEnd, Kept: true, Reason: m.row.Reason})
+		return
+	}
+	m.settle(Row{State: StateUnknown, Reason: "the service did not answer after the work was sent"})
+}
+
 func (m *Machine) claim() Row {
 	return Row{
 		State:         StateDispatched,
@@ -285,6 +304,7 @@
 		return
 	}
 	m.resolves = true
+	m.owns = false
 	m.settled = Row{}
 	m.phase = phaseSend
 }
@@ -355,14 +375,14 @@
 	switch {
 	case outcome == SendAnswered:
 		m.settle(Row{State: StateDone, Result: result})
-	case outcome == SendNever && m.owns && !m.resolves:
+	case outcome == SendNever && m.owns && !m.maySent:
 		m.settle(Row{State: StateRefused, Reason: "no server of the service could be reached"})
 	case m.ask.HonoursKey && now.Before(m.ask.Until):
+		m.maySent = true
 		m.phase = phaseSend // One key runs once, so sending again is safe.
-	case m.row.State == StateUnknown:
-		m.end(Answer{Kind: AnswerUnknownEnd, Kept: true, Reason: "the service does not answer"})
 	default:
-		m.settle(Row{State: StateUnknown, Reason: "the service did not answer after the work was sent"})
+		m.maySent = true
+		m.endUnknown()
 	}
 }
 
--- /dev/null
+++ b/internal/request/generation/generation_test.go
@@ -0,0 +1,158 @@
+package generation_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
+)
+
+func init() { property.Fix() }
+
+var request = generation.Request{Account: "a", Key: "k"}
+
+func newJournal(maxTokens int) *generation.Journal {
+	return generation.New("g", request, generation.Spec{Model: "m", Version: "v", Prompt: "p", MaxTokens: maxTokens, Deadline: time.Unix(1000, 0)})
+}
+
+// truth is the failure-free answer; every engine continues it exactly.
+func truth(offset int) generation.Token {
+	return generation.Token{ID: 1000 + offset*7%501, Text: string(rune('a' + offset%26))}
+}
+
+func tokens(from, count int) []generation.Token {
+	made := []generation.Token{}
+	for i := range count {
+		made = append(made, truth(from+i))
+	}
+	return made
+}
+
+// TestJournalAgainstModel offers tokens of current and earlier attempts in any
+// order, with losses, take-overs and ends. Whatever comes, the journal is a
+// prefix of the answer, and an ended one does not change.
+func TestJournalAgainstModel(t *testing.T) {
+	const maxTokens = 40
+	rapid.Check(t, func(t *rapid.T) {
+		journal := newJournal(maxTokens)
+		journal.Begin("server-0", journal.NextEngineRequest())
+		length := 0
+		ended := false
+		t.Repeat(map[string]func(*rapid.T){
+			"tokens": func(t *rapid.T) {
+				attempt := rapid.IntRange(max(1, journal.Attempt-2), journal.Attempt).Draw(t, "attempt")
+				offset := rapid.IntRange(0, length+2).Draw(t, "offset")
+				count := rapid.IntRange(1, 3).Draw(t, "count")
+				verdict := journal.Append(attempt, offset, tokens(offset, count))
+				taken := !ended && attempt == journal.Attempt && offset == length
+				property.Assert(t, verdict == generation.Taken, qt.Equals, taken)
+				if taken {
+					length += count
+				}
+			},
+			"foreign tokens": func(t *rapid.T) {
+				verdict := journal.Append(journal.Attempt-1, length, []generation.Token{{ID: 1, Text: "foreign"}})
+				property.Assert(t, verdict, qt.Not(qt.Equals), generation.Taken)
+			},
+			"loss": func(t *rapid.T) {
+				journal.Begin("server", journal.NextEngineRequest())
+			},
+			"take-over": func(t *rapid.T) {
+				epoch := journal.Epoch
+				journal = journal.Clone()
+				journal.TakeOver(epoch + 1)
+				property.Assert(t, journal.Epoch > epoch, qt.IsTrue)
+			},
+			"end": func(t *rapid.T) {
+				offset := rapid.IntRange(0, length+1).Draw(t, "offset")
+				if journal.Complete(journal.Attempt, offset, "stop") == generation.Taken {
+					property.Assert(t, offset, qt.Equals, length)
+					ended = true
+				}
+			},
+			"": func(t *rapid.T) {
+				property.Assert(t, len(journal.Tokens), qt.Equals, length)
+				for i, token := range journal.Tokens {
+					property.Assert(t, token, qt.Equals, truth(i))
+				}
+				property.Assert(t, journal.Ended(), qt.Equals, ended)
+			},
+		})
+	})
+}
+
+// TestVerifyAcceptsOnlyOwnPrefix shows that a cursor passes exactly when what
+// the caller has is a prefix of the journal.
+func TestVerifyAcceptsOnlyOwnPrefix(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		journal := newJournal(100)
+		journal.Begin("s", "e")
+		journal.Append(1, 0, tokens(0, rapid.IntRange(1, 30).Draw(t, "length")))
+		delivered := append([]generation.Token{}, journal.Tokens...)
+		offset := rapid.IntRange(1, len(delivered)).Draw(t, "offset")
+		changed := rapid.Bool().Draw(t, "changed")
+		if changed {
+			at := rapid.IntRange(0, offset-1).Draw(t, "at")
+			delivered[at].ID++
+		}
+		hash := generation.RollingHash{}
+		for _, token := range delivered[:offset] {
+			hash = hash.Add(token)
+		}
+		err := journal.Verify(generation.Cursor{Offset: offset, Hash: hash.Sum()})
+		property.Assert(t, errors.Is(err, generation.ErrMixed), qt.Equals, changed)
+		err = journal.Verify(generation.Cursor{Offset: len(journal.Tokens) + 1, Hash: hash.Sum()})
+		property.Assert(t, errors.Is(err, generation.ErrAhead), qt.IsTrue)
+	})
+}
+
+func TestContinuationIsConditionedOnEveryToken(t *testing.T) {
+	journal := newJournal(10)
+	qt.Assert(t, journal.Continuation(), qt.DeepEquals, generation.Input{Prompt: "p", MaxTokens: 10})
+	journal.Begin("s", "e")
+	journal.LearnPrompt([]int{5, 6})
+	journal.Append(1, 0, []generation.Token{{ID: 7}, {ID: 8}})
+	qt.Assert(t, journal.Continuation(), qt.DeepEquals, generation.Input{TokenIDs: []int{5, 6, 7, 8}, MaxTokens: 8})
+}
+
+func TestFullAnswerWithoutEndMarkIsClosed(t *testing.T) {
+	journal := newJournal(2)
+	journal.Begin("s", "e")
+	qt.Assert(t, journal.CloseIfFull(), qt.IsFalse)
+	journal.Append(1, 0, tokens(0, 2))
+	qt.Assert(t, journal.CloseIfFull(), qt.IsTrue)
+	qt.Assert(t, journal.Finish, qt.Equals, "length")
+}
+
+func TestCursorIsBoundToAccountAndKey(t *testing.T) {
+	sealer := generation.Sealer{Key: []byte("0123456789abcdef0123456789abcdef")}
+	cursor := generation.Cursor{Generation: "g", Offset: 3, Hash: 9, Owner: "vm-1", Holder: "vm-2", Server: "s", EngineRequest: "g.1.1"}
+	text := sealer.Seal("a", cursor)
+	opened, err := sealer.Open("a", text)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, opened, qt.Equals, cursor)
+	_, err = sealer.Open("b", text)
+	qt.Assert(t, errors.Is(err, generation.ErrCursor), qt.IsTrue)
+	_, err = generation.Sealer{Key: []byte("another key")}.Open("a", text)
+	qt.Assert(t, errors.Is(err, generation.ErrCursor), qt.IsTrue)
+}
+
+func FuzzCursor(f *testing.F) {
+	sealer := generation.Sealer{Key: []byte("0123456789abcdef0123456789abcdef")}
+	f.Add(sealer.Seal("a", generation.Cursor{Generation: "g", Offset: 1}))
+	f.Add("AAAA")
+	f.Fuzz(func(t *testing.T, text string) {
+		cursor, err := sealer.Open("a", text)
+		if err == nil && sealer.Seal("a", cursor) == "" {
+			t.Fatal("an opened cursor can't be sealed")
+		}
+		if err != nil && !errors.Is(err, generation.ErrCursor) {
+			t.Fatalf("unexpected error %v", err)
+		}
+	})
+}
