--- /dev/null
+++ b/internal/backend/fleet/fleet_test.go
@@ -0,0 +1,185 @@
+package fleet_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+)
+
+func init() { property.Fix() }
+
+type clock struct {
+	at time.Time
+}
+
+func (c *clock) now() time.Time { return c.at }
+
+func newFleet(count int) (*fleet.Fleet, *clock, *object.Set) {
+	c := &clock{at: time.Unix(1000, 0)}
+	f := fleet.New(fleet.Options{Now: c.now, Random: rand.New(rand.NewPCG(1, 2))})
+	set := &object.Set{}
+	for i := range count {
+		set.BackendServers = append(set.BackendServers, object.BackendServer{Name: fmt.Sprint("s", i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i), Versions: []string{"v"}, MaxConcurrent: 10})
+	}
+	f.Update(set)
+	return f, c, set
+}
+
+var ask = fleet.Ask{Version: "v"}
+
+func pick(t testing.TB, f *fleet.Fleet, ask fleet.Ask) *fleet.Lease {
+	lease, err := f.Pick(ask)
+	qt.Assert(t, err, qt.IsNil)
+	return lease
+}
+
+// TestLeavingServerGetsNothingNew picks many times around a server that leaves.
+func TestLeavingServerGetsNothingNew(t *testing.T) {
+	f, _, set := newFleet(3)
+	set.BackendServers[1].State = object.ServerLeaving
+	f.Update(set)
+	for range 100 {
+		qt.Assert(t, pick(t, f, ask).Server.Name, qt.Not(qt.Equals), "s1")
+	}
+	server, found := f.Server("s1")
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, server.State, qt.Equals, object.ServerLeaving)
+}
+
+func TestLoadSpreads(t *testing.T) {
+	f, _, _ := newFleet(5)
+	counts := map[string]int{}
+	for range 100 {
+		counts[pick(t, f, ask).Server.Name]++
+	}
+	for name, count := range counts {
+		qt.Assert(t, count >= 15 && count <= 25, qt.IsTrue, qt.Commentf("%s got %d of 100", name, count))
+	}
+}
+
+// TestEjectionProbeAndReturn follows one server through its failure: ejected,
+// probed by one request, and back.
+func TestEjectionProbeAndReturn(t *testing.T) {
+	f, c, _ := newFleet(3)
+	qt.Assert(t, f.Failed("s0"), qt.IsFalse)
+	qt.Assert(t, f.Failed("s0"), qt.IsTrue)
+	for range 50 {
+		lease := pick(t, f, ask)
+		qt.Assert(t, lease.Server.Name, qt.Not(qt.Equals), "s0")
+		lease.Release()
+	}
+	c.at = c.at.Add(1100 * time.Millisecond)
+	probes := 0
+	for range 50 {
+		if pick(t, f, ask).Server.Name == "s0" {
+			probes++
+		}
+	}
+	qt.Assert(t, probes, qt.Equals, 1)
+	qt.Assert(t, f.Succeeded("s0"), qt.IsTrue)
+	qt.Assert(t, f.Succeeded("s0"), qt.IsFalse)
+}
+
+// TestWholePoolIsNeverEjected fails every server and still wants one to be
+// tried.
+func TestWholePoolIsNeverEjected(t *testing.T) {
+	f, _, _ := newFleet(3)
+	for i := range 3 {
+		f.Failed(fmt.Sprint("s", i))
+		f.Failed(fmt.Sprint("s", i))
+	}
+	lease := pick(t, f, ask)
+	qt.Assert(t, lease, qt.IsNotNil)
+}
+
+// TestSuspectsAreKeptApart draws requests of any suspicion. One under strong
+// suspicion never shares a server with another suspect.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, _, _ := newFleet(4)
+		type held struct {
+			lease     *fleet.Lease
+			suspicion int
+		}
+		open := []held{}
+		t.Repeat(map[string]func(*rapid.T){
+			"pick": func(t *rapid.T) {
+				suspicion := rapid.IntRange(0, 3).Draw(t, "suspicion")
+				lease, err := f.Pick(fleet.Ask{Version: "v", Suspicion: suspicion})
+				if errors.Is(err, fleet.ErrNone) {
+					property.Assert(t, suspicion > 0, qt.IsTrue)
+					return
+				}
+				open = append(open, held{lease, suspicion})
+			},
+			"release": func(t *rapid.T) {
+				if len(open) > 0 {
+					open[0].lease.Release()
+					open = open[1:]
+				}
+			},
+			"": func(t *rapid.T) {
+				suspects := map[string]int{}
+				lonely := map[string]int{}
+				for _, one := range open {
+					if one.suspicion > 0 {
+						suspects[one.lease.Server.Name]++
+					}
+					if one.suspicion > 1 {
+						lonely[one.lease.Server.Name]++
+					}
+				}
+				for server, count := range lonely {
+					property.Assert(t, count, qt.Equals, 1)
+					property.Assert(t, suspects[server], qt.Equals, 1)
+				}
+			},
+		})
+	})
+}
+
+// TestAffinityStaysOnOneServer sends one prefix, a request at a time: all go to
+// the server that has it.
+func TestAffinityStaysOnOneServer(t *testing.T) {
+	f, _, _ := newFleet(4)
+	first := pick(t, f, fleet.Ask{Version: "v", Prefix: "p"})
+	first.Release()
+	for range 30 {
+		lease := pick(t, f, fleet.Ask{Version: "v", Prefix: "p"})
+		qt.Assert(t, lease.Server.Name, qt.Equals, first.Server.Name)
+		lease.Release()
+	}
+}
+
+// TestAffinityNeverOverloads sends one prefix only and lets all requests run. No
+// server gets more than a bounded part above another.
+func TestAffinityNeverOverloads(t *testing.T) {
+	f, _, _ := newFleet(4)
+	counts := map[string]int{}
+	for range 24 {
+		counts[pick(t, f, fleet.Ask{Version: "v", Prefix: "p"}).Server.Name]++
+	}
+	most, least := 0, 24
+	for i := range 4 {
+		most = max(most, counts[fmt.Sprint("s", i)])
+		least = min(least, counts[fmt.Sprint("s", i)])
+	}
+	qt.Assert(t, most-least <= 4, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+func TestNoServerForUnknownVersion(t *testing.T) {
+	f, _, _ := newFleet(2)
+	_, err := f.Pick(fleet.Ask{Version: "other"})
+	qt.Assert(t, errors.Is(err, fleet.ErrNone), qt.IsTrue)
+	qt.Assert(t, f.Room(fleet.Ask{Version: "other"}), qt.Equals, 0)
+	qt.Assert(t, f.Room(ask), qt.Equals, 20)
+}
--- /dev/null
+++ b/internal/config/object/object_test.go
@@ -0,0 +1,92 @@
+package object_test
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/config/object"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestCheckGolden checks broken configurations. Each input's faults stand in the
+// golden file beside it.
+func TestCheckGolden(t *testing.T) {
+	inputs, err := filepath.Glob("testdata/*.json")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(inputs) > 0, qt.IsTrue)
+	for _, input := range inputs {
+		t.Run(filepath.Base(input), func(t *testing.T) {
+			golden := strings.TrimSuffix(input, ".json") + ".golden"
+			got := faultsOf(t, input)
+			if *update {
+				qt.Assert(t, os.WriteFile(golden, []byte(got), 0o644), qt.IsNil)
+			}
+			want, err := os.ReadFile(golden)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, got, qt.Equals, string(want))
+		})
+	}
+}
+
+func faultsOf(t *testing.T, file string) string {
+	body, err := os.ReadFile(file)
+	qt.Assert(t, err, qt.IsNil)
+	set, err := object.Parse(body)
+	if err != nil {
+		return "not read: " + err.Error() + "\n"
+	}
+	lines := []string{}
+	for _, fault := range object.Check(set) {
+		lines = append(lines, fault.String())
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	for _, name := range []string{"villarreal", "consorzio"} {
+		body, err := os.ReadFile("../../../examples/" + name + ".json")
+		qt.Assert(t, err, qt.IsNil)
+		set, err := object.Parse(body)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, object.Check(set), qt.HasLen, 0)
+	}
+}
+
+func TestHashIsOfTheContent(t *testing.T) {
+	a := object.Set{Models: []object.Model{{Name: "a", Version: "v"}}}
+	b := a
+	qt.Assert(t, object.Hash(a), qt.Equals, object.Hash(b))
+	b.Profile = object.ProfileResourceUse
+	qt.Assert(t, object.Hash(a), qt.Not(qt.Equals), object.Hash(b))
+}
+
+func TestDiffNamesObjects(t *testing.T) {
+	before := object.Set{Models: []object.Model{{Name: "a", Version: "v"}, {Name: "gone", Version: "v"}}}
+	after := object.Set{Models: []object.Model{{Name: "a", Version: "w"}, {Name: "new", Version: "v"}}}
+	paths := []string{}
+	for _, change := range object.Diff(before, after) {
+		paths = append(paths, change.Path)
+	}
+	qt.Assert(t, paths, qt.DeepEquals, []string{"models/a", "models/gone", "models/new"})
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"models":[{"name":"a","version":"v"}]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		set, err := object.Parse(body)
+		if err != nil {
+			return
+		}
+		object.Check(set)
+		again, err := object.Parse(object.Encode(set))
+		if err != nil || object.Hash(again) != object.Hash(set) {
+			t.Fatalf("a parsed configuration does not survive encoding: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/request/admission/admission_test.go
@@ -0,0 +1,204 @@
+package admission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+)
+
+func init() { property.Fix() }
+
+// clock is a time that tests move.
+type clock struct {
+	at time.Time
+}
+
+func (c *clock) now() time.Time { return c.at }
+
+func newGate(room int, accounts map[string]admission.Limit) (*admission.Gate, *clock) {
+	c := &clock{at: time.Unix(1000, 0)}
+	gate := admission.New(admission.Options{Now: c.now})
+	gate.Configure(admission.Limits{Room: room, Accounts: accounts})
+	return gate, c
+}
+
+func wide(weight int) admission.Limit {
+	return admission.Limit{Rate: 1e6, Concurrent: 1e6, Weight: weight}
+}
+
+func granted(ticket *admission.Ticket) bool {
+	select {
+	case <-ticket.Granted:
+		return true
+	default:
+		return false
+	}
+}
+
+// TestGateNeverOverfills asks, grants and leaves in any order. What runs never
+// exceeds the room, lookups always find their kept part, and all room is used
+// while something fit waits.
+func TestGateNeverOverfills(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.IntRange(1, 20).Draw(t, "room")
+		gate, _ := newGate(room, map[string]admission.Limit{"a": wide(1), "b": wide(3)})
+		open := []*admission.Ticket{}
+		t.Repeat(map[string]func(*rapid.T){
+			"ask": func(t *rapid.T) {
+				account := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "account")
+				ticket, refusal := gate.Ask(admission.Ask{Account: account, Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Lookup: rapid.Bool().Draw(t, "lookup")})
+				property.Assert(t, refusal == nil, qt.IsTrue)
+				open = append(open, ticket)
+			},
+			"leave": func(t *rapid.T) {
+				if len(open) == 0 {
+					return
+				}
+				at := rapid.IntRange(0, len(open)-1).Draw(t, "at")
+				open[at].Leave()
+				open[at].Leave() // Leaving twice changes nothing.
+				open = append(open[:at], open[at+1:]...)
+			},
+			"": func(t *rapid.T) {
+				running, waiting := gate.Load()
+				property.Assert(t, running <= room, qt.IsTrue)
+				property.Assert(t, running+waiting, qt.Equals, len(open))
+				count := 0
+				for _, ticket := range open {
+					if granted(ticket) {
+						count++
+					}
+				}
+				property.Assert(t, count, qt.Equals, running)
+			},
+		})
+	})
+}
+
+// TestLookupsHaveRoom fills a gate with long work and wants room for a lookup.
+func TestLookupsHaveRoom(t *testing.T) {
+	gate, _ := newGate(10, map[string]admission.Limit{"a": wide(1)})
+	for range 50 {
+		_, refusal := gate.Ask(admission.Ask{Account: "a", Rank: 5})
+		qt.Assert(t, refusal, qt.IsNil)
+	}
+	ticket, refusal := gate.Ask(admission.Ask{Account: "a", Rank: 0, Lookup: true})
+	qt.Assert(t, refusal, qt.IsNil)
+	qt.Assert(t, granted(ticket), qt.IsTrue)
+}
+
+// TestFairShares has one account ask ten times as much as the others. Each
+// other gets within 10 % of its weight's part.
+func TestFairShares(t *testing.T) {
+	accounts := map[string]admission.Limit{"greedy": wide(1), "b": wide(1), "c": wide(1)}
+	gate, c := newGate(6, accounts)
+	type entry struct {
+		account string
+		ticket  *admission.Ticket
+	}
+	queue := []entry{}
+	ask := func(account string) {
+		ticket, refusal := gate.Ask(admission.Ask{Account: account, Rank: 5})
+		qt.Assert(t, refusal, qt.IsNil)
+		queue = append(queue, entry{account, ticket})
+	}
+	for range 100 {
+		ask("greedy")
+	}
+	for range 10 {
+		ask("b")
+		ask("c")
+	}
+	served := map[string]int{}
+	for range 300 {
+		c.at = c.at.Add(10 * time.Millisecond)
+		for at, one := range queue {
+			if granted(one.ticket) {
+				one.ticket.Leave()
+				served[one.account]++
+				queue = append(queue[:at], queue[at+1:]...)
+				ask(one.account) // Each keeps as many waiting as at first.
+				break
+			}
+		}
+	}
+	for _, account := range []string{"b", "c"} {
+		qt.Assert(t, served[account] >= 90 && served[account] <= 110, qt.IsTrue, qt.Commentf("%v", served))
+	}
+}
+
+func TestRefusalsSayWhenToComeBack(t *testing.T) {
+	gate, c := newGate(1, map[string]admission.Limit{"a": {Rate: 2, Concurrent: 3, Weight: 1}})
+	for range 3 {
+		_, refusal := gate.Ask(admission.Ask{Account: "a"})
+		qt.Assert(t, refusal, qt.IsNil)
+	}
+	_, refusal := gate.Ask(admission.Ask{Account: "a"})
+	qt.Assert(t, refusal.Reason, qt.Equals, admission.OverConcurrent)
+	qt.Assert(t, refusal.RetryAt.After(c.at), qt.IsTrue)
+	_, refusal = gate.Ask(admission.Ask{Account: "stranger"})
+	qt.Assert(t, refusal.Reason, qt.Equals, admission.OverConcurrent)
+
+	gate, c = newGate(1, map[string]admission.Limit{"a": {Rate: 2, Concurrent: 100, Weight: 1}})
+	for range 4 {
+		_, refusal = gate.Ask(admission.Ask{Account: "a"})
+		qt.Assert(t, refusal, qt.IsNil)
+	}
+	_, refusal = gate.Ask(admission.Ask{Account: "a"})
+	qt.Assert(t, refusal.Reason, qt.Equals, admission.OverRate)
+	qt.Assert(t, refusal.RetryAt.Sub(c.at), qt.Equals, 500*time.Millisecond)
+}
+
+// TestHopelessRequestIsRefusedAtOnce shows early shedding: what can't be served
+// before its deadline is refused when it comes.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	gate, c := newGate(1, map[string]admission.Limit{"a": wide(1)})
+	for range 10 {
+		_, refusal := gate.Ask(admission.Ask{Account: "a"})
+		qt.Assert(t, refusal, qt.IsNil)
+	}
+	_, refusal := gate.Ask(admission.Ask{Account: "a", Deadline: c.at.Add(2 * time.Second)})
+	qt.Assert(t, refusal.Reason, qt.Equals, admission.TooLate)
+	_, refusal = gate.Ask(admission.Ask{Account: "a", Deadline: c.at.Add(time.Minute)})
+	qt.Assert(t, refusal, qt.IsNil)
+}
+
+// TestSharesFollowTraffic holds the sum of all VMs' parts near the whole limit,
+// and a VM with more traffic gets more.
+func TestSharesFollowTraffic(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &clock{at: time.Unix(1000, 0)}
+		count := rapid.IntRange(2, 9).Draw(t, "vms")
+		shares := make([]*admission.Shares, count)
+		demand := make([]int, count)
+		for i := range shares {
+			shares[i] = admission.NewShares(c.now)
+			demand[i] = rapid.IntRange(1, 50).Draw(t, "demand")
+			for range demand[i] {
+				shares[i].Arrived("a")
+			}
+		}
+		for i := range shares {
+			for j := range shares {
+				if i != j {
+					shares[i].Heard(fmt.Sprint("vm-", j), shares[j].Uses())
+				}
+			}
+		}
+		sum := 0.0
+		for i := range shares {
+			part := shares[i].Part("a", count-1, count)
+			sum += part
+			if j := (i + 1) % count; demand[i] > demand[j] {
+				property.Assert(t, part >= shares[j].Part("a", count-1, count), qt.IsTrue)
+			}
+		}
+		property.Assert(t, sum >= 0.99 && sum <= 1.26, qt.IsTrue)
+	})
+}
