--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -167,6 +167,9 @@
 }
 
 func confirmProblem(err error) *problem.Problem {
+	if errors.Is(err, owner.ErrMoved) {
+		return endProblem(owner.End{Moved: true})
+	}
 	if errors.Is(err, generation.ErrMixed) || errors.Is(err, generation.ErrAhead) {
 		return &problem.Problem{Code: problem.RestartRequired, Outcome: problem.Failed, Detail: "the part of the answer that was delivered can't be continued; drop it and send the request again without Last-Event-ID"}
 	}
--- a/internal/lab/enginefake/enginefake.go
+++ b/internal/lab/enginefake/enginefake.go
@@ -80,10 +80,12 @@
 }
 
 // Engine is the stand-in. OnDeath, when set, is called once when a fault kills
-// the engine; a process exits there, a test closes the listener.
+// the engine; a process exits there, a test closes the listener. OnHeader, when
+// set, is shown the header of each new request.
 type Engine struct {
-	Options Options
-	OnDeath func()
+	Options  Options
+	OnDeath  func()
+	OnHeader func(header http.Header)
 
 	mu          sync.Mutex
 	faults      Faults
@@ -225,6 +227,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.OnHeader != nil {
+		e.OnHeader(r.Header)
+	}
 	id := r.Header.Get("X-Request-Id")
 	e.mu.Lock()
 	if e.faults.RefuseNew {
--- a/internal/node/trace/trace.go
+++ b/internal/node/trace/trace.go
@@ -61,6 +61,12 @@
 	return otel.Tracer(tracerName).Start(ctx, name)
 }
 
+// Detached gives a context that keeps the trace of ctx, and neither its deadline
+// nor its end, for work that outlives the request.
+func Detached(ctx context.Context) context.Context {
+	return oteltrace.ContextWithSpanContext(context.Background(), oteltrace.SpanContextFromContext(ctx))
+}
+
 // Outgoing puts the trace context of the request's context into its headers.
 func Outgoing(request *http.Request) {
 	propagator.Inject(request.Context(), propagation.HeaderCarrier(request.Header))
--- a/internal/request/owner/drive.go
+++ b/internal/request/owner/drive.go
@@ -53,7 +53,7 @@
 	case <-r.ctx.Done():
 	}
 	if !r.ended() {
-		o.fail(r, generation.Failure{Code: string(problem.DeadlinePassed), Outcome: string(problem.NotRun), Detail: "the deadline passed before there was room", RetryAt: o.options.Now().Add(time.Second)})
+		o.fail(r, generation.Failure{Code: string(problem.DeadlinePassed), Outcome: string(notRun(r.keyGiven)), Detail: "the deadline passed before there was room", RetryAt: o.options.Now().Add(time.Second)})
 	}
 	return false
 }
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -30,6 +30,7 @@
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/node/control"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/trace"
 	"github.com/endivespoke/endivespoke/internal/peer/replica"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
@@ -133,19 +134,18 @@
 		return nil, condemnedProblem(until)
 	}
 	if !snapshot.Accepting(o.options.Now()) {
-		return nil, &problem.Problem{Code: problem.ConfigurationOutdated, Outcome: problem.NotRun, Detail: "this VM can't tell whether its configuration is current; use another", RetryAt: o.options.Now().Add(time.Second)}
+		return nil, &problem.Problem{Code: problem.ConfigurationOutdated, Outcome: notRun(submission.KeyGiven), Detail: "this VM can't tell whether its configuration is current; use another", RetryAt: o.options.Now().Add(time.Second)}
 	}
-	if submission.Cursor == nil || submission.Cursor.Offset == 0 {
-		return o.accept(submission, hash)
+	if submission.Cursor != nil && submission.Cursor.Offset > 0 {
+		event.GenerationRegenerate.Warn(o.options.Logger, "generation", submission.Cursor.Generation, "offset", submission.Cursor.Offset)
 	}
-	event.GenerationRegenerate.Warn(o.options.Logger, "generation", submission.Cursor.Generation, "offset", submission.Cursor.Offset)
-	return o.accept(submission, hash)
+	return o.accept(ctx, submission, hash)
 }
 
 // accept passes admission and starts a new generation. A caller who was
 // accepted before and lost every copy is not put to the end of the queue twice:
 // its request asks like any other, since this VM can't tell the difference.
-func (o *Owner) accept(submission Submission, contentHash string) (*Running, *problem.Problem) {
+func (o *Owner) accept(ctx context.Context, submission Submission, contentHash string) (*Running, *problem.Problem) {
 	ticket, refusal := o.options.Gate.Ask(admission.Ask{
 		Account:  submission.Request.Account,
 		Rank:     submission.Spec.Rank,
@@ -153,12 +153,15 @@
 		Deadline: submission.Spec.Deadline,
 	})
 	if refusal != nil {
-		return nil, RefusalProblem(refusal)
+		p := RefusalProblem(refusal)
+		p.Outcome = notRun(submission.KeyGiven)
+		return nil, p
 	}
 	journal := generation.New(uuid.NewString(), submission.Request, submission.Spec)
-	running := o.newRunning(journal)
+	running := o.newRunning(ctx, journal)
 	running.contentHash = contentHash
 	running.fresh = submission.KeyGiven
+	running.keyGiven = submission.KeyGiven
 	if submission.Cursor != nil {
 		// The engine may still have the stream that the lost journal was fed by.
 		journal.Server = submission.Cursor.Server
@@ -174,6 +177,16 @@
 	return running, nil
 }
 
+// notRun gives the outcome of a request that this VM did not run. A key that the
+// caller chose may have been sent before, and be running through a VM that can't
+// be asked just now; of such a request nothing can be promised.
+func notRun(keyGiven bool) problem.Outcome {
+	if keyGiven {
+		return problem.StateNotKnown
+	}
+	return problem.NotRun
+}
+
 // RefusalProblem turns an admission refusal into the caller's answer.
 func RefusalProblem(refusal *admission.Refusal) *problem.Problem {
 	p := &problem.Problem{Code: problem.Overloaded, Outcome: problem.NotRun, RetryAt: refusal.RetryAt}
@@ -196,8 +209,8 @@
 	return &problem.Problem{Code: problem.CrashesServers, Outcome: problem.Failed, Detail: "every engine that ran this content crashed; it is not run again for now", RetryAt: until}
 }
 
-func (o *Owner) newRunning(journal *generation.Journal) *Running {
-	ctx, cancel := context.WithDeadline(context.Background(), journal.Spec.Deadline)
+func (o *Owner) newRunning(ctx context.Context, journal *generation.Journal) *Running {
+	ctx, cancel := context.WithDeadline(trace.Detached(ctx), journal.Spec.Deadline)
 	return &Running{
 		owner:      o,
 		request:    journal.Request,
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -299,7 +299,7 @@
 	rc.running.mu.Lock()
 	defer rc.running.mu.Unlock()
 	if rc.running.journal.Dispatches == 0 && len(rc.running.journal.Tokens) == 0 {
-		return problem.NotRun
+		return notRun(rc.running.keyGiven)
 	}
 	return problem.Failed
 }
--- a/internal/request/owner/running.go
+++ b/internal/request/owner/running.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
@@ -21,6 +23,7 @@
 	cancel      context.CancelFunc
 	acceptedAt  time.Time
 	contentHash string
+	keyGiven    bool          // The caller chose the key.
 	opened      chan struct{} // Closed at the holder's first word.
 
 	mu          sync.Mutex
@@ -129,15 +132,15 @@
 	return tokens, End{Finish: r.journal.Finish, Failure: r.journal.Failure}
 }
 
+// ErrMoved means that another VM owns the generation now.
+const ErrMoved = errors.ConstError("another VM owns the generation")
+
 // Confirm waits until the journal reaches the caller's cursor and checks that
-// the caller has a prefix of exactly this answer.
+// the caller has a prefix of exactly this answer. The error is ErrMoved, or one
+// of generation.ErrMixed and generation.ErrAhead, or the context's.
 func (r *Running) Confirm(ctx context.Context, cursor generation.Cursor, changed chan struct{}) error {
 	for {
-		r.mu.Lock()
-		reached := len(r.journal.Tokens) >= cursor.Offset || r.journal.Ended() || r.moved
-		err := r.journal.Verify(cursor)
-		r.mu.Unlock()
-		if reached {
+		if known, err := r.confirmNow(cursor); known {
 			return err
 		}
 		select {
@@ -148,6 +151,21 @@
 	}
 }
 
+// confirmNow checks a cursor if the journal reaches it or never will. A journal
+// that is behind says nothing about the cursor: it may still be growing.
+func (r *Running) confirmNow(cursor generation.Cursor) (known bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.moved {
+		return true, errors.Trace(ErrMoved)
+	}
+	reached := len(r.journal.Tokens) >= cursor.Offset
+	if !reached && !r.journal.Ended() {
+		return false, nil
+	}
+	return true, r.journal.Verify(cursor)
+}
+
 // Place gives what a cursor at an offset has to say about where things are.
 func (r *Running) Place() generation.Cursor {
 	r.mu.Lock()
--- a/internal/request/owner/takeover.go
+++ b/internal/request/owner/takeover.go
@@ -36,7 +36,7 @@
 	if journal == nil {
 		return nil
 	}
-	running := o.newRunning(journal)
+	running := o.newRunning(ctx, journal)
 	running.contentHash = journal.Spec.ContentHash()
 	running.adopted = true
 	if journal.Ended() {
