Measure recovery, tokens, memory, control, publishing, actions and lookups

Cause: docs and policy need figures. Change: endivespoke-lab bench, with tables under docs/measurements; two baselines for recovery behind a hidden setting.

--- /dev/null
+++ b/internal/lab/bench/bench.go
@@ -0,0 +1,136 @@
+// Package bench measures the system with small stand-ins on one machine.
+//
+// # Usage
+//
+//	bench.Run(ctx, bench.Options{Bin: "bin", Output: "docs/measurements", Names: []string{"recovery"}}, os.Stdout)
+//
+// Each measurement prints a table and writes it to <Output>/<name>.md with the
+// command that makes it again.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/lab/demo"
+	"github.com/endivespoke/endivespoke/internal/lab/load"
+)
+
+// Options shapes a run. With no Names every measurement is made.
+type Options struct {
+	Bin    string
+	Output string
+	Names  []string
+}
+
+// measurement is one table. Measure gives its rows, the first the headings.
+type measurement struct {
+	name    string
+	about   string
+	measure func(ctx context.Context, b *bench) ([][]string, error)
+}
+
+// measurements lists all, in the order of the pages that use them.
+func measurements() []measurement {
+	return []measurement{
+		{"recovery", "Resume latency and extra work of both profiles and two baselines, under the same faults (seed 5).", measureRecovery},
+		{"silence", "False alarms in a run without faults, with bursty token gaps (seed 6).", measureSilence},
+		{"tokens", "Processor time of the VMs for each token, through owner and copy, and the time that a token gains.", measureTokens},
+		{"open", "Memory of a VM for each open generation.", measureOpen},
+		{"control", "What an idle VM spends for control, at several sizes of the system.", measureControl},
+		{"publish", "Time until a published configuration is in force on every VM.", measurePublish},
+		{"actions", "Table calls and time of actions, at several speeds of the platform.", measureActions},
+		{"lookups", "Lookups while long work fills the fleet.", measureLookups},
+	}
+}
+
+// bench is what measurements share.
+type bench struct {
+	options Options
+	logs    string
+}
+
+// Run makes the measurements.
+func Run(ctx context.Context, options Options, out io.Writer) (err error) {
+	b := &bench{options: options}
+	if b.logs, err = os.MkdirTemp("", "endivespoke-bench-"); err != nil {
+		return errors.Trace(err)
+	}
+	defer os.RemoveAll(b.logs)
+	if err = os.MkdirAll(options.Output, 0o755); err != nil {
+		return errors.Trace(err)
+	}
+	for _, m := range measurements() {
+		if len(options.Names) > 0 && !slices.Contains(options.Names, m.name) {
+			continue
+		}
+		var rows [][]string
+		if rows, err = m.measure(ctx, b); err != nil {
+			return errors.Annotate(err, m.name)
+		}
+		text := page(m, rows)
+		fmt.Fprintln(out, text)
+		if err = os.WriteFile(filepath.Join(options.Output, m.name+".md"), []byte(text), 0o644); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+// page gives a measurement as Markdown.
+func page(m measurement, rows [][]string) string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "# %s\n\n%s\n\nCommand: `make build && bin/endivespoke-lab bench %s`\n\n", m.name, m.about, m.name)
+	for i, row := range rows {
+		fmt.Fprintf(&text, "| %s |\n", strings.Join(row, " | "))
+		if i == 0 {
+			fmt.Fprintf(&text, "|%s\n", strings.Repeat("---|", len(row)))
+		}
+	}
+	return text.String()
+}
+
+// system starts a system for one row of a measurement.
+func (b *bench) system(ctx context.Context, options demo.Options) (*demo.System, error) {
+	options.Bin = b.options.Bin
+	options.Logs = b.logs
+	if options.Example == "" {
+		options.Example = "examples/villarreal.json"
+	}
+	return demo.Start(ctx, options)
+}
+
+// loadOf gives the usual load of a system.
+func loadOf(system *demo.System, requests int, seed uint64) load.Options {
+	return load.Options{
+		Clients:     system.Accounts(4),
+		Model:       system.Set.Models[0].Name,
+		EngineModel: system.Set.Versions[0].EngineModel,
+		Requests:    requests,
+		Every:       20 * time.Millisecond,
+		PromptWords: 400,
+		MinTokens:   100,
+		MaxTokens:   300,
+		Seed:        seed,
+		KeyPrefix:   "bench",
+	}
+}
+
+func millis(duration time.Duration) string {
+	return fmt.Sprintf("%.1f ms", float64(duration)/float64(time.Millisecond))
+}
+
+func percent(part, whole float64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f %%", 100*part/whole)
+}
--- /dev/null
+++ b/internal/lab/bench/cost.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/lab/demo"
+	"github.com/endivespoke/endivespoke/internal/lab/load"
+)
+
+// used adds up what all VMs have used.
+func used(system *demo.System) (sum demo.Usage) {
+	for index := range system.VMs {
+		usage := system.VMUsage(index)
+		sum.CPU += usage.CPU
+		sum.Resident += usage.Resident
+	}
+	return sum
+}
+
+func measureTokens(ctx context.Context, b *bench) ([][]string, error) {
+	rows := [][]string{{"open generations", "tokens", "tokens a second", "VMs' processor time a token", "tokens a second and core, owner and copy", "peer bytes a token", "gap between tokens p99 (engine's own gap 20 ms)"}}
+	for _, requests := range []int{1, 60, 240, 480} {
+		system, err := b.system(ctx, demo.Options{VMs: 4, Engines: 16, TokenGap: 20 * time.Millisecond})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		options := loadOf(system, requests, 7)
+		options.Every = time.Millisecond
+		options.PromptWords = 50
+		options.MinTokens = 250
+		before := used(system)
+		start := time.Now()
+		report := load.Run(ctx, options)
+		elapsed := time.Since(start)
+		cpu := used(system).CPU - before.CPU
+		sent := 0.0
+		for index := range system.VMs {
+			sent += system.PeerBytes(index)
+		}
+		system.Stop()
+		perToken := cpu.Seconds() / float64(report.Tokens)
+		rows = append(rows, []string{
+			fmt.Sprint(requests),
+			fmt.Sprint(report.Tokens),
+			fmt.Sprintf("%.0f", float64(report.Tokens)/elapsed.Seconds()),
+			fmt.Sprintf("%.1f us", perToken*1e6),
+			fmt.Sprintf("%.0f", 1/perToken),
+			fmt.Sprintf("%.0f", sent/float64(report.Tokens)),
+			millis(load.Quantile(report.TokenGaps, 0.99)),
+		})
+	}
+	direct, err := b.direct(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return append(rows, direct), nil
+}
+
+// direct reads one stream from an engine without the system, on an idle machine.
+func (b *bench) direct(ctx context.Context) ([]string, error) {
+	system, err := b.system(ctx, demo.Options{VMs: 1, Engines: 1, TokenGap: 20 * time.Millisecond})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer system.Stop()
+	body := `{"model":"drafting-3","prompt":"direct","max_tokens":300,"stream":true}`
+	response, err := http.Post("http://"+system.Engines[0].Server.Address+"/v1/completions", "application/json", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	defer response.Body.Close()
+	gaps := []time.Duration{}
+	last := time.Time{}
+	scanner := bufio.NewScanner(response.Body)
+	for scanner.Scan() {
+		if !strings.HasPrefix(scanner.Text(), "data: {") {
+			continue
+		}
+		now := time.Now()
+		if !last.IsZero() {
+			gaps = append(gaps, now.Sub(last))
+		}
+		last = now
+	}
+	return []string{"1, straight from the engine", "300", "-", "-", "-", "-", millis(load.Quantile(gaps, 0.99))}, nil
+}
+
+func measureOpen(ctx context.Context, b *bench) ([][]string, error) {
+	rows := [][]string{{"open generations in all", "VMs' resident memory in all", "for each open generation beyond the first row"}}
+	base := 0.0
+	for _, requests := range []int{0, 400, 1600} {
+		system, err := b.system(ctx, demo.Options{VMs: 4, Engines: 20, TokenGap: 250 * time.Millisecond})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		loadCtx, cancel := context.WithCancel(ctx)
+		options := loadOf(system, requests, 8)
+		options.Clients = system.Accounts(10)
+		options.Every = 2 * time.Millisecond
+		options.MinTokens, options.MaxTokens = 2000, 2000
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			load.Run(loadCtx, options)
+		}()
+		time.Sleep(time.Duration(requests)*options.Every + 8*time.Second)
+		resident := float64(used(system).Resident)
+		cancel()
+		<-done
+		system.Stop()
+		each := "-"
+		if requests == 0 {
+			base = resident
+		} else {
+			each = fmt.Sprintf("%.1f KB", (resident-base)/float64(requests)/1000)
+		}
+		rows = append(rows, []string{fmt.Sprint(requests), fmt.Sprintf("%.1f MB", resident/1e6), each})
+	}
+	return rows, nil
+}
+
+// controlTime is how long idle VMs are watched.
+const controlTime = 15 * time.Second
+
+func measureControl(ctx context.Context, b *bench) ([][]string, error) {
+	rows := [][]string{{"VMs", "processor time of a VM", "sent to peers by a VM", "resident memory of a VM", "head reads a second in all"}}
+	for _, count := range []int{4, 16, 64, 128} {
+		system, err := b.system(ctx, demo.Options{VMs: count, Engines: 1})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		time.Sleep(5 * time.Second) // The list and first heartbeats settle.
+		before, sentBefore, readsBefore := used(system), system.PeerBytes(0), system.HeadReads()
+		time.Sleep(controlTime)
+		after, sent, reads := used(system), system.PeerBytes(0), system.HeadReads()
+		system.Stop()
+		seconds := controlTime.Seconds()
+		rows = append(rows, []string{
+			fmt.Sprint(count),
+			fmt.Sprintf("%.2f %% of a core", 100*(after.CPU-before.CPU).Seconds()/seconds/float64(count)),
+			fmt.Sprintf("%.1f KB/s", (sent-sentBefore)/seconds/1000),
+			fmt.Sprintf("%.1f MB", float64(after.Resident)/float64(count)/1e6),
+			fmt.Sprintf("%.1f", float64(reads-readsBefore)/seconds),
+		})
+	}
+	return rows, nil
+}
+
+func measurePublish(ctx context.Context, b *bench) ([][]string, error) {
+	rows := [][]string{{"VMs", "publishes", "in force everywhere p50", "longest"}}
+	const publishes = 10
+	for _, count := range []int{4, 16, 64} {
+		system, err := b.system(ctx, demo.Options{VMs: count, Engines: 1})
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		times := []time.Duration{}
+		for base := uint64(1); base <= publishes; base++ {
+			system.Set.ClientAccounts[0].Weight++
+			start := time.Now()
+			if err := system.Publish(base); err != nil {
+				system.Stop()
+				return nil, errors.Trace(err)
+			}
+			waitForRevision(system, base+1)
+			times = append(times, time.Since(start))
+		}
+		system.Stop()
+		rows = append(rows, []string{fmt.Sprint(count), fmt.Sprint(publishes), millis(load.Quantile(times, 0.5)), millis(load.Quantile(times, 1))})
+	}
+	return rows, nil
+}
+
+// waitForRevision waits until every VM has a revision in force.
+func waitForRevision(system *demo.System, revision uint64) {
+	var waiting sync.WaitGroup
+	for _, vm := range system.VMs {
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			for system.Revision(vm) < revision {
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+	}
+	waiting.Wait()
+}
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -18,6 +18,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/lab/bench"
 	"github.com/endivespoke/endivespoke/internal/lab/demo"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
 	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
@@ -28,6 +29,7 @@
 	Platform platformCommand `cmd:"" help:"Stand in for the platform."`
 	Engine   engineCommand   `cmd:"" help:"Stand in for one model engine."`
 	Service  serviceCommand  `cmd:"" help:"Stand in for one plain service."`
+	Bench    benchCommand    `cmd:"" help:"Measure; with no names, everything."`
 	Demo     demoCommand     `cmd:"" help:"Run the whole system, break it, check every answer."`
 }
 
@@ -124,3 +126,14 @@
 func (c *demoCommand) Run(l *lab) error {
 	return demo.Run(context.Background(), l.out, c.Bin, c.Example)
 }
+
+type benchCommand struct {
+	Bin    string   `help:"Folder with the two programs." default:"bin"`
+	Output string   `help:"Folder for the tables." default:"docs/measurements"`
+	Names  []string `arg:"" optional:"" help:"Measurements to make."`
+}
+
+// Run makes the measurements.
+func (c *benchCommand) Run(l *lab) error {
+	return bench.Run(context.Background(), bench.Options{Bin: c.Bin, Output: c.Output, Names: c.Names}, l.out)
+}
--- a/internal/lab/demo/process.go
+++ b/internal/lab/demo/process.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -145,3 +146,29 @@
 	}
 	return body, nil
 }
+
+// Usage is what a process has used of the machine.
+type Usage struct {
+	CPU      time.Duration
+	Resident int64 // Bytes.
+}
+
+// clockTick is the unit of the processor times in /proc.
+const clockTick = 10 * time.Millisecond
+
+// usage reads /proc. An ended process has used nothing.
+func (p *process) usage() (used Usage) {
+	folder := fmt.Sprintf("/proc/%d/", p.command.Process.Pid)
+	stat, err := os.ReadFile(folder + "stat")
+	if err != nil {
+		return Usage{}
+	}
+	// The fields after the name, which is in parentheses and may have blanks.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	const userField, systemField, residentField = 11, 12, 21
+	var user, system, pages int64
+	if _, err := fmt.Sscan(fields[userField]+" "+fields[systemField]+" "+fields[residentField], &user, &system, &pages); err != nil {
+		return Usage{}
+	}
+	return Usage{CPU: time.Duration(user+system) * clockTick, Resident: pages * int64(os.Getpagesize())}
+}
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -18,6 +18,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -78,6 +79,7 @@
 	listen  string             // The engine's own address.
 	process *process
 	dead    bool
+	last    enginefake.Stats // Of processes that were killed.
 	flags   []string
 }
 
@@ -117,7 +119,7 @@
 	if err = s.startVMs(ctx); err != nil {
 		return errors.Trace(err)
 	}
-	if err = s.publish(); err != nil {
+	if err = s.Publish(0); err != nil {
 		return errors.Trace(err)
 	}
 	for _, vm := range s.VMs {
@@ -319,11 +321,6 @@
 	return errors.Trace(waitFor(ctx, "http://"+vm.Operator+"/readyz"))
 }
 
-func (s *System) publish() error {
-	header := map[string]string{"Authorization": "Bearer " + operatorToken}
-	return errors.Trace(put("http://"+s.VMs[0].Operator+"/v1/admin/configuration", object.Encode(s.Set), header))
-}
-
 // KillVM ends a VM's process without notice.
 func (s *System) KillVM(index int) {
 	s.VMs[index].gone = true
@@ -349,8 +346,10 @@
 
 // KillEngine ends an engine's process without notice.
 func (s *System) KillEngine(index int) {
-	s.Engines[index].dead = true
-	s.Engines[index].process.kill()
+	engine := s.Engines[index]
+	engine.last = engine.stats()
+	engine.dead = true
+	engine.process.kill()
 }
 
 // PauseEngine stops an engine's process where it is.
@@ -401,22 +400,29 @@
 	return s.run(ctx, s.Engines[index])
 }
 
-// EngineStats adds up the work of the engines that live.
+// stats gives the work that the engine has done, in all its processes.
+func (e *Engine) stats() (stats enginefake.Stats) {
+	if !e.dead {
+		body, err := get("http://" + e.listen + "/load")
+		if err == nil && json.Unmarshal(body, &stats) != nil {
+			stats = enginefake.Stats{} // A garbled answer counts as none.
+		}
+	}
+	stats.Generated += e.last.Generated
+	stats.Prefilled += e.last.Prefilled
+	stats.CacheHits += e.last.CacheHits
+	stats.Requests += e.last.Requests
+	stats.Resumes += e.last.Resumes
+	return stats
+}
+
+// EngineStats adds up the work of all engines, that of killed ones included.
 func (s *System) EngineStats() (sum enginefake.Stats) {
 	for _, engine := range s.Engines {
-		if engine.dead {
-			continue
-		}
-		body, err := get("http://" + engine.listen + "/load")
-		if err != nil {
-			continue
-		}
-		var stats enginefake.Stats
-		if err := json.Unmarshal(body, &stats); err != nil {
-			continue
-		}
+		stats := engine.stats()
 		sum.Generated += stats.Generated
 		sum.Prefilled += stats.Prefilled
+		sum.CacheHits += stats.CacheHits
 		sum.Requests += stats.Requests
 		sum.Resumes += stats.Resumes
 	}
@@ -463,3 +469,59 @@
 		path.Close()
 	}
 }
+
+// VMUsage gives what a VM's process has used.
+func (s *System) VMUsage(index int) Usage {
+	return s.VMs[index].process.usage()
+}
+
+// PeerBytes gives how many bytes a VM has sent to its peers.
+func (s *System) PeerBytes(index int) (sent float64) {
+	body, err := get("http://" + s.VMs[index].Operator + "/metrics")
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(body), "\n") {
+		if value, found := strings.CutPrefix(line, "endivespoke_peer_sent_bytes "); found {
+			if _, err := fmt.Sscan(value, &sent); err != nil {
+				return 0
+			}
+		}
+	}
+	return sent
+}
+
+// Publish replaces a revision by the system's set.
+func (s *System) Publish(base uint64) error {
+	header := map[string]string{"Authorization": "Bearer " + operatorToken}
+	if base > 0 {
+		header["If-Match"] = fmt.Sprintf("%q", fmt.Sprint(base))
+	}
+	return errors.Trace(put("http://"+s.VMs[0].Operator+"/v1/admin/configuration", object.Encode(s.Set), header))
+}
+
+// Revision gives the revision in force on a VM.
+func (s *System) Revision(vm *VM) uint64 {
+	var state struct {
+		Revision uint64 `json:"revision"`
+	}
+	body, err := get("http://" + vm.Operator + "/readyz")
+	if err != nil || json.Unmarshal(body, &state) != nil {
+		return 0
+	}
+	return state.Revision
+}
+
+// PlatformCounts gives how often the platform was used so far.
+func (s *System) PlatformCounts() (counts platformfake.Counts) {
+	body, err := get(s.Platform + "/counts")
+	if err != nil || json.Unmarshal(body, &counts) != nil {
+		return platformfake.Counts{}
+	}
+	return counts
+}
+
+// HeadReads counts how often the head of the configurations was read.
+func (s *System) HeadReads() int {
+	return s.PlatformCounts().HeadReads
+}
--- a/internal/lab/platformfake/platformfake.go
+++ b/internal/lab/platformfake/platformfake.go
@@ -46,6 +46,9 @@
 	ObjectReads  int `json:"objectReads"`
 	ObjectWrites int `json:"objectWrites"`
 	ListReads    int `json:"listReads"`
+	HeadReads    int `json:"headReads"`    // Of the table reads.
+	ActionReads  int `json:"actionReads"`  // Of the table reads.
+	ActionWrites int `json:"actionWrites"` // Of the table writes.
 }
 
 type row struct {
@@ -160,6 +163,12 @@
 	}
 	p.mu.Lock()
 	p.counts.TableReads++
+	switch {
+	case strings.HasPrefix(keyOf(r, "key"), "action/"):
+		p.counts.ActionReads++
+	case keyOf(r, "key") == "config/head":
+		p.counts.HeadReads++
+	}
 	found, ok := p.rows[keyOf(r, "key")]
 	p.mu.Unlock()
 	if !ok {
@@ -184,6 +193,9 @@
 	}
 	p.mu.Lock()
 	p.counts.TableWrites++
+	if strings.HasPrefix(key, "action/") {
+		p.counts.ActionWrites++
+	}
 	if p.faults.LoseWriteRequests > 0 {
 		p.faults.LoseWriteRequests--
 		p.mu.Unlock()
--- a/internal/request/owner/drive.go
+++ b/internal/request/owner/drive.go
@@ -223,7 +223,11 @@
 	first := len(r.journal.Tokens) == 0
 	withState := received.Finish != "" || len(received.PromptTokenIDs) > 0
 	if len(received.Tokens) > 0 {
-		if verdict := r.journal.Append(c.attempt, received.Offset, received.Tokens); verdict != generation.Taken {
+		verdict := r.journal.Append(c.attempt, received.Offset, received.Tokens)
+		if verdict == generation.Repeated && o.options.Timing.RestartFromZero {
+			return outcomeUnset // The baseline makes the beginning again and drops it.
+		}
+		if verdict != generation.Taken {
 			lateTokens.Inc()
 			return outcomeOf(verdict)
 		}
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -12,6 +12,7 @@
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
 const (
@@ -75,6 +76,7 @@
 	stream  *engine.Stream
 	server  string
 	request string
+	base    int // The offset in the answer of a new dispatch's first token.
 	resume  bool
 	lease   *fleet.Lease // Nil for a resumed stream.
 	alone   bool
@@ -189,7 +191,8 @@
 }
 
 func (rc *recovery) resumable() bool {
-	if rc.owner.options.Timing.FailoverOnlyByTimer && rc.everConnected {
+	timing := rc.owner.options.Timing
+	if (timing.FailoverOnlyByTimer || timing.RestartFromZero) && rc.everConnected {
 		return false
 	}
 	rc.running.mu.Lock()
@@ -273,7 +276,7 @@
 	c.alone = ask.Suspicion >= condemnAfter-1
 	c.server = c.lease.Server.Name
 	request, base := rc.engineRequest()
-	c.request = request.ID
+	c.request, c.base = request.ID, base
 	c.stream, c.err = rc.within(ctx, o.options.Timing.DispatchLimit, func(ctx context.Context) (*engine.Stream, error) {
 		return o.options.Engines.Start(ctx, c.lease.Server.Address, request, base)
 	})
@@ -352,6 +355,11 @@
 	defer r.mu.Unlock()
 	spec := r.journal.Spec
 	input := r.journal.Continuation()
+	base := len(r.journal.Tokens)
+	if rc.owner.options.Timing.RestartFromZero {
+		input = generation.Input{Prompt: spec.Prompt, Messages: spec.Messages, MaxTokens: spec.MaxTokens}
+		base = 0
+	}
 	return engine.Request{
 		ID:        r.journal.NextEngineRequest(),
 		Model:     spec.EngineModel,
@@ -362,7 +370,7 @@
 		MaxTokens: input.MaxTokens,
 		Priority:  spec.Rank,
 		Sampling:  spec.Sampling,
-	}, len(r.journal.Tokens)
+	}, base
 }
 
 // begin makes a found stream the journal's current attempt.
@@ -372,7 +380,7 @@
 	r.mu.Lock()
 	previousServer, previousRequest := r.journal.Server, r.journal.EngineRequest
 	if !rc.sameEngine {
-		r.journal.EngineBase = len(r.journal.Tokens)
+		r.journal.EngineBase = found.base
 	}
 	attempt := r.journal.Begin(found.server, found.request)
 	rc.owner.offerLocked(r, true)
