Give a generation its copy as soon as a peer appears

Cause: a generation accepted while its VM knew no other VM (just after a start, with a list that lags) stayed without a copy to its end. Seen in a bench with two VMs: 0 to 17 peer bytes a token where a copy takes about 100. Ruled out: holders shunned, heartbeats failing (no event logged).

The bench leaves a new system alone until the VMs know each other, and bounds each VM to one core, since idle cores' spinning was counted as cost.

Before: TestGenerationGetsItsCopyWhenAPeerAppears fails. After: passes.

--- a/internal/lab/bench/cost.go
+++ b/internal/lab/bench/cost.go
@@ -26,10 +26,13 @@
 	return sum
 }
 
+// settle is how long a new system is left alone until the VMs know each other.
+const settle = 4 * time.Second
+
 func measureTokens(ctx context.Context, b *bench) ([][]string, error) {
 	rows := [][]string{{"open generations", "tokens", "tokens a second", "VMs' processor time a token", "tokens a second and core, owner and copy", "peer bytes a token", "gap between tokens p99 (engine's own gap 20 ms)"}}
 	for _, requests := range []int{1, 60, 240, 480} {
-		system, err := b.system(ctx, demo.Options{VMs: 4, Engines: 16, TokenGap: 20 * time.Millisecond})
+		system, err := b.system(ctx, demo.Options{VMs: 2, VMCores: 1, Engines: 16, TokenGap: 20 * time.Millisecond})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -37,6 +40,7 @@
 		options.Every = time.Millisecond
 		options.PromptWords = 50
 		options.MinTokens = 250
+		time.Sleep(settle)
 		before := used(system)
 		start := time.Now()
 		report := load.Run(ctx, options)
@@ -138,7 +142,7 @@
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
-		time.Sleep(5 * time.Second) // The list and first heartbeats settle.
+		time.Sleep(settle)
 		before, sentBefore, readsBefore := used(system), system.PeerBytes(0), system.HeadReads()
 		time.Sleep(controlTime)
 		after, sent, reads := used(system), system.PeerBytes(0), system.HeadReads()
--- a/internal/lab/demo/process.go
+++ b/internal/lab/demo/process.go
@@ -31,13 +31,17 @@
 	done    chan struct{}
 }
 
-// start runs a program with some flags.
-func start(logs, name, program string, arguments ...string) (p *process, err error) {
+// start runs a program with some flags. cores, when above 0, bounds how many
+// cores it uses at once.
+func start(logs, name string, cores int, program string, arguments ...string) (p *process, err error) {
 	var log *os.File
 	if log, err = os.Create(filepath.Join(logs, name+".log")); err != nil {
 		return nil, errors.Trace(err)
 	}
 	command := exec.Command(program, arguments...)
+	if cores > 0 {
+		command.Env = append(os.Environ(), fmt.Sprint("GOMAXPROCS=", cores))
+	}
 	command.Stdout = log
 	command.Stderr = log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // None outlives the runner.
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -53,6 +53,7 @@
 	TokenGap  time.Duration
 	Prefill   time.Duration
 	VMFlags   []string
+	VMCores   int            // Bounds the cores of each VM's process, if above 0.
 	Profile   object.Profile // Replaces the example's, if set.
 	BurstGap  time.Duration
 	BurstEach int
@@ -154,7 +155,7 @@
 		return errors.Trace(err)
 	}
 	s.Platform = "http://" + addresses[0]
-	if s.platform, err = start(s.Options.Logs, "platform", s.program("endivespoke-lab"), "platform", "--listen", addresses[0]); err != nil {
+	if s.platform, err = start(s.Options.Logs, "platform", 0, s.program("endivespoke-lab"), "platform", "--listen", addresses[0]); err != nil {
 		return errors.Trace(err)
 	}
 	return errors.Trace(waitFor(ctx, s.Platform+"/vms"))
@@ -210,7 +211,7 @@
 }
 
 func (s *System) run(ctx context.Context, engine *Engine) (err error) {
-	if engine.process, err = start(s.Options.Logs, engine.Server.Name, s.program("endivespoke-lab"), engine.flags...); err != nil {
+	if engine.process, err = start(s.Options.Logs, engine.Server.Name, 1, s.program("endivespoke-lab"), engine.flags...); err != nil {
 		return errors.Trace(err)
 	}
 	engine.dead = false
@@ -226,7 +227,7 @@
 	url := "http://" + server.Address
 	s.ServiceURLs = append(s.ServiceURLs, url)
 	var p *process
-	if p, err = start(s.Options.Logs, server.Name, s.program("endivespoke-lab"), "service", "--listen", server.Address); err != nil {
+	if p, err = start(s.Options.Logs, server.Name, 0, s.program("endivespoke-lab"), "service", "--listen", server.Address); err != nil {
 		return errors.Trace(err)
 	}
 	s.services = append(s.services, p)
@@ -294,7 +295,7 @@
 		"--peer-key", peerKey,
 		"--bootstrap-hash", object.HashToken(operatorToken),
 	}, s.Options.VMFlags...)
-	if vm.process, err = start(s.Options.Logs, id, s.program("endivespoke"), flags...); err != nil {
+	if vm.process, err = start(s.Options.Logs, id, s.Options.VMCores, s.program("endivespoke"), flags...); err != nil {
 		return nil, errors.Trace(err)
 	}
 	s.VMs = append(s.VMs, vm)
--- a/internal/node/vm/caller_test.go
+++ b/internal/node/vm/caller_test.go
@@ -237,3 +237,20 @@
 	qt.Assert(t, *seen.Load(), qt.Contains, "0af7651916cd43dd8448eb211c80319c")
 	r.eventually("spans are exported", func() bool { return exported.Load() > 0 })
 }
+
+// TestGenerationGetsItsCopyWhenAPeerAppears accepts a generation while the VM
+// knows no other, as just after a start with a lagging list. It caught such
+// generations staying without a copy to their end.
+func TestGenerationGetsItsCopyWhenAPeerAppears(t *testing.T) {
+	r := newRig(t, options{vms: 2, unlisted: true, engine: enginefake.Options{TokenGap: 20 * time.Millisecond}})
+	done := make(chan reply, 1)
+	go func() {
+		done <- r.send(r.caller(0, "a", "POST", "/v1/completions", `{"model":"m","prompt":"p","max_tokens":400}`))
+	}()
+	r.eventually("the generation runs", func() bool { return r.engine.Stats().Requests == 1 })
+	r.platform.SetVMs(r.listed)
+	r.eventually("a copy is held", func() bool {
+		return strings.Contains(r.send(r.operator(1, "GET", "/metrics", "")).body, "endivespoke_copies_held 1")
+	})
+	qt.Assert(t, (<-done).status, qt.Equals, http.StatusOK)
+}
--- a/internal/node/vm/rig_test.go
+++ b/internal/node/vm/rig_test.go
@@ -38,6 +38,7 @@
 	service  *servicefake.Service
 	keyed    *servicefake.Service // Honours idempotency keys.
 	set      object.Set
+	listed   []vmlist.VM
 	vms      []*vm.VM
 }
 
@@ -45,6 +46,7 @@
 // the number of the VM.
 type options struct {
 	vms        int
+	unlisted   bool // The platform's list stays empty until the test fills it.
 	grace      string
 	trace      string
 	engine     enginefake.Options
@@ -61,7 +63,10 @@
 		machine := r.newVM(o, i, "http://"+platform)
 		listed = append(listed, vmlist.VM{ID: fmt.Sprint("vm-", i), FailureDomain: fmt.Sprint("domain-", i%2), CallerAddress: machine.CallerAddress(), PeerAddress: machine.PeerAddress(), State: vmlist.StateLive})
 	}
-	r.platform.SetVMs(listed)
+	r.listed = listed
+	if !o.unlisted {
+		r.platform.SetVMs(listed)
+	}
 	for _, machine := range r.vms {
 		r.run(machine)
 	}
@@ -149,7 +154,7 @@
 // eventually waits until something holds. The limit only ends a hopeless wait.
 func (r *rig) eventually(what string, holds func() bool) {
 	r.t.Helper()
-	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
+	for limit := time.Now().Add(20 * time.Second); time.Now().Before(limit); time.Sleep(10 * time.Millisecond) {
 		if holds() {
 			return
 		}
--- a/internal/request/owner/holder.go
+++ b/internal/request/owner/holder.go
@@ -38,6 +38,19 @@
 	o.openLocked(r)
 }
 
+// protectLater gives a running generation without a copy a holder, if there is
+// one by now.
+func (o *Owner) protectLater(r *Running) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.holder.ID != "" || r.moved || r.journal.Ended() || r.journal.Spec.Lookup {
+		return
+	}
+	if r.holder = o.chooseHolder(r.request); r.holder.ID != "" {
+		o.openLocked(r)
+	}
+}
+
 // chooseHolder takes the best-ranked VM that answered lately.
 func (o *Owner) chooseHolder(request generation.Request) wire.Member {
 	snapshot := o.options.Snapshot()
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -327,7 +327,9 @@
 		if running.overAt(now) {
 			running.cancel()
 			o.forget(running, running.ID())
+			continue
 		}
+		o.protectLater(running)
 	}
 	o.options.Store.Expire(now)
 	o.mu.Lock()
