Spend less for each token: batches to peers, smaller entries, events built by hand

Cause: a profile of one VM (480 generations, one core a VM) showed 40 % in the frames to and from peers, one or two a token, and 24 % in delivery, of which a timer, a reflected JSON encoding and a fresh HMAC for every token.

Change: at least 1 ms between two batches to one peer; entries without a deadline that did not change and with shorter ids; one ticker for a delivery; events appended by hand behind a constant head; one MAC for a delivery.

--- a/internal/caller/openai/delivery.go
+++ b/internal/caller/openai/delivery.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -25,16 +26,18 @@
 type delivery struct {
 	handler *Handler
 	running *owner.Running
-	account string
+	sealer  *generation.AccountSealer
 	chat    bool
 	changed chan struct{}
 	offset  int
 	hash    generation.RollingHash
+	head    []byte // The beginning of every chunk, up to its text.
+	out     []byte // Reused for each write.
 }
 
-type delta struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content,omitempty"`
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
 }
 
 type choice struct {
@@ -45,8 +48,7 @@
 
 type chatChoice struct {
 	Index        int     `json:"index"`
-	Delta        *delta  `json:"delta,omitempty"`
-	Message      *delta  `json:"message,omitempty"`
+	Message      message `json:"message"`
 	FinishReason *string `json:"finish_reason"`
 }
 
@@ -71,9 +73,12 @@
 // with the first event, so that a request that fails before gets its status.
 func (d *delivery) stream(ctx context.Context, w http.ResponseWriter) {
 	controller := http.NewResponseController(w)
+	idle := time.NewTicker(keepAliveEvery)
+	defer idle.Stop()
+	d.head = d.chunkHead()
 	started := false
 	for {
-		tokens, end, alive := d.next(ctx)
+		tokens, end := d.running.Next(ctx, d.offset, d.changed, idle.C)
 		if ctx.Err() != nil {
 			return
 		}
@@ -88,7 +93,7 @@
 			w.WriteHeader(http.StatusOK)
 		}
 		_ = controller.SetWriteDeadline(d.handler.Now().Add(writeLimit)) // Not every writer has one.
-		if !d.write(w, tokens, end, alive) {
+		if _, err := w.Write(d.events(tokens, end)); err != nil {
 			return
 		}
 		if err := controller.Flush(); err != nil || end.Ended() {
@@ -97,39 +102,35 @@
 	}
 }
 
-// next waits for tokens or the end. alive is false when there was nothing for a
-// while and a comment is due.
-func (d *delivery) next(ctx context.Context) (tokens []generation.Token, end owner.End, alive bool) {
-	waitCtx, cancel := context.WithTimeout(ctx, keepAliveEvery)
-	defer cancel()
-	tokens, end = d.running.Next(waitCtx, d.offset, d.changed)
-	return tokens, end, len(tokens) > 0 || end.Ended()
-}
-
-// write sends what there is and reports whether the caller took it.
-func (d *delivery) write(w http.ResponseWriter, tokens []generation.Token, end owner.End, alive bool) bool {
-	var out strings.Builder
-	if !alive {
-		out.WriteString(": waiting\n\n")
+// events gives what to send for some tokens and the end, or a comment when there
+// was neither for a while. The bytes are valid until the next call.
+func (d *delivery) events(tokens []generation.Token, end owner.End) []byte {
+	d.out = d.out[:0]
+	if len(tokens) == 0 && !end.Ended() {
+		return append(d.out, ": waiting\n\n"...)
 	}
 	if len(tokens) > 0 {
-		d.event(&out, d.chunk(d.advance(tokens), nil))
+		d.event(d.advance(tokens), "")
 	}
 	switch {
 	case end.Finish != "":
-		d.event(&out, d.chunk("", &end.Finish))
-		out.WriteString("data: [DONE]\n\n")
+		d.event("", end.Finish)
+		d.out = append(d.out, "data: [DONE]\n\n"...)
 	case end.Ended():
-		body, err := json.Marshal(errorEvent{Error: endProblem(end).Document()})
-		if err != nil {
-			return false
-		}
-		out.WriteString("event: error\ndata: ")
-		out.Write(body)
-		out.WriteString("\n\n")
+		d.out = append(d.out, "event: error\ndata: "...)
+		d.out = append(d.out, jsonOf(errorEvent{Error: endProblem(end).Document()})...)
+		d.out = append(d.out, "\n\n"...)
+	}
+	return d.out
+}
+
+// jsonOf encodes a value of this package's types, none of which can fail.
+func jsonOf(value any) []byte {
+	body, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
 	}
-	_, err := w.Write([]byte(out.String()))
-	return err == nil
+	return body
 }
 
 // errorEvent is the last event of a stream that fails after it began.
@@ -148,27 +149,41 @@
 	return text.String()
 }
 
-// event writes one event with the cursor behind it.
-func (d *delivery) event(out *strings.Builder, chunk reply) {
-	body, err := json.Marshal(chunk)
-	if err != nil {
-		return // No field of reply can fail to encode.
-	}
+// event appends one event, with the cursor behind it. It is built by hand, since
+// it is the one thing done for every token:
+//
+//	id: <cursor>
+//	data: {"id":...,"choices":[{"index":0,"text":" a","finish_reason":null}]}
+func (d *delivery) event(text, finish string) {
 	place := d.running.Place()
 	place.Offset = d.offset
 	place.Hash = d.hash.Sum()
-	out.WriteString("id: ")
-	out.WriteString(d.handler.Sealer.Seal(d.account, place))
-	out.WriteString("\ndata: ")
-	out.Write(body)
-	out.WriteString("\n\n")
+	d.out = append(d.out, "id: "...)
+	d.out = append(d.out, d.sealer.Seal(place)...)
+	d.out = append(d.out, "\ndata: "...)
+	d.out = append(d.out, d.head...)
+	d.out = append(d.out, jsonOf(text)...)
+	if d.chat {
+		d.out = append(d.out, '}')
+	}
+	d.out = append(d.out, `,"finish_reason":`...)
+	if finish == "" {
+		d.out = append(d.out, "null"...)
+	} else {
+		d.out = append(d.out, jsonOf(finish)...)
+	}
+	d.out = append(d.out, "}]}\n\n"...)
 }
 
-func (d *delivery) chunk(text string, finish *string) reply {
+// chunkHead gives the part of a chunk before its text, which never changes.
+func (d *delivery) chunkHead() []byte {
+	object, choice := "text_completion", `{"index":0,"text":`
 	if d.chat {
-		return d.reply("chat.completion.chunk", []chatChoice{{Delta: &delta{Content: text}, FinishReason: finish}})
+		object, choice = "chat.completion.chunk", `{"index":0,"delta":{"content":`
 	}
-	return d.reply("text_completion", []choice{{Text: text, FinishReason: finish}})
+	empty := jsonOf(d.reply(object, []string{}))
+	head := bytes.TrimSuffix(empty, []byte("]}"))
+	return append(head, choice...)
 }
 
 func (d *delivery) reply(object string, choices any) reply {
@@ -185,7 +200,7 @@
 func (d *delivery) whole(ctx context.Context, w http.ResponseWriter) {
 	var text strings.Builder
 	for {
-		tokens, end := d.running.Next(ctx, d.offset, d.changed)
+		tokens, end := d.running.Next(ctx, d.offset, d.changed, nil)
 		if ctx.Err() != nil {
 			return
 		}
@@ -204,7 +219,7 @@
 func (d *delivery) writeWhole(w http.ResponseWriter, text, finish string) {
 	answer := d.reply("text_completion", []choice{{Text: text, FinishReason: &finish}})
 	if d.chat {
-		answer = d.reply("chat.completion", []chatChoice{{Message: &delta{Role: "assistant", Content: text}, FinishReason: &finish}})
+		answer = d.reply("chat.completion", []chatChoice{{Message: message{Role: "assistant", Content: text}, FinishReason: &finish}})
 	}
 	prompt := d.running.PromptTokens()
 	answer.Usage = &usage{PromptTokens: prompt, CompletionTokens: d.offset, TotalTokens: prompt + d.offset}
--- a/internal/peer/replica/replica.go
+++ b/internal/peer/replica/replica.go
@@ -75,7 +75,9 @@
 	}
 	held.fence = entry.Epoch
 	held.journal.Epoch = entry.Epoch
-	held.keepUntil = entry.KeepUntil
+	if !entry.KeepUntil.IsZero() {
+		held.keepUntil = entry.KeepUntil
+	}
 	known := len(held.journal.Tokens) - entry.Offset
 	if known < len(entry.Tokens) {
 		held.journal.Tokens = append(held.journal.Tokens, entry.Tokens[known:]...)
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -39,7 +39,8 @@
 
 // Entry changes one copy at its holder. Open replaces the copy whole; Fresh
 // marks the first Open of a new request. Tokens start at Offset. State, when
-// set, replaces everything of the journal but its tokens. Drop forgets the copy.
+// set, replaces everything of the journal but its tokens. KeepUntil, when set, is
+// the new deadline for forgetting the copy; Drop forgets it now.
 type Entry struct {
 	Generation string              `cbor:"1,keyasint"`
 	Epoch      uint64              `cbor:"2,keyasint"`
@@ -48,7 +49,7 @@
 	Offset     int                 `cbor:"5,keyasint,omitempty"`
 	Tokens     []generation.Token  `cbor:"6,keyasint,omitempty"`
 	State      *State              `cbor:"7,keyasint,omitempty"`
-	KeepUntil  time.Time           `cbor:"8,keyasint"`
+	KeepUntil  time.Time           `cbor:"8,keyasint,omitzero"`
 	Drop       bool                `cbor:"9,keyasint,omitempty"`
 }
 
--- a/internal/peer/wire/pool.go
+++ b/internal/peer/wire/pool.go
@@ -18,6 +18,10 @@
 	DefaultAckLimit = 300 * time.Millisecond
 	// dialLimit bounds the opening of a connection to a peer.
 	dialLimit = 300 * time.Millisecond
+	// batchEvery is the least time between two batches of entries to one peer.
+	// What is offered meanwhile goes out together: with many generations at once,
+	// each frame, its answer and the wake-ups around them serve several tokens.
+	batchEvery = time.Millisecond
 	// redialPause keeps a dead peer from being dialled for every entry.
 	redialPause = 250 * time.Millisecond
 )
@@ -223,7 +227,9 @@
 	if entry.State != nil {
 		last.State = entry.State
 	}
-	last.KeepUntil = entry.KeepUntil
+	if !entry.KeepUntil.IsZero() {
+		last.KeepUntil = entry.KeepUntil
+	}
 	return true
 }
 
@@ -263,6 +269,7 @@
 func (l *link) write(connection *websocket.Conn) {
 	ticker := time.NewTicker(l.pool.options.AckLimit / 4)
 	defer ticker.Stop()
+	lastBatch := time.Time{}
 	for {
 		select {
 		case <-l.ctx.Done():
@@ -272,9 +279,11 @@
 				return
 			}
 		case <-l.kick:
+			time.Sleep(time.Until(lastBatch.Add(batchEvery)))
 			if !l.flush(connection) {
 				return
 			}
+			lastBatch = time.Now()
 		}
 	}
 }
--- a/internal/request/generation/cursor.go
+++ b/internal/request/generation/cursor.go
@@ -4,6 +4,8 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/base64"
+	"hash"
+	"io"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
@@ -71,11 +73,36 @@
 
 // Seal gives the text of a cursor, safe in a header and in an SSE id field.
 func (s Sealer) Seal(account string, cursor Cursor) string {
+	return s.For(account).Seal(cursor)
+}
+
+// AccountSealer seals many cursors of one client account. It belongs to one
+// goroutine.
+type AccountSealer struct {
+	account string
+	mac     hash.Hash
+}
+
+// For gives a sealer that keeps the work that all cursors of an account share.
+func (s Sealer) For(account string) *AccountSealer {
+	return &AccountSealer{account: account, mac: hmac.New(sha256.New, s.Key)}
+}
+
+// Seal gives the text of a cursor.
+func (s *AccountSealer) Seal(cursor Cursor) string {
 	body, err := cbor.Marshal(cursor)
 	if err != nil {
 		panic(err) // Strings and integers always encode.
 	}
-	return base64.RawURLEncoding.EncodeToString(append(body, s.tag(account, body)...))
+	return base64.RawURLEncoding.EncodeToString(append(body, s.tag(body)...))
+}
+
+func (s *AccountSealer) tag(body []byte) []byte {
+	s.mac.Reset()
+	_, _ = io.WriteString(s.mac, s.account) // A hash never fails to write.
+	_, _ = s.mac.Write([]byte{0})
+	_, _ = s.mac.Write(body)
+	return s.mac.Sum(nil)[:tagBytes]
 }
 
 // Open reads a cursor's text. Every failure is ErrCursor.
@@ -88,7 +115,7 @@
 		return Cursor{}, errors.Annotate(ErrCursor, "not base64")
 	}
 	body := sealed[:len(sealed)-tagBytes]
-	if !hmac.Equal(s.tag(account, body), sealed[len(body):]) {
+	if !hmac.Equal(s.For(account).tag(body), sealed[len(body):]) {
 		return Cursor{}, errors.Annotate(ErrCursor, "wrong tag")
 	}
 	if err = cbor.Unmarshal(body, &cursor); err != nil || cursor.Offset < 0 {
@@ -97,14 +124,6 @@
 	return cursor, nil
 }
 
-func (s Sealer) tag(account string, body []byte) []byte {
-	mac := hmac.New(sha256.New, s.Key)
-	_, _ = mac.Write([]byte(account)) // A hash never fails to write.
-	_, _ = mac.Write([]byte{0})
-	_, _ = mac.Write(body)
-	return mac.Sum(nil)[:tagBytes]
-}
-
 // HashFrom continues from the value that a cursor carries.
 func HashFrom(sum uint64) RollingHash {
 	return RollingHash{state: sum}
--- a/internal/request/owner/holder.go
+++ b/internal/request/owner/holder.go
@@ -95,10 +95,10 @@
 		Epoch:      r.journal.Epoch,
 		Offset:     r.holderSent,
 		Tokens:     r.journal.Tokens[r.holderSent:len(r.journal.Tokens):len(r.journal.Tokens)],
-		KeepUntil:  r.copyUntil(),
 	}
 	if withState {
 		entry.State = wire.StateOf(r.journal)
+		entry.KeepUntil = r.copyUntil()
 	}
 	r.holderSent = len(r.journal.Tokens)
 	o.options.Pool.Offer(r.holder.ID, r.holder.PeerAddress, entry)
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"sync"
 	"time"
 
@@ -157,7 +158,7 @@
 		p.Outcome = notRun(submission.KeyGiven)
 		return nil, p
 	}
-	journal := generation.New(uuid.NewString(), submission.Request, submission.Spec)
+	journal := generation.New(newID(), submission.Request, submission.Spec)
 	running := o.newRunning(ctx, journal)
 	running.contentHash = contentHash
 	running.fresh = submission.KeyGiven
@@ -177,6 +178,13 @@
 	return running, nil
 }
 
+// newID gives a random id of 128 bits, shorter than a UUID's text since it goes
+// with every token.
+func newID() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
 // notRun gives the outcome of a request that this VM did not run. A key that the
 // caller chose may have been sent before, and be running through a VM that can't
 // be asked just now; of such a request nothing can be promised.
--- a/internal/request/owner/running.go
+++ b/internal/request/owner/running.go
@@ -97,9 +97,9 @@
 }
 
 // Next waits until there are deliverable tokens from offset on, or the end. The
-// returned slice must not be changed. A context that ends gives an End without
-// any field set and no tokens.
-func (r *Running) Next(ctx context.Context, offset int, changed chan struct{}) ([]generation.Token, End) {
+// returned slice must not be changed. When the context ends or idle fires first,
+// there are no tokens and no field of End is set.
+func (r *Running) Next(ctx context.Context, offset int, changed chan struct{}, idle <-chan time.Time) ([]generation.Token, End) {
 	for {
 		tokens, end := r.ready(offset)
 		if len(tokens) > 0 || end.Ended() {
@@ -107,6 +107,8 @@
 		}
 		select {
 		case <-changed:
+		case <-idle:
+			return nil, End{}
 		case <-ctx.Done():
 			return nil, End{}
 		}
