Give orders to backend servers under leases with fencing numbers

Change: a controller on each VM looks after the managed engines that rendezvous hashing gives it. Only a difference between what a server reports and what is published takes the lease (a table row with a growing number), so a quiet system writes nothing; a lease renewed for each of 1500 servers every 10 s would cost 150 table writes a second. Loads stay within the weight store's bound through one row. New work that meets an engine without its model goes to another engine.

--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -146,7 +146,11 @@
 	}
 	call.Header.Set("Content-Type", "application/json")
 	call.Header.Set("X-Request-Id", request.ID)
-	return c.open(call, offset)
+	if stream, err = c.open(call, offset); errors.Is(err, ErrGone) {
+		// New work that meets "not found" has met an engine without its model.
+		return nil, errors.Annotate(ErrBusy, "engine does not have the model")
+	}
+	return stream, err
 }
 
 // Resume opens a new stream of a running or finished engine generation, after
--- a/internal/config/object/check.go
+++ b/internal/config/object/check.go
@@ -43,6 +43,9 @@
 	c.operators(set)
 	c.services(set)
 	c.servers(set)
+	if set.WeightStore.ConcurrentLoads < 0 {
+		c.add("weightStore.concurrentLoads", "%d is below 0", set.WeightStore.ConcurrentLoads)
+	}
 	return c.faults
 }
 
@@ -224,6 +227,9 @@
 		if (len(server.Versions) > 0) == (server.Service != "") {
 			c.add(path, "needs either versions, for an engine, or a service")
 		}
+		if server.Managed && server.Service != "" {
+			c.add(path+".managed", "is for engines, not for services")
+		}
 		c.references(path+".versions", "versions", server.Versions)
 		if server.Service != "" {
 			c.reference(path+".service", "services", server.Service)
--- a/internal/config/object/diff.go
+++ b/internal/config/object/diff.go
@@ -45,6 +45,7 @@
 		objects[kind+"/"+name] = body
 	}
 	add("profile", "", set.Profile)
+	add("weightStore", "", set.WeightStore)
 	for _, model := range set.Models {
 		add("models", model.Name, model)
 	}
--- a/internal/config/object/object.go
+++ b/internal/config/object/object.go
@@ -53,6 +53,24 @@
 	Operators      []Operator      `json:"operators"`
 	Services       []Service       `json:"services"`
 	BackendServers []BackendServer `json:"backendServers"`
+	WeightStore    WeightStore     `json:"weightStore"`
+}
+
+// WeightStore bounds the reading of model weights. ConcurrentLoads servers load
+// at once over the whole system; 0 means the default.
+type WeightStore struct {
+	ConcurrentLoads int `json:"concurrentLoads,omitempty"`
+}
+
+// DefaultConcurrentLoads is used when the configuration sets no bound.
+const DefaultConcurrentLoads = 4
+
+// LoadsLimit is the bound in force.
+func (w WeightStore) LoadsLimit() int {
+	if w.ConcurrentLoads == 0 {
+		return DefaultConcurrentLoads
+	}
+	return w.ConcurrentLoads
 }
 
 // Model is what callers name in a request. Version is the one that new
@@ -117,7 +135,8 @@
 
 // BackendServer is one process that does the work: an engine that serves
 // Versions, or an instance of Service. MaxConcurrent is how many requests it
-// runs side by side.
+// runs side by side. A Managed engine is ordered to load and unload versions;
+// ChecksFencing says that it refuses orders with an old fencing number.
 type BackendServer struct {
 	Name          string      `json:"name"`
 	Address       string      `json:"address"`
@@ -126,6 +145,7 @@
 	Versions      []string    `json:"versions,omitempty"`
 	Service       string      `json:"service,omitempty"`
 	MaxConcurrent int         `json:"maxConcurrent"`
+	Managed       bool        `json:"managed,omitempty"`
 	ChecksFencing bool        `json:"checksFencing,omitempty"`
 }
 
--- a/internal/lab/enginefake/enginefake.go
+++ b/internal/lab/enginefake/enginefake.go
@@ -32,6 +32,7 @@
 	Slots           int
 	BurstEvery      int           // Every so many tokens the gap is BurstGap.
 	BurstGap        time.Duration // The long gap of a burst.
+	ChecksFencing   bool          // Refuse orders with an old number.
 	Salt            string        // Mixed into the seed: makes regeneration differ between engines.
 }
 
@@ -98,6 +99,7 @@
 	dead        bool
 	pausedUntil time.Time
 	prefixes    map[uint64]bool
+	orders      orders
 	mux         *http.ServeMux
 }
 
@@ -109,6 +111,8 @@
 	e.mux.HandleFunc("GET /v1/completions/{id}", e.resume)
 	e.mux.HandleFunc("POST /v1/completions/{id}/cancel", e.cancel)
 	e.mux.HandleFunc("GET /load", e.load)
+	e.mux.HandleFunc("GET /v1/models", e.listModels)
+	e.mux.HandleFunc("POST /v1/models/{action}", e.order)
 	e.mux.HandleFunc("PUT /faults", e.putFaults)
 	return e
 }
@@ -237,6 +241,11 @@
 		http.Error(w, "no capacity", http.StatusServiceUnavailable)
 		return
 	}
+	if e.lacks(body.Model) {
+		e.mu.Unlock()
+		http.Error(w, "model is not loaded", http.StatusNotFound)
+		return
+	}
 	g := &generation{id: id, body: body, prompt: prompt, priority: body.Priority, changed: make(chan struct{}), admitted: make(chan struct{})}
 	e.arrivals++
 	g.arrival = e.arrivals
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -47,6 +47,8 @@
 	ActionTakenOver      = define(503, "the claim of an action was taken over")
 	ServerEjected        = define(601, "a backend server gets no work for a while")
 	ServerReturned       = define(602, "a backend server gets work again")
+	OrderGiven           = define(603, "an order was carried out by a backend server")
+	OrderFailed          = define(604, "a backend server could not be brought to its published state yet")
 )
 
 var all []Event
--- a/internal/node/vm/services.go
+++ b/internal/node/vm/services.go
@@ -124,15 +124,21 @@
 	}
 }
 
+// watches reports whether this VM is one of the few that watch a server.
 func watches(snapshot *control.Snapshot, server string) bool {
+	return isAmong(snapshot, server, watchersPerServer)
+}
+
+// isAmong reports whether this VM is one of the first live ones in a key's rank.
+func isAmong(snapshot *control.Snapshot, key string, count int) bool {
 	live := []wire.Member{}
 	for _, member := range snapshot.Members {
 		if member.State == wire.MemberLive {
 			live = append(live, member)
 		}
 	}
-	ranked := gossip.Rank(server, live)
-	for _, member := range ranked[:min(watchersPerServer, len(ranked))] {
+	ranked := gossip.Rank(key, live)
+	for _, member := range ranked[:min(count, len(ranked))] {
 		if member.ID == snapshot.Self.ID {
 			return true
 		}
@@ -140,6 +146,35 @@
 	return false
 }
 
+// managedServers gives the servers that this VM gives orders to, with the names
+// that engines know their versions by.
+func (v *VM) managedServers() []object.BackendServer {
+	snapshot := v.loop.Snapshot()
+	managed := []object.BackendServer{}
+	if snapshot.Set == nil || !snapshot.Accepting(time.Now()) {
+		return managed
+	}
+	for _, server := range snapshot.Set.BackendServers {
+		if !server.Managed || !isAmong(snapshot, "orders/"+server.Name, 1) {
+			continue
+		}
+		wanted := []string{}
+		for _, name := range server.Versions {
+			if version, found := snapshot.Set.Version(name); found {
+				wanted = append(wanted, version.EngineModel)
+			}
+		}
+		server.Versions = wanted
+		managed = append(managed, server)
+	}
+	return managed
+}
+
+func (v *VM) isDown(vm string) bool {
+	member, found := v.loop.Snapshot().Member(vm)
+	return found && member.State == wire.MemberDown
+}
+
 func (l *loads) read(ctx context.Context, server object.BackendServer) {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -25,6 +25,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/engine"
 	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/backend/order"
 	"github.com/endivespoke/endivespoke/internal/backend/service"
 	"github.com/endivespoke/endivespoke/internal/caller/locate"
 	"github.com/endivespoke/endivespoke/internal/caller/openai"
@@ -74,6 +75,7 @@
 	store     *replica.Store
 	owner     *owner.Owner
 	services  *services.Handler
+	orders    *order.Controller
 	engines   *engine.Client
 	publisher *revision.Publisher
 	caller    *listener
@@ -168,6 +170,16 @@
 		Grace:    v.settings.Grace,
 		Timing:   v.timing(),
 	})
+	v.orders = order.New(order.Options{
+		Self:       v.settings.ID,
+		Table:      rows,
+		Engines:    v.engines,
+		Servers:    v.managedServers,
+		LoadsLimit: func() int { return v.loop.Snapshot().Set.WeightStore.LoadsLimit() },
+		HolderDown: v.isDown,
+		Logger:     v.logger,
+		Now:        time.Now,
+	})
 	v.services = services.New(services.Options{
 		Table:      rows,
 		Services:   service.New(&http.Client{Transport: freshConnections()}),
@@ -296,6 +308,7 @@
 	supervisor.Add(v.owner)
 	supervisor.Add(&limits{vm: v})
 	supervisor.Add(&loads{vm: v})
+	supervisor.Add(v.orders)
 	supervisor.Add(v.peer)
 	supervisor.Add(v.operator)
 	supervisor.Add(v.caller)
