Keep a VM that was paused from accepting under an old revision

Cause: a VM that can't reach the store goes on while it sees most others, and 'sees most' was what its membership said, also right after a pause of 7 s, before a single heartbeat had failed. It answered 200 to a token that had been revoked meanwhile. Ruled out: the freshness deadline, which had lapsed.

Change: seeing most VMs is a deadline too, renewed by answered heartbeats, counted from when they were asked, and not by a peer that has a newer revision.

Before: TestPausedVMComesBackWithTheNewRevision fails with status 200. After: passes; with it the cut VM, the leaving server and the replacement of every VM under load (120 generations, no reconnect).

--- a/internal/caller/client/client.go
+++ b/internal/caller/client/client.go
@@ -380,6 +380,14 @@
 	if base, err = c.next(ctx); err != nil {
 		return 0, nil, errors.Trace(err)
 	}
+	if status, reply, err = c.CallVM(ctx, base, method, path, key, content); err != nil {
+		c.shun(base)
+	}
+	return status, reply, err
+}
+
+// CallVM makes one call through the VM with a base URL.
+func (c *Client) CallVM(ctx context.Context, base, method, path, key string, content []byte) (status int, reply []byte, err error) {
 	var call *http.Request
 	if call, err = http.NewRequestWithContext(ctx, method, base+"/v1/services/"+path, bytes.NewReader(content)); err != nil {
 		return 0, nil, errors.Trace(err)
@@ -391,7 +399,6 @@
 	}
 	var response *http.Response
 	if response, err = c.http.Do(call); err != nil {
-		c.shun(base)
 		return 0, nil, errors.Trace(err)
 	}
 	defer response.Body.Close()
--- a/internal/lab/demo/scripts_test.go
+++ b/internal/lab/demo/scripts_test.go
@@ -11,11 +11,16 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/caller/client"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/config/revision"
 	"github.com/endivespoke/endivespoke/internal/lab/demo"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
 	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
+	"github.com/endivespoke/endivespoke/internal/peer/gossip"
 )
 
 // bin has both programs, built with the race detector.
@@ -109,7 +114,7 @@
 		MinTokens:   40,
 		MaxTokens:   200,
 		Seed:        seed,
-		KeyPrefix:   "script",
+		KeyPrefix:   fmt.Sprint("script-", seed),
 	})
 	<-broken
 	qt.Assert(t, report.Kept(), qt.IsTrue, qt.Commentf("%+v", report.Errors))
@@ -254,3 +259,165 @@
 		})
 	}
 }
+
+// TestCulpritIsCondemnedAndInnocentsComplete sends a request that kills every
+// engine it runs on, again and again under new keys, among innocent ones.
+func TestCulpritIsCondemnedAndInnocentsComplete(t *testing.T) {
+	t.Parallel()
+	system := startSystem(t, demo.Options{VMs: 4, Engines: 8})
+	for index := range system.Engines {
+		must(t, system.EngineFaults(index, enginefake.Faults{CrashOnWord: "poison", CrashAfter: 3}))
+	}
+	culprit := make(chan []string, 1)
+	runLoad(t, system, 40, 21, func() { culprit <- sendCulprit(system) })
+	lost := 0
+	for index := range system.Engines {
+		if system.EngineDied(index) {
+			lost++
+		}
+	}
+	answers := <-culprit
+	for _, answer := range answers {
+		qt.Check(t, answer, qt.Equals, "crashesServers failed")
+	}
+	// Three crashes prove the culprit's guilt; no resend may cost another engine.
+	qt.Assert(t, lost <= 3, qt.IsTrue, qt.Commentf("%d engines lost", lost))
+}
+
+// sendCulprit sends the same poison five times and gives the final answers.
+func sendCulprit(system *demo.System) []string {
+	account := system.Accounts(1)[0]
+	answers := []string{}
+	for i := range 5 {
+		request := client.Request{Key: fmt.Sprint("culprit-", i), Model: system.Set.Models[0].Name, Prompt: "wall poison wall", MaxTokens: 50}
+		_, err := account.Client.Generate(context.Background(), request, nil)
+		var refused *client.Refused
+		if !errors.As(err, &refused) {
+			answers = append(answers, fmt.Sprint(err))
+			continue
+		}
+		answers = append(answers, fmt.Sprint(refused.Document.Code, " ", refused.Document.Outcome))
+		time.Sleep(2 * gossip.BeatEvery) // The word reaches every VM.
+	}
+	return answers
+}
+
+// TestEveryVMIsReplacedUnderLoad replaces all VMs one after another, each by a
+// graceful stop, while long generations run. Callers keep their old locate
+// answers; no request may be cut, so no caller may even have to reconnect.
+func TestEveryVMIsReplacedUnderLoad(t *testing.T) {
+	t.Parallel()
+	options := demo.Options{VMs: 3, Engines: 4, TokenGap: 30 * time.Millisecond, VMFlags: []string{"--leave-wait", "11s"}}
+	system := startSystem(t, options)
+	replaced := make(chan struct{})
+	ctx, cancel := context.WithTimeout(context.Background(), scriptLimit)
+	defer cancel()
+	go func() {
+		defer close(replaced)
+		time.Sleep(underWay)
+		for index := range 3 {
+			vm, err := system.StartVM(ctx, fmt.Sprint("vm-new-", index), system.VMs[index].FailureDomain)
+			must(t, err)
+			must(t, system.ListVMs())
+			must(t, system.Ready(ctx, vm))
+			system.StopVM(index)
+			must(t, system.ListVMs())
+		}
+	}()
+	report := load.Run(ctx, load.Options{
+		Clients:     system.Accounts(4),
+		Model:       system.Set.Models[0].Name,
+		EngineModel: system.Set.Versions[0].EngineModel,
+		Requests:    120,
+		Every:       300 * time.Millisecond,
+		PromptWords: 50,
+		MinTokens:   50,
+		MaxTokens:   250,
+		Seed:        22,
+		KeyPrefix:   "replace",
+	})
+	<-replaced
+	qt.Assert(t, report.Kept(), qt.IsTrue, qt.Commentf("%+v", report.Errors))
+	qt.Assert(t, report.Reconnects, qt.Equals, 0)
+}
+
+// TestVMCutFromAllStopsTakingRequests cuts one VM from the platform and from its
+// peers. It must refuse new requests by its deadline and come back when healed,
+// with the revision that was published meanwhile.
+func TestVMCutFromAllStopsTakingRequests(t *testing.T) {
+	t.Parallel()
+	system := startSystem(t, demo.Options{VMs: 4, Engines: 1})
+	ctx := context.Background()
+	alone := system.VMs[3]
+	cutVM(system, alone)
+	eventually(t, "it refuses new requests", func() bool { return !system.Accepts(alone) })
+	system.Set.ClientAccounts[0].Weight++
+	must(t, system.Publish(1))
+	for _, vm := range system.VMs[:3] {
+		eventually(t, "the others have the new revision", func() bool { return system.Revision(vm) == 2 })
+		qt.Check(t, system.Accepts(vm), qt.IsTrue)
+	}
+	qt.Check(t, system.Accepts(alone), qt.IsFalse)
+	qt.Check(t, system.Revision(alone), qt.Equals, uint64(1))
+	heal(system)
+	system.PlatformPath(alone).Block(nil)
+	must(t, system.Ready(ctx, alone))
+	eventually(t, "it has the new revision", func() bool { return system.Revision(alone) == 2 })
+}
+
+// cutVM cuts one VM from the platform and from every other VM.
+func cutVM(s *demo.System, alone *demo.VM) {
+	s.PlatformPath(alone).Block(func([]byte) bool { return true })
+	for _, vm := range s.VMs {
+		inside := vm == alone
+		vm.PeerPath.Block(func(first []byte) bool {
+			fromAlone := strings.Contains(string(first), "Peer "+alone.ID+":")
+			return inside != fromAlone
+		})
+	}
+}
+
+func eventually(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(time.Minute); time.Now().Before(limit); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("never: %s", what)
+}
+
+// TestPausedVMComesBackWithTheNewRevision pauses a VM through a publish. It must
+// not serve its old revision to new requests when it goes on.
+func TestPausedVMComesBackWithTheNewRevision(t *testing.T) {
+	t.Parallel()
+	system := startSystem(t, demo.Options{VMs: 4, Engines: 1})
+	system.PauseVM(2)
+	system.Set.ClientAccounts[0].TokenHashes = []string{object.HashToken("rotated")}
+	must(t, system.Publish(1))
+	time.Sleep(revision.FreshLimit + time.Second)
+	system.ResumeVM(2)
+	stale := client.New(client.Options{Entries: []string{"http://" + system.VMs[2].Caller}, Token: "alamo-builders-example"})
+	status, _, err := stale.CallVM(context.Background(), "http://"+system.VMs[2].Caller, "GET", "booking/calendar", "", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, status == 503 || status == 401, qt.IsTrue, qt.Commentf("status %d", status))
+	eventually(t, "it has the new revision", func() bool { return system.Revision(system.VMs[2]) == 2 })
+}
+
+// TestLeavingServerIsLeftOnEveryVM publishes a server as leaving while the store
+// is down for all but the publisher's write, and wants no new work there.
+func TestLeavingServerIsLeftOnEveryVM(t *testing.T) {
+	t.Parallel()
+	system := startSystem(t, demo.Options{VMs: 4, Engines: 3})
+	runLoad(t, system, 40, 23, func() {
+		system.Set.BackendServers[0].State = object.ServerLeaving
+		must(t, system.Publish(1))
+		must(t, system.PlatformFaults(platformfake.Faults{DownUntil: time.Now().Add(time.Minute)}))
+	})
+	for _, vm := range system.VMs {
+		eventually(t, "the revision is in force", func() bool { return system.Revision(vm) == 2 })
+	}
+	before := system.EngineRequests(0)
+	runLoad(t, system, 20, 24, func() {})
+	qt.Assert(t, system.EngineRequests(0), qt.Equals, before)
+}
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -15,6 +15,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -69,6 +70,7 @@
 	Operator      string
 	CallerPath    *forward.Forwarder // Nil without Options.Forward.
 	PeerPath      *forward.Forwarder
+	platformPath  *forward.Forwarder
 	process       *process
 	gone          bool
 }
@@ -291,7 +293,7 @@
 		"--peer-listen", addresses[1],
 		"--peer-address", vm.Peer,
 		"--operator-listen", addresses[2],
-		"--platform", s.Platform,
+		"--platform", s.platformFor(vm),
 		"--peer-key", peerKey,
 		"--bootstrap-hash", object.HashToken(operatorToken),
 	}, s.Options.VMFlags...)
@@ -312,11 +314,27 @@
 	if vm.PeerPath, err = forward.New(vm.Peer); err != nil {
 		return errors.Trace(err)
 	}
+	if vm.platformPath, err = forward.New(strings.TrimPrefix(s.Platform, "http://")); err != nil {
+		return errors.Trace(err)
+	}
 	vm.Caller = vm.CallerPath.Address()
 	vm.Peer = vm.PeerPath.Address()
 	return nil
 }
 
+// platformFor gives the platform's URL as a VM is told it.
+func (s *System) platformFor(vm *VM) string {
+	if vm.platformPath == nil {
+		return s.Platform
+	}
+	return "http://" + vm.platformPath.Address()
+}
+
+// PlatformPath is the way of one VM to the platform.
+func (s *System) PlatformPath(vm *VM) *forward.Forwarder {
+	return vm.platformPath
+}
+
 // Ready waits until a VM takes requests.
 func (s *System) Ready(ctx context.Context, vm *VM) error {
 	return errors.Trace(waitFor(ctx, "http://"+vm.Operator+"/readyz"))
@@ -450,6 +468,7 @@
 		vm.process.kill()
 		closePath(vm.CallerPath)
 		closePath(vm.PeerPath)
+		closePath(vm.platformPath)
 	}
 	for _, engine := range s.Engines {
 		if engine.process != nil {
@@ -501,16 +520,38 @@
 	return errors.Trace(put("http://"+s.VMs[0].Operator+"/v1/admin/configuration", object.Encode(s.Set), header))
 }
 
-// Revision gives the revision in force on a VM.
-func (s *System) Revision(vm *VM) uint64 {
-	var state struct {
-		Revision uint64 `json:"revision"`
+// readiness is a VM's own word on whether it takes requests.
+type readiness struct {
+	Ready    bool   `json:"ready"`
+	Revision uint64 `json:"revision"`
+}
+
+// readiness asks a VM. One that does not answer is not ready.
+func (s *System) readiness(vm *VM) (state readiness) {
+	response, err := http.Get("http://" + vm.Operator + "/readyz")
+	if err != nil {
+		return readiness{}
 	}
-	body, err := get("http://" + vm.Operator + "/readyz")
-	if err != nil || json.Unmarshal(body, &state) != nil {
-		return 0
+	defer response.Body.Close()
+	if json.NewDecoder(response.Body).Decode(&state) != nil {
+		return readiness{}
 	}
-	return state.Revision
+	return state
+}
+
+// Revision gives the revision in force on a VM.
+func (s *System) Revision(vm *VM) uint64 {
+	return s.readiness(vm).Revision
+}
+
+// Accepts reports whether a VM takes new requests.
+func (s *System) Accepts(vm *VM) bool {
+	return s.readiness(vm).Ready
+}
+
+// EngineRequests counts the generations that were started on an engine.
+func (s *System) EngineRequests(index int) int {
+	return s.Engines[index].stats().Requests
 }
 
 // PlatformCounts gives how often the platform was used so far.
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -39,6 +39,8 @@
 	listReadEvery = 2 * time.Second
 	// readersPerDomain VMs of each failure domain read the head.
 	readersPerDomain = 2
+	// mostLimit is how long an answered heartbeat counts for seeing most VMs.
+	mostLimit = 2 * time.Second
 	// beatLimit bounds the wait for the answer to a heartbeat.
 	beatLimit = 400 * time.Millisecond
 	// storeLimit bounds one read of the platform.
@@ -58,7 +60,7 @@
 	Head       revision.Head
 	Set        *object.Set // Nil before the first configuration.
 	FreshUntil time.Time
-	SeesMost   bool
+	MostUntil  time.Time // Until when this VM counts as seeing most others.
 	Condemned  map[string]time.Time
 	Leaving    bool
 	accounts   map[string]*object.ClientAccount
@@ -66,12 +68,14 @@
 }
 
 // Accepting reports whether new requests may be taken: the configuration is
-// known to be the newest or, while the store answers nobody, most VMs are seen.
+// known to be the newest or, while the store answers nobody, most VMs were seen
+// a moment ago, none of them with a newer one. Both are deadlines, so that a VM
+// that was paused does not go by what it saw before.
 func (s *Snapshot) Accepting(now time.Time) bool {
 	if s.Set == nil {
 		return false
 	}
-	return now.Before(s.FreshUntil) || s.SeesMost
+	return now.Before(s.FreshUntil) || now.Before(s.MostUntil)
 }
 
 // Account finds the client account of a bearer token's hash.
@@ -135,6 +139,7 @@
 	nextHead    time.Time
 	nextList    time.Time
 	nextBeat    time.Time
+	mostUntil   time.Time
 	readingHead bool
 	readingList bool
 	fetching    bool
@@ -213,6 +218,9 @@
 		s.nextBeat = now.Add(gossip.BeatEvery)
 		l.sendBeats(ctx, s)
 	}
+	if s.membership.Alone() {
+		s.mostUntil = now.Add(mostLimit) // There is nobody to see.
+	}
 	for hash, until := range s.condemned {
 		if now.After(until) {
 			delete(s.condemned, hash)
@@ -230,7 +238,7 @@
 		Head:       s.inForce.Head,
 		Set:        s.inForce.Set,
 		FreshUntil: s.inForce.FreshUntil,
-		SeesMost:   s.membership.SeesMost(),
+		MostUntil:  s.mostUntil,
 		Condemned:  s.condemnedCopy(),
 		Leaving:    s.leaving,
 		accounts:   previous.accounts,
@@ -360,6 +368,7 @@
 	l.do(ctx, func(s *state) {
 		s.membership.Answered(target.ID)
 		l.hear(ctx, s, *reply.Beat)
+		s.sawPeer(reply.Beat.Revision, askedAt)
 		// Only an answer confirms, counted from when it was asked for: a beat that
 		// lay unread through a pause must not make an old revision look fresh.
 		fresh := time.Duration(reply.Beat.FreshMillis) * time.Millisecond
@@ -367,6 +376,17 @@
 	})
 }
 
+// sawPeer notes that a peer answered at a time, and which revision it had. A peer
+// with a newer one is a reason to wait for that, not to go on with the old.
+func (s *state) sawPeer(revision uint64, askedAt time.Time) {
+	if revision > s.inForce.Head.Revision || !s.membership.SeesMost() {
+		return
+	}
+	if until := askedAt.Add(mostLimit); until.After(s.mostUntil) {
+		s.mostUntil = until
+	}
+}
+
 // OnBeat answers a peer's heartbeat. It runs on the peer connection's goroutine.
 func (l *Loop) OnBeat(beat wire.Beat) wire.Beat {
 	answer := make(chan wire.Beat, 1)
--- a/internal/peer/gossip/membership.go
+++ b/internal/peer/gossip/membership.go
@@ -322,6 +322,11 @@
 	return all
 }
 
+// Alone reports whether no other VM is known.
+func (m *Membership) Alone() bool {
+	return len(m.members) == 0
+}
+
 // SeesMost reports whether more than half of the known VMs, this one included,
 // are not down.
 func (m *Membership) SeesMost() bool {
