Count an engine's death by the broken stream, not by the kind of the next error

Cause: a request that kills every engine killed all 8 and then waited for ever. An engine's death was only believed when the next connection was refused; behind anything that answers for a dead engine it ends with EOF or a reset instead. Ruled out: the isolation of suspects and the spreading of the verdict, neither was reached. Found beside it: an ejection was logged again for each failed probe.

Change: a stream that broke and can't be resumed counts as a death; one that fell silent does not.

--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -318,7 +318,7 @@
 }
 
 // Failed notes that a server broke off or refused work for reasons of its own.
-// It reports whether the server was ejected by this.
+// It reports whether this ejected a server that was not ejected before.
 func (f *Fleet) Failed(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -337,7 +337,7 @@
 	s.ejections++
 	s.ejectedUntil = now.Add(pause)
 	s.prefixes = map[string]time.Time{}
-	return true
+	return s.ejections == 1
 }
 
 // Succeeded notes that a server did what it should. It reports whether the
--- a/internal/lab/bench/cost.go
+++ b/internal/lab/bench/cost.go
@@ -32,7 +32,7 @@
 func measureTokens(ctx context.Context, b *bench) ([][]string, error) {
 	rows := [][]string{{"open generations", "tokens", "tokens a second", "VMs' processor time a token", "tokens a second and core, owner and copy", "peer bytes a token", "gap between tokens p99 (engine's own gap 20 ms)"}}
 	for _, requests := range []int{1, 60, 240, 480} {
-		system, err := b.system(ctx, demo.Options{VMs: 2, VMCores: 1, Engines: 16, TokenGap: 20 * time.Millisecond})
+		system, err := b.system(ctx, demo.Options{VMs: 2, VMCores: 1, Engines: 16, TokenGap: 20 * time.Millisecond, Adjust: withoutLimits})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
@@ -102,7 +102,7 @@
 	rows := [][]string{{"open generations in all", "VMs' resident memory in all", "for each open generation beyond the first row"}}
 	base := 0.0
 	for _, requests := range []int{0, 400, 1600} {
-		system, err := b.system(ctx, demo.Options{VMs: 4, Engines: 20, TokenGap: 250 * time.Millisecond})
+		system, err := b.system(ctx, demo.Options{VMs: 4, Engines: 20, TokenGap: 250 * time.Millisecond, Adjust: withoutLimits})
 		if err != nil {
 			return nil, errors.Trace(err)
 		}
--- a/internal/lab/bench/requests.go
+++ b/internal/lab/bench/requests.go
@@ -9,14 +9,23 @@
 	"github.com/google/uuid"
 	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/lab/demo"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
 	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
 )
 
+// withoutLimits takes the accounts' limits out of a measurement of something else.
+func withoutLimits(set *object.Set) {
+	for i := range set.ClientAccounts {
+		set.ClientAccounts[i].RequestsPerSecond = 1e6
+		set.ClientAccounts[i].ConcurrentRequests = 1e6
+	}
+}
+
 func measureActions(ctx context.Context, b *bench) ([][]string, error) {
 	rows := [][]string{{"platform", "actions at once", "actions", "answered with a result", "table reads an action", "table writes an action", "time p50", "time p99"}}
-	system, err := b.system(ctx, demo.Options{VMs: 3, Engines: 1, Services: 2})
+	system, err := b.system(ctx, demo.Options{VMs: 3, Engines: 1, Services: 2, Adjust: withoutLimits})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -85,7 +94,7 @@
 
 func measureLookups(ctx context.Context, b *bench) ([][]string, error) {
 	rows := [][]string{{"fleet", "lookups", "answered", "time p50", "time p99"}}
-	system, err := b.system(ctx, demo.Options{VMs: 3, Engines: 2, Services: 2, TokenGap: 20 * time.Millisecond})
+	system, err := b.system(ctx, demo.Options{VMs: 3, Engines: 2, Services: 2, TokenGap: 20 * time.Millisecond, Adjust: withoutLimits})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -58,7 +58,8 @@
 	Profile   object.Profile // Replaces the example's, if set.
 	BurstGap  time.Duration
 	BurstEach int
-	Forward   bool // Put a forwarder before each caller, peer and engine address.
+	Adjust    func(set *object.Set) // Changes the example before it is published, if set.
+	Forward   bool                  // Put a forwarder before each caller, peer and engine address.
 }
 
 // VM is one entry VM's process.
@@ -144,6 +145,9 @@
 	if s.Options.Profile != object.ProfileUnset {
 		s.Set.Profile = s.Options.Profile
 	}
+	if s.Options.Adjust != nil {
+		s.Options.Adjust(&s.Set)
+	}
 	return nil
 }
 
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -69,6 +69,7 @@
 	lonelyUntil   time.Time // Until when a suspect waits for a server of its own.
 	suspectAlone  bool      // The current dispatch had no other suspect beside it.
 	everConnected bool
+	brokeOff      bool // The last connection broke rather than fell silent.
 }
 
 // candidate is the end of one try to get a stream.
@@ -159,8 +160,11 @@
 		return c
 	}
 	rc.engineLost = true
-	died := errors.Is(c.err, engine.ErrRefused) || errors.Is(c.err, engine.ErrGone)
-	if died && rc.everConnected {
+	// A stream that broke and can't be resumed means that the engine died under
+	// this request. One that fell silent may only have been cut off or paused. The
+	// kind of the second error tells nothing: between the two ends something may
+	// answer for a dead engine.
+	if rc.brokeOff || errors.Is(c.err, engine.ErrGone) && rc.everConnected {
 		if final := rc.crashed(c.server); final != nil {
 			c.err = final
 		}
@@ -427,6 +431,7 @@
 		return
 	}
 	streamsLost.Inc()
+	rc.brokeOff = why == outcomeBroken
 	rc.lostAt = c.detector.heardAt
 	if rc.lostAt.IsZero() {
 		rc.lostAt = rc.owner.options.Now()
