--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -43,8 +43,6 @@
 	ContentCondemned     = define(408, "a request that crashes engines is refused from now on")
 	GenerationRegenerate = define(409, "a generation is made again because no copy was found")
 	ActionUnknown        = define(501, "the end of an action is not known")
-	ActionResolved       = define(502, "the unknown end of an action was resolved")
-	ActionTakenOver      = define(503, "the claim of an action was taken over")
 	ServerEjected        = define(601, "a backend server gets no work for a while")
 	ServerReturned       = define(602, "a backend server gets work again")
 	OrderGiven           = define(603, "an order was carried out by a backend server")
