Prove lost copies, slow readers, TLS, settings, exit codes and locate answers

A moved generation also leaves the book at once, so that a caller who comes back to the earlier owner is served by a search for the new one.

--- /dev/null
+++ b/internal/node/settings/settings_test.go
@@ -0,0 +1,52 @@
+package settings_test
+
+import (
+	"flag"
+	"os"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/node/settings"
+)
+
+var update = flag.Bool("update", false, "write the golden files anew")
+
+// TestFaultsGolden sets everything wrong and wants every fault at once, each
+// with its flag, variable, value and what is allowed, and no secret.
+func TestFaultsGolden(t *testing.T) {
+	_, faults := settings.Serve{
+		ID:               "vm 1",
+		FailureDomain:    "",
+		CallerListen:     "localhost:8080",
+		CallerAddress:    "10.0.0.1",
+		PeerListen:       ":8081",
+		PeerAddress:      "vm.example:1",
+		OperatorListen:   "nonsense",
+		Platform:         "10.0.0.9:7000",
+		PeerKey:          "c2hvcnQgc2VjcmV0",
+		BootstrapHash:    "abc",
+		Grace:            "soon",
+		LeaveWait:        "-1s",
+		DrainLimit:       "15",
+		TLSCertificate:   "certificate.pem",
+		LogLevel:         "loud",
+		TraceEndpoint:    "collector",
+		BaselineRecovery: "some",
+	}.Check()
+	lines := []string{}
+	for _, fault := range faults {
+		lines = append(lines, fault.String())
+	}
+	got := strings.Join(lines, "\n") + "\n"
+	const golden = "testdata/faults.golden"
+	if *update {
+		qt.Assert(t, os.MkdirAll("testdata", 0o755), qt.IsNil)
+		qt.Assert(t, os.WriteFile(golden, []byte(got), 0o644), qt.IsNil)
+	}
+	want, err := os.ReadFile(golden)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, got, qt.Equals, string(want))
+	qt.Assert(t, strings.Contains(got, "c2hvcnQ"), qt.IsFalse)
+}
--- /dev/null
+++ b/internal/node/vm/resume_test.go
@@ -0,0 +1,132 @@
+package vm_test
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
+)
+
+const streamBody = `{"model":"m","prompt":"p","max_tokens":40,"stream":true}`
+
+// deliveredPart takes the first events of a stream: their text and last cursor.
+func deliveredPart(r *rig, key string, events int) (text, cursor string) {
+	request := r.caller(0, "a", "POST", "/v1/completions", streamBody)
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	qt.Assert(r.t, err, qt.IsNil)
+	defer response.Body.Close()
+	scanner := bufio.NewScanner(response.Body)
+	for seen := 0; seen < events && scanner.Scan(); {
+		if id, found := strings.CutPrefix(scanner.Text(), "id: "); found {
+			cursor = id
+		}
+		if strings.HasPrefix(scanner.Text(), "data: ") {
+			text += textOf(scanner.Text())
+			seen++
+		}
+	}
+	return text, cursor
+}
+
+var textField = regexp.MustCompile(`"text":"([^"]*)"`)
+
+// textOf joins the text of all events in a stream.
+func textOf(stream string) string {
+	text := ""
+	for _, found := range textField.FindAllStringSubmatch(stream, -1) {
+		text += found[1]
+	}
+	return text
+}
+
+// TestEveryCopyLost brings a cursor to a system that knows nothing of it, as
+// after the loss of owner, copy and engine. If the engine makes the same answer
+// again, it goes on; if not, the caller is told to restart, and what it has is
+// never continued by something else.
+func TestEveryCopyLost(t *testing.T) {
+	engineOptions := enginefake.Options{TokenGap: 5 * time.Millisecond}
+	first := newRig(t, options{vms: 1, engine: engineOptions})
+	text, cursor := deliveredPart(first, "k", 10)
+	resume := func(r *rig) reply {
+		request := r.caller(0, "a", "POST", "/v1/completions", streamBody)
+		request.Header.Set("Idempotency-Key", "k")
+		request.Header.Set("Last-Event-ID", cursor)
+		return r.send(request)
+	}
+	same := resume(newRig(t, options{vms: 1, engine: engineOptions}))
+	qt.Assert(t, same.status, qt.Equals, http.StatusOK)
+	qt.Assert(t, text+textOf(same.body), qt.Equals, expected("a", "k", "p", 40))
+	engineOptions.Salt = "another"
+	other := newRig(t, options{vms: 1, engine: engineOptions})
+	qt.Assert(t, resume(other).code(), qt.Equals, "restartRequired/failed")
+}
+
+// TestSlowReaderSlowsNobody leaves one caller's connection full while others get
+// their answers, and then reads it to its end.
+func TestSlowReaderSlowsNobody(t *testing.T) {
+	r := newRig(t, options{vms: 2})
+	request := r.caller(0, "a", "POST", "/v1/completions", `{"model":"m","prompt":"slow","max_tokens":20000,"stream":true}`)
+	request.Header.Set("Idempotency-Key", "slow")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Body.Close()
+	for range 10 {
+		answer := r.send(r.caller(0, "b", "POST", "/v1/completions", `{"model":"m","prompt":"quick","max_tokens":30}`))
+		qt.Assert(t, answer.status, qt.Equals, http.StatusOK)
+	}
+	var body bytes.Buffer
+	_, err = body.ReadFrom(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, textOf(body.String()) == expected("a", "slow", "slow", 20000), qt.IsTrue)
+}
+
+// TestTLSForCallers serves callers over TLS from settings.
+func TestTLSForCallers(t *testing.T) {
+	certificate, key, pool := selfSigned(t)
+	r := newRig(t, options{vms: 1, certificate: certificate, key: key, pool: pool})
+	answer := r.send(r.caller(0, "a", "POST", "/v1/completions", `{"model":"m","prompt":"p","max_tokens":3}`))
+	qt.Assert(t, answer.status, qt.Equals, http.StatusOK, qt.Commentf("%s", answer.body))
+}
+
+func selfSigned(t *testing.T) (certificateFile, keyFile string, pool *x509.CertPool) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	qt.Assert(t, err, qt.IsNil)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	qt.Assert(t, err, qt.IsNil)
+	keyBytes, err := x509.MarshalPKCS8PrivateKey(key)
+	qt.Assert(t, err, qt.IsNil)
+	write := func(name, kind string, body []byte) string {
+		file := filepath.Join(t.TempDir(), name)
+		qt.Assert(t, os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: body}), 0o600), qt.IsNil)
+		return file
+	}
+	pool = x509.NewCertPool()
+	parsed, err := x509.ParseCertificate(der)
+	qt.Assert(t, err, qt.IsNil)
+	pool.AddCert(parsed)
+	return write("certificate.pem", "CERTIFICATE", der), write("key.pem", "PRIVATE KEY", keyBytes), pool
+}
+
+// transport is what a rig's requests go through.
+func (r *rig) transport() *http.Transport {
+	return &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: r.pool, MinVersion: tls.VersionTLS12}}
+}
--- a/internal/node/vm/rig_test.go
+++ b/internal/node/vm/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/x509"
 	"encoding/json"
 	"flag"
 	"fmt"
@@ -39,22 +40,28 @@
 	keyed    *servicefake.Service // Honours idempotency keys.
 	set      object.Set
 	listed   []vmlist.VM
+	pool     *x509.CertPool // Set when the VMs use TLS.
 	vms      []*vm.VM
 }
 
 // options shapes a rig. faultPoint is called before each step of an action, with
 // the number of the VM.
 type options struct {
-	vms        int
-	unlisted   bool // The platform's list stays empty until the test fills it.
-	grace      string
-	trace      string
-	engine     enginefake.Options
+	vms      int
+	unlisted bool // The platform's list stays empty until the test fills it.
+	grace    string
+	trace    string
+	engine   enginefake.Options
+
+	certificate string // Files for TLS, with the pool that trusts them.
+	key         string
+	pool        *x509.CertPool
+
 	faultPoint func(number int, op action.Op)
 }
 
 func newRig(t *testing.T, o options) *rig {
-	r := &rig{t: t, platform: platformfake.New(), engine: enginefake.New(o.engine), service: servicefake.New(), keyed: servicefake.New()}
+	r := &rig{t: t, platform: platformfake.New(), engine: enginefake.New(o.engine), service: servicefake.New(), keyed: servicefake.New(), pool: o.pool}
 	r.keyed.HonourKeys = true
 	platform := r.serve(r.platform)
 	r.set = r.configuration()
@@ -130,6 +137,8 @@
 		LogLevel:         "info",
 		BaselineRecovery: "none",
 		TraceEndpoint:    o.trace,
+		TLSCertificate:   o.certificate,
+		TLSKey:           o.key,
 	}.Check()
 	qt.Assert(r.t, faults, qt.HasLen, 0)
 	machine, err := vm.New(checked, hclog.New(&hclog.LoggerOptions{Output: io.Discard}))
@@ -181,7 +190,11 @@
 }
 
 func (r *rig) request(address, token, method, path, body string) *http.Request {
-	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
+	scheme := "http://"
+	if r.pool != nil {
+		scheme = "https://"
+	}
+	request, err := http.NewRequest(method, scheme+address+path, bytes.NewReader([]byte(body)))
 	qt.Assert(r.t, err, qt.IsNil)
 	request.Header.Set("Authorization", "Bearer "+token)
 	return request
@@ -196,7 +209,7 @@
 }
 
 func (r *rig) send(request *http.Request) reply {
-	response, err := (&http.Transport{DisableKeepAlives: true}).RoundTrip(request)
+	response, err := r.transport().RoundTrip(request)
 	if err != nil {
 		return reply{body: err.Error()}
 	}
--- a/internal/request/owner/holder.go
+++ b/internal/request/owner/holder.go
@@ -149,6 +149,7 @@
 	case wire.AckFenced:
 		event.GenerationMoved.Info(o.options.Logger, "generation", r.journal.ID, "fencedBy", peer)
 		r.moveLocked()
+		o.forget(r, r.journal.ID) // A caller that comes back has to look elsewhere.
 	}
 }
 
