Split large files and give repeated services one form

They are split by subject, and periodic.Service is that loop.

A dispatch that runs beside a resume changed the recovery's own list of servers. It now only reports, and the driving goroutine takes note; a test runs both side by side under the race detector.

--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -194,28 +194,6 @@
 	return candidates
 }
 
-// forgiven adds the ejected servers that would return first, so that no more
-// than the set part of a pool stays ejected. They come last in line: they are
-// taken only if nothing else fits.
-func (f *Fleet) forgiven(matching, candidates []*server, ask Ask, now time.Time) []*server {
-	if len(candidates) > 0 {
-		return candidates
-	}
-	var first *server
-	for _, s := range matching {
-		if s.open(now) || !s.fits(ask) || s.inFlight > 0 {
-			continue
-		}
-		if first == nil || s.ejectedUntil.Before(first.ejectedUntil) {
-			first = s
-		}
-	}
-	if first == nil {
-		return nil
-	}
-	return []*server{first}
-}
-
 func (s *server) serves(ask Ask) bool {
 	if s.State == object.ServerLeaving {
 		return false
@@ -226,15 +204,6 @@
 	return slices.Contains(s.Versions, ask.Version)
 }
 
-// open reports whether ejection lets work through. After an ejection's
-// deadline one probe passes at a time.
-func (s *server) open(now time.Time) bool {
-	if s.ejections == 0 {
-		return true
-	}
-	return now.After(s.ejectedUntil) && !s.probing
-}
-
 // fits reports whether the request may share the server with what it runs. A
 // request under strong suspicion is kept apart from every other suspect.
 func (s *server) fits(ask Ask) bool {
@@ -247,49 +216,6 @@
 	return ask.Suspicion == 0 || s.lonely == 0
 }
 
-func (f *Fleet) choose(candidates []*server, ask Ask, now time.Time) *server {
-	first := candidates[f.options.Random.IntN(len(candidates))]
-	second := candidates[f.options.Random.IntN(len(candidates))]
-	chosen := first
-	if second.load(now) < first.load(now) {
-		chosen = second
-	}
-	if ask.Prefix == "" {
-		return chosen
-	}
-	return withPrefix(candidates, chosen, ask.Prefix, now)
-}
-
-// withPrefix prefers a server that has the prefix in its cache, as long as it
-// is not much more loaded than the one that load alone would choose.
-func withPrefix(candidates []*server, chosen *server, prefix string, now time.Time) *server {
-	best := chosen
-	bestLoad := chosen.load(now) + affinitySlack
-	for _, s := range candidates {
-		if now.Before(s.prefixes[prefix]) && s.load(now) <= bestLoad {
-			best = s
-			bestLoad = s.load(now)
-		}
-	}
-	return best
-}
-
-// load is the work on a server as a part of its room. A server in its slow
-// start looks fuller than it is.
-func (s *server) load(now time.Time) float64 {
-	work := float64(max(s.inFlight, s.reported)) / float64(max(s.MaxConcurrent, 1))
-	if since := now.Sub(s.returnedAt); since < slowStart {
-		return work + 1 - since.Seconds()/slowStart.Seconds()
-	}
-	return work
-}
-
-// prefixKept is how long a prefix is taken to stay in a server's cache.
-const prefixKept = 30 * time.Second
-
-// maxPrefixes bounds the prefixes remembered for one server.
-const maxPrefixes = 512
-
 func (f *Fleet) take(s *server, ask Ask, now time.Time) *Lease {
 	s.inFlight++
 	if s.ejections > 0 {
@@ -310,55 +236,6 @@
 	return lease
 }
 
-func (s *server) remember(prefix string, now time.Time) {
-	if len(s.prefixes) >= maxPrefixes {
-		s.prefixes = map[string]time.Time{} // Cheap, and wrong only towards too little affinity.
-	}
-	s.prefixes[prefix] = now.Add(prefixKept)
-}
-
-// Failed notes that a server broke off or refused work for reasons of its own.
-// It reports whether this ejected a server that was not ejected before.
-func (f *Fleet) Failed(name string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.servers[name]
-	if s == nil {
-		return false
-	}
-	now := f.options.Now()
-	s.failures++
-	probeFailed := s.probing
-	s.probing = false
-	if !probeFailed && (s.failures < ejectAfter || now.Before(s.ejectedUntil)) {
-		return false
-	}
-	pause := min(firstEjection<<min(s.ejections, 10), longestEjection)
-	s.ejections++
-	s.ejectedUntil = now.Add(pause)
-	s.prefixes = map[string]time.Time{}
-	return s.ejections == 1
-}
-
-// Succeeded notes that a server did what it should. It reports whether the
-// server returned from an ejection by this.
-func (f *Fleet) Succeeded(name string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	s := f.servers[name]
-	if s == nil {
-		return false
-	}
-	s.failures = 0
-	if s.ejections == 0 {
-		return false
-	}
-	s.ejections = 0
-	s.probing = false
-	s.returnedAt = f.options.Now()
-	return true
-}
-
 // Reported takes in a server's own, lagging word on how much work it has.
 func (f *Fleet) Reported(name string, work int) {
 	f.mu.Lock()
--- a/internal/backend/order/controller.go
+++ b/internal/backend/order/controller.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// lookEvery is the time between two looks at a server.
-	lookEvery = 2 * time.Second
+	// LookEvery is the time between two looks at a server.
+	LookEvery = 2 * time.Second
 	// lookLimit bounds one look.
 	lookLimit = time.Second
 	// tableLimit bounds one call of the table.
@@ -50,25 +50,12 @@
 	return &Controller{options: options}
 }
 
-// String names the service in the supervisor's messages.
-func (c *Controller) String() string {
-	return "orders"
-}
-
-// Serve looks at each server in turn until the context ends.
-func (c *Controller) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(lookEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-		}
-		for _, server := range c.options.Servers() {
-			if err := c.Look(ctx, server); err != nil {
-				event.OrderFailed.Info(c.options.Logger, "server", server.Name, "error", err)
-			}
+// LookAtAll looks at each of this VM's servers. It is to be called every
+// LookEvery.
+func (c *Controller) LookAtAll(ctx context.Context) {
+	for _, server := range c.options.Servers() {
+		if err := c.Look(ctx, server); err != nil {
+			event.OrderFailed.Info(c.options.Logger, "server", server.Name, "error", err)
 		}
 	}
 }
--- a/internal/backend/order/lease.go
+++ b/internal/backend/order/lease.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	controller := order.New(order.Options{Self: "vm-1", Table: table, Engines: engines, ...})
-//	supervisor.Add(controller) // looks at its servers until the context ends
+//	controller.LookAtAll(ctx) // every order.LookEvery
 //
 // Orders are level-triggered: what a server reports is compared with what is
 // published, and only a difference takes the lease, so that a quiet system
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -15,12 +15,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -30,8 +28,6 @@
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
 	"github.com/endivespoke/endivespoke/internal/lab/forward"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
-	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
-	"github.com/endivespoke/endivespoke/internal/lab/servicefake"
 	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
 )
 
@@ -344,114 +340,6 @@
 	return errors.Trace(waitFor(ctx, "http://"+vm.Operator+"/readyz"))
 }
 
-// KillVM ends a VM's process without notice.
-func (s *System) KillVM(index int) {
-	s.VMs[index].gone = true
-	s.VMs[index].process.kill()
-}
-
-// StopVM asks a VM to stop gracefully and waits until it has.
-func (s *System) StopVM(index int) {
-	s.VMs[index].process.signal(syscall.SIGTERM)
-	<-s.VMs[index].process.done
-	s.VMs[index].gone = true
-}
-
-// PauseVM stops a VM's process where it is; ResumeVM lets it go on.
-func (s *System) PauseVM(index int) {
-	s.VMs[index].process.signal(syscall.SIGSTOP)
-}
-
-// ResumeVM lets a paused VM go on.
-func (s *System) ResumeVM(index int) {
-	s.VMs[index].process.signal(syscall.SIGCONT)
-}
-
-// KillEngine ends an engine's process without notice.
-func (s *System) KillEngine(index int) {
-	engine := s.Engines[index]
-	engine.last = engine.stats()
-	engine.dead = true
-	engine.process.kill()
-}
-
-// PauseEngine stops an engine's process where it is.
-func (s *System) PauseEngine(index int) {
-	s.Engines[index].process.signal(syscall.SIGSTOP)
-}
-
-// ResumeEngine lets a paused engine go on.
-func (s *System) ResumeEngine(index int) {
-	s.Engines[index].process.signal(syscall.SIGCONT)
-}
-
-// EngineFaults tells an engine what to do wrong from now on.
-func (s *System) EngineFaults(index int, faults enginefake.Faults) error {
-	return s.faults("http://"+s.Engines[index].listen, faults)
-}
-
-// ServiceFaults tells a plain service what to do wrong from now on.
-func (s *System) ServiceFaults(index int, faults servicefake.Faults) error {
-	return s.faults(s.ServiceURLs[index], faults)
-}
-
-// PlatformFaults tells the platform what to do wrong from now on.
-func (s *System) PlatformFaults(faults platformfake.Faults) error {
-	return s.faults(s.Platform, faults)
-}
-
-func (s *System) faults(url string, faults any) error {
-	body, err := json.Marshal(faults)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	return errors.Trace(put(url+"/faults", body, nil))
-}
-
-// EngineDied reports whether an engine's process has ended.
-func (s *System) EngineDied(index int) bool {
-	select {
-	case <-s.Engines[index].process.done:
-		return true
-	default:
-		return false
-	}
-}
-
-// RestartEngine starts an engine again at its address, with nothing in memory.
-func (s *System) RestartEngine(ctx context.Context, index int) error {
-	return s.run(ctx, s.Engines[index])
-}
-
-// stats gives the work that the engine has done, in all its processes.
-func (e *Engine) stats() (stats enginefake.Stats) {
-	if !e.dead {
-		body, err := get("http://" + e.listen + "/load")
-		if err == nil && json.Unmarshal(body, &stats) != nil {
-			stats = enginefake.Stats{} // A garbled answer counts as none.
-		}
-	}
-	stats.Generated += e.last.Generated
-	stats.Prefilled += e.last.Prefilled
-	stats.CacheHits += e.last.CacheHits
-	stats.Requests += e.last.Requests
-	stats.Resumes += e.last.Resumes
-	return stats
-}
-
-// EngineStats adds up the work of all engines, that of killed ones included.
-func (s *System) EngineStats() (sum enginefake.Stats) {
-	for _, engine := range s.Engines {
-		stats := engine.stats()
-		sum.Generated += stats.Generated
-		sum.Prefilled += stats.Prefilled
-		sum.CacheHits += stats.CacheHits
-		sum.Requests += stats.Requests
-		sum.Resumes += stats.Resumes
-	}
-	return sum
-}
-
 // Accounts gives callers for the example's first client accounts.
 func (s *System) Accounts(count int) []load.Account {
 	entries := []string{}
@@ -494,27 +382,6 @@
 	}
 }
 
-// VMUsage gives what a VM's process has used.
-func (s *System) VMUsage(index int) Usage {
-	return s.VMs[index].process.usage()
-}
-
-// PeerBytes gives how many bytes a VM has sent to its peers.
-func (s *System) PeerBytes(index int) (sent float64) {
-	body, err := get("http://" + s.VMs[index].Operator + "/metrics")
-	if err != nil {
-		return 0
-	}
-	for _, line := range strings.Split(string(body), "\n") {
-		if value, found := strings.CutPrefix(line, "endivespoke_peer_sent_bytes "); found {
-			if _, err := fmt.Sscan(value, &sent); err != nil {
-				return 0
-			}
-		}
-	}
-	return sent
-}
-
 // Publish replaces a revision by the system's set.
 func (s *System) Publish(base uint64) error {
 	header := map[string]string{"Authorization": "Bearer " + operatorToken}
@@ -523,51 +390,3 @@
 	}
 	return errors.Trace(put("http://"+s.VMs[0].Operator+"/v1/admin/configuration", object.Encode(s.Set), header))
 }
-
-// readiness is a VM's own word on whether it takes requests.
-type readiness struct {
-	Ready    bool   `json:"ready"`
-	Revision uint64 `json:"revision"`
-}
-
-// readiness asks a VM. One that does not answer is not ready.
-func (s *System) readiness(vm *VM) (state readiness) {
-	response, err := http.Get("http://" + vm.Operator + "/readyz")
-	if err != nil {
-		return readiness{}
-	}
-	defer response.Body.Close()
-	if json.NewDecoder(response.Body).Decode(&state) != nil {
-		return readiness{}
-	}
-	return state
-}
-
-// Revision gives the revision in force on a VM.
-func (s *System) Revision(vm *VM) uint64 {
-	return s.readiness(vm).Revision
-}
-
-// Accepts reports whether a VM takes new requests.
-func (s *System) Accepts(vm *VM) bool {
-	return s.readiness(vm).Ready
-}
-
-// EngineRequests counts the generations that were started on an engine.
-func (s *System) EngineRequests(index int) int {
-	return s.Engines[index].stats().Requests
-}
-
-// PlatformCounts gives how often the platform was used so far.
-func (s *System) PlatformCounts() (counts platformfake.Counts) {
-	body, err := get(s.Platform + "/counts")
-	if err != nil || json.Unmarshal(body, &counts) != nil {
-		return platformfake.Counts{}
-	}
-	return counts
-}
-
-// HeadReads counts how often the head of the configurations was read.
-func (s *System) HeadReads() int {
-	return s.PlatformCounts().HeadReads
-}
--- /dev/null
+++ b/internal/node/control/configuration.go
@@ -0,0 +1,118 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/config/revision"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/gossip"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+)
+
+// readsHead reports whether it is this VM's turn to read the head: it is one
+// of the few of its failure domain, or it has not heard of a fresh one.
+func (l *Loop) readsHead(s *state, now time.Time) bool {
+	if now.Add(revision.FreshLimit / 2).After(s.inForce.FreshUntil) {
+		return true
+	}
+	self := s.membership.Self()
+	same := []wire.Member{}
+	for _, member := range s.membership.Members() {
+		if member.FailureDomain == self.FailureDomain && member.State == wire.MemberLive {
+			same = append(same, member)
+		}
+	}
+	for _, reader := range gossip.Rank("headReader", same)[:min(readersPerDomain, len(same))] {
+		if reader.ID == self.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (l *Loop) readHead(ctx context.Context, known uint64) {
+	askedAt := l.options.Now()
+	readCtx, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	head, err := l.options.Publisher.Head(readCtx)
+	if err != nil {
+		l.do(ctx, func(s *state) { s.readingHead = false })
+		return
+	}
+	if head.Revision > known {
+		l.fetchFromStore(readCtx, head, askedAt)
+	}
+	l.do(ctx, func(s *state) {
+		s.readingHead = false
+		s.headRead = askedAt
+		s.inForce.Confirm(head.Revision, askedAt.Add(revision.FreshLimit))
+	})
+}
+
+func (l *Loop) fetchFromStore(ctx context.Context, head revision.Head, askedAt time.Time) {
+	set, err := l.options.Publisher.Content(ctx, head)
+	if err != nil {
+		event.ConfigUnreadable.Warn(l.options.Logger, "revision", head.Revision, "error", err)
+		return
+	}
+	l.Offer(ctx, head, &set, askedAt)
+}
+
+// fetchFromPeer asks the peer that told of a newer revision for its content,
+// and the store if the peer fails.
+func (l *Loop) fetchFromPeer(ctx context.Context, from wire.Member, hash string) {
+	defer l.do(ctx, func(s *state) { s.fetching = false })
+	callCtx, cancel := context.WithTimeout(ctx, storeLimit)
+	defer cancel()
+	reply, err := l.options.Pool.Call(callCtx, from.ID, from.PeerAddress, wire.Frame{Content: &wire.ContentRequest{Hash: hash}})
+	if err != nil || reply.ContentIs == nil || len(reply.ContentIs.Body) == 0 {
+		l.readHead(ctx, 0)
+		return
+	}
+	head, set, err := decodeContent(*reply.ContentIs)
+	if err != nil {
+		event.ConfigUnreadable.Warn(l.options.Logger, "from", from.ID, "error", err)
+		return
+	}
+	l.Offer(ctx, head, &set, time.Time{})
+}
+
+func decodeContent(content wire.Content) (head revision.Head, set object.Set, err error) {
+	if err = json.Unmarshal(content.Head, &head); err != nil {
+		return revision.Head{}, object.Set{}, errors.Annotate(err, "head from a peer")
+	}
+	if set, err = revision.Decode(head, content.Body); err != nil {
+		return revision.Head{}, object.Set{}, errors.Trace(err)
+	}
+	return head, set, nil
+}
+
+// Offer puts a configuration in force if it is newer than the one that is.
+// seenAt is when it was known to be the newest, or zero.
+func (l *Loop) Offer(ctx context.Context, head revision.Head, set *object.Set, seenAt time.Time) {
+	l.do(ctx, func(s *state) {
+		if !s.inForce.Offer(head, set, seenAt) {
+			return
+		}
+		event.ConfigInForce.Info(l.options.Logger, "revision", head.Revision, "publisher", head.Publisher)
+		l.options.OnSet(set, l.Snapshot().Live())
+	})
+}
+
+// OnContent answers a peer that lacks the configuration in force.
+func (l *Loop) OnContent(request wire.ContentRequest) wire.Content {
+	snapshot := l.Snapshot()
+	if snapshot.Set == nil || snapshot.Head.Hash != request.Hash {
+		return wire.Content{}
+	}
+	head, err := json.Marshal(snapshot.Head)
+	if err != nil {
+		return wire.Content{}
+	}
+	return wire.Content{Head: head, Body: object.Encode(*snapshot.Set)}
+}
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -10,19 +10,17 @@
 //	beat := loop.OnBeat(peerBeat)       // for the peer server
 //	loop.Leave()                        // the VM is about to stop
 //
-// Reading order: the snapshot, the loop, heartbeats, configuration, the list.
+// Reading order: snapshot.go (what traffic sees), this file (the loop),
+// heartbeat.go, configuration.go.
 package control
 
 import (
 	"context"
-	"encoding/json"
 	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/config/revision"
@@ -53,62 +51,6 @@
 	maxCondemned = 64
 )
 
-// Snapshot is what traffic reads. It is never changed after it was published.
-type Snapshot struct {
-	Self       wire.Member
-	Members    []wire.Member
-	Head       revision.Head
-	Set        *object.Set // Nil before the first configuration.
-	FreshUntil time.Time
-	MostUntil  time.Time // Until when this VM counts as seeing most others.
-	Condemned  map[string]time.Time
-	Leaving    bool
-	accounts   map[string]*object.ClientAccount
-	operators  map[string]string
-}
-
-// Accepting reports whether new requests may be taken: the configuration is
-// known to be the newest or, while the store answers nobody, most VMs were seen
-// a moment ago, none of them with a newer one. Both are deadlines, so that a VM
-// that was paused does not go by what it saw before.
-func (s *Snapshot) Accepting(now time.Time) bool {
-	if s.Set == nil {
-		return false
-	}
-	return now.Before(s.FreshUntil) || now.Before(s.MostUntil)
-}
-
-// Account finds the client account of a bearer token's hash.
-func (s *Snapshot) Account(tokenHash string) *object.ClientAccount {
-	return s.accounts[tokenHash]
-}
-
-// Operator finds the name of the operator with a bearer token's hash.
-func (s *Snapshot) Operator(tokenHash string) string {
-	return s.operators[tokenHash]
-}
-
-// Member finds a VM by id.
-func (s *Snapshot) Member(id string) (wire.Member, bool) {
-	for _, member := range s.Members {
-		if member.ID == id {
-			return member, true
-		}
-	}
-	return wire.Member{}, false
-}
-
-// Live counts the VMs that are not down.
-func (s *Snapshot) Live() int {
-	live := 0
-	for _, member := range s.Members {
-		if member.State != wire.MemberDown {
-			live++
-		}
-	}
-	return live
-}
-
 // Options shapes a Loop. OnSet is told on the loop's goroutine of each
 // configuration that comes into force.
 type Options struct {
@@ -266,24 +208,6 @@
 	return copied
 }
 
-// index prepares the lookups by token. Tokens are compared by their hashes, so
-// the time that a comparison takes tells nothing about a token.
-func (s *Snapshot) index() {
-	s.accounts = map[string]*object.ClientAccount{}
-	s.operators = map[string]string{}
-	for i := range s.Set.ClientAccounts {
-		account := &s.Set.ClientAccounts[i]
-		for _, hash := range account.TokenHashes {
-			s.accounts[hash] = account
-		}
-	}
-	for _, operator := range s.Set.Operators {
-		for _, hash := range operator.TokenHashes {
-			s.operators[hash] = operator.Name
-		}
-	}
-}
-
 func (l *Loop) logOutdated(s *state, next *Snapshot, now time.Time) {
 	outdated := next.Set != nil && !next.Accepting(now)
 	if outdated && !s.outdated {
@@ -329,209 +253,6 @@
 	}
 }
 
-// Heartbeats.
-
-// sendBeats asks each neighbour. The answers come back as changes.
-func (l *Loop) sendBeats(ctx context.Context, s *state) {
-	for _, target := range s.membership.Targets() {
-		beat := l.beat(s)
-		go l.sendBeat(ctx, target, beat)
-	}
-}
-
-func (l *Loop) beat(s *state) wire.Beat {
-	now := l.options.Now()
-	beat := wire.Beat{
-		From:        s.membership.Self().ID,
-		Revision:    s.inForce.Head.Revision,
-		Hash:        s.inForce.Head.Hash,
-		FreshMillis: max(0, s.inForce.FreshUntil.Sub(now).Milliseconds()),
-		Members:     s.membership.Digest(),
-		Uses:        l.options.Uses(),
-	}
-	for hash, until := range s.condemned {
-		beat.Condemned = append(beat.Condemned, wire.Condemned{ContentHash: hash, Until: until})
-	}
-	slices.SortFunc(beat.Condemned, func(a, b wire.Condemned) int { return b.Until.Compare(a.Until) })
-	return beat
-}
-
-func (l *Loop) sendBeat(ctx context.Context, target wire.Member, beat wire.Beat) {
-	askedAt := l.options.Now()
-	callCtx, cancel := context.WithTimeout(ctx, beatLimit)
-	defer cancel()
-	reply, err := l.options.Pool.Call(callCtx, target.ID, target.PeerAddress, wire.Frame{Beat: &beat})
-	if err != nil || reply.Beat == nil {
-		l.do(ctx, func(s *state) { s.membership.Unanswered(target.ID, l.options.Now()) })
-		return
-	}
-	l.do(ctx, func(s *state) {
-		s.membership.Answered(target.ID)
-		l.hear(ctx, s, *reply.Beat)
-		s.sawPeer(reply.Beat.Revision, askedAt)
-		// Only an answer confirms, counted from when it was asked for: a beat that
-		// lay unread through a pause must not make an old revision look fresh.
-		fresh := time.Duration(reply.Beat.FreshMillis) * time.Millisecond
-		s.inForce.Confirm(reply.Beat.Revision, askedAt.Add(fresh))
-	})
-}
-
-// sawPeer notes that a peer answered at a time, and which revision it had. A peer
-// with a newer one is a reason to wait for that, not to go on with the old.
-func (s *state) sawPeer(revision uint64, askedAt time.Time) {
-	if revision > s.inForce.Head.Revision || !s.membership.SeesMost() {
-		return
-	}
-	if until := askedAt.Add(mostLimit); until.After(s.mostUntil) {
-		s.mostUntil = until
-	}
-}
-
-// OnBeat answers a peer's heartbeat. It runs on the peer connection's goroutine.
-func (l *Loop) OnBeat(beat wire.Beat) wire.Beat {
-	answer := make(chan wire.Beat, 1)
-	select {
-	case l.changes <- func(s *state) {
-		l.hear(context.Background(), s, beat)
-		answer <- l.beat(s)
-	}:
-	case <-time.After(beatLimit):
-		return wire.Beat{}
-	}
-	select {
-	case reply := <-answer:
-		return reply
-	case <-time.After(beatLimit):
-		return wire.Beat{}
-	}
-}
-
-// hear takes in what a peer told, and fetches a configuration that is newer
-// than the one in force.
-func (l *Loop) hear(ctx context.Context, s *state, beat wire.Beat) {
-	s.membership.Merge(beat.Members, l.options.Now())
-	l.options.OnUses(beat.From, beat.Uses)
-	for _, condemned := range beat.Condemned {
-		s.condemn(condemned)
-	}
-	if beat.Revision <= s.inForce.Head.Revision || s.fetching {
-		return
-	}
-	from, found := l.Snapshot().Member(beat.From)
-	if !found {
-		return
-	}
-	s.fetching = true
-	go l.fetchFromPeer(ctx, from, beat.Hash)
-}
-
-// Configuration.
-
-// readsHead reports whether it is this VM's turn to read the head: it is one
-// of the few of its failure domain, or it has not heard of a fresh one.
-func (l *Loop) readsHead(s *state, now time.Time) bool {
-	if now.Add(revision.FreshLimit / 2).After(s.inForce.FreshUntil) {
-		return true
-	}
-	self := s.membership.Self()
-	same := []wire.Member{}
-	for _, member := range s.membership.Members() {
-		if member.FailureDomain == self.FailureDomain && member.State == wire.MemberLive {
-			same = append(same, member)
-		}
-	}
-	for _, reader := range gossip.Rank("headReader", same)[:min(readersPerDomain, len(same))] {
-		if reader.ID == self.ID {
-			return true
-		}
-	}
-	return false
-}
-
-func (l *Loop) readHead(ctx context.Context, known uint64) {
-	askedAt := l.options.Now()
-	readCtx, cancel := context.WithTimeout(ctx, storeLimit)
-	defer cancel()
-	head, err := l.options.Publisher.Head(readCtx)
-	if err != nil {
-		l.do(ctx, func(s *state) { s.readingHead = false })
-		return
-	}
-	if head.Revision > known {
-		l.fetchFromStore(readCtx, head, askedAt)
-	}
-	l.do(ctx, func(s *state) {
-		s.readingHead = false
-		s.headRead = askedAt
-		s.inForce.Confirm(head.Revision, askedAt.Add(revision.FreshLimit))
-	})
-}
-
-func (l *Loop) fetchFromStore(ctx context.Context, head revision.Head, askedAt time.Time) {
-	set, err := l.options.Publisher.Content(ctx, head)
-	if err != nil {
-		event.ConfigUnreadable.Warn(l.options.Logger, "revision", head.Revision, "error", err)
-		return
-	}
-	l.Offer(ctx, head, &set, askedAt)
-}
-
-// fetchFromPeer asks the peer that told of a newer revision for its content,
-// and the store if the peer fails.
-func (l *Loop) fetchFromPeer(ctx context.Context, from wire.Member, hash string) {
-	defer l.do(ctx, func(s *state) { s.fetching = false })
-	callCtx, cancel := context.WithTimeout(ctx, storeLimit)
-	defer cancel()
-	reply, err := l.options.Pool.Call(callCtx, from.ID, from.PeerAddress, wire.Frame{Content: &wire.ContentRequest{Hash: hash}})
-	if err != nil || reply.ContentIs == nil || len(reply.ContentIs.Body) == 0 {
-		l.readHead(ctx, 0)
-		return
-	}
-	head, set, err := decodeContent(*reply.ContentIs)
-	if err != nil {
-		event.ConfigUnreadable.Warn(l.options.Logger, "from", from.ID, "error", err)
-		return
-	}
-	l.Offer(ctx, head, &set, time.Time{})
-}
-
-func decodeContent(content wire.Content) (head revision.Head, set object.Set, err error) {
-	if err = json.Unmarshal(content.Head, &head); err != nil {
-		return revision.Head{}, object.Set{}, errors.Annotate(err, "head from a peer")
-	}
-	if set, err = revision.Decode(head, content.Body); err != nil {
-		return revision.Head{}, object.Set{}, errors.Trace(err)
-	}
-	return head, set, nil
-}
-
-// Offer puts a configuration in force if it is newer than the one that is.
-// seenAt is when it was known to be the newest, or zero.
-func (l *Loop) Offer(ctx context.Context, head revision.Head, set *object.Set, seenAt time.Time) {
-	l.do(ctx, func(s *state) {
-		if !s.inForce.Offer(head, set, seenAt) {
-			return
-		}
-		event.ConfigInForce.Info(l.options.Logger, "revision", head.Revision, "publisher", head.Publisher)
-		l.options.OnSet(set, l.Snapshot().Live())
-	})
-}
-
-// OnContent answers a peer that lacks the configuration in force.
-func (l *Loop) OnContent(request wire.ContentRequest) wire.Content {
-	snapshot := l.Snapshot()
-	if snapshot.Set == nil || snapshot.Head.Hash != request.Hash {
-		return wire.Content{}
-	}
-	head, err := json.Marshal(snapshot.Head)
-	if err != nil {
-		return wire.Content{}
-	}
-	return wire.Content{Head: head, Body: object.Encode(*snapshot.Set)}
-}
-
-// The list.
-
 func (l *Loop) readList(ctx context.Context) {
 	readCtx, cancel := context.WithTimeout(ctx, storeLimit)
 	defer cancel()
--- /dev/null
+++ b/internal/node/periodic/periodic.go
@@ -0,0 +1,43 @@
+// Package periodic runs a function again and again as a supervised service.
+//
+// # Usage
+//
+//	supervisor.Add(periodic.New("limits", time.Second, func(ctx context.Context) { ... }))
+package periodic
+
+import (
+	"context"
+	"time"
+)
+
+// Service calls Do once in each interval until its context ends. A call that
+// takes longer than the interval delays the next.
+type Service struct {
+	Name  string
+	Every time.Duration
+	Do    func(ctx context.Context)
+}
+
+// New makes a service. It does nothing until it is served.
+func New(name string, every time.Duration, do func(ctx context.Context)) *Service {
+	return &Service{Name: name, Every: every, Do: do}
+}
+
+// String names the service in the supervisor's messages.
+func (s *Service) String() string {
+	return s.Name
+}
+
+// Serve runs until the context ends.
+func (s *Service) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(s.Every)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			s.Do(ctx)
+		}
+	}
+}
--- a/internal/node/vm/services.go
+++ b/internal/node/vm/duties.go
@@ -27,31 +27,11 @@
 	watchersPerServer = 3
 )
 
-// limits keeps the admission limits in step with the configuration, the number
-// of VMs and this VM's part of each account's traffic.
-type limits struct {
-	vm *VM
-}
-
-// String names the service in the supervisor's messages.
-func (l *limits) String() string {
-	return "limits"
-}
-
-// Serve runs until the context ends.
-func (l *limits) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(limitsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			snapshot := l.vm.loop.Snapshot()
-			if snapshot.Set != nil {
-				l.vm.gate.Configure(l.vm.limitsOf(snapshot.Set, snapshot.Live()))
-			}
-		}
+// reckonLimits keeps the admission limits in step with the configuration, the
+// number of VMs and this VM's part of each account's traffic.
+func (v *VM) reckonLimits(context.Context) {
+	if snapshot := v.loop.Snapshot(); snapshot.Set != nil {
+		v.gate.Configure(v.limitsOf(snapshot.Set, snapshot.Live()))
 	}
 }
 
@@ -80,33 +60,10 @@
 	return max(1, min(total, int(math.Ceil(roomFactor*float64(total)/float64(max(live, 1))))))
 }
 
-// loads reads the loads of the servers that this VM watches. Each server is
+// readLoads reads the loads of the servers that this VM watches. Each server is
 // watched by a few VMs, so that a large system doesn't flood its servers.
-type loads struct {
-	vm *VM
-}
-
-// String names the service in the supervisor's messages.
-func (l *loads) String() string {
-	return "loads"
-}
-
-// Serve runs until the context ends.
-func (l *loads) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(loadsEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			l.readAll(ctx)
-		}
-	}
-}
-
-func (l *loads) readAll(ctx context.Context) {
-	snapshot := l.vm.loop.Snapshot()
+func (v *VM) readLoads(ctx context.Context) {
+	snapshot := v.loop.Snapshot()
 	if snapshot.Set == nil {
 		return
 	}
@@ -119,7 +76,7 @@
 		waiting.Add(1)
 		go func() {
 			defer waiting.Done()
-			l.read(ctx, server)
+			v.readLoad(ctx, server)
 		}()
 	}
 }
@@ -175,12 +132,12 @@
 	return found && member.State == wire.MemberDown
 }
 
-func (l *loads) read(ctx context.Context, server object.BackendServer) {
+func (v *VM) readLoad(ctx context.Context, server object.BackendServer) {
 	ctx, cancel := context.WithTimeout(ctx, loadLimit)
 	defer cancel()
-	load, err := l.vm.engines.Load(ctx, server.Address)
+	load, err := v.engines.Load(ctx, server.Address)
 	if err != nil {
 		return // Requests find out soon enough; a lost reading says little.
 	}
-	l.vm.fleet.Reported(server.Name, load.Running+load.Waiting)
+	v.fleet.Reported(server.Name, load.Running+load.Waiting)
 }
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -34,6 +34,7 @@
 	"github.com/endivespoke/endivespoke/internal/config/revision"
 	"github.com/endivespoke/endivespoke/internal/node/control"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/periodic"
 	"github.com/endivespoke/endivespoke/internal/node/settings"
 	"github.com/endivespoke/endivespoke/internal/node/trace"
 	"github.com/endivespoke/endivespoke/internal/operator/admin"
@@ -305,10 +306,10 @@
 	v.caller.useTLS(v.settings.TLSCertificate, v.settings.TLSKey)
 	v.operator.useTLS(v.settings.TLSCertificate, v.settings.TLSKey)
 	supervisor.Add(v.loop)
-	supervisor.Add(v.owner)
-	supervisor.Add(&limits{vm: v})
-	supervisor.Add(&loads{vm: v})
-	supervisor.Add(v.orders)
+	supervisor.Add(periodic.New("sweeper", owner.SweepEvery, v.owner.Sweep))
+	supervisor.Add(periodic.New("limits", limitsEvery, v.reckonLimits))
+	supervisor.Add(periodic.New("loads", loadsEvery, v.readLoads))
+	supervisor.Add(periodic.New("orders", order.LookEvery, v.orders.LookAtAll))
 	supervisor.Add(v.peer)
 	supervisor.Add(v.operator)
 	supervisor.Add(v.caller)
--- a/internal/request/owner/drive.go
+++ b/internal/request/owner/drive.go
@@ -83,7 +83,7 @@
 
 // watchCaller cancels a generation whose caller is gone for good.
 func (o *Owner) watchCaller(r *Running) (stop func()) {
-	ticker := time.NewTicker(sweepEvery)
+	ticker := time.NewTicker(SweepEvery)
 	done := make(chan struct{})
 	go func() {
 		defer ticker.Stop()
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -43,8 +43,8 @@
 	DefaultGrace = 30 * time.Second
 	// keepEnded is how long an ended answer is kept for a caller that asks again.
 	keepEnded = time.Minute
-	// sweepEvery is the time between two looks for generations to forget.
-	sweepEvery = time.Second
+	// SweepEvery is the time between two looks for generations to forget.
+	SweepEvery = time.Second
 )
 
 var (
@@ -85,12 +85,6 @@
 	suspects  map[string]suspectLog // By content hash.
 }
 
-// suspectLog counts the servers that died while running one content.
-type suspectLog struct {
-	crashes []string
-	until   time.Time
-}
-
 // New makes an empty book.
 func New(options Options) *Owner {
 	if options.Grace == 0 {
@@ -310,26 +304,8 @@
 	return false
 }
 
-// String names the sweeping service in the supervisor's messages.
-func (o *Owner) String() string {
-	return "owner"
-}
-
-// Serve forgets what is over until the context ends.
-func (o *Owner) Serve(ctx context.Context) error {
-	ticker := time.NewTicker(sweepEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
-			o.sweep()
-		}
-	}
-}
-
-func (o *Owner) sweep() {
+// Sweep forgets what is over. It is to be called every SweepEvery.
+func (o *Owner) Sweep(context.Context) {
 	now := o.options.Now()
 	for _, running := range o.all() {
 		if running.overAt(now) {
@@ -354,28 +330,6 @@
 	}
 }
 
-// suspectsKept is how long crashes count against a content.
-const suspectsKept = 2 * time.Minute
-
-func (o *Owner) knownCrashes(contentHash string) []string {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return append([]string(nil), o.suspects[contentHash].crashes...)
-}
-
-func (o *Owner) noteCrashes(contentHash string, crashes []string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(crashes) == 0 {
-		delete(o.suspects, contentHash)
-		return
-	}
-	o.suspects[contentHash] = suspectLog{
-		crashes: append([]string(nil), crashes...),
-		until:   o.options.Now().Add(suspectsKept),
-	}
-}
-
 func (o *Owner) profile() object.Profile {
 	snapshot := o.options.Snapshot()
 	if snapshot.Set == nil || snapshot.Set.Profile == object.ProfileUnset {
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -81,6 +80,7 @@
 	resume  bool
 	lease   *fleet.Lease // Nil for a resumed stream.
 	alone   bool
+	refused bool // The server did not take new work; others should be tried.
 	err     error
 }
 
@@ -114,7 +114,8 @@
 		return rc.settleResume(resumed)
 	case <-headStart.C:
 	}
-	go func() { results <- rc.tryDispatch(ctx) }()
+	ask := rc.ask()
+	go func() { results <- rc.tryDispatch(ctx, ask) }()
 	return rc.raceOf(results)
 }
 
@@ -138,6 +139,10 @@
 	if c.resume {
 		return rc.settleResume(c)
 	}
+	if c.err != nil && c.refused {
+		rc.excluded = append(rc.excluded, c.server)
+		rc.owner.serverFailed(c.server, c.err)
+	}
 	return c
 }
 
@@ -176,24 +181,6 @@
 	return c
 }
 
-// crashed notes that an engine died under this request. It returns the final
-// error when the request is to blame.
-func (rc *recovery) crashed(server string) *problem.Problem {
-	r := rc.running
-	r.mu.Lock()
-	r.journal.Crashed(server)
-	crashes := slices.Clone(r.journal.Crashes)
-	r.mu.Unlock()
-	rc.madeAtCrash = rc.made
-	rc.owner.noteCrashes(r.contentHash, crashes)
-	if len(crashes) < condemnAfter || !rc.suspectAlone {
-		return nil
-	}
-	event.ContentCondemned.Warn(rc.owner.options.Logger, "content", r.contentHash, "servers", crashes)
-	rc.owner.options.Condemn(r.contentHash)
-	return condemnedProblem(rc.owner.options.Now().Add(10 * time.Minute))
-}
-
 func (rc *recovery) resumable() bool {
 	timing := rc.owner.options.Timing
 	if (timing.FailoverOnlyByTimer || timing.RestartFromZero) && rc.everConnected {
@@ -255,7 +242,7 @@
 
 // dispatchOrPause dispatches, and waits a moment if no server took the work.
 func (rc *recovery) dispatchOrPause(ctx context.Context) candidate {
-	c := rc.tryDispatch(ctx)
+	c := rc.settle(rc.tryDispatch(ctx, rc.ask()))
 	if c.err == nil || !errors.Is(c.err, fleet.ErrNone) {
 		return c
 	}
@@ -268,9 +255,9 @@
 }
 
 // tryDispatch starts a new engine generation that goes on where the journal ends.
-func (rc *recovery) tryDispatch(ctx context.Context) (c candidate) {
+// It may run beside a resume, so it changes nothing of the recovery itself.
+func (rc *recovery) tryDispatch(ctx context.Context, ask fleet.Ask) (c candidate) {
 	o := rc.owner
-	ask := rc.ask()
 	if c.lease, c.err = o.options.Fleet.Pick(ask); c.err != nil {
 		if o.options.Fleet.Room(fleet.Ask{Version: ask.Version}) == 0 {
 			c.err = &problem.Problem{Code: problem.NoServer, Outcome: rc.outcomeBefore(), Detail: "no backend server is published for version " + ask.Version, RetryAt: o.options.Now().Add(5 * time.Second)}
@@ -293,8 +280,7 @@
 		return c
 	}
 	if ctx.Err() == nil {
-		rc.excluded = append(rc.excluded, c.server)
-		o.serverFailed(c.server, c.err)
+		c.refused = true
 		go o.cancelEngine(c.lease.Server.Address, c.request) // It may have been accepted.
 	}
 	return c
@@ -311,46 +297,6 @@
 	return problem.Failed
 }
 
-// ask describes the work to the fleet. A request that crashed several servers
-// waits a while for one without other suspects, then shares.
-func (rc *recovery) ask() fleet.Ask {
-	r := rc.running
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	ask := fleet.Ask{
-		Version:   r.journal.Spec.Version,
-		Exclude:   slices.Clone(rc.excluded),
-		Suspicion: len(r.journal.Crashes),
-		Prefix:    r.prefix(),
-	}
-	if ask.Suspicion < condemnAfter-1 {
-		return ask
-	}
-	now := rc.owner.options.Now()
-	if rc.lonelyUntil.IsZero() {
-		rc.lonelyUntil = now.Add(lonelyWait)
-	}
-	if now.After(rc.lonelyUntil) {
-		ask.Suspicion = 1
-	}
-	return ask
-}
-
-// prefixBytes of a prompt are what affinity goes by.
-const prefixBytes = 256
-
-// prefix names the beginning of the prompt. Callers hold mu.
-func (r *Running) prefix() string {
-	text := r.journal.Spec.Prompt
-	if len(r.journal.Spec.Messages) > 0 {
-		text = r.journal.Spec.Messages[0].Content
-	}
-	if len(text) < prefixBytes {
-		return ""
-	}
-	return r.journal.Spec.Version + "\x00" + text[:prefixBytes]
-}
-
 // engineRequest builds the request for a new engine generation, and the offset
 // in the journal at which its first token belongs.
 func (rc *recovery) engineRequest() (engine.Request, int) {
@@ -477,24 +423,6 @@
 	rc.lostAt = time.Time{}
 }
 
-// madeTokens clears a suspect that got clearly further than where its engine
-// died. Callers hold the generation's mu.
-func (rc *recovery) madeTokens(tokens int) {
-	if rc.made == 0 && tokens > 0 && rc.lease != nil {
-		rc.owner.serverWorked(rc.lease.Server.Name)
-	}
-	rc.made += tokens
-	journal := rc.running.journal
-	if len(journal.Crashes) == 0 || rc.made < max(clearTokens, 2*rc.madeAtCrash) {
-		return
-	}
-	journal.Crashes = nil
-	rc.owner.noteCrashes(rc.running.contentHash, nil)
-	if rc.lease != nil {
-		rc.lease.Clear()
-	}
-}
-
 // finish gives back what the generation holds, and frees the engine if nobody
 // wants the rest.
 func (rc *recovery) finish() {
@@ -519,15 +447,3 @@
 	defer cancel()
 	_ = o.options.Engines.Cancel(ctx, address, request) // An engine that is gone has nothing to cancel.
 }
-
-func (o *Owner) serverFailed(server string, cause error) {
-	if o.options.Fleet.Failed(server) {
-		event.ServerEjected.Warn(o.options.Logger, "server", server, "cause", cause)
-	}
-}
-
-func (o *Owner) serverWorked(server string) {
-	if o.options.Fleet.Succeeded(server) {
-		event.ServerReturned.Info(o.options.Logger, "server", server)
-	}
-}
--- /dev/null
+++ b/internal/request/owner/recover_test.go
@@ -0,0 +1,61 @@
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivespoke/endivespoke/internal/backend/engine"
+	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/node/control"
+)
+
+// slowServer answers every call with a status after a moment.
+func slowServer(t *testing.T, status int, after time.Duration) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(after)
+		w.WriteHeader(status)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestRaceOfResumeAndDispatch has both tries fail side by side, with the race
+// detector watching what they share.
+func TestRaceOfResumeAndDispatch(t *testing.T) {
+	set := &object.Set{BackendServers: []object.BackendServer{
+		{Name: "a", Address: slowServer(t, http.StatusInternalServerError, 15*time.Millisecond), Versions: []string{"v"}, MaxConcurrent: 1},
+		{Name: "b", Address: slowServer(t, http.StatusServiceUnavailable, 20*time.Millisecond), Versions: []string{"v"}, MaxConcurrent: 1},
+		{Name: "c", Address: slowServer(t, http.StatusServiceUnavailable, 20*time.Millisecond), Versions: []string{"v"}, MaxConcurrent: 1},
+	}}
+	servers := fleet.New(fleet.Options{Now: time.Now, Random: rand.New(rand.NewPCG(1, 1))})
+	servers.Update(set)
+	timing := DefaultTiming
+	timing.HeadStartLatency = 10 * time.Millisecond
+	o := New(Options{
+		Engines:  engine.New(http.DefaultClient),
+		Fleet:    servers,
+		Snapshot: func() *control.Snapshot { return &control.Snapshot{Set: set} },
+		Logger:   hclog.NewNullLogger(),
+		Now:      time.Now,
+		Timing:   timing,
+	})
+	for range 10 {
+		r := newTestRunning(3)
+		r.owner = o
+		r.journal.Spec.Version = "v"
+		r.journal.Server, r.journal.EngineRequest = "a", "g.1.1"
+		rc := &recovery{owner: o, running: r}
+		found := rc.next(context.Background())
+		qt.Assert(t, found.err, qt.IsNotNil)
+		qt.Assert(t, rc.resumable(), qt.IsFalse)
+	}
+}
