--- a/internal/lab/demo/observe.go
+++ b/internal/lab/demo/observe.go
@@ -72,7 +72,7 @@
 
 // readiness asks a VM. One that does not answer is not ready.
 func (s *System) readiness(vm *VM) (state readiness) {
-	response, err := http.Get("http://" + vm.Operator + "/readyz")
+	response, err := caller.Get("http://" + vm.Operator + "/readyz")
 	if err != nil {
 		return readiness{}
 	}
