--- a/internal/lab/demo/observe.go
+++ b/internal/lab/demo/observe.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"strings"
 
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
