Never take an engine's continuation for the whole answer

Found by reading. With every copy lost, a VM rebuilt a generation from the engine stream that the caller's cursor names. A second way to a splice: an engine that never told the prompt's token ids left nothing to condition a continuation on, and the prompt alone was sent.

Change: the cursor says where its engine stream began, and only one from the start is used; without prompt token ids an answer that has begun is given up with a clear error.

Before: TestContinuationIsNotTakenForTheWhole gets another answer's text. After: the failure-free one.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -43,8 +43,8 @@
 	beatLimit = 400 * time.Millisecond
 	// storeLimit bounds one read of the platform.
 	storeLimit = 2 * time.Second
-	// condemnedFor is how long a content that crashes engines is refused.
-	condemnedFor = 10 * time.Minute
+	// CondemnedFor is how long a content that crashes engines is refused.
+	CondemnedFor = 10 * time.Minute
 	// unpublished is a membership version that no membership has.
 	unpublished = math.MaxUint64
 	// maxCondemned bounds the contents remembered, toldCondemned those of them,
@@ -248,7 +248,7 @@
 
 // Condemn refuses a request content on every VM for a while.
 func (l *Loop) Condemn(contentHash string) {
-	until := l.options.Now().Add(condemnedFor)
+	until := l.options.Now().Add(CondemnedFor)
 	l.changes <- func(s *state) { s.condemn(wire.Condemned{ContentHash: contentHash, Until: until}) }
 }
 
--- a/internal/node/vm/resume_test.go
+++ b/internal/node/vm/resume_test.go
@@ -8,6 +8,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/base64"
 	"encoding/pem"
 	"math/big"
 	"net"
@@ -22,6 +23,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
+	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
 const streamBody = `{"model":"m","prompt":"p","max_tokens":40,"stream":true}`
@@ -130,3 +132,23 @@
 func (r *rig) transport() *http.Transport {
 	return &http.Transport{DisableKeepAlives: true, TLSClientConfig: &tls.Config{RootCAs: r.pool, MinVersion: tls.VersionTLS12}}
 }
+
+// TestContinuationIsNotTakenForTheWhole brings a cursor whose engine generation
+// began in the middle of the answer, after every copy was lost. Taken for the
+// whole answer, it would stand under the key for whoever asks next.
+func TestContinuationIsNotTakenForTheWhole(t *testing.T) {
+	r := newRig(t, options{vms: 1})
+	key, err := base64.StdEncoding.DecodeString(peerKey)
+	qt.Assert(t, err, qt.IsNil)
+	sealer := generation.Sealer{Key: key}
+	_, text := deliveredPart(r, "other", 3)
+	other, err := sealer.Open("a", text)
+	qt.Assert(t, err, qt.IsNil)
+	lost := generation.Cursor{Generation: "lost", Offset: 5, Hash: 1, Server: other.Server, EngineRequest: other.EngineRequest, EngineBase: 5}
+	request := r.caller(0, "a", "POST", "/v1/completions", streamBody)
+	request.Header.Set("Idempotency-Key", "k")
+	request.Header.Set("Last-Event-ID", sealer.Seal("a", lost))
+	qt.Assert(t, r.send(request).code(), qt.Equals, "restartRequired/failed")
+	whole := r.send(r.caller(0, "a", "GET", "/v1/requests/k", ""))
+	qt.Assert(t, textOf(whole.body), qt.Equals, expected("a", "k", "p", 40))
+}
--- a/internal/request/generation/cursor.go
+++ b/internal/request/generation/cursor.go
@@ -63,6 +63,7 @@
 	Holder        string
 	Server        string
 	EngineRequest string
+	EngineBase    int // Where in the answer the engine's generation began.
 }
 
 // Sealer turns cursors into opaque text and back. The text is bound to the
--- a/internal/request/generation/generation_test.go
+++ b/internal/request/generation/generation_test.go
@@ -120,6 +120,16 @@
 	qt.Assert(t, journal.Continuation(), qt.DeepEquals, generation.Input{TokenIDs: []int{5, 6, 7, 8}, MaxTokens: 8})
 }
 
+// TestNoContinuationWithoutPromptTokens keeps an answer from being spliced: with
+// tokens, but not knowing the prompt's token ids, nothing can go on exactly.
+func TestNoContinuationWithoutPromptTokens(t *testing.T) {
+	journal := newJournal(10)
+	qt.Assert(t, journal.CanContinue(), qt.IsTrue)
+	journal.Begin("s", "e")
+	journal.Append(1, 0, tokens(0, 2))
+	qt.Assert(t, journal.CanContinue(), qt.IsFalse)
+}
+
 func TestFullAnswerWithoutEndMarkIsClosed(t *testing.T) {
 	journal := newJournal(2)
 	journal.Begin("s", "e")
--- a/internal/request/generation/journal.go
+++ b/internal/request/generation/journal.go
@@ -245,6 +245,12 @@
 	MaxTokens int
 }
 
+// CanContinue reports whether Continuation is exact. An engine that told no
+// prompt tokens leaves an answer that nothing can go on with once it has begun.
+func (j *Journal) CanContinue() bool {
+	return len(j.Tokens) == 0 || len(j.PromptTokens) > 0
+}
+
 // Continuation gives the input that makes another engine go on exactly where
 // the journal ends: it is conditioned on every token so far.
 func (j *Journal) Continuation() Input {
--- a/internal/request/owner/drive.go
+++ b/internal/request/owner/drive.go
@@ -41,8 +41,6 @@
 	if !o.waitForHolder(r) {
 		return
 	}
-	stopWatch := o.watchCaller(r)
-	defer stopWatch()
 	o.attempts(ctx, r)
 }
 
@@ -81,27 +79,11 @@
 	return true
 }
 
-// watchCaller cancels a generation whose caller is gone for good.
-func (o *Owner) watchCaller(r *Running) (stop func()) {
-	ticker := time.NewTicker(SweepEvery)
-	done := make(chan struct{})
-	go func() {
-		defer ticker.Stop()
-		for {
-			select {
-			case <-done:
-				return
-			case <-ticker.C:
-			}
-			if r.abandoned(o.options.Now()) {
-				event.GenerationCancelled.Info(o.options.Logger, "generation", r.ID())
-				o.fail(r, generation.Failure{Code: string(problem.DeadlinePassed), Outcome: string(problem.Failed), Detail: "the caller was gone for longer than the grace"})
-				r.cancel()
-				return
-			}
-		}
-	}()
-	return func() { close(done) }
+// abandon ends a generation whose caller is gone for good, and frees its engine.
+func (o *Owner) abandon(r *Running) {
+	event.GenerationCancelled.Info(o.options.Logger, "generation", r.ID())
+	o.fail(r, generation.Failure{Code: string(problem.DeadlinePassed), Outcome: string(problem.Failed), Detail: "the caller was gone for longer than the grace"})
+	r.cancel()
 }
 
 // attempts connects to engines until the answer has ended.
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -35,6 +35,7 @@
 	"github.com/endivespoke/endivespoke/internal/peer/replica"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
+	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
@@ -43,6 +44,10 @@
 	DefaultGrace = 30 * time.Second
 	// keepEnded is how long an ended answer is kept for a caller that asks again.
 	keepEnded = time.Minute
+	// retryPart of the accepted requests, and retryReserve at once, may be sent to
+	// another server at once when one did not take them. Beyond that they wait.
+	retryPart    = 0.2
+	retryReserve = 20
 	// SweepEvery is the time between two looks for generations to forget.
 	SweepEvery = time.Second
 )
@@ -83,6 +88,7 @@
 	byID      map[string]*Running
 	shunned   map[string]time.Time  // Holders not to be chosen until then.
 	suspects  map[string]suspectLog // By content hash.
+	retries   *budget.Budget        // Of dispatches that a server did not take.
 }
 
 // New makes an empty book.
@@ -99,6 +105,7 @@
 		byID:      map[string]*Running{},
 		shunned:   map[string]time.Time{},
 		suspects:  map[string]suspectLog{},
+		retries:   budget.New(budget.Options{Part: retryPart, Reserve: retryReserve}),
 	}
 }
 
@@ -141,6 +148,7 @@
 // accepted before and lost every copy is not put to the end of the queue twice:
 // its request asks like any other, since this VM can't tell the difference.
 func (o *Owner) accept(ctx context.Context, submission Submission, contentHash string) (*Running, *problem.Problem) {
+	o.retries.Earn()
 	ticket, refusal := o.options.Gate.Ask(admission.Ask{
 		Account:  submission.Request.Account,
 		Rank:     submission.Spec.Rank,
@@ -157,11 +165,11 @@
 	running.contentHash = contentHash
 	running.fresh = submission.KeyGiven
 	running.keyGiven = submission.KeyGiven
-	if submission.Cursor != nil {
-		// The engine may still have the stream that the lost journal was fed by.
-		journal.Server = submission.Cursor.Server
-		journal.EngineRequest = submission.Cursor.EngineRequest
-		running.rebuilding = submission.Cursor.EngineRequest != ""
+	if cursor := submission.Cursor; cursor != nil && cursor.EngineBase == 0 {
+		// The engine may still have the stream that the lost journal was fed by. One
+		// that continued an earlier engine's lacks the beginning, and is of no use.
+		journal.Server = cursor.Server
+		journal.EngineRequest = cursor.EngineRequest
 	}
 	journal.Crashes = o.knownCrashes(contentHash)
 	if existing := o.register(running); existing != running {
@@ -313,6 +321,9 @@
 			o.forget(running, running.ID())
 			continue
 		}
+		if running.abandoned(now) {
+			o.abandon(running)
+		}
 		o.protectLater(running)
 	}
 	o.options.Store.Expire(now)
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -57,7 +57,6 @@
 	running *Running
 
 	lease         *fleet.Lease
-	dispatched    bool // This VM dispatched the current engine generation.
 	engineLost    bool // The current engine generation can't be resumed.
 	made          int  // Tokens of the current dispatch.
 	madeAtCrash   int  // Tokens that the dispatch before made until its engine died.
@@ -243,10 +242,16 @@
 // dispatchOrPause dispatches, and waits a moment if no server took the work.
 func (rc *recovery) dispatchOrPause(ctx context.Context) candidate {
 	c := rc.settle(rc.tryDispatch(ctx, rc.ask()))
-	if c.err == nil || !errors.Is(c.err, fleet.ErrNone) {
+	if c.err == nil || (c.refused && rc.owner.retries.Spend()) {
 		return c
 	}
-	rc.excluded = nil
+	var final *problem.Problem
+	if errors.As(c.err, &final) {
+		return c
+	}
+	if errors.Is(c.err, fleet.ErrNone) {
+		rc.excluded = nil
+	}
 	select {
 	case <-time.After(retryPause):
 	case <-ctx.Done():
@@ -258,6 +263,9 @@
 // It may run beside a resume, so it changes nothing of the recovery itself.
 func (rc *recovery) tryDispatch(ctx context.Context, ask fleet.Ask) (c candidate) {
 	o := rc.owner
+	if c.err = rc.continuable(); c.err != nil {
+		return c
+	}
 	if c.lease, c.err = o.options.Fleet.Pick(ask); c.err != nil {
 		if o.options.Fleet.Room(fleet.Ask{Version: ask.Version}) == 0 {
 			c.err = &problem.Problem{Code: problem.NoServer, Outcome: rc.outcomeBefore(), Detail: "no backend server is published for version " + ask.Version, RetryAt: o.options.Now().Add(5 * time.Second)}
@@ -286,6 +294,17 @@
 	return c
 }
 
+// continuable gives the final error of an answer that no other engine can go on
+// with.
+func (rc *recovery) continuable() error {
+	rc.running.mu.Lock()
+	defer rc.running.mu.Unlock()
+	if rc.running.journal.CanContinue() {
+		return nil
+	}
+	return &problem.Problem{Code: problem.BackendFailed, Outcome: problem.Failed, Detail: "the engine was lost and had not told the prompt's token ids, without which no other can go on"}
+}
+
 // outcomeBefore says what a final error means: a request that was never
 // dispatched did not run.
 func (rc *recovery) outcomeBefore() problem.Outcome {
@@ -350,7 +369,6 @@
 	rc.release()
 	rc.lease = found.lease
 	rc.suspectAlone = found.alone
-	rc.dispatched = true
 	rc.engineLost = false
 	rc.made = 0
 	rc.idle = 0
--- a/internal/request/owner/running.go
+++ b/internal/request/owner/running.go
@@ -34,8 +34,6 @@
 	fresh       bool        // The holder should look for another generation of the request.
 	exists      bool        // The holder found one.
 	wasOpened   bool
-	rebuilding  bool // The engine is asked for the stream from its start.
-	adopted     bool // The generation came from another VM.
 	moved       bool // Another VM owns it now.
 	callers     int
 	gone        time.Time // When the grace of a generation without callers ends.
@@ -178,6 +176,7 @@
 		Holder:        r.holder.ID,
 		Server:        r.journal.Server,
 		EngineRequest: r.journal.EngineRequest,
+		EngineBase:    r.journal.EngineBase,
 	}
 }
 
@@ -220,11 +219,11 @@
 	return r.journal.Ended() && now.After(r.keepUntil)
 }
 
-// abandoned reports whether the caller has been gone for longer than the grace.
+// abandoned reports whether a running generation's caller has been gone for longer than the grace.
 func (r *Running) abandoned(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.callers == 0 && now.After(r.gone)
+	return r.callers == 0 && now.After(r.gone) && !r.journal.Ended() && !r.moved
 }
 
 // AcceptedAt is when this VM took the generation.
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -6,6 +6,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/fleet"
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
+	"github.com/endivespoke/endivespoke/internal/node/control"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
@@ -24,7 +25,7 @@
 	}
 	event.ContentCondemned.Warn(rc.owner.options.Logger, "content", r.contentHash, "servers", crashes)
 	rc.owner.options.Condemn(r.contentHash)
-	return condemnedProblem(rc.owner.options.Now().Add(10 * time.Minute))
+	return condemnedProblem(rc.owner.options.Now().Add(control.CondemnedFor))
 }
 
 // ask describes the work to the fleet. A request that crashed several servers
--- a/internal/request/owner/takeover.go
+++ b/internal/request/owner/takeover.go
@@ -38,7 +38,6 @@
 	}
 	running := o.newRunning(ctx, journal)
 	running.contentHash = journal.Spec.ContentHash()
-	running.adopted = true
 	if journal.Ended() {
 		running.keepUntil = o.options.Now().Add(keepEnded)
 	}
@@ -79,7 +78,6 @@
 	takeOvers.Inc()
 	event.GenerationTakenOver.Info(o.options.Logger, "generation", journal.ID, "epoch", journal.Epoch, "tokens", len(journal.Tokens))
 	r.journal = journal
-	r.adopted = true
 	r.fresh = false
 	o.protectLocked(r)
 	if journal.Ended() {
