--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -49,6 +49,8 @@
 		{"publish", "Time until a published configuration is in force on every VM.", measurePublish},
 		{"configuration", "Size of a configuration, and what taking one in costs a VM.", measureConfiguration},
 		{"actions", "Table calls and time of actions, at several speeds of the platform.", measureActions},
+		{"shares", "Answers of ordinary accounts beside one that asks ten times as much, in 10 s.", measureShares},
+		{"overload", "Answers in time before, during (seconds 6 to 12) and after a spike of three times what the fleet can do.", measureOverload},
 		{"lookups", "Lookups while long work fills the fleet.", measureLookups},
 	}
 }
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -54,6 +54,7 @@
 	Profile   object.Profile // Replaces the example's, if set.
 	BurstGap  time.Duration
 	BurstEach int
+	Silence   time.Duration         // After which callers doubt a connection; the client's default if 0.
 	Adjust    func(set *object.Set) // Changes the example before it is published, if set.
 	Forward   bool                  // Put a forwarder before each caller, peer and engine address.
 }
@@ -348,7 +349,7 @@
 	}
 	accounts := []load.Account{}
 	for _, account := range s.Set.ClientAccounts[:min(count, len(s.Set.ClientAccounts))] {
-		c := client.New(client.Options{Entries: entries, Token: account.Name + "-example"})
+		c := client.New(client.Options{Entries: entries, Token: account.Name + "-example", SilenceLimit: s.Options.Silence})
 		accounts = append(accounts, load.Account{Name: account.Name, Client: c})
 	}
 	return accounts
--- a/internal/lab/enginefake/enginefake.go
+++ b/internal/lab/enginefake/enginefake.go
@@ -281,6 +281,9 @@
 	next := time.Now()
 	for i := 0; i < g.body.MaxTokens; i++ {
 		next = next.Add(e.gap(i))
+		if late := time.Since(next); late > e.gap(i) {
+			next = time.Now() // After a pause it goes on; it does not catch up.
+		}
 		time.Sleep(time.Until(next))
 		e.waitWhilePaused()
 		if !e.produce(g, m.next()) {
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -113,7 +113,7 @@
 		return rc.settleResume(resumed)
 	case <-headStart.C:
 	}
-	ask := rc.ask()
+	ask := rc.askElsewhere()
 	go func() { results <- rc.tryDispatch(ctx, ask) }()
 	return rc.raceOf(results)
 }
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -53,6 +53,16 @@
 	return ask
 }
 
+// askElsewhere describes work that must not go to the server it is on. That one
+// has the prompt in its cache, so affinity alone would choose it again.
+func (rc *recovery) askElsewhere() fleet.Ask {
+	ask := rc.ask()
+	rc.running.mu.Lock()
+	defer rc.running.mu.Unlock()
+	ask.Exclude = append(ask.Exclude, rc.running.journal.Server)
+	return ask
+}
+
 // prefixBytes of a prompt are what affinity goes by.
 const prefixBytes = 256
 
