--- a/internal/request/owner/running.go
+++ b/internal/request/owner/running.go
@@ -160,7 +160,10 @@
 		return true, errors.Trace(ErrMoved)
 	}
 	reached := len(r.journal.Tokens) >= cursor.Offset
-	if !reached && !r.journal.Ended() {
+	switch {
+	case !reached && r.journal.Failure != nil:
+		return true, nil // The failure is what the caller has to know.
+	case !reached && !r.journal.Ended():
 		return false, nil
 	}
 	return true, r.journal.Verify(cursor)
--- a/internal/request/owner/running_test.go
+++ b/internal/request/owner/running_test.go
@@ -73,3 +73,14 @@
 	}
 	qt.Assert(t, d.limit(), qt.Equals, timing.Silence)
 }
+
+// TestFailedGenerationTellsItsFailure gives a caller who is ahead of a failed
+// journal the failure, and not a restart that would hide it.
+func TestFailedGenerationTellsItsFailure(t *testing.T) {
+	r := newTestRunning(3)
+	r.journal.Fail(generation.Failure{Code: "deadlinePassed"})
+	r.acked = 3
+	qt.Assert(t, r.Confirm(context.Background(), generation.Cursor{Offset: 5}, r.Attach()), qt.IsNil)
+	_, end := r.ready(5)
+	qt.Assert(t, end.Failure.Code, qt.Equals, "deadlinePassed")
+}
