--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -92,6 +92,7 @@
 	leaving     bool
 	outdated    bool
 	down        map[string]bool
+	dirty       bool   // There is something to publish.
 	version     uint64 // Of the membership that was last published.
 }
 
@@ -124,6 +125,7 @@
 		leaving:    last.Leaving,
 		down:       map[string]bool{},
 		version:    unpublished,
+		dirty:      true,
 	}
 	ticker := time.NewTicker(gossip.BeatEvery / 10)
 	defer ticker.Stop()
@@ -133,10 +135,15 @@
 			return ctx.Err()
 		case change := <-l.changes:
 			change(s)
+			s.dirty = true
 		case <-ticker.C:
 			l.tick(ctx, s)
 		}
-		l.publish(s)
+		if s.dirty {
+			s.dirty = false
+			l.publish(s)
+		}
+		l.logOutdated(s, l.Snapshot(), l.options.Now())
 	}
 }
 
@@ -166,10 +173,12 @@
 	}
 	if s.membership.Alone() {
 		s.mostUntil = now.Add(mostLimit) // There is nobody to see.
+		s.dirty = true
 	}
 	for hash, until := range s.condemned {
 		if now.After(until) {
 			delete(s.condemned, hash)
+			s.dirty = true
 		}
 	}
 }
@@ -177,7 +186,6 @@
 // publish makes the state visible to traffic.
 func (l *Loop) publish(s *state) {
 	previous := l.Snapshot()
-	now := l.options.Now()
 	next := &Snapshot{
 		Self:       s.membership.Self(),
 		Members:    previous.Members,
@@ -199,7 +207,6 @@
 		next.Members = s.membership.Members()
 	}
 	l.snapshot.Store(next)
-	l.logOutdated(s, next, now)
 	if len(next.Members) > 0 && &next.Members[0] != &previous.Members[0] {
 		l.logMembers(s, next)
 	}
--- a/internal/peer/gossip/membership.go
+++ b/internal/peer/gossip/membership.go
@@ -60,7 +60,9 @@
 	members    map[string]*member // All but self.
 	order      []string           // The keys of members, sorted.
 	neighbours []string
-	stale      bool // The neighbours have to be chosen anew.
+	down       []string // The members that are down, in order.
+	stale      bool     // neighbours and down have to be reckoned anew.
+	news       int      // Members that are still news.
 	version    uint64
 	downCursor int
 	tellCursor int
@@ -137,6 +139,9 @@
 }
 
 func (m *Membership) remove(id string) {
+	if m.members[id].tellLeft > 0 {
+		m.news--
+	}
 	delete(m.members, id)
 	if at, found := slices.BinarySearch(m.order, id); found {
 		m.order = slices.Delete(m.order, at, at+1)
@@ -195,9 +200,17 @@
 	}
 	known.Member = news
 	known.missed = 0
+	m.tell(known)
+	m.plan(known, now)
+}
+
+// tell makes a member's change news.
+func (m *Membership) tell(known *member) {
+	if known.tellLeft == 0 {
+		m.news++
+	}
 	known.tellLeft = tellTimes
 	m.changed()
-	m.plan(known, now)
 }
 
 func newer(news, known wire.Member) bool {
@@ -225,8 +238,7 @@
 		return
 	}
 	known.State = wire.MemberDown
-	known.tellLeft = tellTimes
-	m.changed()
+	m.tell(known)
 	m.plan(known, now)
 }
 
@@ -250,11 +262,18 @@
 // News gives what to answer a heartbeat with: this VM and fresh news.
 func (m *Membership) News() []wire.Member {
 	news := []wire.Member{m.self}
+	if m.news == 0 {
+		return news // The usual case, in which nobody is looked at.
+	}
 	for _, id := range m.order {
 		known := m.members[id]
-		if known.tellLeft > 0 && len(news) < digestMembers {
-			known.tellLeft--
-			news = append(news, known.Member)
+		if known.tellLeft == 0 || len(news) == digestMembers {
+			continue
+		}
+		news = append(news, known.Member)
+		known.tellLeft--
+		if known.tellLeft == 0 {
+			m.news--
 		}
 	}
 	return news
@@ -263,39 +282,42 @@
 // Targets gives whom to send a heartbeat to: the neighbours, and in turn one VM
 // that is down but may be back, so that a healed partition is noticed.
 func (m *Membership) Targets() []wire.Member {
-	if m.stale {
-		m.chooseNeighbours()
-		m.stale = false
-	}
+	m.refresh()
 	targets := []wire.Member{}
 	for _, id := range m.neighbours {
 		if known := m.members[id]; known != nil {
 			targets = append(targets, known.Member)
 		}
 	}
-	down := []wire.Member{}
-	for _, id := range m.order {
-		if known := m.members[id]; known.State == wire.MemberDown {
-			down = append(down, known.Member)
-		}
-	}
-	if len(down) > 0 {
-		m.downCursor = (m.downCursor + 1) % len(down)
-		targets = append(targets, down[m.downCursor])
+	if len(m.down) > 0 {
+		m.downCursor = (m.downCursor + 1) % len(m.down)
+		targets = append(targets, m.members[m.down[m.downCursor]].Member)
 	}
 	return targets
 }
 
-// chooseNeighbours takes the next VMs on a ring of hashes, so that each VM is
-// watched by as many, and some that rendezvous hashing names, so that news
-// crosses the ring in few steps.
-func (m *Membership) chooseNeighbours() {
+// refresh reckons anew what follows from the members' states, if any changed.
+func (m *Membership) refresh() {
+	if !m.stale {
+		return
+	}
+	m.stale = false
 	alive := []string{}
+	m.down = m.down[:0]
 	for _, id := range m.order {
-		if m.members[id].State != wire.MemberDown {
+		if m.members[id].State == wire.MemberDown {
+			m.down = append(m.down, id)
+		} else {
 			alive = append(alive, id)
 		}
 	}
+	m.chooseNeighbours(alive)
+}
+
+// chooseNeighbours takes the next VMs on a ring of hashes, so that each VM is
+// watched by as many, and some that rendezvous hashing names, so that news
+// crosses the ring in few steps.
+func (m *Membership) chooseNeighbours(alive []string) {
 	own := hashOf(m.self.ID)
 	ring := sortedBy(alive, func(id string) uint64 { return hashOf(id) - own })
 	chosen := ring[:min(ringNeighbours, len(ring))]
@@ -338,13 +360,9 @@
 // SeesMost reports whether more than half of the known VMs, this one included,
 // are not down.
 func (m *Membership) SeesMost() bool {
-	up := 1
-	for _, known := range m.members {
-		if known.State != wire.MemberDown {
-			up++
-		}
-	}
-	return 2*up > len(m.members)+1
+	m.refresh()
+	all := len(m.members) + 1
+	return 2*(all-len(m.down)) > all
 }
 
 func hashOf(text string) uint64 {
