Let a VM's room follow its part of the traffic, and queue in the VM

Each VM admitted twice its even part, so 66 requests sat on 32 slots and waited in the engines' queues, which don't know accounts. The first bench had answers of one length, which end in waves; it now varies them, before and after alike.

Change: a VM's room is its part of all traffic, as far as told, and a tenth more.

--- a/internal/lab/bench/overload.go
+++ b/internal/lab/bench/overload.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/caller/client"
 	"github.com/endivespoke/endivespoke/internal/lab/demo"
+	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
 )
 
@@ -19,7 +20,7 @@
 }
 
 const (
-	shortAnswer  = 25 // Tokens: half a second of one slot.
+	shortAnswer  = 25 // Tokens at the mean: half a second of one slot.
 	shareWorkers = 4  // Of each ordinary account.
 	shareTime    = 10 * time.Second
 )
@@ -69,7 +70,10 @@
 // short asks for a short answer, and tells how long it took and whether it came.
 func short(ctx context.Context, system *demo.System, account load.Account, key string, deadline time.Time) (time.Duration, bool) {
 	start := time.Now()
-	request := client.Request{Key: key, Model: system.Set.Models[0].Name, Prompt: "wall " + key, MaxTokens: shortAnswer, Deadline: deadline}
+	// Answers of one length would end in waves, and whoever asks again right after
+	// an answer would just miss each.
+	tokens := shortAnswer/2 + enginefake.Tokenize(key)[0]%(shortAnswer+1)
+	request := client.Request{Key: key, Model: system.Set.Models[0].Name, Prompt: "wall " + key, MaxTokens: tokens, Deadline: deadline}
 	_, err := account.Client.Generate(ctx, request, nil)
 	return time.Since(start), err == nil
 }
--- a/internal/node/vm/duties.go
+++ b/internal/node/vm/duties.go
@@ -20,9 +20,10 @@
 	loadsEvery = time.Second
 	// loadLimit bounds one reading.
 	loadLimit = 500 * time.Millisecond
-	// roomFactor is how much more than its even part of the servers' room a VM
-	// may use, since traffic isn't even. The engines queue what is too much.
-	roomFactor = 2
+	// roomFactor is how much more than its part of the servers' room a VM uses, so
+	// that no slot stays empty. What is beyond waits here, where accounts are
+	// weighed against each other, and not in an engine's queue, where they aren't.
+	roomFactor = 1.1
 	// watchersPerServer VMs read the load of each backend server.
 	watchersPerServer = 3
 )
@@ -38,7 +39,8 @@
 // limitsOf reckons what this VM may take of each account's limits.
 func (v *VM) limitsOf(set *object.Set, live int) admission.Limits {
 	peers := min(live-1, gossip.MaxNeighbours)
-	reckoned := admission.Limits{Room: roomOf(set, live), Accounts: map[string]admission.Limit{}}
+	room := roomFactor * v.shares.Part(admission.AllAccounts, peers, live) * float64(slotsOf(set))
+	reckoned := admission.Limits{Room: max(1, int(math.Ceil(room))), Accounts: map[string]admission.Limit{}}
 	for _, account := range set.ClientAccounts {
 		part := v.shares.Part(account.Name, peers, live)
 		reckoned.Accounts[account.Name] = admission.Limit{
@@ -50,14 +52,15 @@
 	return reckoned
 }
 
-func roomOf(set *object.Set, live int) int {
-	total := 0
+// slotsOf counts what all backend servers run side by side.
+func slotsOf(set *object.Set) int {
+	slots := 0
 	for _, server := range set.BackendServers {
 		if server.State != object.ServerLeaving {
-			total += server.MaxConcurrent
+			slots += server.MaxConcurrent
 		}
 	}
-	return max(1, min(total, int(math.Ceil(roomFactor*float64(total)/float64(max(live, 1))))))
+	return slots
 }
 
 // readLoads reads the loads of the servers that this VM watches. Each server is
--- a/internal/request/admission/share.go
+++ b/internal/request/admission/share.go
@@ -53,10 +53,19 @@
 	return &Shares{Now: now, own: map[string]*demand{}, others: map[string]map[string]heardUse{}}
 }
 
+// AllAccounts is the name under which the demands of all accounts together are
+// counted and told. No account has it.
+const AllAccounts = ""
+
 // Arrived counts one request of an account.
 func (s *Shares) Arrived(account string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.count(AllAccounts)
+	s.count(account)
+}
+
+func (s *Shares) count(account string) {
 	d := s.own[account]
 	if d == nil {
 		d = &demand{at: s.Now()}
@@ -89,8 +98,8 @@
 	if len(all) <= toldUses {
 		return all
 	}
-	told := []Use{}
-	for range toldUses {
+	told := []Use{all[0]} // AllAccounts, which sorts first.
+	for range toldUses - 1 {
 		s.cursor = (s.cursor + 1) % len(all)
 		told = append(told, all[s.cursor])
 	}
