--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -20,9 +20,13 @@
 	// lonelyWait bounds the wait of a suspected request for a server without
 	// other suspects.
 	lonelyWait = 2 * time.Second
-	// condemnAfter servers died running a request, the last of them without any
-	// other suspect, the request is given up.
-	condemnAfter = 3
+	// lonelyAfter servers died running a request, it is kept apart from other
+	// suspects.
+	lonelyAfter = 2
+	// condemnAfter servers died running a request, two of them while it was apart,
+	// the request is given up. Fewer deaths happen to innocent requests too, when
+	// several servers fail at the same time.
+	condemnAfter = 4
 	// clearTokens is the least progress that clears a request of suspicion.
 	clearTokens = 32
 	// stuckConnections in a row without a token, of a dispatch that had made
@@ -272,7 +276,7 @@
 		}
 		return c
 	}
-	c.alone = ask.Suspicion >= condemnAfter-1
+	c.alone = ask.Suspicion >= lonelyAfter
 	c.server = c.lease.Server.Name
 	request, base := rc.engineRequest()
 	c.request, c.base = request.ID, base
--- a/internal/request/owner/recover_test.go
+++ b/internal/request/owner/recover_test.go
@@ -91,3 +91,17 @@
 		found.stream.Close()
 	}
 }
+
+// TestThreeDeathsCondemnNobody kills three engines under one request, the last
+// while it was apart. It caught an innocent request being given up when three
+// of four engines failed within a second.
+func TestThreeDeathsCondemnNobody(t *testing.T) {
+	o := newTestOwner(&object.Set{})
+	o.options.Condemn = func(string) {}
+	rc := &recovery{owner: o, running: newTestRunning(3)}
+	qt.Assert(t, rc.crashed("a") == nil, qt.IsTrue)
+	qt.Assert(t, rc.crashed("b") == nil, qt.IsTrue)
+	rc.suspectAlone = true
+	qt.Assert(t, rc.crashed("c") == nil, qt.IsTrue)
+	qt.Assert(t, rc.crashed("d") != nil, qt.IsTrue)
+}
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -40,7 +40,7 @@
 		Suspicion: len(r.journal.Crashes),
 		Prefix:    r.prefix(),
 	}
-	if ask.Suspicion < condemnAfter-1 {
+	if ask.Suspicion < lonelyAfter {
 		return ask
 	}
 	now := rc.owner.options.Now()
