Take an overdue row over before sending its work again

Change: the row becomes the second VM's, by a conditional write, before anything is sent, so the first one's 'refused' conflicts.

--- a/internal/request/action/machine.go
+++ b/internal/request/action/machine.go
@@ -116,6 +116,7 @@
 const (
 	phaseClaim phase = iota
 	phaseRead
+	phaseTake
 	phaseSend
 	phaseSettle
 	phaseWait
@@ -149,6 +150,8 @@
 		return Op{Kind: OpRead}
 	case phaseClaim:
 		return Op{Kind: OpWrite, Row: m.claim(), Expected: ""}
+	case phaseTake:
+		return Op{Kind: OpWrite, Row: m.claim(), Expected: m.version}
 	case phaseSend:
 		if !now.Before(m.ask.Until) {
 			m.tooLate()
@@ -289,8 +292,11 @@
 
 // overdue ends the work of a VM that is gone.
 func (m *Machine) overdue(now time.Time) {
-	if m.ask.HonoursKey {
-		m.resolve(now)
+	if m.ask.HonoursKey && now.Before(m.ask.Until) {
+		// The row becomes ours before anything is sent. Otherwise the VM that seemed
+		// gone could still write that it never sent the work, and say notRun.
+		m.maySent = true
+		m.phase = phaseTake
 		return
 	}
 	m.settle(Row{State: StateUnknown, Reason: "the VM that sent the work did not say how it ended"})
@@ -311,7 +317,7 @@
 
 // WriteDone takes in a write.
 func (m *Machine) WriteDone(version string, outcome WriteOutcome, now time.Time) {
-	claiming := m.phase == phaseClaim
+	claiming := m.phase == phaseClaim || m.phase == phaseTake
 	switch {
 	case outcome == WriteOK && claiming:
 		m.row, m.version = m.claim(), version
--- a/internal/request/action/machine_test.go
+++ b/internal/request/action/machine_test.go
@@ -64,9 +64,11 @@
 
 func newWorld(honours bool) world {
 	w := world{honours: honours}
-	for i, vm := range []string{"vm-1", "vm-2"} {
-		w.machines[i] = *action.NewMachine(ask(vm, honours))
-	}
+	first, second := ask("vm-1", honours), ask("vm-2", honours)
+	// The caller asks again later: when the first VM's work is overdue, the second
+	// still has time to send, if it were wrong enough to do so.
+	second.Until = epoch.Add(time.Minute)
+	w.machines = [2]action.Machine{*action.NewMachine(first), *action.NewMachine(second)}
 	return w
 }
 
--- a/internal/request/action/row.go
+++ b/internal/request/action/row.go
@@ -8,6 +8,8 @@
 //	(none)     -> refused      any VM; stops every other
 //	dispatched -> done         the VM that sent, with the result
 //	dispatched -> refused      the VM that dispatched, if it proved that nothing was sent
+//	dispatched -> dispatched   any VM once DispatchUntil has passed, if the service
+//	                           honours idempotency keys, to send the key again
 //	dispatched -> unknown      the VM that sent; any VM once DispatchUntil has passed
 //	unknown    -> done         only if the service honours idempotency keys
 //
