--- a/internal/backend/order/order_test.go
+++ b/internal/backend/order/order_test.go
@@ -137,6 +137,16 @@
 					lastSend[lease.Holder] = now
 				}
 			},
+			"the last instant comes": func(*rapid.T) {
+				if last := lease.Until.Add(-time.Millisecond); now.Before(last) {
+					now = last
+				}
+			},
+			"the lease lapses": func(*rapid.T) {
+				if now.Before(lease.Until) {
+					now = lease.Until
+				}
+			},
 			"time passes": func(t *rapid.T) {
 				now = now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "millis")) * time.Millisecond)
 			},
