--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -155,7 +155,7 @@
 	row("longest gap between tokens p99", o.gap(0.99))
 	row("resume latency after VM loss p50", load.Quantile(o.report.ResumeGaps, 0.5).Round(time.Millisecond))
 	row("resume latency after VM loss p99", load.Quantile(o.report.ResumeGaps, 0.99).Round(time.Millisecond))
-	row("tokens made by surviving engines beyond the answers", fmt.Sprintf("%.1f %%", o.extraPercent()))
+	row("tokens made beyond the answers", fmt.Sprintf("%.1f %%", o.extraPercent()))
 	row("lookups answered", fmt.Sprintf("%d of %d", o.lookups, demoActions))
 	row("actions answered", fmt.Sprintf("%d of %d", o.answered, o.actions))
 	row("actions run", o.executions)
@@ -170,8 +170,8 @@
 	return load.Quantile(o.report.TokenGaps, q).Round(time.Millisecond)
 }
 
-// extraPercent can be negative: the killed engine's share of the answers was
-// made, but can't be counted any more.
+// extraPercent is the work of all engines, the killed one's included, beyond the
+// answers.
 func (o outcome) extraPercent() float64 {
 	if o.report.Tokens == 0 {
 		return 0
