--- a/internal/config/object/diff.go
+++ b/internal/config/object/diff.go
@@ -42,9 +42,9 @@
 		if err != nil {
 			panic(err) // No field of an object can fail to encode.
 		}
-		objects[kind+"/"+name] = body
+		objects[strings.TrimSuffix(kind+"/"+name, "/")] = body
 	}
-	add("profile", "", set.Profile)
+	add("profile", "", set.Profile) // The two that have no name.
 	add("weightStore", "", set.WeightStore)
 	for _, model := range set.Models {
 		add("models", model.Name, model)
--- a/internal/config/object/object_test.go
+++ b/internal/config/object/object_test.go
@@ -68,12 +68,12 @@
 
 func TestDiffNamesObjects(t *testing.T) {
 	before := object.Set{Models: []object.Model{{Name: "a", Version: "v"}, {Name: "gone", Version: "v"}}}
-	after := object.Set{Models: []object.Model{{Name: "a", Version: "w"}, {Name: "new", Version: "v"}}}
+	after := object.Set{Profile: object.ProfileResourceUse, Models: []object.Model{{Name: "a", Version: "w"}, {Name: "new", Version: "v"}}}
 	paths := []string{}
 	for _, change := range object.Diff(before, after) {
 		paths = append(paths, change.Path)
 	}
-	qt.Assert(t, paths, qt.DeepEquals, []string{"models/a", "models/gone", "models/new"})
+	qt.Assert(t, paths, qt.DeepEquals, []string{"models/a", "models/gone", "models/new", "profile"})
 }
 
 func FuzzParse(f *testing.F) {
