--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 .PHONY: golden
 golden: ## Write the golden files anew. Read the difference before committing it.
-	$(GO) test ./... -run Golden -update
+	$(GO) test ./internal/config/object ./internal/node/settings ./internal/node/vm -run Golden -update
 
 .PHONY: fuzz
 fuzz: ## Fuzz each target for FUZZ_TIME.
--- a/internal/config/object/object_test.go
+++ b/internal/config/object/object_test.go
@@ -1,7 +1,6 @@
 package object_test
 
 import (
-	"flag"
 	"os"
 	"path/filepath"
 	"strings"
@@ -10,10 +9,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/lab/golden"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // TestCheckGolden checks broken configurations. Each input's faults stand in the
 // golden file beside it.
 func TestCheckGolden(t *testing.T) {
@@ -22,14 +20,7 @@
 	qt.Assert(t, len(inputs) > 0, qt.IsTrue)
 	for _, input := range inputs {
 		t.Run(filepath.Base(input), func(t *testing.T) {
-			golden := strings.TrimSuffix(input, ".json") + ".golden"
-			got := faultsOf(t, input)
-			if *update {
-				qt.Assert(t, os.WriteFile(golden, []byte(got), 0o644), qt.IsNil)
-			}
-			want, err := os.ReadFile(golden)
-			qt.Assert(t, err, qt.IsNil)
-			qt.Assert(t, got, qt.Equals, string(want))
+			golden.Compare(t, strings.TrimSuffix(input, ".json")+".golden", faultsOf(t, input))
 		})
 	}
 }
--- a/internal/node/settings/settings_test.go
+++ b/internal/node/settings/settings_test.go
@@ -1,18 +1,15 @@
 package settings_test
 
 import (
-	"flag"
-	"os"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivespoke/endivespoke/internal/lab/golden"
 	"github.com/endivespoke/endivespoke/internal/node/settings"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 // TestFaultsGolden sets everything wrong and wants every fault at once, each
 // with its flag, variable, value and what is allowed, and no secret.
 func TestFaultsGolden(t *testing.T) {
@@ -40,13 +37,6 @@
 		lines = append(lines, fault.String())
 	}
 	got := strings.Join(lines, "\n") + "\n"
-	const golden = "testdata/faults.golden"
-	if *update {
-		qt.Assert(t, os.MkdirAll("testdata", 0o755), qt.IsNil)
-		qt.Assert(t, os.WriteFile(golden, []byte(got), 0o644), qt.IsNil)
-	}
-	want, err := os.ReadFile(golden)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, got, qt.Equals, string(want))
+	golden.Compare(t, "testdata/faults.golden", got)
 	qt.Assert(t, strings.Contains(got, "c2hvcnQ"), qt.IsFalse)
 }
--- a/internal/node/vm/caller_test.go
+++ b/internal/node/vm/caller_test.go
@@ -6,7 +6,6 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -20,6 +19,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/caller/client"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
+	"github.com/endivespoke/endivespoke/internal/lab/golden"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
@@ -112,15 +112,7 @@
 		answer := r.send(inputs[name](r))
 		lines = append(lines, fmt.Sprintf("%s: %d %s", name, answer.status, answer.code()))
 	}
-	got := strings.Join(lines, "\n") + "\n"
-	const golden = "testdata/bad-input.golden"
-	if *update {
-		qt.Assert(t, os.MkdirAll("testdata", 0o755), qt.IsNil)
-		qt.Assert(t, os.WriteFile(golden, []byte(got), 0o644), qt.IsNil)
-	}
-	want, err := os.ReadFile(golden)
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, got, qt.Equals, string(want))
+	golden.Compare(t, "testdata/bad-input.golden", strings.Join(lines, "\n")+"\n")
 	qt.Assert(t, r.engine.Stats().Requests, qt.Equals, 0)
 	qt.Assert(t, r.service.AllExecutions(), qt.HasLen, 0)
 }
--- a/internal/node/vm/rig_test.go
+++ b/internal/node/vm/rig_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/x509"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"net/http"
@@ -27,8 +26,6 @@
 	"github.com/endivespoke/endivespoke/internal/request/action"
 )
 
-var update = flag.Bool("update", false, "write the golden files anew")
-
 const peerKey = "dGVzdC10ZXN0LXRlc3QtdGVzdC10ZXN0LXRlc3QtdGVzdA=="
 
 // rig is a small system inside the test's process: stand-ins and a few VMs.
