--- a/internal/backend/engine/order.go
+++ b/internal/backend/engine/order.go
@@ -33,6 +33,11 @@
 	FencingNumber uint64
 }
 
+// orderBody is what an order's request carries.
+type orderBody struct {
+	Model string `json:"model"`
+}
+
 // LoadedModel is a model that a server has ready, with what it runs of it.
 type LoadedModel struct {
 	ID      string `json:"id"`
@@ -65,7 +70,7 @@
 // Give sends one order and waits until it is carried out.
 func (c *Client) Give(ctx context.Context, address string, order Order) (err error) {
 	var body []byte
-	if body, err = json.Marshal(map[string]string{"model": order.Model}); err != nil {
+	if body, err = json.Marshal(orderBody{Model: order.Model}); err != nil {
 		return errors.Trace(err)
 	}
 	var call *http.Request
--- a/internal/lab/bench/bench.go
+++ b/internal/lab/bench/bench.go
@@ -113,18 +113,14 @@
 
 // loadOf gives the usual load of a system.
 func loadOf(system *demo.System, requests int, seed uint64) load.Options {
-	return load.Options{
-		Clients:     system.Accounts(4),
-		Model:       system.Set.Models[0].Name,
-		EngineModel: system.Set.Versions[0].EngineModel,
-		Requests:    requests,
-		Every:       20 * time.Millisecond,
-		PromptWords: 400,
-		MinTokens:   100,
-		MaxTokens:   300,
-		Seed:        seed,
-		KeyPrefix:   "bench",
-	}
+	options := system.Load(4)
+	options.Requests = requests
+	options.Every = 20 * time.Millisecond
+	options.PromptWords = 400
+	options.MinTokens, options.MaxTokens = 100, 300
+	options.Seed = seed
+	options.KeyPrefix = "bench"
+	return options
 }
 
 func millis(duration time.Duration) string {
--- a/internal/lab/demo/demo.go
+++ b/internal/lab/demo/demo.go
@@ -75,18 +75,14 @@
 		defer close(actionsDone)
 		result.lookups, result.actions, result.answered = s.callServices(ctx, accounts)
 	}()
-	result.report = load.Run(ctx, load.Options{
-		Clients:     accounts,
-		Model:       s.Set.Models[0].Name,
-		EngineModel: s.Set.Versions[0].EngineModel,
-		Requests:    demoRequests,
-		Every:       60 * time.Millisecond,
-		PromptWords: 400,
-		MinTokens:   80,
-		MaxTokens:   320,
-		Seed:        1,
-		KeyPrefix:   "job",
-	})
+	jobs := s.Load(len(accounts))
+	jobs.Requests = demoRequests
+	jobs.Every = 60 * time.Millisecond
+	jobs.PromptWords = 400
+	jobs.MinTokens, jobs.MaxTokens = 80, 320
+	jobs.Seed = 1
+	jobs.KeyPrefix = "job"
+	result.report = load.Run(ctx, jobs)
 	<-failures
 	<-actionsDone
 	result.made = s.EngineStats().Generated
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -355,6 +355,15 @@
 	return accounts
 }
 
+// Load gives the options of a load on this system, without its size.
+func (s *System) Load(accounts int) load.Options {
+	return load.Options{
+		Clients:     s.Accounts(accounts),
+		Model:       s.Set.Models[0].Name,
+		EngineModel: s.Set.Versions[0].EngineModel,
+	}
+}
+
 // Stop ends everything that was started.
 func (s *System) Stop() {
 	for _, vm := range s.VMs {
--- a/internal/lab/enginefake/enginefake.go
+++ b/internal/lab/enginefake/enginefake.go
@@ -24,7 +24,7 @@
 )
 
 // Options shapes one engine. PrefillPerToken is the time to read one token of
-// a prompt that is not in the prefix cache. RequestWords limits nothing when 0.
+// a prompt that is not in the prefix cache.
 type Options struct {
 	TokenGap        time.Duration
 	PrefillPerToken time.Duration
--- a/internal/node/control/configuration.go
+++ b/internal/node/control/configuration.go
@@ -27,16 +27,11 @@
 	self := s.membership.Self()
 	same := []wire.Member{}
 	for _, member := range s.membership.Members() {
-		if member.FailureDomain == self.FailureDomain && member.State == wire.MemberLive {
+		if member.FailureDomain == self.FailureDomain {
 			same = append(same, member)
 		}
 	}
-	for _, reader := range gossip.Rank("headReader", same)[:min(readersPerDomain, len(same))] {
-		if reader.ID == self.ID {
-			return true
-		}
-	}
-	return false
+	return gossip.IsAmong(self.ID, "headReader", same, readersPerDomain)
 }
 
 func (l *Loop) readHead(ctx context.Context, known uint64) {
@@ -53,7 +48,6 @@
 	}
 	l.do(ctx, func(s *state) {
 		s.readingHead = false
-		s.headRead = askedAt
 		s.inForce.Confirm(head.Revision, askedAt.Add(revision.FreshLimit))
 	})
 }
@@ -115,7 +109,7 @@
 
 // encodeContent prepares a configuration for peers, once for all that will ask.
 // It is compressed, since each change goes to every VM and configurations of
-// many similar objects shrink to a twentieth.
+// many similar objects shrink to a tenth.
 func encodeContent(head revision.Head, set *object.Set) (content wire.Content, err error) {
 	if content.Head, err = json.Marshal(head); err != nil {
 		return wire.Content{}, errors.Trace(err)
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -88,7 +88,6 @@
 	readingHead bool
 	readingList bool
 	fetching    bool
-	headRead    time.Time // When the head was last read by this VM.
 	leaving     bool
 	outdated    bool
 	down        map[string]bool
@@ -162,10 +161,12 @@
 		s.readingList = true
 		go l.readList(ctx)
 	}
-	if now.After(s.nextHead) && !s.readingHead && l.readsHead(s, now) {
-		s.nextHead = now.Add(headReadEvery)
-		s.readingHead = true
-		go l.readHead(ctx, s.inForce.Head.Revision)
+	if now.After(s.nextHead) && !s.readingHead {
+		s.nextHead = now.Add(headReadEvery) // Also when it is another's turn: whose it is need not be asked at each tick.
+		if l.readsHead(s, now) {
+			s.readingHead = true
+			go l.readHead(ctx, s.inForce.Head.Revision)
+		}
 	}
 	if now.After(s.nextBeat) {
 		s.nextBeat = now.Add(gossip.BeatEvery)
--- a/internal/node/vm/duties.go
+++ b/internal/node/vm/duties.go
@@ -86,24 +86,7 @@
 
 // watches reports whether this VM is one of the few that watch a server.
 func watches(snapshot *control.Snapshot, server string) bool {
-	return isAmong(snapshot, server, watchersPerServer)
-}
-
-// isAmong reports whether this VM is one of the first live ones in a key's rank.
-func isAmong(snapshot *control.Snapshot, key string, count int) bool {
-	live := []wire.Member{}
-	for _, member := range snapshot.Members {
-		if member.State == wire.MemberLive {
-			live = append(live, member)
-		}
-	}
-	ranked := gossip.Rank(key, live)
-	for _, member := range ranked[:min(count, len(ranked))] {
-		if member.ID == snapshot.Self.ID {
-			return true
-		}
-	}
-	return false
+	return gossip.IsAmong(snapshot.Self.ID, server, snapshot.Members, watchersPerServer)
 }
 
 // managedServers gives the servers that this VM gives orders to, with the names
@@ -115,7 +98,7 @@
 		return managed
 	}
 	for _, server := range snapshot.Set.BackendServers {
-		if !server.Managed || !isAmong(snapshot, "orders/"+server.Name, 1) {
+		if !server.Managed || !gossip.IsAmong(snapshot.Self.ID, "orders/"+server.Name, snapshot.Members, 1) {
 			continue
 		}
 		wanted := []string{}
--- a/internal/peer/gossip/rank.go
+++ b/internal/peer/gossip/rank.go
@@ -20,6 +20,23 @@
 	return ranked
 }
 
+// IsAmong reports whether a VM is one of the first live ones in a key's rank.
+func IsAmong(self, key string, members []wire.Member, count int) bool {
+	live := []wire.Member{}
+	for _, member := range members {
+		if member.State == wire.MemberLive {
+			live = append(live, member)
+		}
+	}
+	ranked := Rank(key, live)
+	for _, member := range ranked[:min(count, len(ranked))] {
+		if member.ID == self {
+			return true
+		}
+	}
+	return false
+}
+
 // Holders orders the VMs that may hold the copy of a request that self owns:
 // live ones in other failure domains first, then live ones in its own.
 func Holders(key string, self wire.Member, members []wire.Member) []wire.Member {
--- a/internal/request/owner/drive.go
+++ b/internal/request/owner/drive.go
@@ -157,7 +157,6 @@
 	outcomeEnded
 	outcomeBroken
 	outcomeSilent
-	outcomeStuck
 	outcomeStopped
 )
 
