--- /dev/null
+++ b/internal/backend/placement/placement.go
@@ -0,0 +1,149 @@
+// Package placement decides which backend server gets a piece of work. Its
+// functions have no state and do no I/O: all that they go by is in their
+// arguments, so that a load can be played against them in a test.
+//
+// # Usage
+//
+//	at, found := placement.Stream(candidates, placement.Need{PromptTokens: 5200, OutputTokens: 1200})
+//	backup, found := placement.Backup(candidates, candidates[at].FailureDomain, need)
+//	at, found = placement.Call(candidates, rand.Float64)
+//
+// Stream answers the load of long prompts beside running streams: a prompt that
+// is read delays every stream on its server, and is delayed by the prompts
+// before it. Call answers many short calls on a few servers, of which one may
+// fail or be slow while its health check passes.
+package placement
+
+// Candidate is what is known of one server. Counts include what peers told.
+type Candidate struct {
+	ID            string
+	FailureDomain string
+	Slots         int
+	// Avoided servers are taken only if no other can be.
+	Avoided bool
+	// PendingTokens are of prompts that were sent and have no first event yet.
+	PendingTokens int
+	// Running is the number of streams after their first event.
+	Running int
+	// MemoryTokens are of all streams and copies there; CacheTokens is the room.
+	MemoryTokens int
+	CacheTokens  int
+	// Calls is the number of short calls in flight from this VM.
+	Calls int
+	// FailureRate is the recent part of calls that failed, 0 to 1.
+	FailureRate float64
+	// LatencyMillis is the recent time of a call that succeeded.
+	LatencyMillis float64
+}
+
+// Need is what a stream takes.
+type Need struct {
+	PromptTokens int
+	OutputTokens int
+}
+
+// Tokens is the memory that the stream ends with.
+func (n Need) Tokens() int {
+	return n.PromptTokens + n.OutputTokens
+}
+
+const (
+	// runningWeight is the part of a prompt's reading time by which a stream that
+	// runs beside it is delayed, counted against the delay of the prompt itself. A
+	// stream has on average half of its output before it.
+	runningWeight = 0.5
+	// memoryPart of a server's room at most is given to streams and copies. The
+	// rest is for outputs that are longer than announced.
+	memoryPart = 0.9
+	// failureCost is what a failed call costs its caller, in ms of latency: the
+	// time until a second try has been answered.
+	failureCost = 400.0
+	// unknownLatency stands for servers that answered no call yet, in ms.
+	unknownLatency = 10.0
+)
+
+// Stream chooses the server on which a prompt is read with the least delay for
+// itself and for the streams beside it.
+func Stream(candidates []Candidate, need Need) (at int, found bool) {
+	return least(candidates, func(c Candidate) (cost float64, fits bool) {
+		return streamCost(c, need), hasMemory(c, need)
+	})
+}
+
+func streamCost(c Candidate, need Need) float64 {
+	return float64(c.PendingTokens) + runningWeight*float64(c.Running*need.PromptTokens)
+}
+
+// Backup chooses the server that holds the copy of a stream's memory. It is in
+// another failure domain than the stream if any such server has room.
+func Backup(candidates []Candidate, streamDomain string, need Need) (at int, found bool) {
+	return least(candidates, func(c Candidate) (cost float64, fits bool) {
+		if c.FailureDomain == streamDomain {
+			return 0, false
+		}
+		return float64(c.MemoryTokens) + streamCost(c, need), hasMemory(c, need)
+	})
+}
+
+func hasMemory(c Candidate, need Need) bool {
+	return float64(c.MemoryTokens+need.Tokens()) <= memoryPart*float64(c.CacheTokens)
+}
+
+// least finds the cheapest candidate that fits, one that is not avoided if
+// there is any. The first of equals is taken, so callers shuffle.
+func least(candidates []Candidate, price func(Candidate) (cost float64, fits bool)) (at int, found bool) {
+	best := 0.0
+	avoided := true
+	for i, c := range candidates {
+		cost, fits := price(c)
+		if !fits {
+			continue
+		}
+		better := !found || (avoided && !c.Avoided) || (avoided == c.Avoided && cost < best)
+		if !better {
+			continue
+		}
+		at, best, avoided, found = i, cost, c.Avoided, true
+	}
+	return at, found
+}
+
+// Call draws two servers and takes the one that is expected to answer sooner
+// (power of two choices, Mitzenmacher 2001). Draw gives numbers in [0, 1).
+func Call(candidates []Candidate, draw func() float64) (at int, found bool) {
+	usable := []int{}
+	for i, c := range candidates {
+		if !c.Avoided {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		for i := range candidates {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		return 0, false
+	}
+	first := int(draw() * float64(len(usable)))
+	if len(usable) == 1 {
+		return usable[first], true
+	}
+	second := int(draw() * float64(len(usable)-1))
+	if second >= first {
+		second++
+	}
+	if callCost(candidates[usable[second]]) < callCost(candidates[usable[first]]) {
+		first = second
+	}
+	return usable[first], true
+}
+
+func callCost(c Candidate) float64 {
+	latency := c.LatencyMillis
+	if latency == 0 {
+		latency = unknownLatency
+	}
+	queue := 1 + float64(c.Calls)/float64(max(c.Slots, 1))
+	return latency*queue + failureCost*c.FailureRate
+}
--- /dev/null
+++ b/internal/backend/pool/pool.go
@@ -0,0 +1,489 @@
+// Package pool holds what this VM knows of each backend server: what the
+// platform lists, the work this VM and its peers have there, and how the server
+// answered. It chooses servers by package placement.
+//
+// # Usage
+//
+//	servers := pool.New(pool.Options{Check: connections.Check, Now: time.Now, Draw: rand.Float64})
+//	servers.Update(listed)
+//	lease, err := servers.Call("booking", tried)       // errors.Is(err, pool.ErrNone)
+//	lease, backup, err := servers.Stream(ask)
+//	defer lease.Release()
+//
+// A server whose connection broke is checked by opening a new one. If that
+// fails, the server is down: every lease on it is told, and it is avoided until
+// a later check succeeds.
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+)
+
+// ErrNone means that no server may take the work.
+const ErrNone = errors.ConstError("no backend server may take the work")
+
+const (
+	// CheckLimit bounds a check. Servers are a few milliseconds away.
+	CheckLimit = 200 * time.Millisecond
+	// recheckEvery is the pause between checks of a server that is down.
+	recheckEvery = 400 * time.Millisecond
+	// callMemory is the weight of the newest call in a server's averages.
+	callMemory = 0.15
+	// failureHalfLife is how soon a server's failures count half, so that one that
+	// gets no calls is tried again.
+	failureHalfLife = 2 * time.Second
+	// peerLoadLife is how long what a peer told of its work counts.
+	peerLoadLife = 3 * time.Second
+)
+
+// Server is one backend server as the platform lists it.
+type Server struct {
+	ID            string
+	Address       string
+	Service       string
+	FailureDomain string
+	Slots         int
+	Leaving       bool
+}
+
+// Load is the work that one VM has on a server.
+type Load struct {
+	ServerID      string `cbor:"1,keyasint"`
+	PendingTokens int    `cbor:"2,keyasint,omitempty"`
+	Running       int    `cbor:"3,keyasint,omitempty"`
+	MemoryTokens  int    `cbor:"4,keyasint,omitempty"`
+}
+
+// Options shapes a Pool. Draw gives random numbers in [0, 1) and must be safe
+// for concurrent use. OnChange is told when a server went down or came back.
+type Options struct {
+	Now      func() time.Time
+	Draw     func() float64
+	Check    func(ctx context.Context, address string) error
+	OnChange func(server Server, down bool, reason string)
+}
+
+// Pool is safe for concurrent use.
+type Pool struct {
+	options Options
+
+	mu      sync.Mutex
+	servers map[string]*server
+	peers   map[string]peerLoads
+	rooms   map[string]int // Memory in tokens of a server, by service.
+}
+
+type peerLoads struct {
+	loads      map[string]Load
+	validUntil time.Time
+}
+
+type server struct {
+	Server
+	listed      bool
+	replaced    bool // Another instance has the address.
+	down        bool
+	checking    bool
+	recheckAt   time.Time
+	heardAt     time.Time
+	leases      map[*Lease]bool
+	copies      int // Tokens of copies that this VM placed there.
+	calls       int
+	failureRate float64
+	failureAt   time.Time
+	latency     float64
+}
+
+// Lease is work on a server. Down is closed when the server is found down.
+type Lease struct {
+	Server Server
+	Down   chan struct{}
+
+	pool    *Pool
+	server  *server
+	stream  bool
+	need    placement.Need
+	started bool // The first event has arrived.
+	backup  *server
+	told    bool // Down is closed.
+	ended   bool
+}
+
+func (l *Lease) tellDown() {
+	if !l.told {
+		l.told = true
+		close(l.Down)
+	}
+}
+
+// New makes an empty pool.
+func New(options Options) *Pool {
+	if options.OnChange == nil {
+		options.OnChange = func(Server, bool, string) {}
+	}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}}
+}
+
+// Update replaces the list of servers. What is known of those that stay is kept.
+func (p *Pool) Update(listed []Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		s.listed = false
+	}
+	for _, entry := range listed {
+		known := p.servers[entry.ID]
+		if known == nil || known.Address != entry.Address || known.Service != entry.Service {
+			known = &server{leases: map[*Lease]bool{}}
+			p.servers[entry.ID] = known
+		}
+		known.Server = entry
+		known.listed = true
+	}
+	for id, s := range p.servers {
+		if !s.listed && len(s.leases) == 0 {
+			delete(p.servers, id)
+		}
+	}
+}
+
+// SetRooms takes in the memory of each server of a service, in tokens.
+func (p *Pool) SetRooms(rooms map[string]int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rooms = rooms
+}
+
+// PeerLoads takes in what a peer has on the servers.
+func (p *Pool) PeerLoads(peer string, loads []Load) {
+	byServer := make(map[string]Load, len(loads))
+	for _, load := range loads {
+		byServer[load.ServerID] = load
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers[peer] = peerLoads{loads: byServer, validUntil: p.options.Now().Add(peerLoadLife)}
+}
+
+// Loads lists the stream work of this VM.
+func (p *Pool) Loads() []Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	loads := []Load{}
+	for id, s := range p.servers {
+		load := s.load()
+		if load != (Load{}) {
+			load.ServerID = id
+			loads = append(loads, load)
+		}
+	}
+	return loads
+}
+
+func (s *server) load() Load {
+	load := Load{MemoryTokens: s.copies}
+	for lease := range s.leases {
+		if !lease.stream {
+			continue
+		}
+		load.MemoryTokens += lease.need.Tokens()
+		if lease.started {
+			load.Running++
+		} else {
+			load.PendingTokens += lease.need.PromptTokens
+		}
+	}
+	return load
+}
+
+// candidate describes a server to package placement.
+func (p *Pool) candidate(s *server, now time.Time) placement.Candidate {
+	load := s.load()
+	for peer, told := range p.peers {
+		if now.After(told.validUntil) {
+			delete(p.peers, peer)
+			continue
+		}
+		theirs := told.loads[s.ID]
+		load.PendingTokens += theirs.PendingTokens
+		load.Running += theirs.Running
+		load.MemoryTokens += theirs.MemoryTokens
+	}
+	return placement.Candidate{
+		ID:            s.ID,
+		FailureDomain: s.FailureDomain,
+		Slots:         s.Slots,
+		Avoided:       s.down,
+		PendingTokens: load.PendingTokens,
+		Running:       load.Running,
+		MemoryTokens:  load.MemoryTokens,
+		CacheTokens:   p.rooms[s.Service],
+		Calls:         s.calls,
+		FailureRate:   s.decayedFailures(now),
+		LatencyMillis: s.latency,
+	}
+}
+
+// candidates lists the servers of a service that may take new work, in random
+// order, so that VMs with the same picture don't all take the first.
+func (p *Pool) candidates(service string, tried map[string]bool, now time.Time) ([]*server, []placement.Candidate) {
+	usable := []*server{}
+	for _, s := range p.servers {
+		if s.Service == service && s.takesWork() && !tried[s.ID] {
+			usable = append(usable, s)
+		}
+	}
+	for i := len(usable) - 1; i > 0; i-- {
+		j := int(p.options.Draw() * float64(i+1))
+		usable[i], usable[j] = usable[j], usable[i]
+	}
+	described := make([]placement.Candidate, len(usable))
+	for i, s := range usable {
+		described[i] = p.candidate(s, now)
+	}
+	return usable, described
+}
+
+func (s *server) takesWork() bool {
+	return s.listed && !s.Leaving && !s.replaced
+}
+
+// Call chooses a server for a short call, none of those tried.
+func (p *Pool) Call(service string, tried map[string]bool) (lease *Lease, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usable, described := p.candidates(service, tried, p.options.Now())
+	at, found := placement.Call(described, p.options.Draw)
+	if !found {
+		return nil, errors.Trace(ErrNone)
+	}
+	usable[at].calls++
+	return p.lease(usable[at], &Lease{}), nil
+}
+
+// Ask is a stream that wants a server. On names the server that must take it,
+// because it holds a copy of the stream's memory.
+type Ask struct {
+	Service string
+	Need    placement.Need
+	Tried   map[string]bool
+	On      string
+}
+
+// Stream chooses a server for a stream, and one in another failure domain for
+// the copy of its memory; backup is nil if there is none with room.
+func (p *Pool) Stream(ask Ask) (lease *Lease, backup *Server, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	chosen := p.holder(ask)
+	if chosen == nil {
+		usable, described := p.candidates(ask.Service, ask.Tried, now)
+		at, found := placement.Stream(described, ask.Need)
+		if !found {
+			return nil, nil, errors.Trace(ErrNone)
+		}
+		chosen = usable[at]
+	}
+	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != ""})
+	usable, described := p.candidates(ask.Service, map[string]bool{chosen.ID: true}, now)
+	if at, found := placement.Backup(described, chosen.FailureDomain, ask.Need); found && !described[at].Avoided {
+		lease.backup = usable[at]
+		lease.backup.copies += ask.Need.Tokens()
+		copied := usable[at].Server
+		backup = &copied
+	}
+	return lease, backup, nil
+}
+
+// holder gives the server that the ask names, if it is there and not down. A
+// leaving server may go on with what it holds.
+func (p *Pool) holder(ask Ask) *server {
+	s := p.servers[ask.On]
+	if s == nil || s.down || s.replaced || !s.listed || s.Leaving {
+		return nil
+	}
+	return s
+}
+
+func (p *Pool) lease(s *server, lease *Lease) *Lease {
+	lease.Server = s.Server
+	lease.Down = make(chan struct{})
+	lease.pool = p
+	lease.server = s
+	s.leases[lease] = true
+	return lease
+}
+
+// Started tells that the first event of the stream arrived.
+func (l *Lease) Started() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.started = true
+}
+
+// Heard tells that the server sent something.
+func (l *Lease) Heard() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.server.heardAt = l.pool.options.Now()
+}
+
+// Release gives the room back. Calling it again does nothing.
+func (l *Lease) Release() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	delete(l.server.leases, l)
+	if !l.stream {
+		l.server.calls--
+	}
+	if l.backup != nil {
+		l.backup.copies -= l.need.Tokens()
+	}
+}
+
+// Answered notes how a short call went.
+func (l *Lease) Answered(took time.Duration, failed bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	s := l.server
+	now := l.pool.options.Now()
+	s.heardAt = now
+	s.note(now, failed)
+	if failed {
+		return
+	}
+	millis := float64(took) / float64(time.Millisecond)
+	if s.latency == 0 {
+		s.latency = millis
+	}
+	s.latency += callMemory * (millis - s.latency)
+}
+
+func (s *server) note(now time.Time, failed bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	rate := s.decayedFailures(now)
+	s.failureRate = rate + callMemory*(value-rate)
+	s.failureAt = now
+}
+
+func (s *server) decayedFailures(now time.Time) float64 {
+	halves := float64(now.Sub(s.failureAt)) / float64(failureHalfLife)
+	return s.failureRate / (1 + halves)
+}
+
+// Replaced tells that another instance has the server's address.
+func (l *Lease) Replaced() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.server.replaced = true
+}
+
+// Broke tells that a connection to the server broke, or that nothing arrives on
+// it. The server is checked, unless a check already runs.
+func (l *Lease) Broke() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.server.note(l.pool.options.Now(), true)
+	l.pool.startCheck(l.server)
+}
+
+// Verify opens a connection to learn at once whether the server is up.
+func (l *Lease) Verify(ctx context.Context) (up bool) {
+	ctx, cancel := context.WithTimeout(ctx, CheckLimit)
+	defer cancel()
+	err := l.pool.options.Check(ctx, l.Server.Address)
+	l.pool.checked(l.server, err)
+	return err == nil
+}
+
+// VerifyIfQuiet checks the server if nothing was heard of it since a moment.
+func (l *Lease) VerifyIfQuiet(since time.Time) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.server.heardAt.Before(since) {
+		l.pool.startCheck(l.server)
+	}
+}
+
+// startCheck opens a connection to learn whether the server is up. Called with
+// the lock held.
+func (p *Pool) startCheck(s *server) {
+	if s.checking {
+		return
+	}
+	s.checking = true
+	address := s.Address
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), CheckLimit)
+		defer cancel()
+		p.checked(s, p.options.Check(ctx, address))
+	}()
+}
+
+func (p *Pool) checked(s *server, failure error) {
+	p.mu.Lock()
+	now := p.options.Now()
+	s.checking = false
+	s.recheckAt = now.Add(recheckEvery)
+	changed := s.down != (failure != nil)
+	s.down = failure != nil
+	if failure == nil {
+		s.heardAt = now
+	}
+	if changed && s.down {
+		for lease := range s.leases {
+			lease.tellDown()
+		}
+	}
+	p.mu.Unlock()
+	if changed {
+		reason := "accepts connections"
+		if failure != nil {
+			reason = failure.Error()
+		}
+		p.options.OnChange(s.Server, failure != nil, reason)
+	}
+}
+
+// Recheck checks the servers that are down and still listed. Call it often.
+func (p *Pool) Recheck(context.Context) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	for _, s := range p.servers {
+		if s.down && s.takesWork() && now.After(s.recheckAt) {
+			p.startCheck(s)
+		}
+	}
+}
+
+// Room tells how many servers of a service may take work, and how many of them
+// are not down.
+func (p *Pool) Room(service string) (listed, up int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.servers {
+		if s.Service != service || !s.takesWork() {
+			continue
+		}
+		listed++
+		if !s.down {
+			up++
+		}
+	}
+	return listed, up
+}
--- /dev/null
+++ b/internal/node/entry/counters.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+// counters are the VM's own metrics.
+type counters struct {
+	set         *metrics.Set
+	connections *metrics.Counter
+}
+
+func newCounters() *counters {
+	set := metrics.NewSet()
+	return &counters{set: set, connections: set.NewCounter("endivespoke_server_connections_opened_total")}
+}
+
+func (c *counters) ended(request *relay.Request, outcome string, took time.Duration) {
+	kind := "none"
+	if request != nil {
+		kind = request.Route.Kind.String()
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_requests_total{kind=%q,outcome=%q}`, kind, outcome)).Inc()
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
+}
+
+func (c *counters) firstByte(kind routing.Kind, took time.Duration) {
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_first_byte_seconds{kind=%q}`, kind.String())).Update(took.Seconds())
+}
+
+// WriteMetrics writes all metrics as text.
+func (v *VM) WriteMetrics(w io.Writer) {
+	snapshot := v.spread.Snapshot()
+	now := v.Now()
+	gauges := metrics.NewSet()
+	gauge := func(name string, value float64) {
+		gauges.NewGauge(name, func() float64 { return value })
+	}
+	gauge("endivespoke_configuration_age_seconds", now.Sub(snapshot.ConfigurationAt).Seconds())
+	gauge("endivespoke_servers_age_seconds", now.Sub(snapshot.ServersAt).Seconds())
+	gauge("endivespoke_servers_listed", float64(len(snapshot.Servers)))
+	gauge("endivespoke_vms_live", float64(len(snapshot.Live)))
+	gauge("endivespoke_peer_sent_bytes", float64(v.peers.SentBytes()))
+	if snapshot.Configuration != nil {
+		gauge("endivespoke_configuration_version", float64(snapshot.Configuration.Version))
+	}
+	gauges.WritePrometheus(w)
+	v.counters.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/node/entry/entry.go
@@ -0,0 +1,300 @@
+// Package entry is one VM of the system on a platform that holds the
+// configuration: it joins the peers, watches the store, accepts callers'
+// requests and relays them.
+//
+// # Usage
+//
+//	vm := entry.New(entry.Options{Settings: settings, Logger: logger, Configuration: table, ...})
+//	err := vm.Serve(ctx, listeners...)          // until the context ends, then gracefully
+//	err = vm.Handle(ctx, incoming, sink)        // one request, from any listener
+//	addresses := vm.Locate(failureDomain)       // where callers may connect
+package entry
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+	"github.com/thejerf/suture/v4"
+
+	"github.com/endivespoke/endivespoke/internal/backend/http1"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/periodic"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/peer/wire"
+	"github.com/endivespoke/endivespoke/internal/request/accept"
+	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/copies"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+// Options is what a platform's adapter gives a VM.
+type Options struct {
+	Settings Settings
+	Logger   hclog.Logger
+	// The tables of the store, and the row of the configuration.
+	Configuration    Table
+	ConfigurationKey string
+	Servers          Table
+	VMs              Table
+	// How the platform's rows and messages are read and written.
+	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
+	DecodeServer        func(id string, raw []byte) (pool.Server, bool)
+	Encode              func(relay.Dispatch) *http.Request
+	Decode              func(*http.Response) relay.Verdict
+	IDHeader            string
+}
+
+// VM is safe for concurrent use.
+type VM struct {
+	options       Options
+	settings      Settings
+	logger        hclog.Logger
+	spread        *spread.Spread
+	peers         *wire.Pool
+	servers       *pool.Pool
+	connections   *http1.Pool
+	relay         *relay.Relay
+	copies        *copies.Copies
+	crashes       *crash.Counts
+	counters      *counters
+	storeFailedAt atomic.Int64 // In Unix nanoseconds, of now.
+	started       time.Time
+
+	mu        sync.Mutex
+	budgets   map[string]*budget.Budget
+	leavingAt time.Time // Zero until SIGTERM.
+	active    int
+}
+
+// New makes a VM. It does nothing until it is served.
+func New(options Options) *VM {
+	v := &VM{
+		options:  options,
+		settings: options.Settings,
+		logger:   options.Logger,
+		budgets:  map[string]*budget.Budget{},
+		counters: newCounters(),
+		started:  time.Now(),
+	}
+	v.connections = http1.New(http1.Options{OnOpen: func(string) { v.counters.connections.Inc() }})
+	v.servers = pool.New(pool.Options{
+		Now:      v.Now,
+		Draw:     rand.Float64,
+		Check:    v.connections.Check,
+		OnChange: v.serverChanged,
+	})
+	v.peers = wire.NewPool(wire.PoolOptions{
+		Self:   options.Settings.Name,
+		OnAcks: func(string, []wire.Ack) {},
+		OnDown: func(string) {},
+	})
+	v.copies = copies.New(copies.Options{Now: v.Now})
+	v.crashes = crash.New(crash.Options{Now: v.Now, Tell: v.tellCrash})
+	v.spread = spread.New(v.spreadOptions())
+	v.relay = relay.New(relay.Options{
+		Servers:     v.servers,
+		Connections: v.connections,
+		Logger:      v.logger,
+		Now:         v.Now,
+		Encode:      options.Encode,
+		Decode:      options.Decode,
+		IDHeader:    options.IDHeader,
+		Spend:       v.spend,
+		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
+		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
+		LoadChanged: v.spread.LoadsChanged,
+	})
+	return v
+}
+
+// Now is a time of the steady clock: the time of day at the start plus what has
+// passed since, so that steps of the time of day don't show.
+func (v *VM) Now() time.Time {
+	return v.started.Add(time.Since(v.started))
+}
+
+func (v *VM) spreadOptions() spread.Options {
+	s := v.settings
+	return spread.Options{
+		Self: spread.Member{
+			ID:            s.Name + "." + cryptorand.Text()[:8],
+			CallerAddress: s.CallerAddress,
+			PeerAddress:   s.PeerAddress,
+			FailureDomain: s.FailureDomain,
+			Beat:          1,
+		},
+		Seeds:               s.Seeds,
+		Now:                 v.Now,
+		Logger:              v.logger,
+		Call:                v.callPeer,
+		Drop:                v.peers.Drop,
+		DecodeConfiguration: v.options.DecodeConfiguration,
+		OnConfiguration:     v.configurationChanged,
+		OnServers:           v.servers.Update,
+		Loads:               v.servers.Loads,
+		OnLoads:             v.servers.PeerLoads,
+		OnCopies:            v.heardCopies,
+		OnCrashes:           v.heardCrashes,
+	}
+}
+
+func (v *VM) callPeer(ctx context.Context, peer, address string, body []byte) ([]byte, error) {
+	reply, err := v.peers.Call(ctx, peer, address, wire.Frame{Sync: body})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return reply.Sync, nil
+}
+
+// PeerHandler answers other VMs.
+func (v *VM) PeerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(wire.Path, &wire.Server{OnSync: v.spread.OnMessage})
+	return mux
+}
+
+func (v *VM) configurationChanged(configuration *routing.Configuration) {
+	rooms := map[string]int{}
+	for _, service := range configuration.Services {
+		rooms[service.Name] = service.CacheTokens
+	}
+	v.servers.SetRooms(rooms)
+}
+
+func (v *VM) serverChanged(server pool.Server, down bool, reason string) {
+	if down {
+		v.connections.Forget(server.Address)
+		event.ServerDown.Warn(v.logger, "server", server.ID, "address", server.Address, "failureDomain", server.FailureDomain, "reason", reason)
+		return
+	}
+	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
+}
+
+func (v *VM) putCopy(promptKey string, copied relay.Copy) {
+	v.copies.Put(promptKey, copied)
+	v.spread.TellCopy(spread.CopyNote{PromptKey: promptKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address})
+}
+
+func (v *VM) heardCopies(notes []spread.CopyNote) {
+	for _, note := range notes {
+		v.copies.Put(note.PromptKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
+	}
+}
+
+func (v *VM) tellCrash(content string, count int) {
+	v.spread.TellCrash(spread.CrashNote{Content: content, Count: count})
+}
+
+func (v *VM) heardCrashes(notes []spread.CrashNote) {
+	for _, note := range notes {
+		v.crashes.Heard(note.Content, note.Count)
+	}
+}
+
+// budgetOf gives this VM's share of a service's budget for repeats. Callers
+// spread evenly over VMs, so each may use an equal part of the allowance.
+func (v *VM) budgetOf(service string) *budget.Budget {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	known := v.budgets[service]
+	if known == nil {
+		vms := float64(max(len(v.spread.Snapshot().Live), 1))
+		known = budget.New(budget.Options{Part: budgetCaution * v.settings.RepeatPart, Reserve: budgetCaution * v.settings.RepeatAllowance / vms})
+		v.budgets[service] = known
+	}
+	return known
+}
+
+// budgetCaution is the part of the shared budget that VMs use by themselves. The
+// rest allows for callers that are spread unevenly, and for windows that slide.
+const budgetCaution = 0.8
+
+func (v *VM) spend(service string) bool {
+	return v.budgetOf(service).Spend()
+}
+
+// Locate lists the callers' addresses of the VMs that take requests.
+func (v *VM) Locate() []string {
+	snapshot := v.spread.Snapshot()
+	addresses := []string{}
+	for _, member := range snapshot.Live {
+		if member.Ready && !member.Leaving && len(addresses) < maxLocated {
+			addresses = append(addresses, member.CallerAddress)
+		}
+	}
+	return addresses
+}
+
+// maxLocated is the most addresses that callers take from one answer.
+const maxLocated = 64
+
+// LocateLife is how long a locate answer may be kept. It is short, so that a VM
+// that leaves gets no new connections soon; some callers keep it three times as long.
+func (v *VM) LocateLife() time.Duration {
+	return min(time.Second, v.settings.MaxLocateLife)
+}
+
+// Ready reports whether this VM takes requests.
+func (v *VM) Ready() bool {
+	snapshot := v.spread.Snapshot()
+	return snapshot.Configuration != nil && snapshot.ServersKnown && !v.IsLeaving()
+}
+
+// IsLeaving reports whether SIGTERM came.
+func (v *VM) IsLeaving() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !v.leavingAt.IsZero()
+}
+
+// picture is the configuration that requests are accepted under.
+func (v *VM) picture() accept.Picture {
+	snapshot := v.spread.Snapshot()
+	return accept.Picture{
+		Configuration: snapshot.Configuration,
+		CurrentAt:     snapshot.ConfigurationAt,
+		StaleAfter:    v.settings.ConfigBound,
+	}
+}
+
+func (v *VM) supervisor() *suture.Supervisor {
+	supervisor := suture.New("vm", suture.Spec{EventHook: func(e suture.Event) {
+		event.ServiceRestarted.Warn(v.logger, "detail", e.String())
+	}})
+	list := &serverList{vm: v, rows: map[string]spread.ServerRow{}, missing: map[string]time.Time{}}
+	supervisor.Add(v.spread)
+	supervisor.Add(&watcher{
+		name: "configuration", vm: v, table: v.options.Configuration, learn: v.learnConfiguration,
+		age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt },
+	})
+	supervisor.Add(&watcher{
+		name: "servers", vm: v, table: v.options.Servers, learn: list.learn, pause: serversPause,
+		age: func(s *spread.Snapshot) time.Time { return s.ServersAt },
+	})
+	supervisor.Add(&discovery{vm: v})
+	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
+	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
+	supervisor.Add(periodic.New("readiness", readinessEvery, func(ctx context.Context) {
+		v.spread.SetReady(ctx, v.Ready(), v.IsLeaving())
+	}))
+	return supervisor
+}
+
+const (
+	// checksEvery is how often servers that are down are looked at.
+	checksEvery = 100 * time.Millisecond
+	// idleEvery is how often idle connections are looked at.
+	idleEvery = 500 * time.Millisecond
+	// readinessEvery is how often others are told whether this VM is ready.
+	readinessEvery = 50 * time.Millisecond
+)
--- /dev/null
+++ b/internal/node/entry/handle.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/trace"
+	"github.com/endivespoke/endivespoke/internal/request/accept"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+// leavingStreams is the part of the grace in which a VM that leaves still takes
+// new streams. Later ones could not end in time, and are better off elsewhere.
+const leavingStreams = 0.125
+
+// Handle accepts and relays one request. The error is what the caller has to be
+// told; nil means that the sink got the whole answer.
+func (v *VM) Handle(ctx context.Context, incoming accept.Incoming, sink relay.Sink) (err error) {
+	ctx, span := trace.Span(ctx, "caller")
+	defer span.End()
+	now := v.Now()
+	request, err := accept.Accept(v.picture(), incoming, now, rand.Float64())
+	if err == nil {
+		err = v.admit(request, now)
+	}
+	if err != nil {
+		v.logEnd(incoming.ID, request, incoming.Received, err, 0)
+		return err
+	}
+	defer v.left()
+	v.budgetOf(request.Service).Earn()
+	status := 0
+	counted := relay.Sink{
+		Begin: func(code int, header http.Header) {
+			status = code
+			v.counters.firstByte(request.Route.Kind, v.Now().Sub(request.Received))
+			sink.Begin(code, header)
+		},
+		Event: sink.Event,
+	}
+	if request.Route.Kind == routing.KindStreaming {
+		err = v.relay.Stream(ctx, request, counted)
+	} else {
+		err = v.call(ctx, request, counted)
+	}
+	v.logEnd(incoming.ID, request, incoming.Received, err, status)
+	return err
+}
+
+func (v *VM) call(ctx context.Context, request *relay.Request, sink relay.Sink) error {
+	answer, err := v.relay.Call(ctx, request)
+	if err != nil {
+		return err
+	}
+	sink.Begin(answer.Status, answer.Header)
+	if err = sink.Event(answer.Body); err != nil {
+		return &relay.Cut{Reason: "caller is gone: " + err.Error()}
+	}
+	return nil
+}
+
+// admit counts the request, or refuses it if this VM is leaving.
+func (v *VM) admit(request *relay.Request, now time.Time) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.leavingAt.IsZero() {
+		limit := v.takeUntil()
+		if request.Route.Kind == routing.KindStreaming {
+			limit = v.leavingAt.Add(time.Duration(leavingStreams * float64(v.settings.Grace)))
+		}
+		if now.After(limit) {
+			return &relay.NotRun{Reason: "this VM is leaving", RetryAt: now}
+		}
+	}
+	v.active++
+	return nil
+}
+
+func (v *VM) left() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.active--
+}
+
+// logEnd writes the one line that each request has in the end.
+func (v *VM) logEnd(id string, request *relay.Request, received time.Time, err error, status int) {
+	took := v.Now().Sub(received)
+	outcome := outcomeOf(err)
+	v.counters.ended(request, outcome, took)
+	pairs := []any{"request", id, "outcome", outcome, "millis", took.Milliseconds(), "status", status}
+	if request != nil {
+		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service)
+	}
+	if err != nil {
+		snapshot := v.spread.Snapshot()
+		pairs = append(pairs, "reason", err, "serversVersion", snapshot.ServersVersion,
+			"serversAgeMillis", v.Now().Sub(snapshot.ServersAt).Milliseconds())
+	}
+	event.RequestEnded.Info(v.logger, pairs...)
+}
+
+// outcomeOf names an outcome in logs and counters.
+func outcomeOf(err error) string {
+	switch err := err.(type) {
+	case nil:
+		return "answered"
+	case *relay.NotRun:
+		return "notRun"
+	case *relay.Unknown:
+		return "unknown"
+	case *relay.TimedOut:
+		return "timedOut"
+	case *relay.Cut:
+		return "cut"
+	default:
+		if errors.Is(err, accept.ErrNoRoute) || errors.Is(err, accept.ErrNoKey) {
+			return "denied"
+		}
+		return fmt.Sprintf("%T", err)
+	}
+}
--- /dev/null
+++ b/internal/node/entry/serve.go
@@ -0,0 +1,80 @@
+package entry
+
+import (
+	"context"
+	"runtime/debug"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/node/event"
+)
+
+const (
+	// memoryPart of the VM's memory is the limit from which the collector works harder.
+	memoryPart = 0.6
+	// leavingTakes is the part of the grace in which a VM that leaves still takes
+	// plain requests, for callers with an old locate answer.
+	leavingTakes = 0.8
+	// leavingLeast is the least time that a VM stays after SIGTERM, in lives of a
+	// locate answer. Some callers keep one three times as long.
+	leavingLeast = 3.2
+	// leavingMost is the part of the grace after which what still runs is cut.
+	leavingMost = 0.95
+	// leavingPoll is how often it is looked whether all is done.
+	leavingPoll = 20 * time.Millisecond
+)
+
+// Serve runs the VM until the context ends, and then until what runs has ended
+// or the grace is nearly over. The listeners are served by the caller, who
+// closes them after Serve returned.
+func (v *VM) Serve(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryPart * float64(v.settings.MemoryBytes)))
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ended := v.supervisor().ServeBackground(running)
+	event.VMStarted.Info(v.logger, "vm", v.settings.Name, "caller", v.settings.CallerAddress, "peer", v.settings.PeerAddress, "failureDomain", v.settings.FailureDomain)
+	select {
+	case <-ctx.Done():
+		v.leave(running)
+	case err := <-ended:
+		return errors.Trace(err)
+	}
+	cancel()
+	<-ended
+	v.peers.Close()
+	event.VMStopped.Info(v.logger, "vm", v.settings.Name, "stillRunning", v.running())
+	return nil
+}
+
+// leave tells the others and waits for what runs.
+func (v *VM) leave(ctx context.Context) {
+	v.mu.Lock()
+	v.leavingAt = v.Now()
+	began := v.leavingAt
+	v.mu.Unlock()
+	event.VMStopping.Info(v.logger, "vm", v.settings.Name, "running", v.running())
+	v.spread.SetReady(ctx, false, true)
+	if err := v.options.VMs.Remove(ctx, v.settings.PeerAddress); err != nil {
+		v.logger.Debug("this VM's row could not be removed", "error", err)
+	}
+	least := began.Add(time.Duration(leavingLeast * float64(v.LocateLife())))
+	most := began.Add(time.Duration(leavingMost * float64(v.settings.Grace)))
+	for v.Now().Before(most) {
+		if v.Now().After(least) && v.running() == 0 {
+			return
+		}
+		pause(ctx, leavingPoll)
+	}
+}
+
+func (v *VM) running() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.active
+}
+
+// takeUntil is until when a VM that leaves takes plain requests.
+func (v *VM) takeUntil() time.Time {
+	return v.leavingAt.Add(time.Duration(leavingTakes * float64(v.settings.Grace)))
+}
--- /dev/null
+++ b/internal/node/entry/settings.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// Settings is what a VM is told at its start. Addresses are IP:PORT. Durations
+// are the platform's bounds.
+type Settings struct {
+	Name           string
+	FailureDomain  string
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	LocateAddress  string
+	MetricsAddress string // Empty: no metrics are served.
+	Seeds          []string
+	StoreAddress   string
+	MemoryBytes    int64
+	// Grace is from SIGTERM until the process is killed.
+	Grace time.Duration
+	// MaxLocateLife is the longest life of a locate answer that callers heed.
+	MaxLocateLife time.Duration
+	// ConfigBound is how soon a version has to be in force everywhere.
+	ConfigBound time.Duration
+	// In any RepeatWindow, a service may get RepeatPart of its requests again, and
+	// RepeatAllowance beside, from all VMs together.
+	RepeatPart      float64
+	RepeatAllowance float64
+	RepeatWindow    time.Duration
+}
+
+// ErrHistoryGone means that the store no longer knows what changed since the
+// version that a watch asked for.
+const ErrHistoryGone = errors.ConstError("the store has dropped its history")
+
+// Row is one row of a table. Version is the store's at the row's last change.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version uint64
+	Gone    bool
+}
+
+// Rows are rows of a table, and the store's version they are as of.
+type Rows struct {
+	Rows    []Row
+	Version uint64
+}
+
+// Table is one table of the store. Read gives all rows; Watch waits for changes
+// since a version and gives those, or ErrHistoryGone. Both may fail at any time.
+type Table struct {
+	Read   func(ctx context.Context) (Rows, error)
+	Watch  func(ctx context.Context, since uint64, wait time.Duration) (Rows, error)
+	Put    func(ctx context.Context, key string, value []byte) error
+	Remove func(ctx context.Context, key string) error
+}
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -19,7 +19,8 @@
 }
 
 // The events. Hundreds group them: 1 process, 2 configuration, 3 membership,
-// 4 generations, 5 actions, 6 backend servers.
+// 4 generations, 5 actions, 6 backend servers, 7 relayed requests, 8 the
+// platform.
 var (
 	VMStarted            = define(101, "VM is serving")
 	VMStopping           = define(102, "VM is leaving: it finishes what it runs")
@@ -47,6 +48,18 @@
 	ServerReturned       = define(602, "a backend server gets work again")
 	OrderGiven           = define(603, "an order was carried out by a backend server")
 	OrderFailed          = define(604, "a backend server could not be brought to its published state yet")
+	ServersChanged       = define(605, "the list of backend servers changed")
+	ServerDown           = define(606, "a backend server accepts no connections")
+	ServerUp             = define(607, "a backend server accepts connections again")
+	RequestEnded         = define(701, "a request ended")
+	RunEnded             = define(702, "a stream's run at a backend server ended early")
+	StreamResumed        = define(703, "a stream goes on at another backend server")
+	SecondServerAsked    = define(704, "a second backend server was asked")
+	StoreLost            = define(801, "the platform's store does not answer")
+	StoreRegained        = define(802, "the platform's store answers again")
+	SettingsReloaded     = define(803, "settings were read again")
+	SettingsRefused      = define(804, "new settings are wrong: the old ones stay in force")
+	LogDropped           = define(805, "log lines were dropped")
 )
 
 var all []Event
--- /dev/null
+++ b/internal/operator/terminal/platform.go
@@ -0,0 +1,59 @@
+package terminal
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/endivespoke/endivespoke/platform"
+)
+
+type entryCommand struct {
+	SettingsFile string `help:"Settings file; the one that the platform names if empty." env:"ENDIVESPOKE_SETTINGS_FILE"`
+	LogLevel     string `help:"One of trace, debug, info, warn, error." env:"ENDIVESPOKE_LOG_LEVEL" default:"info" enum:"trace,debug,info,warn,error"`
+}
+
+// Run serves until SIGTERM or SIGINT.
+func (c *entryCommand) Run(t *terminal) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	options := platform.Options{Path: c.SettingsFile, Level: c.LogLevel, Output: t.out}
+	if options.Path == "" {
+		options.Path = platform.SettingsPath()
+	}
+	faults, err := platform.Check(options.Path)
+	if err != nil || len(faults) > 0 {
+		return reportSettings(t, faults, err)
+	}
+	return platform.Serve(ctx, options)
+}
+
+type settingsCommand struct {
+	Check settingsCheckCommand `cmd:"" help:"Check a settings file and list every fault."`
+}
+
+type settingsCheckCommand struct {
+	File string `arg:"" help:"Settings file, JSON."`
+}
+
+// Run checks the file.
+func (c *settingsCheckCommand) Run(t *terminal) error {
+	faults, err := platform.Check(c.File)
+	if err != nil || len(faults) > 0 {
+		return reportSettings(t, faults, err)
+	}
+	_, err = fmt.Fprintln(t.out, c.File, "is right")
+	return err
+}
+
+func reportSettings(t *terminal, faults []string, err error) error {
+	if err != nil {
+		return exit(exitUsage, "%v", err)
+	}
+	for _, fault := range faults {
+		fmt.Fprintln(t.err, fault)
+	}
+	return exit(exitUsage, "%d settings are wrong", len(faults))
+}
--- a/internal/operator/terminal/terminal.go
+++ b/internal/operator/terminal/terminal.go
@@ -56,6 +56,8 @@
 // commands is the whole command line.
 type commands struct {
 	Serve    serveCommand    `cmd:"" help:"Run one entry VM. Stops gracefully on SIGTERM."`
+	Entry    entryCommand    `cmd:"" help:"Run one entry VM on the users' platform. Stops gracefully on SIGTERM."`
+	Settings settingsCommand `cmd:"" help:"Check a settings file of the platform."`
 	Config   configCommand   `cmd:"" help:"Check, publish and look at configurations."`
 	Status   statusCommand   `cmd:"" help:"Show one VM's picture of the system."`
 	Locate   locateCommand   `cmd:"" help:"Ask which VMs to use."`
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -35,6 +35,7 @@
 	Beat       *Beat           `cbor:"7,keyasint,omitempty"`
 	Content    *ContentRequest `cbor:"8,keyasint,omitempty"`
 	ContentIs  *Content        `cbor:"9,keyasint,omitempty"`
+	Sync       []byte          `cbor:"10,keyasint,omitempty"` // Of package spread.
 }
 
 // Entry changes one copy at its holder. Open replaces the copy whole; Fresh
--- a/internal/peer/wire/pool.go
+++ b/internal/peer/wire/pool.go
@@ -87,6 +87,17 @@
 	return l.call(ctx, frame)
 }
 
+// Drop ends the connection to a peer, for one that leaves calls unanswered: the
+// connection may have gone silent while a new one works.
+func (p *Pool) Drop(peer string) {
+	p.mu.Lock()
+	l := p.links[peer]
+	p.mu.Unlock()
+	if l != nil {
+		l.fail()
+	}
+}
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/peer/wire/server.go
+++ b/internal/peer/wire/server.go
@@ -25,6 +25,7 @@
 	OnHandover func(peer string, request Handover) HandedOver
 	OnBeat     func(beat Beat) Beat
 	OnContent  func(request ContentRequest) Content
+	OnSync     func(body []byte) []byte
 }
 
 // ServeHTTP accepts one peer connection and serves it until it ends.
@@ -81,6 +82,9 @@
 		content := s.OnContent(*request.Content)
 		reply.ContentIs = &content
 	}
+	if len(request.Sync) > 0 {
+		reply.Sync = s.OnSync(request.Sync)
+	}
 	return reply, request.Call != 0 || len(reply.Acks) > 0
 }
 
--- /dev/null
+++ b/internal/request/copies/copies.go
@@ -0,0 +1,79 @@
+// Package copies remembers which server holds the copy of a stream's memory, so
+// that the stream of a VM that was lost can go on at another VM without reading
+// its prompt again.
+//
+// # Usage
+//
+//	known := copies.New(copies.Options{Now: time.Now})
+//	known.Put(promptKey, relay.Copy{RunID: id, ServerID: server, Address: address})
+//	copied, found := known.Find(promptKey)
+package copies
+
+import (
+	"sync"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+const (
+	// kept is how long a copy is remembered: longer than any stream may last.
+	kept = 30 * time.Second
+	// maxCopies bounds them.
+	maxCopies = 20_000
+)
+
+// Options shapes a Copies.
+type Options struct {
+	Now func() time.Time
+}
+
+// Copies is safe for concurrent use.
+type Copies struct {
+	options Options
+
+	mu     sync.Mutex
+	byKey  map[string]entry
+	sweeps time.Time
+}
+
+type entry struct {
+	relay.Copy
+	until time.Time
+}
+
+// New makes an empty Copies.
+func New(options Options) *Copies {
+	return &Copies{options: options, byKey: map[string]entry{}}
+}
+
+// Put remembers the newest copy for a prompt.
+func (c *Copies) Put(promptKey string, copied relay.Copy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Now()
+	if now.After(c.sweeps) || len(c.byKey) >= maxCopies {
+		c.sweep(now)
+	}
+	c.byKey[promptKey] = entry{Copy: copied, until: now.Add(kept)}
+}
+
+func (c *Copies) sweep(now time.Time) {
+	c.sweeps = now.Add(kept)
+	for key, e := range c.byKey {
+		if now.After(e.until) || len(c.byKey) >= maxCopies {
+			delete(c.byKey, key)
+		}
+	}
+}
+
+// Find gives the newest copy for a prompt.
+func (c *Copies) Find(promptKey string) (copied relay.Copy, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	e, found := c.byKey[promptKey]
+	if !found || c.options.Now().After(e.until) {
+		return relay.Copy{}, false
+	}
+	return e.Copy, true
+}
--- /dev/null
+++ b/internal/request/relay/events.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// maxEvent bounds one event, in bytes.
+const maxEvent = 1 << 20
+
+// event is one whole event of a stream: its bytes with the closing blank line,
+// and its id, "" if it has none.
+//
+//	id: 12
+//	data: four trucks
+type event struct {
+	raw []byte
+	id  string
+}
+
+// readEvent reads up to and with the next blank line. An event that is cut off
+// is an error, also when the cut looks like a regular end. io.EOF means that
+// the body ended between two events.
+func readEvent(reader *bufio.Reader) (e event, err error) {
+	raw := bytes.Buffer{}
+	for {
+		line, err := reader.ReadSlice('\n')
+		raw.Write(line)
+		if errors.Is(err, bufio.ErrBufferFull) && raw.Len() <= maxEvent {
+			continue
+		}
+		if err == io.EOF && raw.Len() == 0 {
+			return event{}, io.EOF
+		}
+		if err != nil {
+			return event{}, errors.Annotate(err, "event is cut off")
+		}
+		if raw.Len() > maxEvent {
+			return event{}, errors.Errorf("event has more than %d bytes", maxEvent)
+		}
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return event{raw: raw.Bytes(), id: eventID(raw.Bytes())}, nil
+		}
+	}
+}
+
+func eventID(raw []byte) string {
+	for _, line := range strings.Split(string(raw), "\n") {
+		if value, found := strings.CutPrefix(line, "id:"); found {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/request/relay/relay.go
@@ -0,0 +1,202 @@
+// Package relay carries one caller's request to backend servers and the answer
+// back. It decides when a request is sent again, where a stream goes on after a
+// loss, and what the caller may be told; it knows no header and no status code
+// of the platform.
+//
+// # Usage
+//
+//	r := relay.New(relay.Options{Servers: servers, Connections: connections, Encode: ..., Decode: ...})
+//	answer, err := r.Call(ctx, request)
+//	err = r.Stream(ctx, request, sink)
+//	var refusal *relay.NotRun
+//	if errors.As(err, &refusal) { ... } // It has not run, and never will.
+//
+// Call answers a plain request with one whole answer. Stream relays numbered
+// events and goes on with another server when one is lost. An error is one of
+// *NotRun, *Unknown, *TimedOut and *Cut.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivespoke/endivespoke/internal/backend/http1"
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+)
+
+// Request is one attempt of a caller. Header and Target are passed on as they
+// are. Deadline is when the caller stops waiting or the route's timeout ends it,
+// whichever is first.
+type Request struct {
+	ID          string
+	Method      string
+	Host        string
+	Target      string // Path and query as sent.
+	Header      http.Header
+	Body        []byte
+	Route       *routing.Route
+	Service     string
+	Account     string
+	Priority    int
+	Received    time.Time
+	Deadline    time.Time
+	LastEventID string
+	Need        placement.Need
+	PromptKey   string // Names the prompt; "" if unknown.
+	Content     string // Hash of account, path and body.
+}
+
+// Dispatch is one send of a request to one server.
+type Dispatch struct {
+	Request     *Request
+	Server      pool.Server
+	Deadline    time.Time
+	LastEventID string
+	// Backup is the address of the server that gets a copy of the run's memory.
+	Backup   string
+	BackupID string
+	// CopyAt is the address of the server that holds a copy, of the run CopyOf.
+	CopyAt string
+	CopyOf string
+}
+
+// Verdict is what a server's response says of the request.
+type Verdict struct {
+	Status     int
+	Header     http.Header // What the caller gets.
+	Success    bool
+	Signed     bool
+	NotRun     bool
+	Replaced   bool // Another instance has the address.
+	EventsOnly bool // The body is a stream of events.
+}
+
+// Answer is a whole answer of a server.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Sink is where a stream's parts go. Events are whole.
+type Sink struct {
+	Begin func(status int, header http.Header)
+	Event func(event []byte) error
+}
+
+// NotRun means that no server has run the request or ever will. RetryAt is when
+// a server may have room for it; zero if that is not known.
+type NotRun struct {
+	Reason  string
+	RetryAt time.Time
+}
+
+// Unknown means that a server may have run the request.
+type Unknown struct{ Reason string }
+
+// TimedOut means that the request's time ended while a server may have run it.
+type TimedOut struct{ Reason string }
+
+// Cut means that a stream ended before its last event.
+type Cut struct{ Reason string }
+
+// Error gives the reason.
+func (e *NotRun) Error() string { return "not run: " + e.Reason }
+
+// Error gives the reason.
+func (e *Unknown) Error() string { return "outcome unknown: " + e.Reason }
+
+// Error gives the reason.
+func (e *TimedOut) Error() string { return "timed out: " + e.Reason }
+
+// Error gives the reason.
+func (e *Cut) Error() string { return "stream cut: " + e.Reason }
+
+// Options shapes a Relay.
+type Options struct {
+	Servers     *pool.Pool
+	Connections *http1.Pool
+	Logger      hclog.Logger
+	Now         func() time.Time
+	// Encode gives the HTTP request of a dispatch.
+	Encode func(Dispatch) *http.Request
+	// Decode reads the head of a response.
+	Decode func(*http.Response) Verdict
+	// IDHeader is the header in which servers echo the request's id.
+	IDHeader string
+	// Spend takes one repeat of the service's shared budget.
+	Spend func(service string) bool
+	// LoadChanged is told when a stream's place or phase changed.
+	LoadChanged func()
+	// Copies remembers where the copies of streams are; see Copy.
+	Copies Copies
+	// Crashes remembers the contents that crash servers.
+	Crashes Crashes
+}
+
+// Copy tells where a run's memory is.
+type Copy struct {
+	RunID    string
+	ServerID string
+	Address  string
+}
+
+// Copies finds the copy of a stream whose caller comes back after its VM was lost.
+type Copies struct {
+	Put  func(promptKey string, copied Copy)
+	Find func(promptKey string) (copied Copy, found bool)
+}
+
+// Crashes counts the servers that died while they ran a content.
+type Crashes struct {
+	Note      func(content string)
+	Condemned func(content string) bool
+}
+
+// Relay is safe for concurrent use.
+type Relay struct {
+	options Options
+}
+
+// New makes a relay.
+func New(options Options) *Relay {
+	return &Relay{options: options}
+}
+
+const (
+	// retryPause is when a caller may come back if no server is up. A server that
+	// restarts needs about a second.
+	retryPause = 500 * time.Millisecond
+	// answerLimit bounds the answer of a plain service, in bytes.
+	answerLimit = 8 << 20
+	// leastTime is the least time left for which a request is sent to a server.
+	leastTime = 5 * time.Millisecond
+)
+
+// send dispatches once. The caller closes the response.
+func (r *Relay) send(ctx context.Context, dispatch Dispatch) (response *http1.Response, verdict Verdict, err error) {
+	response, err = r.options.Connections.Send(ctx, http1.Request{
+		Address:  dispatch.Server.Address,
+		HTTP:     r.options.Encode(dispatch),
+		Body:     dispatch.Request.Body,
+		ID:       dispatch.Request.ID,
+		IDHeader: r.options.IDHeader,
+	})
+	if err != nil {
+		return nil, Verdict{}, err
+	}
+	return response, r.options.Decode(response.Response), nil
+}
+
+// noServer is the refusal when no server may take the request.
+func (r *Relay) noServer(request *Request) error {
+	listed, up := r.options.Servers.Room(request.Service)
+	reason := fmt.Sprintf("no server of service %s may take it: %d listed, %d up", request.Service, listed, up)
+	return &NotRun{Reason: reason, RetryAt: r.options.Now().Add(retryPause)}
+}
--- /dev/null
+++ b/internal/request/relay/stream.go
@@ -0,0 +1,286 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/http1"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+const (
+	// silencePart of the gap objective may pass between two events before the
+	// stream goes on elsewhere. The rest is for going on.
+	silencePart = 0.5
+	// resumePart of the gap objective may pass until the first event of a run that
+	// goes on from a copy.
+	resumePart = 0.8
+	// quietLimit is how long a server that reads a prompt may be silent to this VM
+	// until it is checked.
+	quietLimit = 400 * time.Millisecond
+	// quietEvery is how often that is looked at.
+	quietEvery = 100 * time.Millisecond
+)
+
+// stream is the state of one streamed answer.
+type stream struct {
+	relay   *Relay
+	request *Request
+	sink    Sink
+	begun   bool
+	last    string // Id of the last event that the caller has.
+	events  int
+	sends   int // Sends that may have run.
+	refused int // Sends that servers refused in a row.
+	tried   map[string]bool
+	copied  Copy
+	lostAt  time.Time
+	reason  string
+}
+
+// runEnd is how one run at a server ended.
+type runEnd struct {
+	done     bool
+	answer   *Answer // A server's own failure, before any event.
+	notSent  bool
+	notRun   bool
+	replaced bool
+	silent   bool
+	err      error
+	caller   error // The caller is gone.
+}
+
+// Stream relays a stream. It returns nil if the caller got all of it, or a
+// server's own failure, through the sink.
+func (r *Relay) Stream(ctx context.Context, request *Request, sink Sink) error {
+	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	s := &stream{relay: r, request: request, sink: sink, last: request.LastEventID, tried: map[string]bool{}}
+	if request.LastEventID != "" && request.PromptKey != "" {
+		s.copied, _ = r.options.Copies.Find(request.PromptKey)
+	}
+	for {
+		if request.Content != "" && r.options.Crashes.Condemned(request.Content) {
+			return s.giveUp("it crashes the servers that run it")
+		}
+		end := s.run(ctx)
+		if end.done {
+			return nil
+		}
+		if end.caller != nil || ctx.Err() != nil {
+			return s.ended(ctx, end)
+		}
+		if final := s.next(end); final != nil {
+			return final
+		}
+	}
+}
+
+// next decides after a run that did not finish: nil means that the stream goes on.
+func (s *stream) next(end runEnd) error {
+	now := s.relay.options.Now()
+	if end.answer != nil {
+		return s.deliver(end.answer)
+	}
+	if s.lostAt.IsZero() && s.begun {
+		s.lostAt = now
+	}
+	s.reason = fmt.Sprint(end.err)
+	if end.notSent || end.notRun {
+		s.sends--
+		s.refused++
+	}
+	switch {
+	case s.refused > maxSends:
+		return s.giveUp("servers refused it: " + s.reason)
+	case s.sends > 0 && !s.request.Route.Repeatable():
+		return s.giveUp(s.reason)
+	case s.sends >= s.request.Route.MaxAttempts:
+		return s.giveUp("all attempts are used: " + s.reason)
+	case !s.relay.options.Spend(s.request.Service):
+		return s.giveUp("the retry budget of the service is spent")
+	}
+	return nil
+}
+
+// giveUp gives the outcome of a stream that does not go on.
+func (s *stream) giveUp(reason string) error {
+	switch {
+	case s.begun:
+		return &Cut{Reason: reason}
+	case s.sends > 0:
+		return &Unknown{Reason: reason}
+	default:
+		return &NotRun{Reason: reason, RetryAt: s.relay.options.Now().Add(retryPause)}
+	}
+}
+
+func (s *stream) ended(ctx context.Context, end runEnd) error {
+	switch {
+	case end.caller != nil:
+		return &Cut{Reason: "caller is gone: " + end.caller.Error()}
+	case s.begun:
+		return &Cut{Reason: ctx.Err().Error()}
+	case s.sends == 0:
+		return &NotRun{Reason: "time is up"}
+	default:
+		return &TimedOut{Reason: ctx.Err().Error()}
+	}
+}
+
+func (s *stream) deliver(answer *Answer) error {
+	if s.begun {
+		return &Cut{Reason: fmt.Sprintf("server answered %d", answer.Status)}
+	}
+	s.sink.Begin(answer.Status, answer.Header)
+	if err := s.sink.Event(answer.Body); err != nil {
+		return &Cut{Reason: "caller is gone: " + err.Error()}
+	}
+	return nil
+}
+
+// run sends the request to one server and relays what comes.
+func (s *stream) run(ctx context.Context) (end runEnd) {
+	ask := pool.Ask{Service: s.request.Service, Need: s.request.Need, Tried: s.tried, On: s.copied.ServerID}
+	lease, backup, err := s.relay.options.Servers.Stream(ask)
+	if errors.Is(err, pool.ErrNone) && len(s.tried) > 0 {
+		s.tried = map[string]bool{} // A server that failed is better than none.
+		ask.Tried = s.tried
+		lease, backup, err = s.relay.options.Servers.Stream(ask)
+	}
+	if err != nil {
+		return runEnd{notSent: true, err: s.relay.noServer(s.request)}
+	}
+	defer lease.Release()
+	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.last}
+	resumed := s.copied.ServerID == lease.Server.ID
+	if resumed {
+		dispatch.CopyAt, dispatch.CopyOf = s.copied.Address, s.copied.RunID
+	}
+	s.copied = Copy{}
+	if backup != nil {
+		dispatch.Backup, dispatch.BackupID = backup.Address, backup.ID
+	}
+	s.sends++
+	before := s.events
+	s.relay.options.LoadChanged()
+	defer s.relay.options.LoadChanged()
+	end = s.exchange(ctx, lease, dispatch, resumed)
+	s.settle(ctx, lease, end, resumed, s.events == before)
+	if backup != nil && !end.notSent && !end.notRun && !end.replaced {
+		s.copied = Copy{RunID: s.request.ID, ServerID: backup.ID, Address: backup.Address}
+	}
+	return end
+}
+
+// settle tells the pool how the server did, and remembers where not to go again.
+// A run that broke without an event while its server died may be what killed it.
+func (s *stream) settle(ctx context.Context, lease *pool.Lease, end runEnd, resumed, barren bool) {
+	if end.done || end.caller != nil || ctx.Err() != nil {
+		return
+	}
+	s.relay.options.Logger.Info("stream run ended", "request", s.request.ID, "server", lease.Server.ID,
+		"resumed", resumed, "last", s.last, "notRun", end.notRun, "silent", end.silent, "reason", end.err)
+	switch {
+	case end.replaced:
+		lease.Replaced()
+	case end.notRun && resumed:
+		return // It lacks the copy, but may read the prompt.
+	case end.notRun || end.answer != nil:
+	case barren && !end.silent && !end.notSent:
+		if !lease.Verify(ctx) {
+			s.relay.options.Crashes.Note(s.request.Content)
+		}
+	default:
+		lease.Broke()
+	}
+	s.tried[lease.Server.ID] = true
+}
+
+// exchange is one run: send, await the head, relay the events.
+func (s *stream) exchange(ctx context.Context, lease *pool.Lease, dispatch Dispatch, resumed bool) (end runEnd) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := s.watch(cancel, lease, resumed)
+	defer watch.stop()
+	response, verdict, err := s.relay.send(ctx, dispatch)
+	if err != nil {
+		return runEnd{notSent: errors.Is(err, http1.ErrNotSent), silent: watch.fired(), err: err}
+	}
+	defer response.Close()
+	switch {
+	case verdict.Replaced:
+		return runEnd{notRun: true, replaced: true, err: errors.New("another server has the address")}
+	case verdict.NotRun:
+		return runEnd{notRun: true, err: errors.Errorf("server refused it with %d", verdict.Status)}
+	case !verdict.Success:
+		return s.failed(response, verdict)
+	case !verdict.Signed || !verdict.EventsOnly:
+		return runEnd{err: errors.New("answer is unsigned or no stream")}
+	}
+	return s.relayEvents(response, verdict, lease, dispatch, watch)
+}
+
+// failed reads a server's own failure.
+func (s *stream) failed(response *http1.Response, verdict Verdict) runEnd {
+	body, err := response.ReadAll(answerLimit)
+	if err != nil {
+		return runEnd{err: err}
+	}
+	retry := verdict.Status >= http.StatusInternalServerError && s.request.Route.Repeatable() && s.sends < s.request.Route.MaxAttempts
+	if retry {
+		return runEnd{err: errors.Errorf("server answered %d", verdict.Status)}
+	}
+	return runEnd{answer: &Answer{Status: verdict.Status, Header: verdict.Header, Body: body}}
+}
+
+// started notes a run's first event.
+func (s *stream) started(lease *pool.Lease, dispatch Dispatch) {
+	lease.Started()
+	s.relay.options.LoadChanged()
+	if dispatch.Backup != "" && s.request.PromptKey != "" {
+		s.relay.options.Copies.Put(s.request.PromptKey, Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.Backup})
+	}
+}
+
+func (s *stream) relayEvents(response *http1.Response, verdict Verdict, lease *pool.Lease, dispatch Dispatch, watch *watch) (end runEnd) {
+	reader := bufio.NewReader(response.Body)
+	for first := true; ; first = false {
+		e, err := readEvent(reader)
+		if err == io.EOF && !first {
+			response.Finished()
+			return runEnd{done: true}
+		}
+		if err != nil {
+			return runEnd{silent: watch.fired(), err: errors.Annotate(http1.ErrBroken, err.Error())}
+		}
+		watch.pause()
+		lease.Heard()
+		if first {
+			s.started(lease, dispatch)
+		}
+		if !s.begun {
+			s.begun = true
+			s.sink.Begin(verdict.Status, verdict.Header)
+		}
+		if err = s.sink.Event(e.raw); err != nil {
+			return runEnd{caller: err}
+		}
+		watch.heard()
+		s.events++
+		if e.id != "" {
+			s.last = e.id
+		}
+		if !s.lostAt.IsZero() {
+			s.relay.options.Logger.Info("stream goes on", "request", s.request.ID, "server", lease.Server.ID,
+				"event", e.id, "gapMillis", s.relay.options.Now().Sub(s.lostAt).Milliseconds())
+			s.lostAt = time.Time{}
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/relay/watch.go
@@ -0,0 +1,79 @@
+package relay
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// watch ends a run whose server is silent or down. While the prompt is read no
+// event is due, so the server is checked instead when nothing at all is heard
+// of it.
+type watch struct {
+	cancel  func()
+	limit   time.Duration
+	silent  atomic.Bool
+	timer   *time.Timer
+	stopped chan struct{}
+}
+
+func (s *stream) watch(cancel func(), lease *pool.Lease, resumed bool) *watch {
+	gap := s.request.Route.GapObjective
+	w := &watch{cancel: cancel, limit: time.Duration(silencePart * float64(gap)), stopped: make(chan struct{})}
+	w.timer = time.AfterFunc(time.Hour, w.expire)
+	w.timer.Stop()
+	if gap > 0 && resumed {
+		w.timer.Reset(time.Duration(resumePart * float64(gap)))
+	}
+	go w.follow(lease, s.relay.options.Now)
+	return w
+}
+
+// follow ends the run when the server is found down, and has it checked when it
+// is quiet.
+func (w *watch) follow(lease *pool.Lease, now func() time.Time) {
+	ticker := time.NewTicker(quietEvery)
+	defer ticker.Stop()
+	began := now()
+	for {
+		select {
+		case <-w.stopped:
+			return
+		case <-lease.Down:
+			w.expire()
+			return
+		case <-ticker.C:
+			if since := now().Add(-quietLimit); since.After(began) {
+				lease.VerifyIfQuiet(since)
+			}
+		}
+	}
+}
+
+func (w *watch) expire() {
+	w.silent.Store(true)
+	w.cancel()
+}
+
+// heard starts the time for the next event.
+func (w *watch) heard() {
+	if w.limit > 0 {
+		w.timer.Reset(w.limit)
+	}
+}
+
+// pause stops the time while an event is written to the caller, which may be
+// slow itself.
+func (w *watch) pause() {
+	w.timer.Stop()
+}
+
+func (w *watch) fired() bool {
+	return w.silent.Load()
+}
+
+func (w *watch) stop() {
+	w.timer.Stop()
+	close(w.stopped)
+}
