--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -33,6 +33,22 @@
 // ErrNotSent means that no byte of the request was sent.
 const ErrNotSent = errors.ConstError("request was not sent")
 
+// NotSent is an ErrNotSent with its cause.
+type NotSent struct {
+	Address string
+	Cause   error
+}
+
+// Error gives the address and the cause.
+func (e *NotSent) Error() string {
+	return "request was not sent to " + e.Address + ": " + e.Cause.Error()
+}
+
+// Unwrap lets errors.Is find both ErrNotSent and the cause.
+func (e *NotSent) Unwrap() []error {
+	return []error{ErrNotSent, e.Cause}
+}
+
 // ErrBroken means that the request may have reached the server, and that no
 // usable answer came back.
 const ErrBroken = errors.ConstError("connection broke after the request was sent")
@@ -138,7 +154,7 @@
 func (p *Pool) Send(ctx context.Context, request Request) (response *Response, err error) {
 	var c *connection
 	if c, err = p.take(ctx, request); err != nil {
-		return nil, errors.Annotatef(ErrNotSent, "%s: %v", request.Address, err)
+		return nil, &NotSent{Address: request.Address, Cause: err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := make(chan error, 1)
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +39,10 @@
 	// failureHalfLife is how soon a server's failures count half, so that one that
 	// gets no calls is tried again.
 	failureHalfLife = 2 * time.Second
+	// endedLife is how long a server whose process was gone is avoided under its old
+	// entry. A process that started again has a new one; the entry of the old one
+	// lapses after three heartbeats.
+	endedLife = 5 * time.Second
 	// peerLoadLife is how long what a peer told of its work counts.
 	peerLoadLife = 3 * time.Second
 )
@@ -50,6 +55,9 @@
 	FailureDomain string
 	Slots         int
 	Leaving       bool
+	// Started is when its process started, in Unix milliseconds of its own clock; 0
+	// if it does not tell.
+	Started int64
 }
 
 // Load is the work that one VM has on a server.
@@ -87,7 +95,8 @@
 type server struct {
 	Server
 	listed      bool
-	replaced    bool // Another instance has the address.
+	replaced    bool      // Another instance has the address.
+	endedAt     time.Time // When its process was found to be gone; zero if it was not.
 	down        bool
 	checking    bool
 	recheckAt   time.Time
@@ -139,7 +148,7 @@
 	}
 	for _, entry := range listed {
 		known := p.servers[entry.ID]
-		if known == nil || known.Address != entry.Address || known.Service != entry.Service {
+		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Started != entry.Started {
 			known = &server{leases: map[*Lease]bool{}}
 			p.servers[entry.ID] = known
 		}
@@ -219,7 +228,7 @@
 		ID:            s.ID,
 		FailureDomain: s.FailureDomain,
 		Slots:         s.Slots,
-		Avoided:       s.down,
+		Avoided:       s.down || now.Sub(s.endedAt) < endedLife,
 		PendingTokens: load.PendingTokens,
 		Running:       load.Running,
 		MemoryTokens:  load.MemoryTokens,
@@ -306,7 +315,7 @@
 // leaving server may go on with what it holds.
 func (p *Pool) holder(ask Ask) *server {
 	s := p.servers[ask.On]
-	if s == nil || s.down || s.replaced || !s.listed || s.Leaving {
+	if s == nil || s.down || !s.endedAt.IsZero() || s.replaced || !s.listed || s.Leaving {
 		return nil
 	}
 	return s
@@ -401,6 +410,11 @@
 	l.pool.startCheck(l.server)
 }
 
+// Unreachable tells that no connection to the server could be opened.
+func (l *Lease) Unreachable(cause error) {
+	l.pool.checked(l.server, cause)
+}
+
 // Verify opens a connection to learn at once whether the server is up.
 func (l *Lease) Verify(ctx context.Context) (up bool) {
 	ctx, cancel := context.WithTimeout(ctx, CheckLimit)
@@ -444,6 +458,9 @@
 	if failure == nil {
 		s.heardAt = now
 	}
+	if errors.Is(failure, syscall.ECONNREFUSED) {
+		s.endedAt = now
+	}
 	if changed && s.down {
 		for lease := range s.leases {
 			lease.tellDown()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -109,7 +109,8 @@
 		Encode:      options.Encode,
 		Decode:      options.Decode,
 		IDHeader:    options.IDHeader,
-		Spend:       v.spend,
+		Spend:       func(service string) bool { return v.budgetOf(service).Spend() },
+		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
 		LoadChanged: v.spread.LoadsChanged,
@@ -206,12 +207,14 @@
 func (v *VM) budgetOf(service string) *budget.Budget {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	vms := float64(max(len(v.spread.Snapshot().Live), 1))
+	reserve := max(budgetCaution*v.settings.RepeatAllowance/vms, 1)
 	known := v.budgets[service]
 	if known == nil {
-		vms := float64(max(len(v.spread.Snapshot().Live), 1))
-		known = budget.New(budget.Options{Part: budgetCaution * v.settings.RepeatPart, Reserve: budgetCaution * v.settings.RepeatAllowance / vms})
+		known = budget.New(budget.Options{Part: budgetCaution * v.settings.RepeatPart, Reserve: reserve})
 		v.budgets[service] = known
 	}
+	known.Resize(reserve)
 	return known
 }
 
@@ -219,10 +222,6 @@
 // rest allows for callers that are spread unevenly, and for windows that slide.
 const budgetCaution = 0.8
 
-func (v *VM) spend(service string) bool {
-	return v.budgetOf(service).Spend()
-}
-
 // Locate lists the callers' addresses of the VMs that take requests.
 func (v *VM) Locate() []string {
 	snapshot := v.spread.Snapshot()
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -124,6 +124,8 @@
 		if took > c.request.Route.LatencyObjective {
 			lease.Answered(took, true)
 		}
+	case errors.Is(result.err, http1.ErrNotSent):
+		lease.Unreachable(result.err)
 	case result.err != nil:
 		lease.Broke()
 	case result.verdict.Replaced:
@@ -139,6 +141,9 @@
 	switch {
 	case errors.Is(result.err, http1.ErrNotSent):
 		c.sent--
+		if len(c.tried) > 1 {
+			c.relay.options.Refund(c.request.Service)
+		}
 		c.reason = result.err.Error()
 	case result.err != nil:
 		c.reason = result.err.Error()
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -130,8 +130,10 @@
 	Decode func(*http.Response) Verdict
 	// IDHeader is the header in which servers echo the request's id.
 	IDHeader string
-	// Spend takes one repeat of the service's shared budget.
-	Spend func(service string) bool
+	// Spend takes one repeat of the service's shared budget. Refund gives it back
+	// for one that never reached a server.
+	Spend  func(service string) bool
+	Refund func(service string)
 	// LoadChanged is told when a stream's place or phase changed.
 	LoadChanged func()
 	// Copies remembers where the copies of streams are; see Copy.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -37,7 +37,8 @@
 	last    string // Id of the last event that the caller has.
 	events  int
 	sends   int // Sends that may have run.
-	refused int // Sends that servers refused in a row.
+	refused int // Sends that no server ran.
+	repeats int // Sends that were paid from the budget.
 	tried   map[string]bool
 	copied  Copy
 	lostAt  time.Time
@@ -96,6 +97,10 @@
 		s.sends--
 		s.refused++
 	}
+	if end.notSent && s.repeats > 0 {
+		s.repeats--
+		s.relay.options.Refund(s.request.Service)
+	}
 	switch {
 	case s.refused > maxSends:
 		return s.giveUp("servers refused it: " + s.reason)
@@ -106,6 +111,7 @@
 	case !s.relay.options.Spend(s.request.Service):
 		return s.giveUp("the retry budget of the service is spent")
 	}
+	s.repeats++
 	return nil
 }
 
@@ -173,7 +179,7 @@
 	defer s.relay.options.LoadChanged()
 	end = s.exchange(ctx, lease, dispatch, resumed)
 	s.settle(ctx, lease, end, resumed, s.events == before)
-	if backup != nil && !end.notSent && !end.notRun && !end.replaced {
+	if backup != nil && s.events > before {
 		s.copied = Copy{RunID: s.request.ID, ServerID: backup.ID, Address: backup.Address}
 	}
 	return end
@@ -193,7 +199,9 @@
 	case end.notRun && resumed:
 		return // It lacks the copy, but may read the prompt.
 	case end.notRun || end.answer != nil:
-	case barren && !end.silent && !end.notSent:
+	case end.notSent:
+		lease.Unreachable(end.err)
+	case barren && !end.silent:
 		if !lease.Verify(ctx) {
 			s.relay.options.Crashes.Note(s.request.Content)
 		}
