Doubt a failure domain that lost a server, tell peers of losses, let a later process supersede an address

Cause: a stream sent in the first moments after a failure domain went dark got its backup there, because this VM had not yet met the loss; the next loss then cost a whole prompt (gaps of 1.3 to 2.0 s). Old entries of restarted servers drew 421 answers in a row.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -43,6 +43,11 @@
 	// entry. A process that started again has a new one; the entry of the old one
 	// lapses after three heartbeats.
 	endedLife = 5 * time.Second
+	// doubtLife is how long the servers of a failure domain that lost one are
+	// avoided until they were heard of. Their checks need CheckLimit.
+	doubtLife = time.Second
+	// tellPause keeps VMs from telling each other again what they were told.
+	tellPause = 2 * time.Second
 	// peerLoadLife is how long what a peer told of its work counts.
 	peerLoadLife = 3 * time.Second
 )
@@ -69,12 +74,14 @@
 }
 
 // Options shapes a Pool. Draw gives random numbers in [0, 1) and must be safe
-// for concurrent use. OnChange is told when a server went down or came back.
+// for concurrent use. OnChange is told when a server went down or came back, and
+// Tell has the peers told of a loss that this VM found itself.
 type Options struct {
 	Now      func() time.Time
 	Draw     func() float64
 	Check    func(ctx context.Context, address string) error
 	OnChange func(server Server, down bool, reason string)
+	Tell     func(serverID string, ended bool)
 }
 
 // Pool is safe for concurrent use.
@@ -85,6 +92,17 @@
 	servers map[string]*server
 	peers   map[string]peerLoads
 	rooms   map[string]int // Memory in tokens of a server, by service.
+	lossAt  map[group]time.Time
+}
+
+// group is the servers that are likely to fail together.
+type group struct {
+	service       string
+	failureDomain string
+}
+
+func (s *server) group() group {
+	return group{service: s.Service, failureDomain: s.FailureDomain}
 }
 
 type peerLoads struct {
@@ -97,6 +115,7 @@
 	listed      bool
 	replaced    bool      // Another instance has the address.
 	endedAt     time.Time // When its process was found to be gone; zero if it was not.
+	toldAt      time.Time // When a peer told that it is down.
 	down        bool
 	checking    bool
 	recheckAt   time.Time
@@ -133,10 +152,13 @@
 
 // New makes an empty pool.
 func New(options Options) *Pool {
+	if options.Tell == nil {
+		options.Tell = func(string, bool) {}
+	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, lossAt: map[group]time.Time{}}
 }
 
 // Update replaces the list of servers. What is known of those that stay is kept.
@@ -155,6 +177,7 @@
 		known.Server = entry
 		known.listed = true
 	}
+	p.supersede()
 	for id, s := range p.servers {
 		if !s.listed && len(s.leases) == 0 {
 			delete(p.servers, id)
@@ -162,6 +185,21 @@
 	}
 }
 
+// supersede finds entries whose address has a process that started later.
+func (p *Pool) supersede() {
+	newest := map[string]*server{}
+	for _, s := range p.servers {
+		if other := newest[s.Address]; s.listed && (other == nil || s.Started > other.Started) {
+			newest[s.Address] = s
+		}
+	}
+	for _, s := range p.servers {
+		if other := newest[s.Address]; other != nil && other.Started > s.Started {
+			s.replaced = true
+		}
+	}
+}
+
 // SetRooms takes in the memory of each server of a service, in tokens.
 func (p *Pool) SetRooms(rooms map[string]int) {
 	p.mu.Lock()
@@ -228,7 +266,7 @@
 		ID:            s.ID,
 		FailureDomain: s.FailureDomain,
 		Slots:         s.Slots,
-		Avoided:       s.down || now.Sub(s.endedAt) < endedLife,
+		Avoided:       s.down || now.Sub(s.endedAt) < endedLife || p.isDoubtful(s, now),
 		PendingTokens: load.PendingTokens,
 		Running:       load.Running,
 		MemoryTokens:  load.MemoryTokens,
@@ -239,6 +277,13 @@
 	}
 }
 
+// isDoubtful reports whether another server of the failure domain was lost a
+// moment ago and nothing was heard of this one since.
+func (p *Pool) isDoubtful(s *server, now time.Time) bool {
+	lossAt := p.lossAt[s.group()]
+	return now.Sub(lossAt) < doubtLife && s.heardAt.Before(lossAt)
+}
+
 // candidates lists the servers of a service that may take new work, in random
 // order, so that VMs with the same picture don't all take the first.
 func (p *Pool) candidates(service string, tried map[string]bool, now time.Time) ([]*server, []placement.Candidate) {
@@ -448,6 +493,7 @@
 	}()
 }
 
+// checked takes in what a check found.
 func (p *Pool) checked(s *server, failure error) {
 	p.mu.Lock()
 	now := p.options.Now()
@@ -455,27 +501,66 @@
 	s.recheckAt = now.Add(recheckEvery)
 	changed := s.down != (failure != nil)
 	s.down = failure != nil
+	ended := errors.Is(failure, syscall.ECONNREFUSED)
 	if failure == nil {
 		s.heardAt = now
 	}
-	if errors.Is(failure, syscall.ECONNREFUSED) {
+	if ended {
 		s.endedAt = now
 	}
 	if changed && s.down {
-		for lease := range s.leases {
-			lease.tellDown()
-		}
+		p.lost(s, now)
 	}
+	tell := changed && s.down && now.Sub(s.toldAt) > tellPause
 	p.mu.Unlock()
-	if changed {
-		reason := "accepts connections"
-		if failure != nil {
-			reason = failure.Error()
+	if !changed {
+		return
+	}
+	if tell {
+		p.options.Tell(s.ID, ended)
+	}
+	reason := "accepts connections"
+	if failure != nil {
+		reason = failure.Error()
+	}
+	p.options.OnChange(s.Server, failure != nil, reason)
+}
+
+// lost tells the leases of a server, and has the others of its failure domain
+// checked: they often fail together. Called with the lock held.
+func (p *Pool) lost(s *server, now time.Time) {
+	for lease := range s.leases {
+		lease.tellDown()
+	}
+	doubted := now.Sub(p.lossAt[s.group()]) < doubtLife
+	if doubted {
+		return // They are being checked already.
+	}
+	p.lossAt[s.group()] = now
+	for _, other := range p.servers {
+		if other.group() == s.group() && other.takesWork() && !other.down {
+			p.startCheck(other)
 		}
-		p.options.OnChange(s.Server, failure != nil, reason)
 	}
 }
 
+// PeerLost takes in that a peer found a server down. Ended means that its
+// process is gone, which needs no check.
+func (p *Pool) PeerLost(serverID string, ended bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[serverID]
+	if s == nil || s.down {
+		return
+	}
+	s.toldAt = p.options.Now()
+	if ended {
+		s.endedAt = s.toldAt
+		p.lossAt[s.group()] = s.toldAt
+	}
+	p.startCheck(s)
+}
+
 // Recheck checks the servers that are down and still listed. Call it often.
 func (p *Pool) Recheck(context.Context) {
 	p.mu.Lock()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -92,6 +92,9 @@
 		Draw:     rand.Float64,
 		Check:    v.connections.Check,
 		OnChange: v.serverChanged,
+		Tell: func(serverID string, ended bool) {
+			v.spread.TellLoss(spread.LossNote{ServerID: serverID, Ended: ended})
+		},
 	})
 	v.peers = wire.NewPool(wire.PoolOptions{
 		Self:   options.Settings.Name,
@@ -146,6 +149,7 @@
 		OnLoads:             v.servers.PeerLoads,
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.heardCrashes,
+		OnLosses:            v.heardLosses,
 	}
 }
 
@@ -202,6 +206,12 @@
 	}
 }
 
+func (v *VM) heardLosses(notes []spread.LossNote) {
+	for _, note := range notes {
+		v.servers.PeerLost(note.ServerID, note.Ended)
+	}
+}
+
 // budgetOf gives this VM's share of a service's budget for repeats. Callers
 // spread evenly over VMs, so each may use an equal part of the allowance.
 func (v *VM) budgetOf(service string) *budget.Budget {
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -51,6 +51,12 @@
 	Count   int    `cbor:"2,keyasint"`
 }
 
+// LossNote tells of a server that is down. Ended means that its process is gone.
+type LossNote struct {
+	ServerID string `cbor:"1,keyasint"`
+	Ended    bool   `cbor:"2,keyasint,omitempty"`
+}
+
 // message is what two VMs exchange. Ages tell how long ago the sender's picture
 // was known to be the newest of the store; -1 if it never was.
 type message struct {
@@ -66,6 +72,7 @@
 	HasLoads       bool           `cbor:"10,keyasint,omitempty"`
 	Copies         []CopyNote     `cbor:"11,keyasint,omitempty"`
 	Crashes        []CrashNote    `cbor:"12,keyasint,omitempty"`
+	Losses         []LossNote     `cbor:"13,keyasint,omitempty"`
 }
 
 func (m *message) encode() []byte {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -76,6 +76,7 @@
 	OnLoads             func(peer string, loads []pool.Load)
 	OnCopies            func(notes []CopyNote)
 	OnCrashes           func(notes []CrashNote)
+	OnLosses            func(notes []LossNote)
 }
 
 // Spread is safe for concurrent use.
@@ -84,8 +85,7 @@
 	inbox    chan func(*state)
 	news     chan struct{}
 	snapshot atomic.Pointer[Snapshot]
-	copies   chan CopyNote
-	crashes  chan CrashNote
+	notes    chan note
 	turn     int
 }
 
@@ -95,8 +95,7 @@
 		options: options,
 		inbox:   make(chan func(*state), inboxSize),
 		news:    make(chan struct{}, 1),
-		copies:  make(chan CopyNote, inboxSize),
-		crashes: make(chan CrashNote, inboxSize),
+		notes:   make(chan note, inboxSize),
 	}
 	s.snapshot.Store(&Snapshot{Self: options.Self, Live: []Member{options.Self}})
 	return s
@@ -260,22 +259,37 @@
 	s.announce()
 }
 
-// TellCopy tells others where a stream's memory is copied to.
-func (s *Spread) TellCopy(note CopyNote) {
+// note is one thing to tell all live peers once. One field is set.
+type note struct {
+	copied  *CopyNote
+	crashed *CrashNote
+	lost    *LossNote
+}
+
+// tell queues a note. When too many wait it is dropped: each only saves work
+// that the peers can also do without it.
+func (s *Spread) tell(n note) {
 	select {
-	case s.copies <- note:
+	case s.notes <- n:
 		s.announce()
-	default: // Only costs reading the prompt again if this VM is lost.
+	default:
+		s.options.Logger.Warn("a note to the peers was dropped: too many wait")
 	}
 }
 
+// TellCopy tells others where a stream's memory is copied to.
+func (s *Spread) TellCopy(copied CopyNote) {
+	s.tell(note{copied: &copied})
+}
+
 // TellCrash tells others of a server that died with a content.
-func (s *Spread) TellCrash(note CrashNote) {
-	select {
-	case s.crashes <- note:
-		s.announce()
-	default: // The others count their own crashes.
-	}
+func (s *Spread) TellCrash(crashed CrashNote) {
+	s.tell(note{crashed: &crashed})
+}
+
+// TellLoss tells others of a server that is down.
+func (s *Spread) TellLoss(lost LossNote) {
+	s.tell(note{lost: &lost})
 }
 
 // tick exchanges with a few peers.
@@ -334,8 +348,7 @@
 // push sends news to the live peers.
 func (s *Spread) push(ctx context.Context, st *state) {
 	extra := message{HasLoads: true, Loads: s.options.Loads()}
-	extra.Copies = drainCopies(s.copies)
-	extra.Crashes = drainCrashes(s.crashes)
+	s.addNotes(&extra)
 	peers := s.peers(st, s.options.Now())
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	for _, peer := range peers[:min(pushLimit, len(peers))] {
@@ -343,27 +356,30 @@
 	}
 }
 
-func drainCopies(notes chan CopyNote) []CopyNote {
-	drained := []CopyNote{}
-	for len(notes) > 0 {
-		drained = append(drained, <-notes)
-	}
-	return drained
-}
-
-func drainCrashes(notes chan CrashNote) []CrashNote {
-	drained := []CrashNote{}
-	for len(notes) > 0 {
-		drained = append(drained, <-notes)
+// addNotes moves the notes that wait into a message.
+func (s *Spread) addNotes(m *message) {
+	for {
+		select {
+		case n := <-s.notes:
+			switch {
+			case n.copied != nil:
+				m.Copies = append(m.Copies, *n.copied)
+			case n.crashed != nil:
+				m.Crashes = append(m.Crashes, *n.crashed)
+			case n.lost != nil:
+				m.Losses = append(m.Losses, *n.lost)
+			}
+		default:
+			return
+		}
 	}
-	return drained
 }
 
 // exchange sends what the peer lacks and takes in its answer later.
 func (s *Spread) exchange(ctx context.Context, st *state, peer, address string, extra message) {
 	now := s.options.Now()
 	m := st.summary(now)
-	m.Loads, m.HasLoads, m.Copies, m.Crashes = extra.Loads, extra.HasLoads, extra.Copies, extra.Crashes
+	m.Loads, m.HasLoads, m.Copies, m.Crashes, m.Losses = extra.Loads, extra.HasLoads, extra.Copies, extra.Crashes, extra.Losses
 	if known := st.members[peer]; known != nil {
 		m = st.withNews(m, known.configVersion, known.serversVersion)
 	}
@@ -452,4 +468,7 @@
 	if len(told.Crashes) > 0 {
 		s.options.OnCrashes(told.Crashes)
 	}
+	if len(told.Losses) > 0 {
+		s.options.OnLosses(told.Losses)
+	}
 }
