--- /dev/null
+++ b/internal/backend/pool/pool_test.go
@@ -0,0 +1,180 @@
+package pool_test
+
+import (
+	"context"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// rig is a pool with a clock and a network that tests set.
+type rig struct {
+	*pool.Pool
+	mu    sync.Mutex
+	now   time.Time
+	fails map[string]error // By address.
+	told  []string
+}
+
+func newRig(servers ...pool.Server) *rig {
+	g := &rig{now: time.Unix(1000, 0), fails: map[string]error{}}
+	g.Pool = pool.New(pool.Options{
+		Now:   func() time.Time { g.mu.Lock(); defer g.mu.Unlock(); return g.now },
+		Draw:  func() float64 { return 0 },
+		Check: g.check,
+		Tell: func(id string, _ bool) {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.told = append(g.told, id)
+		},
+	})
+	g.SetRooms(map[string]int{"s": 100_000})
+	g.Update(servers)
+	return g
+}
+
+func (g *rig) check(_ context.Context, address string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fails[address]
+}
+
+func (g *rig) pass(d time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now = g.now.Add(d)
+}
+
+func (g *rig) fail(address string, cause error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fails[address] = cause
+}
+
+func server(id, domain string) pool.Server {
+	return pool.Server{ID: id, Address: id + ":1", Service: "s", FailureDomain: domain, Slots: 4, Started: 1}
+}
+
+var ask = pool.Ask{Service: "s", Need: placement.Need{PromptTokens: 5000, OutputTokens: 1000}}
+
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	leaving := server("a1", "a")
+	leaving.Leaving = true
+	g := newRig(leaving)
+	_, _, err := g.Stream(ask)
+	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
+	_, err = g.Call("s", nil)
+	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
+}
+
+func TestServerThatIsNoLongerListedGetsNoNewWork(t *testing.T) {
+	g := newRig(server("a1", "a"))
+	lease, err := g.Call("s", nil)
+	qt.Assert(t, err, qt.IsNil)
+	g.Update(nil)
+	_, err = g.Call("s", nil)
+	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
+	lease.Release()
+}
+
+func TestLaterProcessSupersedesAnAddress(t *testing.T) {
+	old, replacement := server("a1", "a"), server("a2", "a")
+	replacement.Address, replacement.Started = old.Address, 2
+	g := newRig(old, replacement)
+	for range 4 {
+		lease, _, err := g.Stream(ask)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, lease.Server.ID, qt.Equals, "a2")
+	}
+}
+
+func TestLossOfAServerIsToldToItsLeasesAndPeers(t *testing.T) {
+	g := newRig(server("a1", "a"))
+	lease, _, err := g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	lease.Unreachable(syscall.ECONNREFUSED)
+	select {
+	case <-lease.Down:
+	default:
+		t.Fatal("the lease does not know")
+	}
+	qt.Assert(t, g.told, qt.DeepEquals, []string{"a1"})
+}
+
+// TestFailureDomainThatLostAServerIsDoubted has one server of a domain fail while
+// nothing is known of the others. Neither streams nor copies go there until
+// they were heard of.
+func TestFailureDomainThatLostAServerIsDoubted(t *testing.T) {
+	g := newRig(server("a1", "a"), server("a2", "a"), server("b1", "b"), server("c1", "c"))
+	hangs := make(chan struct{})
+	defer close(hangs)
+	g.fail("a2:1", errors.New("i/o timeout"))
+	g.PeerLost("a1", true)
+	for range 6 {
+		lease, backup, err := g.Stream(ask)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, lease.Server.FailureDomain, qt.Not(qt.Equals), "a")
+		qt.Assert(t, backup.FailureDomain, qt.Not(qt.Equals), "a")
+		lease.Release()
+	}
+	g.pass(10 * time.Second)
+	_, err := g.Call("s", map[string]bool{"a1": true, "b1": true, "c1": true})
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("doubt must end"))
+}
+
+func TestPeersWorkCounts(t *testing.T) {
+	g := newRig(server("a1", "a"), server("b1", "b"))
+	g.PeerLoads("vm-2", []pool.Load{{ServerID: "a1", Running: 3}})
+	lease, _, err := g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, lease.Server.ID, qt.Equals, "b1")
+	lease.Release()
+	g.PeerLoads("vm-2", []pool.Load{{ServerID: "b1", Running: 3}})
+	lease, _, err = g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, lease.Server.ID, qt.Equals, "a1")
+}
+
+func TestReleasedWorkIsNotCounted(t *testing.T) {
+	g := newRig(server("a1", "a"), server("b1", "b"))
+	lease, _, err := g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, g.Loads(), qt.HasLen, 2) // The stream, and its copy.
+	lease.Release()
+	lease.Release()
+	qt.Assert(t, g.Loads(), qt.HasLen, 0)
+}
+
+// TestGreyServerGetsFewCalls plays calls on three servers of which one fails
+// nearly half while it accepts connections.
+func TestGreyServerGetsFewCalls(t *testing.T) {
+	draws := []float64{0.1, 0.5, 0.9, 0.3, 0.7}
+	turn := 0
+	p := pool.New(pool.Options{
+		Now:   func() time.Time { return time.Unix(1000, 0) },
+		Draw:  func() float64 { turn++; return draws[turn%len(draws)] },
+		Check: func(context.Context, string) error { return nil },
+	})
+	p.Update([]pool.Server{server("a1", "a"), server("b1", "b"), server("c1", "c")})
+	failed := 0
+	const calls = 1000
+	for i := range calls {
+		lease, err := p.Call("s", nil)
+		qt.Assert(t, err, qt.IsNil)
+		bad := lease.Server.ID == "a1" && i%2 == 0
+		if bad {
+			failed++
+		}
+		lease.Answered(15*time.Millisecond, bad)
+		lease.Release()
+	}
+	// Without looking at failures a sixth of the calls would fail.
+	qt.Assert(t, failed < calls/20, qt.IsTrue, qt.Commentf("%d calls failed", failed))
+}
--- a/internal/lab/demo/scripts_test.go
+++ b/internal/lab/demo/scripts_test.go
@@ -310,6 +310,7 @@
 	options := demo.Options{VMs: 3, Engines: 4, TokenGap: 30 * time.Millisecond, VMFlags: []string{"--leave-wait", "11s"}}
 	options.Silence = time.Minute // Only a cut may make a caller reconnect here, not a busy machine.
 	system := startSystem(t, options)
+	accounts := system.Accounts(4) // Before VMs are added at the same time.
 	replaced := make(chan struct{})
 	ctx, cancel := context.WithTimeout(context.Background(), scriptLimit)
 	defer cancel()
@@ -326,7 +327,7 @@
 		}
 	}()
 	report := load.Run(ctx, load.Options{
-		Clients:     system.Accounts(4),
+		Clients:     accounts,
 		Model:       system.Set.Models[0].Name,
 		EngineModel: system.Set.Versions[0].EngineModel,
 		Requests:    120,
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -84,7 +84,8 @@
 	flags   []string
 }
 
-// System is everything that was started.
+// System is everything that was started. It is not safe for concurrent use: a
+// script that adds VMs on a goroutine of its own reads what it needs before.
 type System struct {
 	Options     Options
 	Set         object.Set
--- /dev/null
+++ b/internal/request/relay/relay_test.go
@@ -0,0 +1,436 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/http1"
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+// The headers between the relay and the servers of these tests.
+const (
+	headerID     = "X-Id"
+	headerNotRun = "X-Not-Run"
+	headerSigned = "X-Signed"
+	headerLast   = "X-Last"
+	headerCopy   = "X-Copy"
+	headerBackup = "X-Backup"
+)
+
+// arrival is one request as a server saw it.
+type arrival struct {
+	server string
+	last   string
+	copied string
+	backup string
+}
+
+// rig is a relay before scripted servers.
+type rig struct {
+	t         *testing.T
+	relay     *relay.Relay
+	servers   *pool.Pool
+	crashes   *crash.Counts
+	mu        sync.Mutex
+	arrivals  []arrival
+	addresses map[string]string
+	listed    []pool.Server
+}
+
+type script func(w http.ResponseWriter, r *http.Request)
+
+// newRig starts one server for each script; "a1" is server 1 of failure domain a.
+func newRig(t *testing.T, scripts map[string]script) *rig {
+	g := &rig{t: t, addresses: map[string]string{}}
+	connections := http1.New(http1.Options{})
+	g.servers = pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }, Check: connections.Check})
+	for id, run := range scripts {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			g.mu.Lock()
+			g.arrivals = append(g.arrivals, arrival{id, r.Header.Get(headerLast), r.Header.Get(headerCopy), r.Header.Get(headerBackup)})
+			g.mu.Unlock()
+			w.Header().Set(headerID, r.Header.Get(headerID))
+			run(w, r)
+		}))
+		t.Cleanup(server.CloseClientConnections)
+		address := strings.TrimPrefix(server.URL, "http://")
+		g.addresses[address] = id
+		g.listed = append(g.listed, pool.Server{ID: id, Address: address, Service: "s", FailureDomain: id[:1], Slots: 4})
+	}
+	g.servers.SetRooms(map[string]int{"s": 100_000})
+	g.servers.Update(g.listed)
+	repeats := budget.New(budget.Options{Part: 1, Reserve: 100})
+	g.crashes = crash.New(crash.Options{Now: time.Now, Tell: func(string, int) {}})
+	g.relay = relay.New(relay.Options{
+		Servers:     g.servers,
+		Connections: connections,
+		Logger:      hclog.NewNullLogger(),
+		Now:         time.Now,
+		Encode:      encode,
+		Decode:      decode,
+		IDHeader:    headerID,
+		Spend:       func(string) bool { return repeats.Spend() },
+		Refund:      func(string) { repeats.Refund() },
+		LoadChanged: func() {},
+		Copies: relay.Copies{
+			Put:  func(string, relay.Copy) {},
+			Find: func(string) (relay.Copy, bool) { return relay.Copy{}, false },
+		},
+		Crashes: relay.Crashes{Note: g.crashes.Note, Condemned: g.crashes.Condemned},
+	})
+	return g
+}
+
+func encode(d relay.Dispatch) *http.Request {
+	header := http.Header{headerID: {d.Request.ID}, headerLast: {d.LastEventID}, headerBackup: {d.BackupID}}
+	if d.CopyAt != "" {
+		header.Set(headerCopy, d.CopyOf)
+	}
+	return &http.Request{Method: d.Request.Method, Host: "h", URL: &url.URL{Opaque: d.Request.Target}, Header: header}
+}
+
+func decode(response *http.Response) relay.Verdict {
+	status := response.StatusCode
+	return relay.Verdict{
+		Status:     status,
+		Header:     response.Header.Clone(),
+		Success:    status < 300,
+		Signed:     response.Header.Get(headerSigned) != "",
+		NotRun:     response.Header.Get(headerNotRun) != "",
+		EventsOnly: response.Header.Get("Content-Type") == "text/event-stream",
+	}
+}
+
+func (g *rig) seen() []arrival {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]arrival{}, g.arrivals...)
+}
+
+func request(kind routing.Kind) *relay.Request {
+	now := time.Now()
+	return &relay.Request{
+		ID:       "r1",
+		Method:   http.MethodGet,
+		Target:   "/x/1",
+		Service:  "s",
+		Content:  "content",
+		Received: now,
+		Deadline: now.Add(5 * time.Second),
+		Need:     placement.Need{PromptTokens: 1000, OutputTokens: 100},
+		Route: &routing.Route{
+			Kind:             kind,
+			Resumable:        true,
+			MaxAttempts:      5,
+			LatencyObjective: 200 * time.Millisecond,
+			GapObjective:     400 * time.Millisecond,
+		},
+	}
+}
+
+// What servers do.
+
+func say(status int, body string) script {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(headerSigned, "1")
+		w.WriteHeader(status)
+		fmt.Fprint(w, body)
+	}
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(headerNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func reset(http.ResponseWriter, *http.Request) {
+	panic(http.ErrAbortHandler)
+}
+
+func hang(_ http.ResponseWriter, r *http.Request) {
+	<-r.Context().Done()
+}
+
+// events sends the events after the request's last one up to the given number,
+// and then does what end says.
+func events(to int, end func()) script {
+	return func(w http.ResponseWriter, r *http.Request) {
+		from, _ := strconv.Atoi(r.Header.Get(headerLast)) // "" is 0: from the start.
+		w.Header().Set(headerSigned, "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := from + 1; i <= to; i++ {
+			fmt.Fprintf(w, "id: %d\ndata: word%d\n\n", i, i)
+			w.(http.Flusher).Flush()
+			time.Sleep(5 * time.Millisecond)
+		}
+		end()
+	}
+}
+
+func complete() {}
+
+func abort() { panic(http.ErrAbortHandler) }
+
+// caller collects a stream.
+type caller struct {
+	status int
+	body   strings.Builder
+}
+
+func (c *caller) sink() relay.Sink {
+	return relay.Sink{
+		Begin: func(status int, _ http.Header) { c.status = status },
+		Event: func(event []byte) error { c.body.Write(event); return nil },
+	}
+}
+
+// words gives the data of a stream: "word1 word2".
+func (c *caller) words() string {
+	words := []string{}
+	for _, line := range strings.Split(c.body.String(), "\n") {
+		if word, found := strings.CutPrefix(line, "data: "); found {
+			words = append(words, word)
+		}
+	}
+	return strings.Join(words, " ")
+}
+
+func wordsTo(last int) string {
+	words := []string{}
+	for i := 1; i <= last; i++ {
+		words = append(words, fmt.Sprint("word", i))
+	}
+	return strings.Join(words, " ")
+}
+
+// Plain requests.
+
+func TestLookupIsAskedAgainAfterAFailure(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": say(500, "bad"), "b1": say(200, "good")})
+	for range 5 {
+		answer, err := g.relay.Call(context.Background(), request(routing.KindIdempotent))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body), qt.Equals, "good")
+	}
+}
+
+func TestLookupUsesNoMoreThanItsAttempts(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": say(500, "bad"), "b1": say(500, "bad"), "c1": say(500, "bad")})
+	r := request(routing.KindIdempotent)
+	r.Route.MaxAttempts = 2
+	answer, err := g.relay.Call(context.Background(), r)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, answer.Status, qt.Equals, 500)
+	qt.Assert(t, g.seen(), qt.HasLen, 2)
+}
+
+func TestSlowLookupIsAnsweredByASecondServer(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": hang, "b1": say(200, "good")})
+	for range 3 {
+		r := request(routing.KindIdempotent)
+		answer, err := g.relay.Call(context.Background(), r)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer.Body), qt.Equals, "good")
+		qt.Assert(t, time.Since(r.Received) < r.Route.LatencyObjective, qt.IsTrue)
+	}
+}
+
+func TestActionIsNotRepeatedAfterItWasSent(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": reset, "b1": reset})
+	_, err := g.relay.Call(context.Background(), request(routing.KindNonIdempotent))
+	var unknown *relay.Unknown
+	qt.Assert(t, errors.As(err, &unknown), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 1)
+}
+
+func TestActionGoesToAnotherServerIfItWasRefused(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": refuse, "b1": refuse, "c1": say(200, "done")})
+	answer, err := g.relay.Call(context.Background(), request(routing.KindNonIdempotent))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(answer.Body), qt.Equals, "done")
+}
+
+func TestActionThatAllRefuseHasNotRun(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": refuse, "b1": refuse})
+	_, err := g.relay.Call(context.Background(), request(routing.KindNonIdempotent))
+	var notRun *relay.NotRun
+	qt.Assert(t, errors.As(err, &notRun), qt.IsTrue)
+	qt.Assert(t, notRun.RetryAt.IsZero(), qt.IsFalse)
+}
+
+func TestActionThatHangsTimesOut(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": hang, "b1": hang})
+	r := request(routing.KindNonIdempotent)
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, err := g.relay.Call(context.Background(), r)
+	var timedOut *relay.TimedOut
+	qt.Assert(t, errors.As(err, &timedOut), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 1)
+}
+
+func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
+	unsigned := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whose?") }
+	g := newRig(t, map[string]script{"a1": unsigned})
+	_, err := g.relay.Call(context.Background(), request(routing.KindNonIdempotent))
+	var unknown *relay.Unknown
+	qt.Assert(t, errors.As(err, &unknown), qt.IsTrue)
+}
+
+// Streams.
+
+func TestStreamGoesOnFromItsCopy(t *testing.T) {
+	cut := events(5, abort)
+	whole := events(12, complete)
+	var first sync.Once
+	either := func(w http.ResponseWriter, r *http.Request) {
+		run := whole
+		first.Do(func() { run = cut })
+		run(w, r)
+	}
+	g := newRig(t, map[string]script{"a1": either, "b1": either})
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+	seen := g.seen()
+	qt.Assert(t, seen, qt.HasLen, 2)
+	qt.Assert(t, seen[1].server, qt.Equals, seen[0].backup)
+	qt.Assert(t, seen[1].server[:1], qt.Not(qt.Equals), seen[0].server[:1], qt.Commentf("the copy is in the failure domain of the stream"))
+	qt.Assert(t, seen[1].copied, qt.Equals, "r1")
+	qt.Assert(t, seen[1].last, qt.Equals, "5")
+}
+
+func TestStreamReadsThePromptAgainIfTheCopyIsGone(t *testing.T) {
+	var first sync.Once
+	either := func(w http.ResponseWriter, r *http.Request) {
+		run := events(12, complete)
+		first.Do(func() { run = events(5, abort) })
+		if r.Header.Get(headerCopy) != "" {
+			run = refuse
+		}
+		run(w, r)
+	}
+	g := newRig(t, map[string]script{"a1": either, "b1": either})
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+	qt.Assert(t, g.seen(), qt.HasLen, 3)
+}
+
+// TestSilentStreamGoesOnWithinItsGap has the first server stop sending without a
+// word in the middle of an event.
+func TestSilentStreamGoesOnWithinItsGap(t *testing.T) {
+	var first sync.Once
+	either := func(w http.ResponseWriter, r *http.Request) {
+		run := events(12, complete)
+		first.Do(func() {
+			run = func(w http.ResponseWriter, r *http.Request) {
+				events(5, complete)(w, r)
+				fmt.Fprint(w, "id: 6\nda")
+				w.(http.Flusher).Flush()
+				hang(w, r)
+			}
+		})
+		run(w, r)
+	}
+	g := newRig(t, map[string]script{"a1": either, "b1": either})
+	c := &caller{}
+	longest := time.Duration(0)
+	last := time.Time{}
+	sink := c.sink()
+	collect := sink.Event
+	sink.Event = func(event []byte) error {
+		if now := time.Now(); !last.IsZero() {
+			longest = max(longest, now.Sub(last))
+		}
+		last = time.Now()
+		return collect(event)
+	}
+	r := request(routing.KindStreaming)
+	err := g.relay.Stream(context.Background(), r, sink)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+	qt.Assert(t, longest < r.Route.GapObjective, qt.IsTrue, qt.Commentf("%v", longest))
+}
+
+func TestStreamThatMayNotBeResumedIsCut(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(5, abort), "b1": events(5, abort)})
+	r := request(routing.KindStreaming)
+	r.Route.Resumable = false
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), r, c.sink())
+	var cut *relay.Cut
+	qt.Assert(t, errors.As(err, &cut), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 1)
+}
+
+func TestStreamUsesNoMoreThanItsAttempts(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": reset, "b1": reset, "c1": reset, "d1": reset})
+	r := request(routing.KindStreaming)
+	r.Route.MaxAttempts = 3
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), r, c.sink())
+	var unknown *relay.Unknown
+	qt.Assert(t, errors.As(err, &unknown), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 3)
+}
+
+func TestCondemnedContentIsRefusedAtOnce(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	for range 3 {
+		g.crashes.Note("content")
+	}
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+	var notRun *relay.NotRun
+	qt.Assert(t, errors.As(err, &notRun), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 0)
+}
+
+func TestServersOwnFailureIsPassedOn(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": say(400, "no such model")})
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.status, qt.Equals, 400)
+	qt.Assert(t, c.body.String(), qt.Equals, "no such model")
+}
+
+func TestStreamEndsWhenItsCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	g := newRig(t, map[string]script{"a1": func(w http.ResponseWriter, r *http.Request) {
+		events(3, complete)(w, r)
+		hang(w, r)
+		close(ended)
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	c := &caller{}
+	err := g.relay.Stream(ctx, request(routing.KindStreaming), c.sink())
+	var cut *relay.Cut
+	qt.Assert(t, errors.As(err, &cut), qt.IsTrue)
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the server still works for a caller that has left")
+	}
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -74,6 +74,9 @@
 		if end.done {
 			return nil
 		}
+		if end.answer != nil {
+			return s.deliver(end.answer)
+		}
 		if end.caller != nil || ctx.Err() != nil {
 			return s.ended(ctx, end)
 		}
@@ -86,9 +89,6 @@
 // next decides after a run that did not finish: nil means that the stream goes on.
 func (s *stream) next(end runEnd) error {
 	now := s.relay.options.Now()
-	if end.answer != nil {
-		return s.deliver(end.answer)
-	}
 	if s.lostAt.IsZero() && s.begun {
 		s.lostAt = now
 	}
