--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -68,6 +68,7 @@
 	crashes       *crash.Counts
 	counters      *counters
 	storeFailedAt atomic.Int64 // In Unix nanoseconds, of now.
+	storeLost     atomic.Bool
 	started       time.Time
 
 	mu        sync.Mutex
@@ -116,7 +117,7 @@
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
-		LoadChanged: v.spread.LoadsChanged,
+		LoadChanged: v.spread.WorkChanged,
 	})
 	return v
 }
@@ -135,12 +136,13 @@
 			CallerAddress: s.CallerAddress,
 			PeerAddress:   s.PeerAddress,
 			FailureDomain: s.FailureDomain,
-			Beat:          1,
+			Version:       1,
 		},
 		Seeds:               s.Seeds,
 		Now:                 v.Now,
 		Logger:              v.logger,
 		Call:                v.callPeer,
+		Post:                v.postPeer,
 		Drop:                v.peers.Drop,
 		DecodeConfiguration: v.options.DecodeConfiguration,
 		OnConfiguration:     v.configurationChanged,
@@ -161,6 +163,10 @@
 	return reply.Sync, nil
 }
 
+func (v *VM) postPeer(peer, address string, body []byte) {
+	v.peers.Post(peer, address, wire.Frame{Sync: body})
+}
+
 // PeerHandler answers other VMs.
 func (v *VM) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
@@ -232,16 +238,18 @@
 // rest allows for callers that are spread unevenly, and for windows that slide.
 const budgetCaution = 0.8
 
-// Locate lists the callers' addresses of the VMs that take requests.
+// Locate lists the callers' addresses of the VMs that take requests. If there
+// are more than an answer holds, each answer has others.
 func (v *VM) Locate() []string {
 	snapshot := v.spread.Snapshot()
 	addresses := []string{}
 	for _, member := range snapshot.Live {
-		if member.Ready && !member.Leaving && len(addresses) < maxLocated {
+		if member.Ready && !member.Leaving {
 			addresses = append(addresses, member.CallerAddress)
 		}
 	}
-	return addresses
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses[:min(maxLocated, len(addresses))]
 }
 
 // maxLocated is the most addresses that callers take from one answer.
@@ -294,7 +302,8 @@
 	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
 	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
 	supervisor.Add(periodic.New("readiness", readinessEvery, func(ctx context.Context) {
-		v.spread.SetReady(ctx, v.Ready(), v.IsLeaving())
+		ready, storeLost := v.Ready(), v.storeLost.Load()
+		v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.StoreLost = ready, storeLost })
 	}))
 	return supervisor
 }
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -8,6 +8,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
 const (
@@ -21,6 +22,8 @@
 	leavingLeast = 3.2
 	// leavingMost is the part of the grace after which what still runs is cut.
 	leavingMost = 0.95
+	// stopLimit bounds the end of the VM's parts. They keep nothing.
+	stopLimit = 50 * time.Millisecond
 	// leavingPoll is how often it is looked whether all is done.
 	leavingPoll = 20 * time.Millisecond
 )
@@ -41,7 +44,10 @@
 		return errors.Trace(err)
 	}
 	cancel()
-	<-ended
+	select {
+	case <-ended:
+	case <-time.After(stopLimit):
+	}
 	v.peers.Close()
 	event.VMStopped.Info(v.logger, "vm", v.settings.Name, "stillRunning", v.running())
 	return nil
@@ -54,7 +60,7 @@
 	began := v.leavingAt
 	v.mu.Unlock()
 	event.VMStopping.Info(v.logger, "vm", v.settings.Name, "running", v.running())
-	v.spread.SetReady(ctx, false, true)
+	v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.Leaving = false, true })
 	if err := v.options.VMs.Remove(ctx, v.settings.PeerAddress); err != nil {
 		v.logger.Debug("this VM's row could not be removed", "error", err)
 	}
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -25,13 +26,19 @@
 	// a read and of spreading it stays far below the 2 s in which a leaving server
 	// must get no more work.
 	serversPause = 350 * time.Millisecond
-	// overdue is the age from which a VM that is no reader reads for itself. It is
-	// above what readers and peers need, and far below the bounds of 2 s.
-	overdue = 1300 * time.Millisecond
+	// overdue is the age from which a VM that is no reader reads for itself, and
+	// overduePerDoubling what is added for each doubling of the VMs: what is known
+	// passes from VM to VM. With 64 VMs it is 2.2 s, below the bound of 3 s there.
+	overdue            = time.Second
+	overduePerDoubling = 200 * time.Millisecond
 	// overduePerRank spreads the VMs that notice it at once.
 	overduePerRank = 60 * time.Millisecond
+	// isolatedAfter is how long no peer may answer until a VM reads for itself.
+	isolatedAfter = 900 * time.Millisecond
+	// joinLimit is how long a VM that starts waits for a peer that knows all.
+	joinLimit = 60 * time.Millisecond
 	// idlePause is how often a VM that doesn't read looks whether it has to.
-	idlePause = 100 * time.Millisecond
+	idlePause = 50 * time.Millisecond
 	// firstRetry is doubled with each failed call in a row, up to lastRetry.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
@@ -81,15 +88,19 @@
 }
 
 // isDue reports whether this VM has to read: it is one of the readers, or the
-// picture it gets from them is old.
+// picture it gets from them is old, or it has to learn whether the store is back.
 func (w *watcher) isDue() bool {
+	now := w.vm.Now()
 	snapshot := w.vm.spread.Snapshot()
+	if len(snapshot.Live) == 1 && now.Sub(w.vm.started) < joinLimit {
+		return false
+	}
 	rank := rankOf(snapshot.Self, snapshot.Live)
-	if rank < readers {
+	if rank < readers || w.failing || now.Sub(w.vm.spread.PeerHeardAt()) > isolatedAfter {
 		return true
 	}
-	limit := overdue + time.Duration(min(rank, 10))*overduePerRank
-	return w.vm.Now().Sub(w.age(snapshot)) > limit
+	limit := overdue + time.Duration(math.Log2(float64(len(snapshot.Live)))*float64(overduePerDoubling))
+	return now.Sub(w.age(snapshot)) > limit+time.Duration(min(rank, 10))*overduePerRank
 }
 
 // rankOf orders the live VMs for reading, those in different failure domains first.
@@ -101,7 +112,7 @@
 	}
 	order := []ranked{}
 	for _, m := range live {
-		if m.Leaving {
+		if m.Leaving || m.StoreLost {
 			continue
 		}
 		order = append(order, ranked{turn: seen[m.FailureDomain], id: m.ID})
@@ -149,6 +160,7 @@
 		return
 	}
 	w.vm.storeFailedAt.Store(w.vm.Now().UnixNano())
+	w.vm.storeLost.Store(true)
 	if !w.failing {
 		event.StoreLost.Warn(w.vm.logger, "table", w.name, "error", err)
 	}
@@ -161,6 +173,7 @@
 	if w.failing {
 		event.StoreRegained.Info(w.vm.logger, "table", w.name)
 	}
+	w.vm.storeLost.Store(false)
 	w.failing = false
 	w.retry = 0
 }
--- /dev/null
+++ b/internal/peer/spread/exchange.go
@@ -0,0 +1,235 @@
+package spread
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/node/event"
+)
+
+// tick asks a few peers what they have.
+func (s *Spread) tick(ctx context.Context, st *state) {
+	st.members.forget(s.options.Now())
+	st.ticks++
+	peers := st.members.peers()
+	for _, peer := range some(peers, exchangesPerTick) {
+		s.exchange(ctx, st, peer.ID, peer.PeerAddress, 1)
+	}
+	if len(peers) == 0 || st.ticks%seedTicks == 0 {
+		s.askSeeds(ctx, st)
+	}
+	if down, found := st.members.oneDown(); found {
+		s.exchange(ctx, st, down.ID, down.PeerAddress, 0) // It may only have been cut off.
+	}
+	s.publish(st)
+}
+
+func (s *Spread) askSeeds(ctx context.Context, st *state) {
+	known := map[string]bool{}
+	for _, m := range st.members.up() {
+		known[m.PeerAddress] = true
+	}
+	for _, address := range st.seeds {
+		if !known[address] {
+			s.exchange(ctx, st, "seed "+address, address, 0)
+		}
+	}
+}
+
+func (st *state) summary(now time.Time) *summary {
+	return &summary{
+		ConfigVersion:  st.configVersion(),
+		ConfigAge:      ageOf(st.configAt, now),
+		ServersVersion: st.servers.version,
+		ServersAge:     ageOf(st.servers.currentAt, now),
+		MembersHash:    st.members.hash(),
+	}
+}
+
+// exchange sends a summary and takes in the answer later. Retries is how often a
+// peer is asked again before it is taken as down.
+func (s *Spread) exchange(ctx context.Context, st *state, peer, address string, retries int) {
+	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
+	m.Members = []Member{st.members.self}
+	body := m.encode()
+	go func() {
+		for try := 0; ; try++ {
+			if s.ask(ctx, peer, address, body, callLimit) {
+				return
+			}
+			if try >= retries || ctx.Err() != nil {
+				break
+			}
+		}
+		if retries > 0 {
+			s.do(ctx, func(st *state) { s.lost(st, peer) })
+		}
+	}()
+}
+
+// ask makes one call and takes in its answer.
+func (s *Spread) ask(ctx context.Context, peer, address string, body []byte, limit time.Duration) bool {
+	callCtx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	reply, err := s.options.Call(callCtx, peer, address, body)
+	if err != nil {
+		if callCtx.Err() != nil {
+			s.options.Drop(peer) // The connection may have gone silent.
+		}
+		return false
+	}
+	s.heardAt.Store(s.options.Now().UnixNano())
+	told, err := decode(reply)
+	if err != nil {
+		s.options.Logger.Warn("a peer's answer could not be read", "peer", peer, "error", err)
+		return false
+	}
+	s.do(ctx, func(st *state) { s.learn(ctx, st, told) })
+	return true
+}
+
+func (s *Spread) lost(st *state, peer string) {
+	if !st.members.lost(peer, s.options.Now()) {
+		return
+	}
+	event.PeerDown.Warn(s.options.Logger, "peer", peer, "up", len(st.members.up()))
+	st.hintDue = true
+	s.publish(st)
+}
+
+// hint tells a few peers what this VM has, and which entries of VMs changed.
+func (s *Spread) hint(st *state) {
+	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
+	m.Members = st.members.takeChanged()
+	body := m.encode()
+	for _, peer := range some(st.members.peers(), hintFanout) {
+		s.options.Post(peer.ID, peer.PeerAddress, body)
+	}
+}
+
+// OnMessage takes in a peer's message and gives the answer.
+func (s *Spread) OnMessage(body []byte) []byte {
+	told, err := decode(body)
+	if err != nil {
+		s.options.Logger.Warn("a peer's message could not be read", "error", err)
+		return nil
+	}
+	s.learnWork(told)
+	if told.Summary == nil && told.Want == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	defer cancel()
+	answer := message{}
+	s.do(ctx, func(st *state) {
+		s.learn(context.WithoutCancel(ctx), st, told)
+		answer = s.answer(st, told)
+	})
+	return answer.encode()
+}
+
+// answer gives what a message asks for.
+func (s *Spread) answer(st *state, told message) message {
+	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
+	if told.Summary != nil && told.Summary.MembersHash != m.Summary.MembersHash {
+		m.Members = st.members.up()
+	}
+	if told.Want != nil && told.Want.Config && st.configVersion() > told.Want.ConfigVersion {
+		m.Config = st.packed
+	}
+	if told.Want != nil && told.Want.Servers && st.servers.version > told.Want.ServersVersion {
+		m.Servers = st.servers.changesSince(told.Want.ServersVersion)
+	}
+	return m
+}
+
+// learn takes in what a message tells, and fetches from its sender what this VM lacks.
+func (s *Spread) learn(ctx context.Context, st *state, told message) {
+	now := s.options.Now()
+	if st.members.hear(told.Members, now) {
+		st.hintDue = true
+	}
+	if told.Config != nil {
+		s.unpack(st, told)
+	}
+	if told.Servers != nil {
+		st.serversFetch = time.Time{}
+		s.applyServers(st, told.Servers, told.From)
+	}
+	if told.Summary != nil {
+		s.learnAges(st, told.Summary, now)
+		s.fetch(ctx, st, told, now)
+	}
+	s.publish(st)
+}
+
+func (s *Spread) unpack(st *state, told message) {
+	st.configFetch = time.Time{}
+	raw, err := decompress(told.Config)
+	if err != nil {
+		event.ConfigUnreadable.Warn(s.options.Logger, "from", told.From, "error", err)
+		return
+	}
+	s.adopt(st, raw, told.From)
+}
+
+// learnAges takes over how current a peer knows a version to be that this VM has too.
+func (s *Spread) learnAges(st *state, told *summary, now time.Time) {
+	if at := momentOf(told.ConfigAge, now); told.ConfigVersion == st.configVersion() && at.After(st.configAt) {
+		st.configAt = at
+	}
+	if at := momentOf(told.ServersAge, now); told.ServersVersion == st.servers.version && at.After(st.servers.currentAt) {
+		st.servers.currentAt = at
+	}
+}
+
+// fetch asks the sender for what it has and this VM lacks, unless a fetch of
+// that runs already.
+func (s *Spread) fetch(ctx context.Context, st *state, told message, now time.Time) {
+	w := want{ConfigVersion: st.configVersion(), ServersVersion: st.servers.version}
+	w.Config = told.Summary.ConfigVersion > w.ConfigVersion && now.After(st.configFetch)
+	w.Servers = told.Summary.ServersVersion > w.ServersVersion && now.After(st.serversFetch)
+	if !w.Config && !w.Servers {
+		return
+	}
+	until := now.Add(fetchLimit)
+	if w.Config {
+		st.configFetch = until
+	}
+	if w.Servers {
+		st.serversFetch = until
+	}
+	m := message{From: st.members.self.ID, Want: &w}
+	body := m.encode()
+	go func() {
+		if s.ask(ctx, told.From, told.Address, body, fetchLimit) {
+			return
+		}
+		s.do(ctx, func(st *state) { s.fetchFailed(st, w) })
+	}()
+}
+
+// fetchFailed lets the next hint start another fetch.
+func (s *Spread) fetchFailed(st *state, w want) {
+	if w.Config {
+		st.configFetch = time.Time{}
+	}
+	if w.Servers {
+		st.serversFetch = time.Time{}
+	}
+}
+
+func (s *Spread) learnWork(told message) {
+	if told.HasLoads {
+		s.options.OnLoads(told.From, told.Loads)
+	}
+	if len(told.Copies) > 0 {
+		s.options.OnCopies(told.Copies)
+	}
+	if len(told.Crashes) > 0 {
+		s.options.OnCrashes(told.Crashes)
+	}
+	if len(told.Losses) > 0 {
+		s.options.OnLosses(told.Losses)
+	}
+}
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -1,23 +1,31 @@
 package spread
 
 import (
+	"bytes"
+	"compress/flate"
+	"io"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
 
 // Member is one VM as VMs tell each other. ID is new with each start of a
-// process. Beat counts up while the process runs.
+// process. Version counts the changes that the VM itself made to its entry.
 type Member struct {
 	ID            string `cbor:"1,keyasint"`
 	CallerAddress string `cbor:"2,keyasint"`
 	PeerAddress   string `cbor:"3,keyasint"`
 	FailureDomain string `cbor:"4,keyasint,omitempty"`
-	Beat          uint64 `cbor:"5,keyasint"`
+	Version       uint64 `cbor:"5,keyasint"`
 	Ready         bool   `cbor:"6,keyasint,omitempty"`
 	Leaving       bool   `cbor:"7,keyasint,omitempty"`
+	// StoreLost means that the store does not answer this VM.
+	StoreLost bool `cbor:"8,keyasint,omitempty"`
+	// Down is told by others. The VM refutes it with a higher version.
+	Down bool `cbor:"9,keyasint,omitempty"`
 }
 
 // ServerRow is one listed backend server, or the mark of one that is gone.
@@ -57,22 +65,38 @@
 	Ended    bool   `cbor:"2,keyasint,omitempty"`
 }
 
-// message is what two VMs exchange. Ages tell how long ago the sender's picture
-// was known to be the newest of the store; -1 if it never was.
+// summary is what a VM has. Ages tell how long ago that was known to be the
+// newest of the store; -1 if it never was.
+type summary struct {
+	ConfigVersion  uint64 `cbor:"1,keyasint,omitempty"`
+	ConfigAge      int64  `cbor:"2,keyasint,omitempty"`
+	ServersVersion uint64 `cbor:"3,keyasint,omitempty"`
+	ServersAge     int64  `cbor:"4,keyasint,omitempty"`
+	MembersHash    uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// want asks for what is newer than these versions.
+type want struct {
+	Config         bool   `cbor:"1,keyasint,omitempty"`
+	ConfigVersion  uint64 `cbor:"2,keyasint,omitempty"`
+	Servers        bool   `cbor:"3,keyasint,omitempty"`
+	ServersVersion uint64 `cbor:"4,keyasint,omitempty"`
+}
+
+// message is what two VMs exchange. Each part is optional.
 type message struct {
-	From           string         `cbor:"1,keyasint"`
-	Members        []Member       `cbor:"2,keyasint,omitempty"`
-	ConfigVersion  uint64         `cbor:"3,keyasint,omitempty"`
-	ConfigAge      int64          `cbor:"4,keyasint,omitempty"`
-	ServersVersion uint64         `cbor:"5,keyasint,omitempty"`
-	ServersAge     int64          `cbor:"6,keyasint,omitempty"`
-	Config         []byte         `cbor:"7,keyasint,omitempty"`
-	Servers        *ServerChanges `cbor:"8,keyasint,omitempty"`
-	Loads          []pool.Load    `cbor:"9,keyasint,omitempty"`
-	HasLoads       bool           `cbor:"10,keyasint,omitempty"`
-	Copies         []CopyNote     `cbor:"11,keyasint,omitempty"`
-	Crashes        []CrashNote    `cbor:"12,keyasint,omitempty"`
-	Losses         []LossNote     `cbor:"13,keyasint,omitempty"`
+	From     string         `cbor:"1,keyasint"`
+	Address  string         `cbor:"2,keyasint,omitempty"` // Of From, for peers.
+	Summary  *summary       `cbor:"3,keyasint,omitempty"`
+	Members  []Member       `cbor:"4,keyasint,omitempty"`
+	Want     *want          `cbor:"5,keyasint,omitempty"`
+	Config   []byte         `cbor:"6,keyasint,omitempty"` // Compressed.
+	Servers  *ServerChanges `cbor:"7,keyasint,omitempty"`
+	Loads    []pool.Load    `cbor:"8,keyasint,omitempty"`
+	HasLoads bool           `cbor:"9,keyasint,omitempty"`
+	Copies   []CopyNote     `cbor:"10,keyasint,omitempty"`
+	Crashes  []CrashNote    `cbor:"11,keyasint,omitempty"`
+	Losses   []LossNote     `cbor:"12,keyasint,omitempty"`
 }
 
 func (m *message) encode() []byte {
@@ -88,6 +112,28 @@
 	return m, err
 }
 
+// configLimit bounds a configuration that is unpacked, in bytes.
+const configLimit = 32 << 20
+
+func compress(raw []byte) []byte {
+	packed := bytes.Buffer{}
+	writer, err := flate.NewWriter(&packed, flate.DefaultCompression)
+	if err != nil {
+		panic(err) // The level is a constant.
+	}
+	_, _ = writer.Write(raw) // A buffer never fails to take bytes.
+	_ = writer.Close()
+	return packed.Bytes()
+}
+
+func decompress(packed []byte) (raw []byte, err error) {
+	reader := flate.NewReader(bytes.NewReader(packed))
+	if raw, err = io.ReadAll(io.LimitReader(reader, configLimit)); err != nil {
+		return nil, errors.Annotate(err, "unpacking a configuration")
+	}
+	return raw, nil
+}
+
 // ageOf gives the age of a moment in ms, -1 for none.
 func ageOf(moment, now time.Time) int64 {
 	if moment.IsZero() {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -6,14 +6,16 @@
 //
 //	s := spread.New(spread.Options{Self: member, Seeds: addresses, Call: peers.Call, ...})
 //	supervisor.Add(s)
-//	s.LearnConfiguration(configuration, raw, readAt)   // from the store
-//	s.LearnServers(changes, readAt)
-//	snapshot := s.Snapshot()                           // immutable, for any goroutine
-//	reply := s.OnMessage(body)                         // a peer's message
+//	s.LearnConfiguration(ctx, raw, readAt)   // from the store
+//	s.LearnServers(ctx, changes, readAt)
+//	snapshot := s.Snapshot()                 // immutable, for any goroutine
+//	reply := s.OnMessage(body)               // a peer's message
 //
-// Each tick a VM exchanges its versions with a few peers in turn, and each side
-// gets what it lacks (anti-entropy, Demers et al. 1987). News also goes out at
-// once to the live peers. Versions only grow within one process.
+// Each tick a VM asks a few random peers for a summary (anti-entropy, Demers et
+// al. 1987). A peer that doesn't answer twice is told to the others as down, and
+// refutes that if it lives (SWIM, Das et al. 2002). A VM that learns something
+// new hints it to a few peers, who fetch it from there if they lack it, each
+// content once. Versions only grow within one process.
 package spread
 
 import (
@@ -32,16 +34,24 @@
 const (
 	// tickEvery is the pause between exchanges.
 	tickEvery = 250 * time.Millisecond
-	// exchangesPerTick is how many live peers are asked each tick.
-	exchangesPerTick = 3
-	// pushLimit is how many peers get news at once. They pass it on.
-	pushLimit = 16
-	// pushEvery gathers the news of that time into one message.
-	pushEvery = 30 * time.Millisecond
-	// callLimit bounds an exchange. VMs are a few milliseconds from each other.
+	// exchangesPerTick is how many peers are asked each tick.
+	exchangesPerTick = 2
+	// hintFanout is how many peers get a hint of news. They pass it on, so that all
+	// of 400 VMs have it after four steps.
+	hintFanout = 6
+	// hintEvery gathers the news of that time into one hint.
+	hintEvery = 15 * time.Millisecond
+	// workFanout is how many peers are told of this VM's work.
+	workFanout = 128
+	// workEvery gathers the changes of this VM's work.
+	workEvery = 40 * time.Millisecond
+	// callLimit bounds an exchange. VMs are a few milliseconds from each other, and
+	// a lost packet is sent again after 200 ms.
 	callLimit = 400 * time.Millisecond
-	// lonelyTicks is how often a VM asks its seeds, in ticks, even if it knows peers.
-	lonelyTicks = 20
+	// fetchLimit bounds the fetch of a configuration over a slow link.
+	fetchLimit = 1500 * time.Millisecond
+	// seedTicks is how often a VM asks its seeds, in ticks, even if it knows peers.
+	seedTicks = 20
 	// inboxSize bounds the messages that wait for the loop.
 	inboxSize = 1024
 )
@@ -59,14 +69,15 @@
 }
 
 // Options shapes a Spread. Call sends a message to a peer and returns its
-// answer; Drop ends the connection to it. The On functions run on the loop's
-// goroutine and must not block.
+// answer, Post sends one without an answer, and Drop ends the connection. The On
+// functions run on the loop's goroutine and must not block.
 type Options struct {
 	Self   Member
 	Seeds  []string
 	Now    func() time.Time
 	Logger hclog.Logger
 	Call   func(ctx context.Context, peer, address string, body []byte) ([]byte, error)
+	Post   func(peer, address string, body []byte)
 	Drop   func(peer string)
 	// DecodeConfiguration reads a configuration as the store holds it.
 	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
@@ -83,10 +94,26 @@
 type Spread struct {
 	options  Options
 	inbox    chan func(*state)
-	news     chan struct{}
-	snapshot atomic.Pointer[Snapshot]
+	work     chan struct{}
 	notes    chan note
-	turn     int
+	snapshot atomic.Pointer[Snapshot]
+	// heardAt is when a peer answered last, in Unix nanoseconds of Options.Now.
+	heardAt atomic.Int64
+}
+
+// state is owned by the loop's goroutine.
+type state struct {
+	members  *members
+	seeds    []string
+	config   *routing.Configuration
+	packed   []byte    // The configuration, compressed.
+	configAt time.Time // When it was last known to be the newest.
+	servers  servers
+	// Until when a fetch may take; zero if none runs.
+	configFetch  time.Time
+	serversFetch time.Time
+	hintDue      bool
+	ticks        int
 }
 
 // New makes a spread. It does nothing until it is served.
@@ -94,7 +121,7 @@
 	s := &Spread{
 		options: options,
 		inbox:   make(chan func(*state), inboxSize),
-		news:    make(chan struct{}, 1),
+		work:    make(chan struct{}, 1),
 		notes:   make(chan note, inboxSize),
 	}
 	s.snapshot.Store(&Snapshot{Self: options.Self, Live: []Member{options.Self}})
@@ -111,43 +138,58 @@
 	return s.snapshot.Load()
 }
 
+// PeerHeardAt is when a peer answered last; zero if none ever did.
+func (s *Spread) PeerHeardAt() time.Time {
+	if at := s.heardAt.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // Serve owns the state until the context ends.
 func (s *Spread) Serve(ctx context.Context) error {
-	st := &state{self: s.options.Self, seeds: s.options.Seeds, members: map[string]*member{}, servers: map[string]ServerRow{}}
-	s.resume(st)
+	st := s.resume()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	s.tick(ctx, st)
-	var pushDue <-chan time.Time
+	var workDue, hintDue <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case do := <-s.inbox:
 			do(st)
-		case <-s.news:
-			if pushDue == nil {
-				pushDue = time.After(pushEvery)
+		case <-s.work:
+			if workDue == nil {
+				workDue = time.After(workEvery)
 			}
-		case <-pushDue:
-			pushDue = nil
-			s.push(ctx, st)
+		case <-workDue:
+			workDue = nil
+			s.tellWork(st)
+		case <-hintDue:
+			hintDue = nil
+			st.hintDue = false
+			s.hint(st)
 		case <-ticker.C:
 			s.tick(ctx, st)
 		}
+		if st.hintDue && hintDue == nil {
+			hintDue = time.After(hintEvery)
+		}
 	}
 }
 
-// resume takes over what a loop before this one knew, if it was restarted.
-func (s *Spread) resume(st *state) {
+// resume starts from what a loop before this one published, if it was restarted.
+func (s *Spread) resume() *state {
 	before := s.Snapshot()
-	st.self = before.Self
-	st.config, st.configAt = before.Configuration, time.Time{}
+	st := &state{members: newMembers(before.Self), seeds: s.options.Seeds, servers: newServers(before.Servers, before.ServersVersion)}
+	st.config = before.Configuration
 	for _, m := range before.Live {
-		if m.ID != st.self.ID {
-			st.members[m.ID] = &member{Member: m, heardAt: s.options.Now()}
+		if m.ID != before.Self.ID {
+			st.members.others[m.ID] = &member{Member: m}
 		}
 	}
+	return st
 }
 
 // do runs a function on the loop and waits for it.
@@ -168,27 +210,22 @@
 	s.snapshot.Store(&Snapshot{
 		Configuration:   st.config,
 		ConfigurationAt: st.configAt,
-		Servers:         st.listed(),
-		ServersKnown:    st.serversVersion > 0,
-		ServersVersion:  st.serversVersion,
-		ServersAt:       st.serversAt,
-		Self:            st.self,
-		Live:            st.live(s.options.Now()),
+		Servers:         st.servers.listed(),
+		ServersKnown:    st.servers.version > 0,
+		ServersVersion:  st.servers.version,
+		ServersAt:       st.servers.currentAt,
+		Self:            st.members.self,
+		Live:            st.members.up(),
 	})
 }
 
-// announce has news sent soon.
-func (s *Spread) announce() {
-	select {
-	case s.news <- struct{}{}:
-	default:
-	}
-}
-
 // LearnConfiguration takes in what the store held at readAt. A raw of nil means
 // that the known version is still the newest.
 func (s *Spread) LearnConfiguration(ctx context.Context, raw []byte, readAt time.Time) {
 	s.do(ctx, func(st *state) {
+		if raw == nil && st.config == nil {
+			return
+		}
 		if raw == nil || s.adopt(st, raw, "store") {
 			st.configAt = readAt
 		}
@@ -203,63 +240,68 @@
 		event.ConfigUnreadable.Warn(s.options.Logger, "from", from, "error", err)
 		return false
 	}
-	if st.config != nil && configuration.Version <= st.config.Version {
+	before := st.configVersion()
+	if configuration.Version <= before {
 		return true
 	}
-	before := uint64(0)
-	if st.config != nil {
-		before = st.config.Version
-	}
-	st.config, st.configRaw = configuration, raw
+	st.config, st.packed = configuration, compress(raw)
 	event.ConfigInForce.Info(s.options.Logger, "version", configuration.Version, "before", before, "from", from,
 		"routes", len(configuration.Routes), "keys", len(configuration.Keys))
 	s.options.OnConfiguration(configuration)
-	s.announce()
+	st.hintDue = true
 	return true
 }
 
+func (st *state) configVersion() uint64 {
+	if st.config == nil {
+		return 0
+	}
+	return st.config.Version
+}
+
 // LearnServers takes in changes that the store told at readAt.
 func (s *Spread) LearnServers(ctx context.Context, changes ServerChanges, readAt time.Time) {
 	s.do(ctx, func(st *state) {
-		st.serversAt = readAt
-		if st.applyServers(&changes) {
-			s.serversChanged(st, "store")
-		}
+		s.applyServers(st, &changes, "store")
+		st.servers.currentAt = readAt
 		s.publish(st)
 	})
 }
 
-func (s *Spread) serversChanged(st *state, from string) {
-	listed := st.listed()
-	event.ServersChanged.Info(s.options.Logger, "version", st.serversVersion, "from", from, "servers", len(listed))
+func (s *Spread) applyServers(st *state, changes *ServerChanges, from string) {
+	if !st.servers.apply(changes) {
+		return
+	}
+	listed := st.servers.listed()
+	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", from, "servers", len(listed), "changed", len(changes.Rows))
 	s.options.OnServers(listed)
-	s.announce()
+	st.hintDue = true
 }
 
-// LearnMembers takes in VMs that the store lists, which may be down.
+// LearnMembers takes in the addresses of VMs that the store lists, which may be down.
 func (s *Spread) LearnMembers(ctx context.Context, addresses []string) {
 	s.do(ctx, func(st *state) { st.seeds = addresses })
 }
 
-// SetReady tells others whether callers may use this VM.
-func (s *Spread) SetReady(ctx context.Context, ready, leaving bool) {
+// SetSelf changes this VM's own entry and tells the others.
+func (s *Spread) SetSelf(ctx context.Context, change func(self *Member)) {
 	s.do(ctx, func(st *state) {
-		if st.self.Ready == ready && st.self.Leaving == leaving {
-			return
+		if st.members.setSelf(change) {
+			st.hintDue = true
+			s.publish(st)
 		}
-		st.self.Ready, st.self.Leaving = ready, leaving
-		st.self.Beat++
-		s.publish(st)
-		s.announce()
 	})
 }
 
-// LoadsChanged has this VM's work on the servers told soon.
-func (s *Spread) LoadsChanged() {
-	s.announce()
+// WorkChanged has this VM's work on the servers told soon.
+func (s *Spread) WorkChanged() {
+	select {
+	case s.work <- struct{}{}:
+	default:
+	}
 }
 
-// note is one thing to tell all live peers once. One field is set.
+// note is one thing to tell all peers once. One field is set.
 type note struct {
 	copied  *CopyNote
 	crashed *CrashNote
@@ -271,7 +313,7 @@
 func (s *Spread) tell(n note) {
 	select {
 	case s.notes <- n:
-		s.announce()
+		s.WorkChanged()
 	default:
 		s.options.Logger.Warn("a note to the peers was dropped: too many wait")
 	}
@@ -292,67 +334,13 @@
 	s.tell(note{lost: &lost})
 }
 
-// tick exchanges with a few peers.
-func (s *Spread) tick(ctx context.Context, st *state) {
-	now := s.options.Now()
-	st.self.Beat++
-	st.forget(now)
-	s.publish(st)
-	s.turn++
-	peers := s.peers(st, now)
-	for i := range min(exchangesPerTick, len(peers)) {
-		peer := peers[(s.turn*exchangesPerTick+i)%len(peers)]
-		s.exchange(ctx, st, peer.ID, peer.PeerAddress, message{})
-	}
-	if len(peers) == 0 || s.turn%lonelyTicks == 0 {
-		s.askSeeds(ctx, st)
-	}
-	s.askOneDown(ctx, st, now)
-}
-
-// peers lists the live others by ID.
-func (s *Spread) peers(st *state, now time.Time) []Member {
-	peers := []Member{}
-	for _, m := range st.live(now) {
-		if m.ID != st.self.ID {
-			peers = append(peers, m)
-		}
-	}
-	return peers
-}
-
-func (s *Spread) askSeeds(ctx context.Context, st *state) {
-	known := map[string]bool{st.self.PeerAddress: true}
-	for _, m := range st.members {
-		if m.isLive(s.options.Now()) {
-			known[m.PeerAddress] = true
-		}
-	}
-	for _, address := range st.seeds {
-		if !known[address] {
-			s.exchange(ctx, st, "seed "+address, address, message{})
-		}
-	}
-}
-
-// askOneDown tries a member that is taken as down, which may only have been cut off.
-func (s *Spread) askOneDown(ctx context.Context, st *state, now time.Time) {
-	for _, m := range st.members {
-		if !m.isLive(now) {
-			s.exchange(ctx, st, m.ID, m.PeerAddress, message{})
-			return
-		}
-	}
-}
-
-// push sends news to the live peers.
-func (s *Spread) push(ctx context.Context, st *state) {
-	extra := message{HasLoads: true, Loads: s.options.Loads()}
-	s.addNotes(&extra)
-	peers := s.peers(st, s.options.Now())
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, peer := range peers[:min(pushLimit, len(peers))] {
-		s.exchange(ctx, st, peer.ID, peer.PeerAddress, extra)
+// tellWork sends this VM's work and the notes that wait to the peers.
+func (s *Spread) tellWork(st *state) {
+	m := message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads()}
+	s.addNotes(&m)
+	body := m.encode()
+	for _, peer := range some(st.members.peers(), workFanout) {
+		s.options.Post(peer.ID, peer.PeerAddress, body)
 	}
 }
 
@@ -375,100 +363,8 @@
 	}
 }
 
-// exchange sends what the peer lacks and takes in its answer later.
-func (s *Spread) exchange(ctx context.Context, st *state, peer, address string, extra message) {
-	now := s.options.Now()
-	m := st.summary(now)
-	m.Loads, m.HasLoads, m.Copies, m.Crashes, m.Losses = extra.Loads, extra.HasLoads, extra.Copies, extra.Crashes, extra.Losses
-	if known := st.members[peer]; known != nil {
-		m = st.withNews(m, known.configVersion, known.serversVersion)
-	}
-	body := m.encode()
-	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, callLimit)
-		defer cancel()
-		reply, err := s.options.Call(callCtx, peer, address, body)
-		if err != nil {
-			if callCtx.Err() != nil && ctx.Err() == nil {
-				s.options.Drop(peer)
-			}
-			return // Seen by the member's beat, which stands still.
-		}
-		s.take(ctx, reply)
-	}()
-}
-
-// take takes in a peer's message without an answer to it.
-func (s *Spread) take(ctx context.Context, body []byte) {
-	told, err := decode(body)
-	if err != nil {
-		s.options.Logger.Warn("a peer's message could not be read", "error", err)
-		return
-	}
-	s.do(ctx, func(st *state) { s.learn(st, told) })
-}
-
-// OnMessage takes in a peer's message and gives the answer.
-func (s *Spread) OnMessage(body []byte) []byte {
-	told, err := decode(body)
-	if err != nil {
-		s.options.Logger.Warn("a peer's message could not be read", "error", err)
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
-	defer cancel()
-	answer := message{}
-	s.do(ctx, func(st *state) {
-		s.learn(st, told)
-		answer = st.withNews(st.summary(s.options.Now()), told.ConfigVersion, told.ServersVersion)
-	})
-	return answer.encode()
-}
-
-// learn takes in all that a message tells.
-func (s *Spread) learn(st *state, told message) {
-	now := s.options.Now()
-	changed := st.hear(told.Members, now)
-	if told.Config != nil && (st.config == nil || told.ConfigVersion > st.config.Version) {
-		changed = s.adopt(st, told.Config, told.From) || changed
-	}
-	if st.config != nil && told.ConfigVersion == st.config.Version {
-		if at := momentOf(told.ConfigAge, now); at.After(st.configAt) {
-			st.configAt = at
-			changed = true
-		}
-	}
-	if st.applyServers(told.Servers) {
-		s.serversChanged(st, told.From)
-		changed = true
-	}
-	if told.ServersVersion <= st.serversVersion && told.ServersVersion > 0 {
-		if at := momentOf(told.ServersAge, now); at.After(st.serversAt) && told.ServersVersion == st.serversVersion {
-			st.serversAt = at
-			changed = true
-		}
-	}
-	if from := st.members[told.From]; from != nil {
-		from.configVersion = max(from.configVersion, told.ConfigVersion)
-		from.serversVersion = max(from.serversVersion, told.ServersVersion)
-	}
-	s.learnWork(told)
-	if changed {
-		s.publish(st)
-	}
-}
-
-func (s *Spread) learnWork(told message) {
-	if told.HasLoads {
-		s.options.OnLoads(told.From, told.Loads)
-	}
-	if len(told.Copies) > 0 {
-		s.options.OnCopies(told.Copies)
-	}
-	if len(told.Crashes) > 0 {
-		s.options.OnCrashes(told.Crashes)
-	}
-	if len(told.Losses) > 0 {
-		s.options.OnLosses(told.Losses)
-	}
+// some gives up to count of the members, chosen at random.
+func some(members []Member, count int) []Member {
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	return members[:min(count, len(members))]
 }
--- a/internal/peer/wire/pool.go
+++ b/internal/peer/wire/pool.go
@@ -87,6 +87,14 @@
 	return l.call(ctx, frame)
 }
 
+// Post sends a frame without waiting for an answer. It is lost if the peer can't
+// be reached.
+func (p *Pool) Post(peer, address string, frame Frame) {
+	if l := p.link(peer, address); l != nil {
+		l.post(frame)
+	}
+}
+
 // Drop ends the connection to a peer, for one that leaves calls unanswered: the
 // connection may have gone silent while a new one works.
 func (p *Pool) Drop(peer string) {
@@ -251,6 +259,13 @@
 	}
 }
 
+func (l *link) post(frame Frame) {
+	l.mu.Lock()
+	l.frames = append(l.frames, frame)
+	l.mu.Unlock()
+	l.wake()
+}
+
 func (l *link) call(ctx context.Context, frame Frame) (reply Frame, err error) {
 	frame.Call = l.pool.nextCall()
 	answer := make(chan Frame, 1)
