--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -128,10 +128,12 @@
 	latency     float64
 }
 
-// Lease is work on a server. Down is closed when the server is found down.
+// Lease is work on a server. Down is closed when the server is found down. Load
+// is what was known of the server when it was chosen, for the log.
 type Lease struct {
 	Server Server
 	Down   chan struct{}
+	Load   placement.Candidate
 
 	pool    *Pool
 	server  *server
@@ -345,7 +347,7 @@
 		}
 		chosen = usable[at]
 	}
-	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != ""})
+	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != "", Load: p.candidate(chosen, now)})
 	usable, described := p.candidates(ask.Service, map[string]bool{chosen.ID: true}, now)
 	if at, found := placement.Backup(described, chosen.FailureDomain, ask.Need); found && !described[at].Avoided {
 		lease.backup = usable[at]
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -12,6 +12,7 @@
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/trace"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
@@ -96,12 +97,13 @@
 	v.counters.ended(request, outcome, took)
 	pairs := []any{"request", id, "outcome", outcome, "millis", took.Milliseconds(), "status", status}
 	if request != nil {
-		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service)
+		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service, "servers", request.Servers)
 	}
 	if err != nil {
 		snapshot := v.spread.Snapshot()
 		pairs = append(pairs, "reason", err, "serversVersion", snapshot.ServersVersion,
-			"serversAgeMillis", v.Now().Sub(snapshot.ServersAt).Milliseconds())
+			"serversAgeMillis", v.Now().Sub(snapshot.ServersAt).Milliseconds(),
+			"configurationVersion", configurationVersion(snapshot), "configurationAgeMillis", v.Now().Sub(snapshot.ConfigurationAt).Milliseconds())
 	}
 	event.RequestEnded.Info(v.logger, pairs...)
 }
@@ -126,3 +128,10 @@
 		return fmt.Sprintf("%T", err)
 	}
 }
+
+func configurationVersion(snapshot *spread.Snapshot) uint64 {
+	if snapshot.Configuration == nil {
+		return 0
+	}
+	return snapshot.Configuration.Version
+}
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
 // hedgePart of the latency objective is waited for an idempotent answer before
@@ -74,6 +76,7 @@
 		return &NotRun{Reason: "the retry budget of the service is spent", RetryAt: c.relay.options.Now().Add(retryPause)}
 	}
 	c.tried[lease.Server.ID] = true
+	c.request.Servers = append(c.request.Servers, lease.Server.ID)
 	c.sent++
 	c.flying++
 	go func() { c.results <- c.exchange(ctx, lease) }()
@@ -86,7 +89,8 @@
 		return
 	}
 	if err := c.start(ctx); err == nil {
-		c.relay.options.Logger.Debug("second server asked", "request", c.request.ID)
+		event.SecondServerAsked.Info(c.relay.options.Logger, "request", c.request.ID, "servers", c.request.Servers,
+			"waitedMillis", c.relay.options.Now().Sub(c.request.Received).Milliseconds())
 	}
 }
 
@@ -112,9 +116,19 @@
 		result.answer.Body, result.err = response.ReadAll(answerLimit)
 	}
 	c.note(ctx, lease, result, began)
+	c.log(ctx, result)
 	return result
 }
 
+// log writes a line for an exchange that gave no answer to pass on.
+func (c *call) log(ctx context.Context, result callResult) {
+	if ctx.Err() != nil || (result.err == nil && !result.verdict.NotRun && result.verdict.Status < http.StatusInternalServerError) {
+		return
+	}
+	event.RunEnded.Info(c.relay.options.Logger, "request", c.request.ID, "server", result.server.ID,
+		"status", result.verdict.Status, "notRun", result.verdict.NotRun, "reason", fmt.Sprint(result.err))
+}
+
 // note tells the pool how the server did.
 func (c *call) note(ctx context.Context, lease *pool.Lease, result callResult, began time.Time) {
 	took := c.relay.options.Now().Sub(began)
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -12,12 +12,12 @@
 // maxEvent bounds one event, in bytes.
 const maxEvent = 1 << 20
 
-// event is one whole event of a stream: its bytes with the closing blank line,
+// frame is one whole event of a stream: its bytes with the closing blank line,
 // and its id, "" if it has none.
 //
 //	id: 12
 //	data: four trucks
-type event struct {
+type frame struct {
 	raw []byte
 	id  string
 }
@@ -25,7 +25,7 @@
 // readEvent reads up to and with the next blank line. An event that is cut off
 // is an error, also when the cut looks like a regular end. io.EOF means that
 // the body ended between two events.
-func readEvent(reader *bufio.Reader) (e event, err error) {
+func readEvent(reader *bufio.Reader) (e frame, err error) {
 	raw := bytes.Buffer{}
 	for {
 		line, err := reader.ReadSlice('\n')
@@ -34,16 +34,16 @@
 			continue
 		}
 		if err == io.EOF && raw.Len() == 0 {
-			return event{}, io.EOF
+			return frame{}, io.EOF
 		}
 		if err != nil {
-			return event{}, errors.Annotate(err, "event is cut off")
+			return frame{}, errors.Annotate(err, "event is cut off")
 		}
 		if raw.Len() > maxEvent {
-			return event{}, errors.Errorf("event has more than %d bytes", maxEvent)
+			return frame{}, errors.Errorf("event has more than %d bytes", maxEvent)
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return event{raw: raw.Bytes(), id: eventID(raw.Bytes())}, nil
+			return frame{raw: raw.Bytes(), id: eventID(raw.Bytes())}, nil
 		}
 	}
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -50,6 +50,9 @@
 	Need        placement.Need
 	PromptKey   string // Names the prompt; "" if unknown.
 	Content     string // Hash of account, path and body.
+	// Servers are those that it was sent to, in order, for the log. Only the
+	// goroutine that relays the request touches it.
+	Servers []string
 }
 
 // Dispatch is one send of a request to one server.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -12,6 +12,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
 const (
@@ -174,6 +175,9 @@
 		dispatch.Backup, dispatch.BackupID = backup.Address, backup.ID
 	}
 	s.sends++
+	s.request.Servers = append(s.request.Servers, lease.Server.ID)
+	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
+		"fromCopy", resumed, "lastEvent", s.last, "promptTokens", s.request.Need.PromptTokens, "load", lease.Load)
 	before := s.events
 	s.relay.options.LoadChanged()
 	defer s.relay.options.LoadChanged()
@@ -191,8 +195,8 @@
 	if end.done || end.caller != nil || ctx.Err() != nil {
 		return
 	}
-	s.relay.options.Logger.Info("stream run ended", "request", s.request.ID, "server", lease.Server.ID,
-		"resumed", resumed, "last", s.last, "notRun", end.notRun, "silent", end.silent, "reason", end.err)
+	event.RunEnded.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
+		"fromCopy", resumed, "lastEvent", s.last, "notRun", end.notRun, "silent", end.silent, "reason", fmt.Sprint(end.err))
 	switch {
 	case end.replaced:
 		lease.Replaced()
@@ -286,8 +290,8 @@
 			s.last = e.id
 		}
 		if !s.lostAt.IsZero() {
-			s.relay.options.Logger.Info("stream goes on", "request", s.request.ID, "server", lease.Server.ID,
-				"event", e.id, "gapMillis", s.relay.options.Now().Sub(s.lostAt).Milliseconds())
+			event.StreamResumed.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
+				"fromCopy", dispatch.CopyAt != "", "nextEvent", e.id, "gapMillis", s.relay.options.Now().Sub(s.lostAt).Milliseconds())
 			s.lostAt = time.Time{}
 		}
 	}
