--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -59,8 +59,9 @@
 	DefaultDialLimit = 250 * time.Millisecond
 	// defaultIdle is how long a connection is kept if the server does not say.
 	defaultIdle = 4 * time.Second
-	// idleMargin is taken off what the server says, for the way of the next request.
-	idleMargin = time.Second
+	// idlePart of what the server says is used. The rest is for the way of the next
+	// request and for the time being told in whole seconds.
+	idlePart = 0.8
 	// maxIdle bounds the connections kept to one address.
 	maxIdle = 16
 	// keepAliveAfter, keepAliveEvery and keepAliveCount make the kernel find
@@ -184,6 +185,13 @@
 	return nil
 }
 
+// HasIdle reports whether a connection to the address is kept.
+func (p *Pool) HasIdle(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle[address]) > 0
+}
+
 // Forget closes the idle connections to an address.
 func (p *Pool) Forget(address string) {
 	p.mu.Lock()
@@ -390,7 +398,7 @@
 			continue
 		}
 		if seconds, err := strconv.Atoi(value); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(idlePart * float64(seconds) * float64(time.Second))
 		}
 	}
 	return defaultIdle
--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -34,6 +34,8 @@
 	FailureRate float64
 	// LatencyMillis is the recent time of a call that succeeded.
 	LatencyMillis float64
+	// Connected means that an idle connection is kept.
+	Connected bool
 }
 
 // Need is what a stream takes.
@@ -58,6 +60,9 @@
 	// failureCost is what a failed call costs its caller, in ms of latency: the
 	// time until a second try has been answered.
 	failureCost = 400.0
+	// connectCost is what a new connection costs, in ms: a round trip, and the
+	// server's own work for it.
+	connectCost = 3.0
 	// unknownLatency stands for servers that answered no call yet, in ms.
 	unknownLatency = 10.0
 )
@@ -145,5 +150,9 @@
 		latency = unknownLatency
 	}
 	queue := 1 + float64(c.Calls)/float64(max(c.Slots, 1))
-	return latency*queue + failureCost*c.FailureRate
+	cost := latency*queue + failureCost*c.FailureRate
+	if !c.Connected {
+		cost += connectCost
+	}
+	return cost
 }
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -82,6 +82,8 @@
 	Check    func(ctx context.Context, address string) error
 	OnChange func(server Server, down bool, reason string)
 	Tell     func(serverID string, ended bool)
+	// HasIdle reports whether an open connection to an address is kept.
+	HasIdle func(address string) bool
 }
 
 // Pool is safe for concurrent use.
@@ -157,6 +159,9 @@
 	if options.Tell == nil {
 		options.Tell = func(string, bool) {}
 	}
+	if options.HasIdle == nil {
+		options.HasIdle = func(string) bool { return false }
+	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
@@ -276,6 +281,7 @@
 		Calls:         s.calls,
 		FailureRate:   s.decayedFailures(now),
 		LatencyMillis: s.latency,
+		Connected:     p.options.HasIdle(s.Address),
 	}
 }
 
@@ -441,11 +447,16 @@
 	return s.failureRate / (1 + halves)
 }
 
-// Replaced tells that another instance has the server's address.
+// Replaced tells that another instance has the server's address. Peers are told
+// that this one is gone.
 func (l *Lease) Replaced() {
 	l.pool.mu.Lock()
-	defer l.pool.mu.Unlock()
+	known := l.server.replaced
 	l.server.replaced = true
+	l.pool.mu.Unlock()
+	if !known {
+		l.pool.options.Tell(l.Server.ID, true)
+	}
 }
 
 // Broke tells that a connection to the server broke, or that nothing arrives on
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -72,7 +72,7 @@
 	started       time.Time
 
 	mu        sync.Mutex
-	budgets   map[string]*budget.Budget
+	budgets   map[string]*budget.Shared
 	leavingAt time.Time // Zero until SIGTERM.
 	active    int
 }
@@ -83,7 +83,7 @@
 		options:  options,
 		settings: options.Settings,
 		logger:   options.Logger,
-		budgets:  map[string]*budget.Budget{},
+		budgets:  map[string]*budget.Shared{},
 		counters: newCounters(),
 		started:  time.Now(),
 	}
@@ -92,6 +92,7 @@
 		Now:      v.Now,
 		Draw:     rand.Float64,
 		Check:    v.connections.Check,
+		HasIdle:  v.connections.HasIdle,
 		OnChange: v.serverChanged,
 		Tell: func(serverID string, ended bool) {
 			v.spread.TellLoss(spread.LossNote{ServerID: serverID, Ended: ended})
@@ -113,7 +114,7 @@
 		Encode:      options.Encode,
 		Decode:      options.Decode,
 		IDHeader:    options.IDHeader,
-		Spend:       func(service string) bool { return v.budgetOf(service).Spend() },
+		Spend:       v.spend,
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
@@ -152,6 +153,8 @@
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.heardCrashes,
 		OnLosses:            v.heardLosses,
+		Uses:                v.uses,
+		OnUses:              v.heardUses,
 	}
 }
 
@@ -218,25 +221,45 @@
 	}
 }
 
-// budgetOf gives this VM's share of a service's budget for repeats. Callers
-// spread evenly over VMs, so each may use an equal part of the allowance.
-func (v *VM) budgetOf(service string) *budget.Budget {
+// budgetOf gives the service's budget for repeats, which all VMs share.
+func (v *VM) budgetOf(service string) *budget.Shared {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	vms := float64(max(len(v.spread.Snapshot().Live), 1))
-	reserve := max(budgetCaution*v.settings.RepeatAllowance/vms, 1)
 	known := v.budgets[service]
 	if known == nil {
-		known = budget.New(budget.Options{Part: budgetCaution * v.settings.RepeatPart, Reserve: reserve})
+		known = budget.NewShared(budget.SharedOptions{
+			Ratio:     v.settings.RepeatPart,
+			Allowance: v.settings.RepeatAllowance,
+			Window:    v.settings.RepeatWindow,
+			Now:       v.Now,
+		})
 		v.budgets[service] = known
 	}
-	known.Resize(reserve)
 	return known
 }
 
-// budgetCaution is the part of the shared budget that VMs use by themselves. The
-// rest allows for callers that are spread unevenly, and for windows that slide.
-const budgetCaution = 0.8
+func (v *VM) spend(service string) bool {
+	spent := v.budgetOf(service).Spend()
+	v.spread.WorkChanged()
+	return spent
+}
+
+// uses is what this VM tells others of its budgets.
+func (v *VM) uses() []spread.ServiceUse {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	uses := []spread.ServiceUse{}
+	for service, known := range v.budgets {
+		uses = append(uses, spread.ServiceUse{Service: service, Usage: known.Usage()})
+	}
+	return uses
+}
+
+func (v *VM) heardUses(peer string, uses []spread.ServiceUse) {
+	for _, use := range uses {
+		v.budgetOf(use.Service).Heard(peer, use.Usage)
+	}
+}
 
 // Locate lists the callers' addresses of the VMs that take requests. If there
 // are more than an answer holds, each answer has others.
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -240,6 +240,9 @@
 	if told.HasLoads {
 		s.options.OnLoads(told.From, told.Loads)
 	}
+	if len(told.Uses) > 0 {
+		s.options.OnUses(told.From, told.Uses)
+	}
 	if len(told.Copies) > 0 {
 		s.options.OnCopies(told.Copies)
 	}
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/request/budget"
 )
 
 // Member is one VM as VMs tell each other. ID is new with each start of a
@@ -65,6 +66,13 @@
 	Ended    bool   `cbor:"2,keyasint,omitempty"`
 }
 
+// ServiceUse is what a VM did with a service in the last window of its budget
+// for repeats.
+type ServiceUse struct {
+	Service string       `cbor:"1,keyasint"`
+	Usage   budget.Usage `cbor:"2,keyasint"`
+}
+
 // summary is what a VM has. Ages tell how long ago that was known to be the
 // newest of the store; -1 if it never was.
 type summary struct {
@@ -97,6 +105,7 @@
 	Copies   []CopyNote     `cbor:"10,keyasint,omitempty"`
 	Crashes  []CrashNote    `cbor:"11,keyasint,omitempty"`
 	Losses   []LossNote     `cbor:"12,keyasint,omitempty"`
+	Uses     []ServiceUse   `cbor:"13,keyasint,omitempty"`
 }
 
 func (m *message) encode() []byte {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -91,6 +91,8 @@
 	OnCopies            func(notes []CopyNote)
 	OnCrashes           func(notes []CrashNote)
 	OnLosses            func(notes []LossNote)
+	Uses                func() []ServiceUse
+	OnUses              func(peer string, uses []ServiceUse)
 }
 
 // Spread is safe for concurrent use.
@@ -339,7 +341,7 @@
 
 // tellWork sends this VM's work and the notes that wait to the peers.
 func (s *Spread) tellWork(st *state) {
-	m := message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads()}
+	m := message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads(), Uses: s.options.Uses()}
 	s.addNotes(&m)
 	body := m.encode()
 	for _, peer := range some(st.members.peers(), workFanout) {
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -108,6 +108,8 @@
 		OnCopies:  func([]spread.CopyNote) {},
 		OnCrashes: func([]spread.CrashNote) {},
 		OnLosses:  func([]spread.LossNote) {},
+		Uses:      func() []spread.ServiceUse { return nil },
+		OnUses:    func(string, []spread.ServiceUse) {},
 	})
 	n.mu.Lock()
 	n.vms[v.address] = v
--- a/internal/request/budget/budget.go
+++ b/internal/request/budget/budget.go
@@ -50,19 +50,3 @@
 	b.tokens--
 	return true
 }
-
-// Refund gives back what was spent on a try that never reached a server.
-func (b *Budget) Refund() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+1, b.options.Reserve)
-}
-
-// Resize changes how many repeats may be made at once, as the number of VMs
-// that share a budget changes.
-func (b *Budget) Resize(reserve float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.options.Reserve = reserve
-	b.tokens = min(b.tokens, reserve)
-}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -77,7 +77,7 @@
 	}
 	g.servers.SetRooms(map[string]int{"s": 100_000})
 	g.servers.Update(g.listed)
-	repeats := budget.New(budget.Options{Part: 1, Reserve: 100})
+	repeats := budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
 	g.crashes = crash.New(crash.Options{Now: time.Now, Tell: func(string, int) {}})
 	g.relay = relay.New(relay.Options{
 		Servers:     g.servers,
