Move streams that lost their copy to where they get a new one

Cause: a stream lives longer than the time between two losses of a failure domain. The first took the holder of its copy, the second its server, and the whole prompt was read again (gaps of 1.9 to 4.6 s, 5 thousand tokens each).

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -130,12 +130,14 @@
 	latency     float64
 }
 
-// Lease is work on a server. Down is closed when the server is found down. Load
-// is what was known of the server when it was chosen, for the log.
+// Lease is work on a server. Down is closed when the server is found down, and
+// CopyLost when the holder of the stream's copy is. Load is what was known of the
+// server when it was chosen, for the log.
 type Lease struct {
-	Server Server
-	Down   chan struct{}
-	Load   placement.Candidate
+	Server   Server
+	Down     chan struct{}
+	CopyLost chan struct{}
+	Load     placement.Candidate
 
 	pool    *Pool
 	server  *server
@@ -144,9 +146,17 @@
 	started bool // The first event has arrived.
 	backup  *server
 	told    bool // Down is closed.
+	lost    bool // CopyLost is closed.
 	ended   bool
 }
 
+func (l *Lease) tellCopyLost() {
+	if !l.lost {
+		l.lost = true
+		close(l.CopyLost)
+	}
+}
+
 func (l *Lease) tellDown() {
 	if !l.told {
 		l.told = true
@@ -336,6 +346,7 @@
 	Need    placement.Need
 	Tried   map[string]bool
 	On      string
+	Begun   bool // Its prompt need not be read.
 }
 
 // Stream chooses a server for a stream, and one in another failure domain for
@@ -353,7 +364,7 @@
 		}
 		chosen = usable[at]
 	}
-	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != "", Load: p.candidate(chosen, now)})
+	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != "" || ask.Begun, Load: p.candidate(chosen, now)})
 	usable, described := p.candidates(ask.Service, map[string]bool{chosen.ID: true}, now)
 	if at, found := placement.Backup(described, chosen.FailureDomain, ask.Need); found && !described[at].Avoided {
 		lease.backup = usable[at]
@@ -377,6 +388,7 @@
 func (p *Pool) lease(s *server, lease *Lease) *Lease {
 	lease.Server = s.Server
 	lease.Down = make(chan struct{})
+	lease.CopyLost = make(chan struct{})
 	lease.pool = p
 	lease.server = s
 	s.leases[lease] = true
@@ -545,6 +557,7 @@
 	for lease := range s.leases {
 		lease.tellDown()
 	}
+	p.copiesLost(s)
 	doubted := now.Sub(p.lossAt[s.group()]) < doubtLife
 	if doubted {
 		return // They are being checked already.
@@ -557,6 +570,17 @@
 	}
 }
 
+// copiesLost tells the streams whose copy a server held. Called with the lock held.
+func (p *Pool) copiesLost(holder *server) {
+	for _, s := range p.servers {
+		for lease := range s.leases {
+			if lease.backup == holder {
+				lease.tellCopyLost()
+			}
+		}
+	}
+}
+
 // PeerLost takes in that a peer found a server down. Ended means that its
 // process is gone, which needs no check.
 func (p *Pool) PeerLost(serverID string, ended bool) {
@@ -570,6 +594,7 @@
 	if ended {
 		s.endedAt = s.toldAt
 		p.lossAt[s.group()] = s.toldAt
+		p.copiesLost(s)
 	}
 	p.startCheck(s)
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -52,6 +52,10 @@
 	Encode              func(relay.Dispatch) *http.Request
 	Decode              func(*http.Response) relay.Verdict
 	IDHeader            string
+	// EncodeMove asks a server to stop a run and to move its memory; DecodeMove
+	// reads the name under which the run goes on from there.
+	EncodeMove func(runID string, to pool.Server) (request *http.Request, body []byte)
+	DecodeMove func(status int, body []byte) (handle string, err error)
 }
 
 // VM is safe for concurrent use.
@@ -114,7 +118,9 @@
 		Encode:      options.Encode,
 		Decode:      options.Decode,
 		IDHeader:    options.IDHeader,
+		Move:        v.move,
 		Spend:       v.spend,
+		SpendSpare:  v.spendSpare,
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
@@ -244,6 +250,34 @@
 	return spent
 }
 
+func (v *VM) spendSpare(service string) bool {
+	spent := v.budgetOf(service).SpendSpare()
+	v.spread.WorkChanged()
+	return spent
+}
+
+// move asks a server to move a run's memory.
+func (v *VM) move(ctx context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
+	request, body := v.options.EncodeMove(runID, to)
+	response, err := v.connections.Send(ctx, http1.Request{Address: from.Address, HTTP: request, Body: body})
+	if err != nil {
+		return relay.Copy{}, errors.Trace(err)
+	}
+	defer response.Close()
+	var answer []byte
+	if answer, err = response.ReadAll(moveAnswerLimit); err != nil {
+		return relay.Copy{}, errors.Trace(err)
+	}
+	var handle string
+	if handle, err = v.options.DecodeMove(response.StatusCode, answer); err != nil {
+		return relay.Copy{}, errors.Trace(err)
+	}
+	return relay.Copy{RunID: handle, ServerID: to.ID, Address: from.Address}, nil
+}
+
+// moveAnswerLimit bounds a server's answer to a move, in bytes.
+const moveAnswerLimit = 64 << 10
+
 // uses is what this VM tells others of its budgets.
 func (v *VM) uses() []spread.ServiceUse {
 	v.mu.Lock()
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -56,6 +56,7 @@
 	StreamResumed        = define(703, "a stream goes on at another backend server")
 	SecondServerAsked    = define(704, "a second backend server was asked")
 	StreamPlaced         = define(705, "a stream was sent to a backend server")
+	StreamNotMoved       = define(706, "a stream without a copy could not be moved")
 	StoreLost            = define(801, "the platform's store does not answer")
 	StoreRegained        = define(802, "the platform's store answers again")
 	SettingsReloaded     = define(803, "settings were read again")
--- a/internal/request/budget/shared.go
+++ b/internal/request/budget/shared.go
@@ -10,7 +10,10 @@
 	buckets = 20
 	// caution is the part of the bound that is used. The rest is for what others
 	// spend until this VM hears of it, and for windows that lie between buckets.
-	caution = 0.6
+	caution = 0.75
+	// sparePart of what may be used is for repeats that only guard against a later
+	// loss, so that those that a request needs now find room.
+	sparePart = 0.4
 )
 
 // SharedOptions shapes a Shared: in any Window, Ratio repeats for each request
@@ -66,10 +69,19 @@
 
 // Spend takes room for one repeat and reports whether there was any.
 func (s *Shared) Spend() bool {
+	return s.spend(1)
+}
+
+// SpendSpare does the same for a repeat that no request needs yet.
+func (s *Shared) SpendSpare() bool {
+	return s.spend(sparePart)
+}
+
+func (s *Shared) spend(part float64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := s.total()
-	if float64(total.Repeats+1) > caution*(s.options.Ratio*float64(total.Requests)+s.options.Allowance) {
+	if float64(total.Repeats+1) > part*caution*(s.options.Ratio*float64(total.Requests)+s.options.Allowance) {
 		return false
 	}
 	s.history[s.at].Repeats++
--- a/internal/request/budget/shared_test.go
+++ b/internal/request/budget/shared_test.go
@@ -38,6 +38,14 @@
 	qt.Assert(t, s.Spend(), qt.IsTrue)
 }
 
+func TestSpareRepeatsLeaveRoom(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := shared(&now)
+	for s.SpendSpare() {
+	}
+	qt.Assert(t, s.Spend(), qt.IsTrue)
+}
+
 func TestRefundedRepeatMayBeSpentAgain(t *testing.T) {
 	now := time.Unix(0, 0)
 	s := shared(&now)
--- /dev/null
+++ b/internal/request/relay/move.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+)
+
+// moveLimit bounds a move. Memory of a long run takes some 10 ms on the servers'
+// links, more when moves queue.
+const moveLimit = 300 * time.Millisecond
+
+// moved is where a run goes on whose memory was moved.
+type moved struct {
+	lease  *pool.Lease
+	backup *pool.Server
+	from   Copy
+}
+
+// move takes a run that has lost its copy to another server, where it gets a new
+// one. It costs a pause of some 10 ms; without it, the loss of the run's own server
+// would cost reading the whole prompt again. It runs beside the relay of events,
+// which ends when the server closes the stream.
+func (s *stream) move(ctx context.Context, lease *pool.Lease) {
+	if s.relay.options.Move == nil || !s.request.Route.Repeatable() || !s.relay.options.SpendSpare(s.request.Service) {
+		return
+	}
+	target, backup, err := s.relay.options.Servers.Stream(pool.Ask{
+		Service: s.request.Service,
+		Need:    s.request.Need,
+		Tried:   map[string]bool{lease.Server.ID: true},
+		Begun:   true,
+	})
+	if err != nil {
+		return
+	}
+	if backup == nil {
+		target.Release()
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, moveLimit)
+	defer cancel()
+	from, err := s.relay.options.Move(ctx, s.request.ID, lease.Server, target.Server)
+	if err != nil {
+		target.Release()
+		event.StreamNotMoved.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "to", target.Server.ID, "reason", err.Error())
+		return
+	}
+	s.moves <- moved{lease: target, backup: backup, from: from}
+}
+
+// finishMove reports whether the run's memory was moved, after its events have
+// ended. A move that came too late is given back.
+func (s *stream) finishMove(watch *watch, end runEnd) bool {
+	watch.stop()
+	select {
+	case m := <-s.moves:
+		if end.done || end.caller != nil {
+			m.lease.Release()
+			return false
+		}
+		s.moves <- m
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -131,12 +131,17 @@
 	Encode func(Dispatch) *http.Request
 	// Decode reads the head of a response.
 	Decode func(*http.Response) Verdict
+	// Move stops a run and moves its memory to another server, where it can go on
+	// from the copy that is returned; nil if servers can't.
+	Move func(ctx context.Context, runID string, from, to pool.Server) (Copy, error)
 	// IDHeader is the header in which servers echo the request's id.
 	IDHeader string
 	// Spend takes one repeat of the service's shared budget. Refund gives it back
 	// for one that never reached a server.
-	Spend  func(service string) bool
-	Refund func(service string)
+	// SpendSpare is for one that no request needs yet.
+	Spend      func(service string) bool
+	SpendSpare func(service string) bool
+	Refund     func(service string)
 	// LoadChanged is told when a stream's place or phase changed.
 	LoadChanged func()
 	// Copies remembers where the copies of streams are; see Copy.
@@ -145,7 +150,8 @@
 	Crashes Crashes
 }
 
-// Copy tells where a run's memory is.
+// Copy tells where a run's memory is. RunID and Address name it to the server
+// ServerID that holds it.
 type Copy struct {
 	RunID    string
 	ServerID string
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -88,6 +88,7 @@
 		Decode:      decode,
 		IDHeader:    headerID,
 		Spend:       func(string) bool { return repeats.Spend() },
+		SpendSpare:  func(string) bool { return repeats.SpendSpare() },
 		Refund:      func(string) { repeats.Refund() },
 		LoadChanged: func() {},
 		Copies: relay.Copies{
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -42,6 +42,7 @@
 	repeats int // Sends that were paid from the budget.
 	tried   map[string]bool
 	copied  Copy
+	moves   chan moved // What a move of the present run came to, once it has.
 	lostAt  time.Time
 	reason  string
 }
@@ -54,6 +55,7 @@
 	notRun   bool
 	replaced bool
 	silent   bool
+	moved    bool // Its memory was moved, and it goes on elsewhere.
 	err      error
 	caller   error // The caller is gone.
 }
@@ -94,6 +96,10 @@
 		s.lostAt = now
 	}
 	s.reason = fmt.Sprint(end.err)
+	if end.moved {
+		s.repeats++
+		return nil // Paid when the move began.
+	}
 	if end.notSent || end.notRun {
 		s.sends--
 		s.refused++
@@ -152,24 +158,40 @@
 	return nil
 }
 
-// run sends the request to one server and relays what comes.
-func (s *stream) run(ctx context.Context) (end runEnd) {
+// choose gives the server of the next run, the one for the copy of its memory,
+// and the copy that the run goes on from, if any.
+func (s *stream) choose() (lease *pool.Lease, backup *pool.Server, from Copy, err error) {
+	select {
+	case m := <-s.moves:
+		return m.lease, m.backup, m.from, nil
+	default:
+	}
 	ask := pool.Ask{Service: s.request.Service, Need: s.request.Need, Tried: s.tried, On: s.copied.ServerID}
-	lease, backup, err := s.relay.options.Servers.Stream(ask)
+	lease, backup, err = s.relay.options.Servers.Stream(ask)
 	if errors.Is(err, pool.ErrNone) && len(s.tried) > 0 {
 		s.tried = map[string]bool{} // A server that failed is better than none.
 		ask.Tried = s.tried
 		lease, backup, err = s.relay.options.Servers.Stream(ask)
 	}
+	if err != nil {
+		return nil, nil, Copy{}, err
+	}
+	if s.copied.ServerID == lease.Server.ID {
+		from = s.copied
+	}
+	return lease, backup, from, nil
+}
+
+// run sends the request to one server and relays what comes.
+func (s *stream) run(ctx context.Context) (end runEnd) {
+	lease, backup, from, err := s.choose()
 	if err != nil {
 		return runEnd{notSent: true, err: s.relay.noServer(s.request)}
 	}
 	defer lease.Release()
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.last}
-	resumed := s.copied.ServerID == lease.Server.ID
-	if resumed {
-		dispatch.CopyAt, dispatch.CopyOf = s.copied.Address, s.copied.RunID
-	}
+	dispatch.CopyAt, dispatch.CopyOf = from.Address, from.RunID
+	resumed := from != Copy{}
 	s.copied = Copy{}
 	if backup != nil {
 		dispatch.Backup, dispatch.BackupID = backup.Address, backup.ID
@@ -192,7 +214,7 @@
 // settle tells the pool how the server did, and remembers where not to go again.
 // A run that broke without an event while its server died may be what killed it.
 func (s *stream) settle(ctx context.Context, lease *pool.Lease, end runEnd, resumed, barren bool) {
-	if end.done || end.caller != nil || ctx.Err() != nil {
+	if end.done || end.moved || end.caller != nil || ctx.Err() != nil {
 		return
 	}
 	event.RunEnded.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
@@ -219,8 +241,9 @@
 func (s *stream) exchange(ctx context.Context, lease *pool.Lease, dispatch Dispatch, resumed bool) (end runEnd) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watch := s.watch(cancel, lease, resumed)
-	defer watch.stop()
+	watch := s.watch(ctx, cancel, lease, resumed)
+	s.moves = make(chan moved, 1)
+	defer func() { end.moved = s.finishMove(watch, end) }()
 	response, verdict, err := s.relay.send(ctx, dispatch)
 	if err != nil {
 		return runEnd{notSent: errors.Is(err, http1.ErrNotSent), silent: watch.fired(), err: err}
@@ -253,9 +276,10 @@
 }
 
 // started notes a run's first event.
-func (s *stream) started(lease *pool.Lease, dispatch Dispatch) {
+func (s *stream) started(lease *pool.Lease, dispatch Dispatch, watch *watch) {
 	lease.Started()
 	s.relay.options.LoadChanged()
+	watch.begun.Store(true)
 	if dispatch.Backup != "" && s.request.PromptKey != "" {
 		s.relay.options.Copies.Put(s.request.PromptKey, Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.Backup})
 	}
@@ -275,7 +299,7 @@
 		watch.pause()
 		lease.Heard()
 		if first {
-			s.started(lease, dispatch)
+			s.started(lease, dispatch, watch)
 		}
 		if !s.begun {
 			s.begun = true
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -16,26 +17,35 @@
 	silent  atomic.Bool
 	timer   *time.Timer
 	stopped chan struct{}
+	begun   atomic.Bool   // The run's first event has arrived.
+	ended   chan struct{} // Closed when follow has returned.
 }
 
-func (s *stream) watch(cancel func(), lease *pool.Lease, resumed bool) *watch {
+func (s *stream) watch(ctx context.Context, cancel func(), lease *pool.Lease, resumed bool) *watch {
 	gap := s.request.Route.GapObjective
-	w := &watch{cancel: cancel, limit: time.Duration(silencePart * float64(gap)), stopped: make(chan struct{})}
+	w := &watch{
+		cancel:  cancel,
+		limit:   time.Duration(silencePart * float64(gap)),
+		stopped: make(chan struct{}),
+		ended:   make(chan struct{}),
+	}
 	w.timer = time.AfterFunc(time.Hour, w.expire)
 	w.timer.Stop()
 	if gap > 0 && resumed {
 		w.timer.Reset(time.Duration(resumePart * float64(gap)))
 	}
-	go w.follow(lease, s.relay.options.Now)
+	go w.follow(lease, s.relay.options.Now, func() { s.move(ctx, lease) })
 	return w
 }
 
 // follow ends the run when the server is found down, and has it checked when it
 // is quiet.
-func (w *watch) follow(lease *pool.Lease, now func() time.Time) {
+func (w *watch) follow(lease *pool.Lease, now func() time.Time, move func()) {
+	defer close(w.ended)
 	ticker := time.NewTicker(quietEvery)
 	defer ticker.Stop()
 	began := now()
+	copyLost := lease.CopyLost
 	for {
 		select {
 		case <-w.stopped:
@@ -43,6 +53,11 @@
 		case <-lease.Down:
 			w.expire()
 			return
+		case <-copyLost:
+			copyLost = nil
+			if w.begun.Load() {
+				move()
+			}
 		case <-ticker.C:
 			if since := now().Add(-quietLimit); since.After(began) {
 				lease.VerifyIfQuiet(since)
@@ -73,7 +88,9 @@
 	return w.silent.Load()
 }
 
+// stop ends the watch and waits for a move that runs.
 func (w *watch) stop() {
 	w.timer.Stop()
 	close(w.stopped)
+	<-w.ended
 }
