--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -42,6 +42,7 @@
 type Need struct {
 	PromptTokens int
 	OutputTokens int
+	AfterLoss    bool // The stream lost its server a moment ago.
 }
 
 // Tokens is the memory that the stream ends with.
@@ -54,6 +55,9 @@
 	// runs beside it is delayed, counted against the delay of the prompt itself. A
 	// stream has on average half of its output before it.
 	runningWeight = 0.5
+	// samplePart of the candidates, and leastSample at least, are looked at.
+	samplePart  = 0.34
+	leastSample = 4
 	// memoryPart of a server's room at most is given to streams and copies. The
 	// rest is for outputs that are longer than announced.
 	memoryPart = 0.9
@@ -68,11 +72,23 @@
 )
 
 // Stream chooses the server on which a prompt is read with the least delay for
-// itself and for the streams beside it.
+// itself and for the streams beside it. Candidates are in random order.
+//
+// After a loss many VMs choose at the same moment and don't know of each other
+// yet. Each then looks at a sample, so that they seldom take the same server.
 func Stream(candidates []Candidate, need Need) (at int, found bool) {
-	return least(candidates, func(c Candidate) (cost float64, fits bool) {
+	price := func(c Candidate) (cost float64, fits bool) {
 		return streamCost(c, need), hasMemory(c, need)
-	})
+	}
+	if !need.AfterLoss {
+		return least(candidates, price)
+	}
+	size := max(int(samplePart*float64(len(candidates))), leastSample)
+	sample := candidates[:min(size, len(candidates))]
+	if at, found = least(sample, price); found && !sample[at].Avoided {
+		return at, true
+	}
+	return least(candidates, price)
 }
 
 func streamCost(c Candidate, need Need) float64 {
--- a/internal/backend/placement/placement_test.go
+++ b/internal/backend/placement/placement_test.go
@@ -151,3 +151,28 @@
 	// a quarter of that.
 	qt.Assert(t, chosen/seeds < 1.25*(promptMillis+streamMillis), qt.IsTrue)
 }
+
+// TestVMsThatLoseStreamsTogetherSpread has 24 VMs place a stream each at the same
+// moment, with the same picture of 12 servers.
+func TestVMsThatLoseStreamsTogetherSpread(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	candidates := []placement.Candidate{}
+	for i := range 12 {
+		candidates = append(candidates, placement.Candidate{ID: fmt.Sprint(i), Running: 1 + i%3, CacheTokens: 50_000})
+	}
+	candidates[5].Running = 0 // The one that all would take.
+	need := placement.Need{PromptTokens: 5000, OutputTokens: 1000, AfterLoss: true}
+	counts := map[string]int{}
+	for range 24 {
+		shuffled := slices.Clone(candidates)
+		random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		at, found := placement.Stream(shuffled, need)
+		qt.Assert(t, found, qt.IsTrue)
+		counts[shuffled[at].ID]++
+	}
+	// A prompt takes about a second; a queue of more than half of them would take
+	// longer than the objective for the first event.
+	for id, count := range counts {
+		qt.Assert(t, count <= 12, qt.IsTrue, qt.Commentf("%d of 24 on server %s", count, id))
+	}
+}
--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -27,9 +27,11 @@
 	if s.relay.options.Move == nil || !s.request.Route.Repeatable() || !s.relay.options.SpendSpare(s.request.Service) {
 		return
 	}
+	need := s.request.Need
+	need.AfterLoss = true
 	target, backup, err := s.relay.options.Servers.Stream(pool.Ask{
 		Service: s.request.Service,
-		Need:    s.request.Need,
+		Need:    need,
 		Tried:   map[string]bool{lease.Server.ID: true},
 		Begun:   true,
 	})
