Tell a VM's work to peers again before they forget it

Cause: peers forget what a VM told of its streams after 3 s, and a VM with streams of 6 s and no changes told nothing meanwhile, so its servers looked idle.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -48,8 +48,11 @@
 	doubtLife = time.Second
 	// tellPause keeps VMs from telling each other again what they were told.
 	tellPause = 2 * time.Second
-	// peerLoadLife is how long what a peer told of its work counts.
+	// peerLoadLife is how long what a peer told of its work counts. Peers tell it
+	// every LoadsEvery even if nothing changes; one message may be lost.
 	peerLoadLife = 3 * time.Second
+	// LoadsEvery is the longest pause between two messages about a VM's work.
+	LoadsEvery = 1200 * time.Millisecond
 )
 
 // Server is one backend server as the platform lists it.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -358,6 +358,7 @@
 	supervisor.Add(&discovery{vm: v})
 	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
 	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
+	supervisor.Add(periodic.New("work", pool.LoadsEvery, func(context.Context) { v.spread.WorkChanged() }))
 	supervisor.Add(periodic.New("readiness", readinessEvery, func(ctx context.Context) {
 		ready, storeLost := v.Ready(), v.storeLost.Load()
 		v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.StoreLost = ready, storeLost })
