--- a/internal/operator/terminal/platform.go
+++ b/internal/operator/terminal/platform.go
@@ -7,6 +7,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/endivespoke/endivespoke/internal/operator/explain"
 	"github.com/endivespoke/endivespoke/platform"
 )
 
@@ -57,3 +58,16 @@
 	}
 	return exit(exitUsage, "%d settings are wrong", len(faults))
 }
+
+type explainCommand struct {
+	Request string `arg:"" help:"Id of the request."`
+}
+
+// Run explains the request.
+func (c *explainCommand) Run(t *terminal) error {
+	found, err := explain.Read(t.in, c.Request)
+	if err != nil {
+		return exit(exitFailed, "%v", err)
+	}
+	return found.Print(t.out)
+}
--- a/internal/operator/terminal/terminal.go
+++ b/internal/operator/terminal/terminal.go
@@ -58,6 +58,7 @@
 	Serve    serveCommand    `cmd:"" help:"Run one entry VM. Stops gracefully on SIGTERM."`
 	Entry    entryCommand    `cmd:"" help:"Run one entry VM on the users' platform. Stops gracefully on SIGTERM."`
 	Settings settingsCommand `cmd:"" help:"Check a settings file of the platform."`
+	Explain  explainCommand  `cmd:"" help:"Gather what the VMs' logs on standard input say of one request."`
 	Config   configCommand   `cmd:"" help:"Check, publish and look at configurations."`
 	Status   statusCommand   `cmd:"" help:"Show one VM's picture of the system."`
 	Locate   locateCommand   `cmd:"" help:"Ask which VMs to use."`
@@ -80,6 +81,7 @@
   endivespoke config publish examples/villarreal.json --base 3
   endivespoke generate --entry http://10.0.0.1:8080 --model drafting "Crew plan for job 17"
   endivespoke status --output json
+  endivespoke explain 9c41d07be2a35f68 < vms.log
 
 Exit codes: 0 done, 1 refused or failed, 2 wrong usage or settings,
 3 configuration not valid, 4 another operator published first, 5 end not known.`
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -53,6 +53,8 @@
 	arrivals  []arrival
 	addresses map[string]string
 	listed    []pool.Server
+	moves     []string // "from to" of each.
+	stopRun   map[string]chan struct{}
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -91,6 +93,7 @@
 		SpendSpare:  func(string) bool { return repeats.SpendSpare() },
 		Refund:      func(string) { repeats.Refund() },
 		LoadChanged: func() {},
+		Move:        g.move,
 		Copies: relay.Copies{
 			Put:  func(string, relay.Copy) {},
 			Find: func(string) (relay.Copy, bool) { return relay.Copy{}, false },
@@ -100,6 +103,15 @@
 	return g
 }
 
+// move stops the run at a server whose script waits for that.
+func (g *rig) move(_ context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.moves = append(g.moves, from.ID+" "+to.ID)
+	close(g.stopRun[from.ID])
+	return relay.Copy{RunID: "handle of " + runID, ServerID: to.ID, Address: from.Address}, nil
+}
+
 func encode(d relay.Dispatch) *http.Request {
 	header := http.Header{headerID: {d.Request.ID}, headerLast: {d.LastEventID}, headerBackup: {d.BackupID}}
 	if d.CopyAt != "" {
@@ -435,3 +447,37 @@
 		t.Fatal("the server still works for a caller that has left")
 	}
 }
+
+// TestStreamThatLostItsCopyIsMoved has the holder of the copy die, before and
+// after the first event. The stream goes on at a third server, with a new copy.
+func TestStreamThatLostItsCopyIsMoved(t *testing.T) {
+	for name, lossAt := range map[string]time.Duration{"before the first event": 20 * time.Millisecond, "after it": 120 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			stop := map[string]chan struct{}{"a1": make(chan struct{}), "b1": make(chan struct{}), "c1": make(chan struct{})}
+			run := func(id string) script {
+				return func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get(headerCopy) != "" {
+						events(30, complete)(w, r)
+						return
+					}
+					time.Sleep(80 * time.Millisecond) // Reads the prompt.
+					events(10, complete)(w, r)
+					<-stop[id]
+					abort()
+				}
+			}
+			g := newRig(t, map[string]script{"a1": run("a1"), "b1": run("b1"), "c1": run("c1")})
+			g.stopRun = stop
+			time.AfterFunc(lossAt, func() { g.servers.PeerLost(g.seen()[0].backup, true) })
+			c := &caller{}
+			err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, c.words(), qt.Equals, wordsTo(30))
+			seen := g.seen()
+			qt.Assert(t, seen, qt.HasLen, 2)
+			qt.Assert(t, g.moves, qt.DeepEquals, []string{seen[0].server + " " + seen[1].server})
+			qt.Assert(t, seen[1].copied, qt.Equals, "handle of r1")
+			qt.Assert(t, seen[1].server, qt.Not(qt.Equals), seen[0].backup)
+		})
+	}
+}
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -46,7 +46,12 @@
 	defer ticker.Stop()
 	began := now()
 	copyLost := lease.CopyLost
+	moveDue := false
 	for {
+		if moveDue && w.begun.Load() {
+			moveDue = false
+			move()
+		}
 		select {
 		case <-w.stopped:
 			return
@@ -55,9 +60,7 @@
 			return
 		case <-copyLost:
 			copyLost = nil
-			if w.begun.Load() {
-				move()
-			}
+			moveDue = true // At once, or after the first event: before it there is little to move.
 		case <-ticker.C:
 			if since := now().Add(-quietLimit); since.After(began) {
 				lease.VerifyIfQuiet(since)
