--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -36,7 +36,7 @@
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := v.supervisor().ServeBackground(running)
-	event.VMStarted.Info(v.logger, "vm", v.settings.Name, "caller", v.settings.CallerAddress, "peer", v.settings.PeerAddress, "failureDomain", v.settings.FailureDomain)
+	event.VMStarted.Info(v.logger, "vm", v.settings.Name, "caller", v.settings.CallerAddress, "peer", v.settings.PeerAddress, "failureDomain", v.settings.FailureDomain, "metrics", v.settings.MetricsAddress)
 	select {
 	case <-ctx.Done():
 		v.leave(running)
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -43,8 +43,9 @@
 	hintEvery = 15 * time.Millisecond
 	// workFanout is how many peers are told of this VM's work.
 	workFanout = 128
-	// workEvery gathers the changes of this VM's work.
-	workEvery = 40 * time.Millisecond
+	// workEvery gathers the changes of this VM's work. Until they arrive, peers may
+	// place a prompt on the same server, so it is about the way between two VMs.
+	workEvery = 3 * time.Millisecond
 	// callLimit bounds an exchange. VMs are a few milliseconds from each other, and
 	// a lost packet is sent again after 200 ms.
 	callLimit = 400 * time.Millisecond
