--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,13 @@
 
 .PHONY: lint
 lint: ## gofmt, vet and staticcheck.
-	@unformatted="$$(gofmt -l cmd internal)"; if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	@unformatted="$$(gofmt -l cmd internal platform)"; if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
 .PHONY: golden
 golden: ## Write the golden files anew. Read the difference before committing it.
-	$(GO) test ./internal/config/object ./internal/node/settings ./internal/node/vm -run Golden -update
+	$(GO) test ./internal/config/object ./internal/node/settings ./internal/node/vm ./platform -run Golden -update
 
 .PHONY: fuzz
 fuzz: ## Fuzz each target for FUZZ_TIME.
--- /dev/null
+++ b/internal/node/entry/store_test.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
+)
+
+// listRig is a VM's list of servers, fed with rows by hand.
+type listRig struct {
+	t    *testing.T
+	vm   *VM
+	list *serverList
+	at   time.Time
+}
+
+func newListRig(t *testing.T) *listRig {
+	vm := New(Options{
+		Settings:            Settings{Name: "vm-1", RepeatWindow: 10 * time.Second},
+		Logger:              hclog.NewNullLogger(),
+		DecodeConfiguration: func([]byte) (*routing.Configuration, error) { return routing.New(routing.Content{Version: 1}), nil },
+		DecodeServer: func(id string, raw []byte) (pool.Server, bool) {
+			return pool.Server{ID: id, Service: "s", Leaving: string(raw) == "leaving"}, string(raw) != "odd"
+		},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = vm.spread.Serve(ctx) }()
+	list := &serverList{vm: vm, rows: map[string]spread.ServerRow{}, missing: map[string]time.Time{}}
+	return &listRig{t: t, vm: vm, list: list, at: vm.Now().Add(time.Hour)}
+}
+
+// row is what the store tells of a server; "" means that its entry is gone.
+func (g *listRig) learn(version uint64, full bool, rows map[string]string) {
+	told := Rows{Version: version}
+	for id, value := range rows {
+		told.Rows = append(told.Rows, Row{Key: id, Value: []byte(value), Version: version, Gone: value == ""})
+	}
+	g.list.learn(context.Background(), told, full, g.at)
+}
+
+func (g *listRig) listed() []string {
+	ids := []string{}
+	for _, server := range g.vm.spread.Snapshot().Servers {
+		ids = append(ids, fmt.Sprint(server.ID, map[bool]string{true: " leaving"}[server.Leaving]))
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (g *listRig) expect(ids ...string) {
+	g.t.Helper()
+	qt.Assert(g.t, g.listed(), qt.DeepEquals, append([]string{}, ids...))
+}
+
+func TestEntryThatIsRemovedIsGoneAtOnce(t *testing.T) {
+	g := newListRig(t)
+	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
+	g.learn(6, false, map[string]string{"b": ""})
+	g.expect("a", "c")
+}
+
+func TestEntryOfAnotherWriterNamesNoServer(t *testing.T) {
+	g := newListRig(t)
+	g.learn(5, true, map[string]string{"a": "ready", "x": "odd"})
+	g.expect("a")
+	g.learn(6, false, map[string]string{"a": "odd"})
+	g.expect()
+	g.learn(7, false, map[string]string{"a": "ready"})
+	g.expect("a")
+}
+
+// TestLapsedEntriesHaveTheirGrace: after an outage, entries that are missing are
+// kept until the bound for their return, and dropped then.
+func TestLapsedEntriesHaveTheirGrace(t *testing.T) {
+	g := newListRig(t)
+	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "leaving"})
+	g.vm.storeFailedAt.Store(g.at.UnixNano())
+	g.learn(9, false, map[string]string{"a": "", "b": "", "c": ""})
+	g.expect("a", "b") // One that was leaving has left.
+	g.at = g.at.Add(lapseGrace / 2)
+	g.learn(12, false, map[string]string{"a": "ready"})
+	g.expect("a", "b")
+	g.at = g.at.Add(lapseGrace)
+	g.learn(13, false, nil)
+	g.expect("a")
+}
+
+func TestManyEntriesGoneAtOnceHaveLapsed(t *testing.T) {
+	g := newListRig(t)
+	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
+	g.learn(6, true, map[string]string{"c": "ready"})
+	g.expect("a", "b", "c")
+	g.at = g.at.Add(lapseGrace + time.Millisecond)
+	g.learn(7, false, nil)
+	g.expect("c")
+}
+
+// TestOlderReadChangesNothing: a read that is behind what peers have told must
+// not bring back a server that is leaving.
+func TestOlderReadChangesNothing(t *testing.T) {
+	g := newListRig(t)
+	ctx := context.Background()
+	leaving := pool.Server{ID: "a", Service: "s", Leaving: true}
+	rows := []spread.ServerRow{{Server: leaving, Changed: 8}}
+	g.vm.spread.LearnServers(ctx, spread.ServerChanges{Version: 8, Full: true, Rows: rows}, g.at)
+	g.learn(6, true, map[string]string{"a": "ready"})
+	g.expect("a leaving")
+}
+
+func TestRankPutsFailureDomainsInTurn(t *testing.T) {
+	live := []spread.Member{}
+	for _, id := range []string{"a1", "a2", "a3", "b1"} {
+		live = append(live, spread.Member{ID: id, FailureDomain: id[:1]})
+	}
+	ranks := map[string]int{}
+	for _, m := range live {
+		ranks[m.ID] = rankOf(m, live)
+	}
+	qt.Assert(t, ranks, qt.DeepEquals, map[string]int{"a1": 0, "b1": 1, "a2": 2, "a3": 3})
+	live[0].StoreLost = true
+	qt.Assert(t, rankOf(live[1], live), qt.Equals, 0)
+	qt.Assert(t, rankOf(live[0], live), qt.Equals, 3)
+}
--- /dev/null
+++ b/internal/request/accept/accept_test.go
@@ -0,0 +1,94 @@
+package accept_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/request/accept"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+var now = time.Unix(1000, 0)
+
+func picture(age time.Duration) accept.Picture {
+	return accept.Picture{
+		Configuration: routing.New(routing.Content{
+			Version: 3,
+			Routes: []routing.Route{
+				{Name: "plans", Host: "a.example", Prefix: "/plans/", Kind: routing.KindStreaming, Priority: 4, Timeout: 2 * time.Second},
+				{Name: "open", Host: "a.example", Prefix: "/open/", Public: true},
+			},
+			Limits: routing.Limits{HeaderBytes: 1000, BodyBytes: 100},
+			Keyed:  true,
+			Keys:   map[string]routing.Account{"k": {Name: "acme", Priority: 1, HasPriority: true}},
+		}),
+		CurrentAt:  now.Add(-age),
+		StaleAfter: 2 * time.Second,
+	}
+}
+
+func incoming(path, key string) accept.Incoming {
+	return accept.Incoming{ID: "r", Host: "a.example", Path: path, Target: path, Key: key, Received: now}
+}
+
+func TestRouteAndAccountOfARequest(t *testing.T) {
+	r, err := accept.Accept(picture(0), incoming("/plans/1", "k"), now, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Account, qt.Equals, "acme")
+	qt.Assert(t, r.Priority, qt.Equals, 1, qt.Commentf("the account's goes before the route's"))
+	qt.Assert(t, r.Deadline, qt.Equals, now.Add(2*time.Second))
+	r, err = accept.Accept(picture(0), incoming("/open/1", ""), now, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Account, qt.Equals, "")
+}
+
+func TestCallersDeadlineGoesBeforeALaterTimeout(t *testing.T) {
+	in := incoming("/plans/1", "k")
+	in.Deadline = now.Add(time.Second)
+	r, err := accept.Accept(picture(0), in, now, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, r.Deadline, qt.Equals, in.Deadline)
+}
+
+// TestDenialNeedsACurrentConfiguration: a VM that may be behind doesn't deny what
+// a newer version may allow.
+func TestDenialNeedsACurrentConfiguration(t *testing.T) {
+	for path, want := range map[string]error{"/none/1": accept.ErrNoRoute, "/plans/1": accept.ErrNoKey} {
+		_, err := accept.Accept(picture(time.Second), incoming(path, "other"), now, 0)
+		qt.Check(t, errors.Is(err, want), qt.IsTrue, qt.Commentf(path))
+		_, err = accept.Accept(picture(3*time.Second), incoming(path, "other"), now, 0)
+		var notRun *relay.NotRun
+		qt.Check(t, errors.As(err, &notRun), qt.IsTrue, qt.Commentf(path))
+	}
+	_, err := accept.Accept(accept.Picture{}, incoming("/plans/1", "k"), now, 0)
+	var notRun *relay.NotRun
+	qt.Check(t, errors.As(err, &notRun), qt.IsTrue)
+}
+
+func TestLimitsOfTheConfiguration(t *testing.T) {
+	in := incoming("/plans/1", "k")
+	in.Body = make([]byte, 101)
+	_, err := accept.Accept(picture(0), in, now, 0)
+	qt.Assert(t, errors.Is(err, accept.ErrTooLarge), qt.IsTrue)
+	in = incoming("/plans/1", "k")
+	in.HeadBytes = 1001
+	_, err = accept.Accept(picture(0), in, now, 0)
+	qt.Assert(t, errors.Is(err, accept.ErrHeadTooLarge), qt.IsTrue)
+}
+
+func TestContentIsTheSameForEachAttempt(t *testing.T) {
+	first, again, other := incoming("/plans/1", "k"), incoming("/plans/1", "k"), incoming("/plans/1", "k")
+	again.ID, other.Body = "r2", []byte("x")
+	hashes := []string{}
+	for _, in := range []accept.Incoming{first, again, other} {
+		r, err := accept.Accept(picture(0), in, now, 0)
+		qt.Assert(t, err, qt.IsNil)
+		hashes = append(hashes, r.Content)
+	}
+	qt.Assert(t, hashes[0], qt.Equals, hashes[1])
+	qt.Assert(t, hashes[0], qt.Not(qt.Equals), hashes[2])
+}
