--- a/internal/lab/forward/forward.go
+++ b/internal/lab/forward/forward.go
@@ -8,12 +8,15 @@
 //	f.Address()          // connect here instead
 //	f.Silence()          // open connections go silent for good, new ones work
 //	f.SilenceOneWay()    // the same, only towards the one who connected
+//	f.Reset()            // open connections are reset
+//	f.Delay(d)           // everything takes longer by d
 //	f.Block(func(first []byte) bool { ... }) // new connections that match hang too
 package forward
 
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 )
@@ -37,6 +40,7 @@
 	mu    sync.Mutex
 	pairs map[*pair]bool
 	rule  func(first []byte) bool
+	delay time.Duration
 }
 
 // New listens on a free loopback port for connections to the target.
@@ -91,6 +95,34 @@
 	return len(f.pairs)
 }
 
+// Reset resets every open connection at both ends.
+func (f *Forwarder) Reset() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for p := range f.pairs {
+		for _, end := range []net.Conn{p.near, p.far} {
+			if tcp, ok := end.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // It may have closed already.
+			}
+		}
+		p.close()
+	}
+}
+
+// Delay holds up everything that is passed from now on.
+func (f *Forwarder) Delay(delay time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.delay = delay
+}
+
+func (f *Forwarder) wait() {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	time.Sleep(delay)
+}
+
 // Block makes every connection whose beginning matches the rule silent, open
 // ones and new ones, until the rule is replaced. A nil rule blocks nothing; the
 // connections that it made silent are then closed, as when a partition heals.
@@ -151,6 +183,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		count, err := from.Read(buffer)
+		f.wait()
 		if count > 0 && !f.isQuiet(p, up, buffer[:count]) {
 			if _, err := to.Write(buffer[:count]); err != nil {
 				return
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -186,8 +186,6 @@
 	retryPause = 500 * time.Millisecond
 	// answerLimit bounds the answer of a plain service, in bytes.
 	answerLimit = 8 << 20
-	// leastTime is the least time left for which a request is sent to a server.
-	leastTime = 5 * time.Millisecond
 )
 
 // send dispatches once. The caller closes the response.
