--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -124,9 +124,8 @@
 	picked := []Line{}
 	for _, line := range others {
 		server, _ := line.Fields["server"].(string)
-		aboutServer := server != "" && servers[server]
-		aboutVM := server == "" && vms[line.VM] && line.Event != event.ServersChanged.Number
-		if line.At.After(from) && line.At.Before(to) && (aboutServer || aboutVM) {
+		about := servers[server] || (server == "" && line.Event != event.ServersChanged.Number)
+		if vms[line.VM] && line.At.After(from) && line.At.Before(to) && about {
 			picked = append(picked, line)
 		}
 	}
@@ -204,11 +203,15 @@
 	return "answered"
 }
 
-// lastRun adds how the last run at a server ended.
+// lastRun adds how the last run at a server ended, or which servers were asked
+// if none told.
 func (e *Explanation) lastRun(reason string) string {
 	if run, found := e.last(event.RunEnded); found {
 		return fmt.Sprintf("%s; its run at server %v ended: %v", reason, run.Fields["server"], run.Fields["reason"])
 	}
+	if end, found := e.last(event.RequestEnded); found && len(end.servers()) > 0 {
+		return fmt.Sprintf("%s; asked without an answer: %s", strings.TrimSpace(reason), strings.Join(end.servers(), ", "))
+	}
 	return reason
 }
 
