--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,13 @@
 	$(GO) test ./internal/peer/wire -run '^$$' -fuzz FuzzFrame -fuzztime $(FUZZ_TIME)
 	$(GO) test ./internal/config/object -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME)
 
+SEED ?= 100
+SEEDS ?= 10
+
+.PHONY: soak
+soak: ## Fault soak of SEEDS seeds from SEED on; logs in bin/soak.
+	$(GO) test ./platform -run TestSoak -count 1 -timeout 60m -parallel 3 -soak.first $(SEED) -soak.seeds $(SEEDS) -soak.logs $(CURDIR)/bin/soak
+
 .PHONY: bench
 bench: build ## Measure; see docs/MEASUREMENTS.md.
 	bin/endivespoke-lab bench --bin bin --output docs/measurements
