Say not run of a stream only if no server has run it; give up at once when no server is listed

A stream whose server was lost and for which no other was listed was counted as never sent: it was refused with 503, the promise that it has not run, after eight more looks without a pause. A call that had been refused by eight servers kept a place on the ninth. Both tests failed first.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -614,6 +614,17 @@
 	}
 }
 
+// Calls is the number of short calls in flight from this VM.
+func (p *Pool) Calls() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	calls := 0
+	for _, s := range p.servers {
+		calls += s.calls
+	}
+	return calls
+}
+
 // Room tells how many servers of a service may take work, and how many of them
 // are not down.
 func (p *Pool) Room(service string) (listed, up int) {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -67,8 +67,11 @@
 
 // start sends the request to one more server.
 func (c *call) start(ctx context.Context) error {
+	if len(c.tried) >= maxSends {
+		return c.relay.noServer(c.request)
+	}
 	lease, err := c.relay.options.Servers.Call(c.request.Service, c.tried)
-	if err != nil || len(c.tried) >= maxSends {
+	if err != nil {
 		return c.relay.noServer(c.request)
 	}
 	if len(c.tried) > 0 && !c.relay.options.Spend(c.request.Service) {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -481,3 +481,31 @@
 		})
 	}
 }
+
+// TestStreamThatRanIsNotCalledNotRun loses the only server while it reads the
+// prompt. No other is listed, and the stream may have run.
+func TestStreamThatRanIsNotCalledNotRun(t *testing.T) {
+	var g *rig
+	g = newRig(t, map[string]script{"a1": func(http.ResponseWriter, *http.Request) {
+		g.servers.Update(nil)
+		abort()
+	}})
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+	var unknown *relay.Unknown
+	qt.Assert(t, errors.As(err, &unknown), qt.IsTrue, qt.Commentf("%v", err))
+}
+
+// TestRefusedActionGivesBackItsPlaces has more servers refuse than are asked. The
+// one that is chosen last and not asked any more must not look busy for ever.
+func TestRefusedActionGivesBackItsPlaces(t *testing.T) {
+	scripts := map[string]script{}
+	for i := range 10 {
+		scripts[fmt.Sprint("a", i)] = refuse
+	}
+	g := newRig(t, scripts)
+	_, err := g.relay.Call(context.Background(), request(routing.KindNonIdempotent))
+	var notRun *relay.NotRun
+	qt.Assert(t, errors.As(err, &notRun), qt.IsTrue)
+	qt.Assert(t, g.servers.Calls(), qt.Equals, 0)
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -50,6 +50,7 @@
 // runEnd is how one run at a server ended.
 type runEnd struct {
 	done     bool
+	noServer bool    // No server may take it.
 	answer   *Answer // A server's own failure, before any event.
 	notSent  bool
 	notRun   bool
@@ -109,6 +110,8 @@
 		s.relay.options.Refund(s.request.Service)
 	}
 	switch {
+	case end.noServer:
+		return s.giveUp(s.reason)
 	case s.refused > maxSends:
 		return s.giveUp("servers refused it: " + s.reason)
 	case s.sends > 0 && !s.request.Route.Repeatable():
@@ -187,7 +190,7 @@
 func (s *stream) run(ctx context.Context) (end runEnd) {
 	lease, backup, from, err := s.choose()
 	if err != nil {
-		return runEnd{notSent: true, err: s.relay.noServer(s.request)}
+		return runEnd{noServer: true, err: s.relay.noServer(s.request)}
 	}
 	defer lease.Release()
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.last}
