--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -25,7 +25,8 @@
 	PendingTokens int
 	// Running is the number of streams after their first event.
 	Running int
-	// MemoryTokens are of all streams and copies there; CacheTokens is the room.
+	// MemoryTokens are of all streams and copies there; CacheTokens is the room, 0 if
+	// the server is no engine and has no such bound.
 	MemoryTokens int
 	CacheTokens  int
 	// Calls is the number of short calls in flight from this VM.
@@ -74,21 +75,28 @@
 // Stream chooses the server on which a prompt is read with the least delay for
 // itself and for the streams beside it. Candidates are in random order.
 //
+// A server that is up and has no room, as far as is known, goes before one that
+// is down: it lets the stream wait, and the sums include copies that may be gone.
+//
 // After a loss many VMs choose at the same moment and don't know of each other
 // yet. Each then looks at a sample, so that they seldom take the same server.
 func Stream(candidates []Candidate, need Need) (at int, found bool) {
 	price := func(c Candidate) (cost float64, fits bool) {
 		return streamCost(c, need), hasMemory(c, need)
 	}
-	if !need.AfterLoss {
-		return least(candidates, price)
+	if need.AfterLoss {
+		size := max(int(samplePart*float64(len(candidates))), leastSample)
+		sample := candidates[:min(size, len(candidates))]
+		if at, found = least(sample, price); found && !sample[at].Avoided {
+			return at, true
+		}
 	}
-	size := max(int(samplePart*float64(len(candidates))), leastSample)
-	sample := candidates[:min(size, len(candidates))]
-	if at, found = least(sample, price); found && !sample[at].Avoided {
+	if at, found = least(candidates, price); found && !candidates[at].Avoided {
 		return at, true
 	}
-	return least(candidates, price)
+	return least(candidates, func(c Candidate) (cost float64, fits bool) {
+		return float64(c.MemoryTokens), c.CacheTokens == 0 || need.Tokens() <= c.CacheTokens
+	})
 }
 
 func streamCost(c Candidate, need Need) float64 {
@@ -107,7 +115,7 @@
 }
 
 func hasMemory(c Candidate, need Need) bool {
-	return float64(c.MemoryTokens+need.Tokens()) <= memoryPart*float64(c.CacheTokens)
+	return c.CacheTokens == 0 || float64(c.MemoryTokens+need.Tokens()) <= memoryPart*float64(c.CacheTokens)
 }
 
 // least finds the cheapest candidate that fits, one that is not avoided if
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -96,7 +96,7 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	peers   map[string]peerLoads
-	rooms   map[string]int // Memory in tokens of a server, by service.
+	rooms   map[string]Room // By service.
 	lossAt  map[group]time.Time
 }
 
@@ -134,13 +134,15 @@
 }
 
 // Lease is work on a server. Down is closed when the server is found down, and
-// CopyLost when the holder of the stream's copy is. Load is what was known of the
-// server when it was chosen, for the log.
+// CopyLost when the holder of the stream's copy is, or if there is none. Load is
+// what was known of the server when it was chosen, for the log. Moves tells
+// whether the stream can be moved.
 type Lease struct {
 	Server   Server
 	Down     chan struct{}
 	CopyLost chan struct{}
 	Load     placement.Candidate
+	Moves    bool
 
 	pool    *Pool
 	server  *server
@@ -220,8 +222,16 @@
 	}
 }
 
-// SetRooms takes in the memory of each server of a service, in tokens.
-func (p *Pool) SetRooms(rooms map[string]int) {
+// Room is what each server of a service offers to streams: its memory in tokens,
+// whether it holds copies of other servers' runs, and whether it moves runs.
+type Room struct {
+	CacheTokens int
+	Copies      bool
+	Moves       bool
+}
+
+// SetRooms takes in what the services offer.
+func (p *Pool) SetRooms(rooms map[string]Room) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.rooms = rooms
@@ -290,7 +300,7 @@
 		PendingTokens: load.PendingTokens,
 		Running:       load.Running,
 		MemoryTokens:  load.MemoryTokens,
-		CacheTokens:   p.rooms[s.Service],
+		CacheTokens:   p.rooms[s.Service].CacheTokens,
 		Calls:         s.calls,
 		FailureRate:   s.decayedFailures(now),
 		LatencyMillis: s.latency,
@@ -368,12 +378,19 @@
 		chosen = usable[at]
 	}
 	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != "" || ask.Begun, Load: p.candidate(chosen, now)})
+	room := p.rooms[ask.Service]
+	lease.Moves = room.Moves && room.Copies
+	if !room.Copies {
+		return lease, nil, nil
+	}
 	usable, described := p.candidates(ask.Service, map[string]bool{chosen.ID: true}, now)
 	if at, found := placement.Backup(described, chosen.FailureDomain, ask.Need); found && !described[at].Avoided {
 		lease.backup = usable[at]
 		lease.backup.copies += ask.Need.Tokens()
 		copied := usable[at].Server
 		backup = &copied
+	} else {
+		lease.tellCopyLost()
 	}
 	return lease, backup, nil
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -184,9 +184,9 @@
 }
 
 func (v *VM) configurationChanged(configuration *routing.Configuration) {
-	rooms := map[string]int{}
+	rooms := map[string]pool.Room{}
 	for _, service := range configuration.Services {
-		rooms[service.Name] = service.CacheTokens
+		rooms[service.Name] = pool.Room{CacheTokens: service.CacheTokens, Copies: service.Backups, Moves: service.Moves}
 	}
 	v.servers.SetRooms(rooms)
 }
--- a/internal/request/budget/shared.go
+++ b/internal/request/budget/shared.go
@@ -13,7 +13,7 @@
 	caution = 0.75
 	// sparePart of what may be used is for repeats that only guard against a later
 	// loss, so that those that a request needs now find room.
-	sparePart = 0.4
+	sparePart = 0.7
 )
 
 // SharedOptions shapes a Shared: in any Window, Ratio repeats for each request
--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -22,10 +22,11 @@
 // move takes a run that has lost its copy to another server, where it gets a new
 // one. It costs a pause of some 10 ms; without it, the loss of the run's own server
 // would cost reading the whole prompt again. It runs beside the relay of events,
-// which ends when the server closes the stream.
-func (s *stream) move(ctx context.Context, lease *pool.Lease) {
-	if s.relay.options.Move == nil || !s.request.Route.Repeatable() || !s.relay.options.SpendSpare(s.request.Service) {
-		return
+// which ends when the server closes the stream. It reports whether that was
+// tried, or need not be: with no place for run and copy yet it may be later.
+func (s *stream) move(ctx context.Context, lease *pool.Lease) (done bool) {
+	if s.relay.options.Move == nil || !lease.Moves || !s.request.Route.Repeatable() {
+		return true
 	}
 	need := s.request.Need
 	need.AfterLoss = true
@@ -36,11 +37,11 @@
 		Begun:   true,
 	})
 	if err != nil {
-		return
+		return false
 	}
-	if backup == nil {
+	if backup == nil || !s.relay.options.SpendSpare(s.request.Service) {
 		target.Release()
-		return
+		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveLimit)
 	defer cancel()
@@ -48,9 +49,10 @@
 	if err != nil {
 		target.Release()
 		event.StreamNotMoved.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "to", target.Server.ID, "reason", err.Error())
-		return
+		return true
 	}
 	s.moves <- moved{lease: target, backup: backup, from: from}
+	return true
 }
 
 // finishMove reports whether the run's memory was moved, after its events have
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -25,6 +25,8 @@
 	// quietLimit is how long a server that reads a prompt may be silent to this VM
 	// until it is checked.
 	quietLimit = 400 * time.Millisecond
+	// moveAgain is the pause until a stream without a copy is tried to be moved again.
+	moveAgain = 500 * time.Millisecond
 	// quietEvery is how often that is looked at.
 	quietEvery = 100 * time.Millisecond
 )
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -34,23 +34,24 @@
 	if gap > 0 && resumed {
 		w.timer.Reset(time.Duration(resumePart * float64(gap)))
 	}
-	go w.follow(lease, s.relay.options.Now, func() { s.move(ctx, lease) })
+	go w.follow(lease, s.relay.options.Now, func() bool { return s.move(ctx, lease) })
 	return w
 }
 
 // follow ends the run when the server is found down, and has it checked when it
 // is quiet.
-func (w *watch) follow(lease *pool.Lease, now func() time.Time, move func()) {
+func (w *watch) follow(lease *pool.Lease, now func() time.Time, move func() (done bool)) {
 	defer close(w.ended)
 	ticker := time.NewTicker(quietEvery)
 	defer ticker.Stop()
 	began := now()
 	copyLost := lease.CopyLost
 	moveDue := false
+	movePause := time.Time{}
 	for {
-		if moveDue && w.begun.Load() {
-			moveDue = false
-			move()
+		if moveDue && w.begun.Load() && now().After(movePause) {
+			moveDue = !move()
+			movePause = now().Add(moveAgain)
 		}
 		select {
 		case <-w.stopped:
