--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -184,7 +184,7 @@
 	if status, _ := end.Fields["status"].(float64); status >= 500 {
 		return fmt.Sprintf("the server's own failure was passed on, after %d servers were asked", len(end.servers()))
 	}
-	pause, resumed := 0.0, ""
+	pause, resumed := -1.0, ""
 	for _, line := range e.Lines {
 		if gap, _ := line.Fields["gapMillis"].(float64); line.Event == event.StreamResumed.Number && gap > pause {
 			pause = gap
@@ -194,7 +194,7 @@
 			}
 		}
 	}
-	if pause > 0 {
+	if resumed != "" {
 		return fmt.Sprintf("answered, with a pause of %.0f ms after the loss of a server; it went on %s", pause, resumed)
 	}
 	if _, found := e.last(event.SecondServerAsked); found {
