Pass on what is heard of other VMs every 100 ms; derive members and servers once for each change

While many start, each hinted every 15 ms to six peers, and each message sorted and hashed all members.

--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
@@ -108,6 +109,10 @@
 
 // hint tells a few peers what this VM has, and which entries of VMs changed.
 func (s *Spread) hint(st *state) {
+	if !st.hintDue && !st.membersDue {
+		return // An earlier hint has told all.
+	}
+	st.hintDue, st.membersDue = false, false
 	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
 	m.Members = st.members.takeChanged()
 	body := m.encode()
@@ -149,7 +154,7 @@
 		m.Members = st.members.up()
 	}
 	if known := st.members.others[told.From]; known != nil && known.Down {
-		m.Members = append(m.Members, known.Member) // So that it can refute it.
+		m.Members = append(slices.Clone(m.Members), known.Member) // So that it can refute it.
 	}
 	if told.Want != nil && told.Want.Config && st.configVersion() > told.Want.ConfigVersion {
 		m.Config = st.packed
@@ -164,7 +169,7 @@
 func (s *Spread) learn(ctx context.Context, st *state, told message) {
 	now := s.options.Now()
 	if st.members.hear(told.Members, now) {
-		st.hintDue = true
+		st.membersDue = true
 	}
 	if told.Config != nil {
 		s.unpack(st, told)
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -22,6 +22,9 @@
 	self    Member
 	others  map[string]*member
 	changed map[string]bool // IDs that others have not been told of yet.
+	// What is derived from the entries, kept until one changes: each message needs it.
+	upNow   []Member
+	hashNow uint64
 }
 
 func newMembers(self Member) *members {
@@ -36,10 +39,16 @@
 		return false
 	}
 	ms.self.Version++
-	ms.changed[ms.self.ID] = true
+	ms.touch(ms.self.ID)
 	return true
 }
 
+// touch notes that an entry changed.
+func (ms *members) touch(id string) {
+	ms.changed[id] = true
+	ms.upNow = nil
+}
+
 // hear takes in entries that another VM told. A higher version wins; at the same
 // version, down wins over up.
 func (ms *members) hear(told []Member, now time.Time) (changed bool) {
@@ -59,7 +68,7 @@
 		return false
 	}
 	ms.self.Version = told.Version + 1
-	ms.changed[ms.self.ID] = true
+	ms.touch(ms.self.ID)
 	return true
 }
 
@@ -76,7 +85,7 @@
 		entry.downAt = now
 	}
 	ms.others[told.ID] = entry
-	ms.changed[told.ID] = true
+	ms.touch(told.ID)
 	ms.supersede(told)
 	return true
 }
@@ -100,7 +109,7 @@
 		return false
 	}
 	known.Down, known.downAt = true, now
-	ms.changed[id] = true
+	ms.touch(id)
 	return true
 }
 
@@ -113,8 +122,17 @@
 	}
 }
 
-// up lists this VM and the others that are not down, by ID.
+// up lists this VM and the others that are not down, by ID. The list is shared
+// and must not be changed.
 func (ms *members) up() []Member {
+	if ms.upNow == nil {
+		ms.upNow = ms.listUp()
+		ms.hashNow = hashOf(ms.upNow)
+	}
+	return ms.upNow
+}
+
+func (ms *members) listUp() []Member {
 	up := []Member{ms.self}
 	for _, m := range ms.others {
 		if !m.Down {
@@ -127,7 +145,7 @@
 
 // peers lists the others that are not down, by ID.
 func (ms *members) peers() []Member {
-	return slices.DeleteFunc(ms.up(), func(m Member) bool { return m.ID == ms.self.ID })
+	return slices.DeleteFunc(slices.Clone(ms.up()), func(m Member) bool { return m.ID == ms.self.ID })
 }
 
 // oneDown gives a member that is down, if there is any.
@@ -142,8 +160,13 @@
 
 // hash is the same on two VMs that know the same of those that are up.
 func (ms *members) hash() uint64 {
+	ms.up()
+	return ms.hashNow
+}
+
+func hashOf(up []Member) uint64 {
 	sum := fnv.New64a()
-	for _, m := range ms.up() {
+	for _, m := range up {
 		_, _ = sum.Write([]byte(m.ID)) // A hash never fails to write.
 		_, _ = sum.Write(binary.LittleEndian.AppendUint64(nil, m.Version))
 	}
--- a/internal/peer/spread/servers.go
+++ b/internal/peer/spread/servers.go
@@ -15,7 +15,8 @@
 type servers struct {
 	rows      map[string]ServerRow
 	version   uint64
-	currentAt time.Time // When it was last known to be the store's newest.
+	currentAt time.Time     // When it was last known to be the store's newest.
+	listedNow []pool.Server // What is listed, kept until a row changes.
 }
 
 func newServers(listed []pool.Server, version uint64) servers {
@@ -53,6 +54,7 @@
 		}
 	}
 	s.version = changes.Version
+	s.listedNow = nil
 	for id, row := range s.rows {
 		if row.Gone && row.Changed+goneKept < s.version {
 			delete(s.rows, id)
@@ -61,8 +63,16 @@
 	return changes.Full || len(changes.Rows) > 0
 }
 
-// listed gives the servers that are there.
+// listed gives the servers that are there. The list is shared and must not be
+// changed.
 func (s *servers) listed() []pool.Server {
+	if s.listedNow == nil {
+		s.listedNow = s.list()
+	}
+	return s.listedNow
+}
+
+func (s *servers) list() []pool.Server {
 	listed := []pool.Server{}
 	for _, row := range s.rows {
 		if !row.Gone {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -41,6 +41,9 @@
 	hintFanout = 6
 	// hintEvery gathers the news of that time into one hint.
 	hintEvery = 15 * time.Millisecond
+	// membersEvery gathers what is heard of other VMs. When many start at once, each
+	// hears of all the others, and passes that on a few times instead of each time.
+	membersEvery = 100 * time.Millisecond
 	// workFanout is how many peers are told of this VM's work.
 	workFanout = 128
 	// workEvery gathers the changes of this VM's work. Until they arrive, peers may
@@ -118,7 +121,8 @@
 	// Until when a fetch may take; zero if none runs.
 	configFetch  time.Time
 	serversFetch time.Time
-	hintDue      bool
+	hintDue      bool // News of the store or of this VM itself wait.
+	membersDue   bool // News of other VMs wait.
 	ticks        int
 }
 
@@ -158,7 +162,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	s.tick(ctx, st)
-	var workDue, hintDue <-chan time.Time
+	var workDue, hintDue, membersDue <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -174,7 +178,9 @@
 			s.tellWork(st)
 		case <-hintDue:
 			hintDue = nil
-			st.hintDue = false
+			s.hint(st)
+		case <-membersDue:
+			membersDue = nil
 			s.hint(st)
 		case <-ticker.C:
 			s.tick(ctx, st)
@@ -182,6 +188,9 @@
 		if st.hintDue && hintDue == nil {
 			hintDue = time.After(hintEvery)
 		}
+		if st.membersDue && membersDue == nil {
+			membersDue = time.After(membersEvery)
+		}
 	}
 }
 
