--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -1,7 +1,7 @@
 // Package http1 sends requests to backend servers over HTTP/1.1 connections
 // that it keeps. It uses the message codec of net/http and not its Transport,
 // because the caller has to know whether a request may have reached the server,
-// and because a kept connection may carry answers that belong to no request.
+// and because unsolicited responses may arrive on a kept connection.
 //
 // # Usage
 //
@@ -280,7 +280,7 @@
 }
 
 // isQuiet reports whether an idle connection is open and has nothing to read.
-// Anything readable is its end or an answer that belongs to no request.
+// Anything readable is its end or an unsolicited response.
 func (c *connection) isQuiet() bool {
 	if c.reader.Buffered() > 0 {
 		return false
