Give routes without objectives defaults

Found by reading: an idempotent route without a latency objective would ask a second server at once, each time; a stream without a gap objective would never be taken as silent.

--- a/internal/config/routing/routing.go
+++ b/internal/config/routing/routing.go
@@ -67,6 +67,15 @@
 	GapObjective time.Duration
 }
 
+func (r *Route) setDefaults() {
+	if r.LatencyObjective <= 0 {
+		r.LatencyObjective = defaultLatencyObjective
+	}
+	if r.Kind == KindStreaming && r.GapObjective <= 0 {
+		r.GapObjective = defaultGapObjective
+	}
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == KindIdempotent || (r.Kind == KindStreaming && r.Resumable)
@@ -137,11 +146,18 @@
 	services map[string]Service
 }
 
+// Objectives of routes that name none.
+const (
+	defaultLatencyObjective = time.Second
+	defaultGapObjective     = 2 * time.Second
+)
+
 // New indexes a version.
 func New(content Content) *Configuration {
 	c := &Configuration{Content: content, byHost: map[string][]*Route{}, services: map[string]Service{}}
 	for i := range content.Routes {
 		route := &content.Routes[i]
+		route.setDefaults()
 		c.byHost[route.Host] = append(c.byHost[route.Host], route)
 	}
 	for _, routes := range c.byHost {
--- a/internal/config/routing/routing_test.go
+++ b/internal/config/routing/routing_test.go
@@ -58,3 +58,16 @@
 	qt.Assert(t, (&routing.Route{Kind: routing.KindStreaming, Resumable: true}).Repeatable(), qt.IsTrue)
 	qt.Assert(t, (&routing.Route{Kind: routing.KindNonIdempotent, Resumable: true}).Repeatable(), qt.IsFalse)
 }
+
+// TestRouteWithoutObjectivesHasDefaults: without them a second server would be
+// asked at once, and a silent stream never be noticed.
+func TestRouteWithoutObjectivesHasDefaults(t *testing.T) {
+	c := routing.New(routing.Content{Version: 1, Routes: []routing.Route{
+		{Host: "a.example", Prefix: "/look/", Kind: routing.KindIdempotent},
+		{Host: "a.example", Prefix: "/stream/", Kind: routing.KindStreaming},
+	}})
+	look, _ := c.Match("a.example", "/look/1")
+	qt.Assert(t, look.LatencyObjective > 0, qt.IsTrue)
+	stream, _ := c.Match("a.example", "/stream/1")
+	qt.Assert(t, stream.GapObjective > 0, qt.IsTrue)
+}
