Give back the place of a move that comes too late; drop a field and a setting that nothing used

Found by reading the change once more: when a caller left or its time ended while its stream was moved, the place on the new server stayed taken for ever and was told to all VMs as load. It was given back only for two of the ways in which a run ends; now a stream gives it back whenever it ends. TestMoveThatComesTooLateIsGivenBack failed first.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -88,14 +88,13 @@
 
 // Request is one HTTP request to an address. Body is sent with its length. ID
 // is the value that the server echoes in the header IDHeader; answers with
-// another one are read past. Fresh asks for a new connection.
+// another one are read past.
 type Request struct {
 	Address  string
 	HTTP     *http.Request
 	Body     []byte
 	ID       string
 	IDHeader string
-	Fresh    bool
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -231,7 +230,7 @@
 // take gives the connection that was used last, since it is the least likely to
 // have been closed meanwhile, or a new one.
 func (p *Pool) take(ctx context.Context, request Request) (*connection, error) {
-	for !request.Fresh {
+	for {
 		c := p.pop(request.Address)
 		if c == nil {
 			break
--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -55,19 +55,18 @@
 	return true
 }
 
-// finishMove reports whether the run's memory was moved, after its events have
-// ended. A move that came too late is given back.
+// finishMove reports whether the run goes on where its memory was moved, after
+// its events have ended.
 func (s *stream) finishMove(watch *watch, end runEnd) bool {
 	watch.stop()
+	return len(s.moves) > 0 && !end.done && end.caller == nil
+}
+
+// releaseMove gives back the place of a move that came too late to be used.
+func (s *stream) releaseMove() {
 	select {
 	case m := <-s.moves:
-		if end.done || end.caller != nil {
-			m.lease.Release()
-			return false
-		}
-		s.moves <- m
-		return true
+		m.lease.Release()
 	default:
-		return false
 	}
 }
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -55,6 +55,7 @@
 	listed    []pool.Server
 	moves     []string // "from to" of each.
 	stopRun   map[string]chan struct{}
+	onMove    func() // Called once a run was moved, if set.
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -109,6 +110,9 @@
 	defer g.mu.Unlock()
 	g.moves = append(g.moves, from.ID+" "+to.ID)
 	close(g.stopRun[from.ID])
+	if g.onMove != nil {
+		g.onMove()
+	}
 	return relay.Copy{RunID: "handle of " + runID, ServerID: to.ID, Address: from.Address}, nil
 }
 
@@ -541,3 +545,26 @@
 	qt.Assert(t, g.seen()[0].backup, qt.Equals, "")
 	qt.Assert(t, g.seen()[1].backup, qt.Not(qt.Equals), "")
 }
+
+// TestMoveThatComesTooLateIsGivenBack has the caller leave while its stream is
+// moved. The place on the new server must not look taken for ever.
+func TestMoveThatComesTooLateIsGivenBack(t *testing.T) {
+	stop := map[string]chan struct{}{"a1": make(chan struct{}), "b1": make(chan struct{}), "c1": make(chan struct{})}
+	run := func(w http.ResponseWriter, r *http.Request) {
+		events(10, complete)(w, r)
+		<-r.Context().Done()
+	}
+	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.stopRun, g.onMove = stop, cancel
+	time.AfterFunc(120*time.Millisecond, func() { g.servers.PeerLost(g.seen()[0].backup, true) })
+	c := &caller{}
+	r := request(routing.KindStreaming)
+	r.Route.GapObjective = 4 * time.Second
+	err := g.relay.Stream(ctx, r, c.sink())
+	var cut *relay.Cut
+	qt.Assert(t, errors.As(err, &cut), qt.IsTrue)
+	qt.Assert(t, g.moves, qt.HasLen, 1)
+	qt.Assert(t, g.servers.Loads(), qt.HasLen, 0)
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -69,6 +69,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	s := &stream{relay: r, request: request, sink: sink, last: request.LastEventID, tried: map[string]bool{}}
+	defer s.releaseMove()
 	if request.LastEventID != "" && request.PromptKey != "" {
 		s.copied, _ = r.options.Copies.Find(request.PromptKey)
 	}
