--- a/internal/lab/demo/process.go
+++ b/internal/lab/demo/process.go
@@ -5,13 +5,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -83,36 +81,6 @@
 	}
 }
 
-// The ports of started processes lie below those that the system gives to
-// outgoing connections, one of which could otherwise take a port between its
-// being found free and its process listening on it.
-const (
-	firstPort = 10000
-	portCount = 20000
-)
-
-// portsTaken counts the ports that were given out or found in use, so that two
-// systems in one runner never get the same.
-var portsTaken atomic.Int64
-
-// freePorts gives loopback addresses that nothing listens on.
-func freePorts(count int) (addresses []string, err error) {
-	for tries := 0; len(addresses) < count; tries++ {
-		if tries == portCount {
-			return nil, errors.New("no free port")
-		}
-		port := firstPort + (int64(os.Getpid())*101+portsTaken.Add(1))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // Somebody else's; the next may be free.
-		}
-		_ = listener.Close() // The process that is started listens there next.
-		addresses = append(addresses, address)
-	}
-	return addresses, nil
-}
-
 // waitFor asks a URL until it answers with success.
 func waitFor(ctx context.Context, url string) error {
 	ctx, cancel := context.WithTimeout(ctx, startLimit)
--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -27,6 +27,7 @@
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
 	"github.com/endivespoke/endivespoke/internal/lab/forward"
+	"github.com/endivespoke/endivespoke/internal/lab/loopback"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
 	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
 )
@@ -155,7 +156,7 @@
 
 func (s *System) startPlatform(ctx context.Context) (err error) {
 	var addresses []string
-	if addresses, err = freePorts(1); err != nil {
+	if addresses, err = loopback.Addresses(1); err != nil {
 		return errors.Trace(err)
 	}
 	s.Platform = "http://" + addresses[0]
@@ -189,7 +190,7 @@
 
 func (s *System) startEngine(ctx context.Context, server *object.BackendServer) (err error) {
 	var addresses []string
-	if addresses, err = freePorts(1); err != nil {
+	if addresses, err = loopback.Addresses(1); err != nil {
 		return errors.Trace(err)
 	}
 	engine := &Engine{listen: addresses[0]}
@@ -224,7 +225,7 @@
 
 func (s *System) startService(ctx context.Context, server *object.BackendServer) (err error) {
 	var addresses []string
-	if addresses, err = freePorts(1); err != nil {
+	if addresses, err = loopback.Addresses(1); err != nil {
 		return errors.Trace(err)
 	}
 	server.Address = addresses[0]
@@ -279,7 +280,7 @@
 // StartVM starts one more VM. The platform's list has it after ListVMs.
 func (s *System) StartVM(ctx context.Context, id, domain string) (vm *VM, err error) {
 	var addresses []string
-	if addresses, err = freePorts(3); err != nil {
+	if addresses, err = loopback.Addresses(3); err != nil {
 		return nil, errors.Trace(err)
 	}
 	vm = &VM{ID: id, FailureDomain: domain, Caller: addresses[0], Peer: addresses[1], Operator: addresses[2]}
