--- a/internal/lab/demo/system.go
+++ b/internal/lab/demo/system.go
@@ -27,8 +27,8 @@
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
 	"github.com/endivespoke/endivespoke/internal/lab/forward"
-	"github.com/endivespoke/endivespoke/internal/lab/loopback"
 	"github.com/endivespoke/endivespoke/internal/lab/load"
+	"github.com/endivespoke/endivespoke/internal/lab/loopback"
 	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
 )
 
