Find restarted servers by their id while the store can't list them

Change: when a server whose process was gone accepts connections again, or a 421 tells that another process has its address, and the list is old, the process is asked for its id at the health path. It is used under that id if the old process answered less than addr_reuse_s ago, so the address can't belong to another service yet, and if this VM was not paused. It is dropped if the list is current for 2 s and lacks it.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -86,7 +86,8 @@
 	OnChange func(server Server, down bool, reason string)
 	Tell     func(serverID string, ended bool)
 	// HasIdle reports whether an open connection to an address is kept.
-	HasIdle func(address string) bool
+	HasIdle    func(address string) bool
+	Successors Successors
 }
 
 // Pool is safe for concurrent use.
@@ -98,6 +99,9 @@
 	peers   map[string]peerLoads
 	rooms   map[string]Room // By service.
 	lossAt  map[group]time.Time
+
+	recheckedAt time.Time
+	pausedAt    time.Time // When this process last went on after a pause.
 }
 
 // group is the servers that are likely to fail together.
@@ -124,7 +128,11 @@
 	down        bool
 	checking    bool
 	recheckAt   time.Time
-	heardAt     time.Time
+	heardAt     time.Time // From its address: also when a check succeeded.
+	answeredAt  time.Time // From its process.
+	identifying bool
+	foundAt     time.Time // When it was found without the list; zero if it is listed.
+	dropAt      time.Time
 	leases      map[*Lease]bool
 	copies      int // Tokens of copies that this VM placed there.
 	calls       int
@@ -188,16 +196,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
-		s.listed = false
+		s.listed = s.isUnlisted()
 	}
 	for _, entry := range listed {
 		known := p.servers[entry.ID]
-		if known == nil || known.Address != entry.Address || known.Service != entry.Service || known.Started != entry.Started {
+		if known == nil || known.Address != entry.Address || known.Service != entry.Service || (known.Started != entry.Started && !known.isUnlisted()) {
 			known = &server{leases: map[*Lease]bool{}}
 			p.servers[entry.ID] = known
 		}
 		known.Server = entry
 		known.listed = true
+		known.foundAt = time.Time{}
 	}
 	p.supersede()
 	for id, s := range p.servers {
@@ -426,7 +435,9 @@
 func (l *Lease) Heard() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	l.server.heardAt = l.pool.options.Now()
+	now := l.pool.options.Now()
+	l.server.heardAt = now
+	l.server.answeredAt = now
 }
 
 // Release gives the room back. Calling it again does nothing.
@@ -457,6 +468,7 @@
 	if failed {
 		return
 	}
+	s.answeredAt = now
 	millis := float64(took) / float64(time.Millisecond)
 	if s.latency == 0 {
 		s.latency = millis
@@ -485,6 +497,7 @@
 	l.pool.mu.Lock()
 	known := l.server.replaced
 	l.server.replaced = true
+	l.pool.startIdentify(l.server)
 	l.pool.mu.Unlock()
 	if !known {
 		l.pool.options.Tell(l.Server.ID, true)
@@ -556,19 +569,23 @@
 	if changed && s.down {
 		p.lost(s, now)
 	}
+	if changed && !s.down && !s.endedAt.IsZero() {
+		p.startIdentify(s)
+	}
 	tell := changed && s.down && now.Sub(s.toldAt) > tellPause
+	described := s.Server
 	p.mu.Unlock()
 	if !changed {
 		return
 	}
 	if tell {
-		p.options.Tell(s.ID, ended)
+		p.options.Tell(described.ID, ended)
 	}
 	reason := "accepts connections"
 	if failure != nil {
 		reason = failure.Error()
 	}
-	p.options.OnChange(s.Server, failure != nil, reason)
+	p.options.OnChange(described, failure != nil, reason)
 }
 
 // lost tells the leases of a server, and has the others of its failure domain
@@ -624,6 +641,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
+	p.notePause(now)
+	p.dropUnlisted()
 	for _, s := range p.servers {
 		if s.down && s.takesWork() && now.After(s.recheckAt) {
 			p.startCheck(s)
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -24,11 +24,16 @@
 }
 
 func newRig(servers ...pool.Server) *rig {
+	return newRigWith(pool.Successors{}, servers...)
+}
+
+func newRigWith(successors pool.Successors, servers ...pool.Server) *rig {
 	g := &rig{now: time.Unix(1000, 0), fails: map[string]error{}}
 	g.Pool = pool.New(pool.Options{
-		Now:   func() time.Time { g.mu.Lock(); defer g.mu.Unlock(); return g.now },
-		Draw:  func() float64 { return 0 },
-		Check: g.check,
+		Now:        func() time.Time { g.mu.Lock(); defer g.mu.Unlock(); return g.now },
+		Draw:       func() float64 { return 0 },
+		Check:      g.check,
+		Successors: successors,
 		Tell: func(id string, _ bool) {
 			g.mu.Lock()
 			defer g.mu.Unlock()
--- /dev/null
+++ b/internal/backend/pool/successor.go
@@ -0,0 +1,124 @@
+package pool
+
+import (
+	"context"
+	"time"
+)
+
+// A crashed process is back at its address within seconds, mostly under a new id,
+// and the platform lists that id. While the platform's store is away it can't: all
+// requests that name the old id are refused, and the server would be lost until the
+// store is back. The pool then asks the process at the address for its id.
+//
+// The address could by then belong to a server of another service. The platform
+// keeps it free for a while after a process has ended, so the process there is of
+// the same service if the old one was heard that short a time ago:
+//
+//	old process heard        process asked    answer            address may be reused
+//	|-------------------------|----------------|-----------------|
+//	0                                                            AddressKept
+
+// Successors shapes the search for such processes. Identify asks the process at a
+// server's address for its id, ListedAt is when the platform's list was last known
+// to be current, and AddressKept is for how long the address of a process that ended
+// is not given to another service. OnFound is told of each.
+type Successors struct {
+	Identify    func(ctx context.Context, server Server) (id string, err error)
+	ListedAt    func() time.Time
+	AddressKept time.Duration
+	OnFound     func(old, successor Server, heardAgo time.Duration)
+}
+
+// LapseGrace is for how long after an outage of the platform's store entries may be
+// missing, a published bound of the platform.
+const LapseGrace = 2 * time.Second
+
+const (
+	// listOld is the age from which the list is taken to lack servers that started.
+	// It is read about three times a second.
+	listOld = time.Second
+	// identifyLimit bounds the wait for a process's id.
+	identifyLimit = 500 * time.Millisecond
+	// pauseSeen is the time between two rechecks from which this process is taken to
+	// have been paused. It may then read what a server sent long ago.
+	pauseSeen = 500 * time.Millisecond
+)
+
+// startIdentify asks the process at the address of a server that ended for its id.
+// Called with the lock held.
+func (p *Pool) startIdentify(s *server) {
+	search := p.options.Successors
+	now := p.options.Now()
+	if search.Identify == nil || s.identifying || !p.mayBeSucceeded(s, now) || now.Sub(search.ListedAt()) < listOld {
+		return
+	}
+	s.identifying = true
+	old := s.Server
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), identifyLimit)
+		defer cancel()
+		id, err := search.Identify(ctx, old)
+		p.identified(s, id, err)
+	}()
+}
+
+// mayBeSucceeded reports whether a process at the server's address is of the same
+// service. Called with the lock held.
+func (p *Pool) mayBeSucceeded(s *server, now time.Time) bool {
+	kept := p.options.Successors.AddressKept
+	return s.listed && !s.Leaving && now.Before(s.answeredAt.Add(kept)) && now.After(p.pausedAt.Add(kept))
+}
+
+// identified takes in the id of the process at a server's address.
+func (p *Pool) identified(s *server, id string, failure error) {
+	p.mu.Lock()
+	s.identifying = false
+	now := p.options.Now()
+	if failure != nil || id == "" || p.servers[id] != nil || !p.mayBeSucceeded(s, now) {
+		p.mu.Unlock()
+		return // The list will name it.
+	}
+	s.replaced = true
+	found := &server{Server: s.Server, listed: true, foundAt: now, heardAt: now, leases: map[*Lease]bool{}}
+	found.ID = id
+	found.Started++ // It started later, which is all that is known.
+	p.servers[id] = found
+	old, successor, heardAgo := s.Server, found.Server, now.Sub(s.answeredAt)
+	p.mu.Unlock()
+	p.options.Successors.OnFound(old, successor, heardAgo)
+}
+
+// isUnlisted reports whether the server was found and the list lacks it still.
+func (s *server) isUnlisted() bool {
+	return !s.foundAt.IsZero()
+}
+
+// dropUnlisted ends the use of found servers that are missing in the list although
+// it has been current again for LapseGrace. Called with the lock held.
+func (p *Pool) dropUnlisted() {
+	for id, s := range p.servers {
+		if !s.isUnlisted() {
+			continue
+		}
+		listedAt := p.options.Successors.ListedAt()
+		switch {
+		case !listedAt.After(s.foundAt):
+		case s.dropAt.IsZero():
+			s.dropAt = listedAt.Add(LapseGrace)
+		case listedAt.After(s.dropAt):
+			s.foundAt = time.Time{}
+			s.listed = false
+			if len(s.leases) == 0 {
+				delete(p.servers, id)
+			}
+		}
+	}
+}
+
+// notePause sees from the time between two rechecks whether this process was paused.
+func (p *Pool) notePause(now time.Time) {
+	if !p.recheckedAt.IsZero() && now.Sub(p.recheckedAt) > pauseSeen {
+		p.pausedAt = now
+	}
+	p.recheckedAt = now
+}
--- /dev/null
+++ b/internal/backend/pool/successor_test.go
@@ -0,0 +1,158 @@
+package pool_test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// successorRig has one server that crashed and is back under a new id, and a list
+// that was last current at listedAt.
+type successorRig struct {
+	*rig
+	listedAt time.Time
+	found    chan string
+	asked    chan bool
+	heard    *pool.Lease
+}
+
+const addressKept = 2 * time.Second
+
+func newSuccessorRig(t *testing.T) *successorRig {
+	g := &successorRig{found: make(chan string, 1), asked: make(chan bool, 8)}
+	g.rig = newRigWith(pool.Successors{
+		Identify: func(context.Context, pool.Server) (string, error) {
+			g.asked <- true
+			return "a1-again", nil
+		},
+		ListedAt:    func() time.Time { g.mu.Lock(); defer g.mu.Unlock(); return g.listedAt },
+		AddressKept: addressKept,
+		OnFound:     func(_, successor pool.Server, _ time.Duration) { g.found <- successor.ID },
+	}, server("a1", "a"))
+	g.listedAt = g.now
+	lease, _, err := g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	g.heard = lease
+	g.pass(10 * time.Second) // The store is away.
+	g.recheckFor(100 * time.Millisecond)
+	lease.Heard()
+	return g
+}
+
+// crash ends the server and lets it come back after some time.
+func (g *successorRig) crash(away time.Duration) {
+	g.fail("a1:1", syscall.ECONNREFUSED)
+	g.heard.Unreachable(syscall.ECONNREFUSED)
+	g.heard.Release()
+	g.recheckFor(away)
+	g.fail("a1:1", nil)
+}
+
+// recheckFor lets time pass with a recheck each 100 ms, as the VM does. Checks run
+// in goroutines, so each gets a moment.
+func (g *successorRig) recheckFor(d time.Duration) {
+	for ; d > 0; d -= 100 * time.Millisecond {
+		g.pass(100 * time.Millisecond)
+		g.Recheck(context.Background())
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (g *successorRig) isFound() bool {
+	select {
+	case <-g.found:
+		return true
+	case <-time.After(50 * time.Millisecond):
+		return false
+	}
+}
+
+func (g *successorRig) streamServer() string {
+	lease, _, err := g.Stream(ask)
+	if err != nil {
+		return ""
+	}
+	defer lease.Release()
+	return lease.Server.ID
+}
+
+func TestRestartedServerIsFoundWhileTheListIsOld(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.crash(time.Second)
+	g.recheckFor(500 * time.Millisecond)
+	qt.Assert(t, g.isFound(), qt.IsTrue)
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
+	g.Update([]pool.Server{server("a1", "a")}) // The list as it was.
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
+}
+
+func TestServerAtAnAddressThatMayBeReusedIsNotFound(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.crash(addressKept)
+	g.recheckFor(time.Second)
+	qt.Assert(t, g.isFound(), qt.IsFalse)
+	qt.Assert(t, g.asked, qt.HasLen, 0)
+}
+
+func TestServerIsNotAskedWhileTheListIsCurrent(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.listedAt = g.now
+	g.crash(500 * time.Millisecond)
+	g.recheckFor(400 * time.Millisecond)
+	qt.Assert(t, g.asked, qt.HasLen, 0)
+}
+
+// TestPauseMakesWhatWasHeardUncertain has this process paused between what the old
+// server sent and what it read of it.
+func TestPauseMakesWhatWasHeardUncertain(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.pass(3 * time.Second)
+	g.Recheck(context.Background())
+	g.heard.Heard()
+	g.crash(time.Second)
+	g.recheckFor(500 * time.Millisecond)
+	qt.Assert(t, g.isFound(), qt.IsFalse)
+}
+
+func TestFoundServerIsDroppedIfTheCurrentListLacksIt(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.crash(time.Second)
+	g.recheckFor(500 * time.Millisecond)
+	qt.Assert(t, g.isFound(), qt.IsTrue)
+	g.recheckFor(5 * time.Second) // The store stays away.
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
+	g.listedAt = g.now
+	g.Update(nil)
+	g.recheckFor(pool.LapseGrace)
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
+	g.listedAt = g.now.Add(time.Millisecond)
+	g.recheckFor(100 * time.Millisecond)
+	qt.Assert(t, g.streamServer(), qt.Equals, "")
+}
+
+// TestFoundServerKeepsItsWorkWhenItIsListed: a loss is told to leases from before.
+func TestFoundServerKeepsItsWorkWhenItIsListed(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.crash(time.Second)
+	g.recheckFor(500 * time.Millisecond)
+	qt.Assert(t, g.isFound(), qt.IsTrue)
+	lease, _, err := g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	listed := server("a1-again", "a")
+	listed.Address, listed.Started = "a1:1", 77
+	g.Update([]pool.Server{listed})
+	g.fail("a1:1", syscall.ECONNREFUSED)
+	again, _, err := g.Stream(ask)
+	qt.Assert(t, err, qt.IsNil)
+	again.Unreachable(syscall.ECONNREFUSED)
+	select {
+	case <-lease.Down:
+	default:
+		t.Fatal("the lease from before does not know")
+	}
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -56,6 +56,10 @@
 	// reads the name under which the run goes on from there.
 	EncodeMove func(runID string, to pool.Server) (request *http.Request, body []byte)
 	DecodeMove func(status int, body []byte) (handle string, err error)
+	// EncodeIdentify asks a server for its id, at its service's health path;
+	// DecodeIdentify reads the id, "" if there is none.
+	EncodeIdentify func(healthPath string) *http.Request
+	DecodeIdentify func(*http.Response) (id string)
 }
 
 // VM is safe for concurrent use.
@@ -98,6 +102,12 @@
 		Check:    v.connections.Check,
 		HasIdle:  v.connections.HasIdle,
 		OnChange: v.serverChanged,
+		Successors: pool.Successors{
+			Identify:    v.identify,
+			ListedAt:    func() time.Time { return v.spread.Snapshot().ServersAt },
+			AddressKept: options.Settings.AddressKept,
+			OnFound:     v.successorFound,
+		},
 		Tell: func(serverID string, ended bool) {
 			v.spread.TellLoss(spread.LossNote{ServerID: serverID, Ended: ended})
 		},
@@ -278,6 +288,29 @@
 // moveAnswerLimit bounds a server's answer to a move, in bytes.
 const moveAnswerLimit = 64 << 10
 
+// identify asks the process at a server's address for its id.
+func (v *VM) identify(ctx context.Context, server pool.Server) (id string, err error) {
+	configuration := v.spread.Snapshot().Configuration
+	if configuration == nil {
+		return "", errors.New("no configuration is known")
+	}
+	service, found := configuration.Service(server.Service)
+	if !found || service.HealthPath == "" {
+		return "", errors.Errorf("service %s has no health path", server.Service)
+	}
+	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: v.options.EncodeIdentify(service.HealthPath)})
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	defer response.Close()
+	return v.options.DecodeIdentify(response.Response), nil
+}
+
+func (v *VM) successorFound(old, successor pool.Server, heardAgo time.Duration) {
+	event.SuccessorFound.Info(v.logger, "server", old.ID, "successor", successor.ID, "address", successor.Address, "heardAgoMillis", heardAgo.Milliseconds(),
+		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
+}
+
 // uses is what this VM tells others of its budgets.
 func (v *VM) uses() []spread.ServiceUse {
 	v.mu.Lock()
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -26,6 +26,9 @@
 	MaxLocateLife time.Duration
 	// ConfigBound is how soon a version has to be in force everywhere.
 	ConfigBound time.Duration
+	// AddressKept is for how long the address of a backend server that ended is not
+	// given to one of another service.
+	AddressKept time.Duration
 	// In any RepeatWindow, a service may get RepeatPart of its requests again, and
 	// RepeatAllowance beside, from all VMs together.
 	RepeatPart      float64
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -42,9 +42,6 @@
 	// firstRetry is doubled with each failed call in a row, up to lastRetry.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
-	// lapseGrace is for how long after an outage the entries of servers that lapsed
-	// meanwhile may be missing, a published bound of the platform.
-	lapseGrace = 2 * time.Second
 	// lapsePart is the part of all servers that, gone at once, is taken as lapsed
 	// and not as left.
 	lapsePart = 0.5
@@ -276,7 +273,7 @@
 			continue
 		}
 		if lapsed && !known.Server.Leaving {
-			l.missing[mark.Server.ID] = at.Add(lapseGrace)
+			l.missing[mark.Server.ID] = at.Add(pool.LapseGrace)
 			continue
 		}
 		confirmed = append(confirmed, mark)
@@ -292,7 +289,7 @@
 
 func (l *serverList) mayHaveLapsed(gone []spread.ServerRow, at time.Time) bool {
 	failedAt := time.Unix(0, l.vm.storeFailedAt.Load())
-	if at.Sub(failedAt) < lapseGrace {
+	if at.Sub(failedAt) < pool.LapseGrace {
 		return true
 	}
 	return float64(len(gone)) > lapsePart*float64(len(l.rows)) && len(gone) > 1
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -87,10 +87,10 @@
 	g.vm.storeFailedAt.Store(g.at.UnixNano())
 	g.learn(9, false, map[string]string{"a": "", "b": "", "c": ""})
 	g.expect("a", "b") // One that was leaving has left.
-	g.at = g.at.Add(lapseGrace / 2)
+	g.at = g.at.Add(pool.LapseGrace / 2)
 	g.learn(12, false, map[string]string{"a": "ready"})
 	g.expect("a", "b")
-	g.at = g.at.Add(lapseGrace)
+	g.at = g.at.Add(pool.LapseGrace)
 	g.learn(13, false, nil)
 	g.expect("a")
 }
@@ -100,7 +100,7 @@
 	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
 	g.learn(6, true, map[string]string{"c": "ready"})
 	g.expect("a", "b", "c")
-	g.at = g.at.Add(lapseGrace + time.Millisecond)
+	g.at = g.at.Add(pool.LapseGrace + time.Millisecond)
 	g.learn(7, false, nil)
 	g.expect("c")
 }
