Ask restarted servers for their id until it is known, and tell peers

The list of a VM is older than 0.5 s at the earliest 0.5 s after the store went away; a server that was back before was not asked again.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -130,7 +130,8 @@
 	recheckAt   time.Time
 	heardAt     time.Time // From its address: also when a check succeeded.
 	answeredAt  time.Time // From its process.
-	identifying bool
+	identifying bool      // Its address is being asked for the id of the process there.
+	identified  bool      // It was told.
 	foundAt     time.Time // When it was found without the list; zero if it is listed.
 	dropAt      time.Time
 	leases      map[*Lease]bool
@@ -565,13 +566,12 @@
 	}
 	if ended {
 		s.endedAt = now
+		s.identified = false
 	}
 	if changed && s.down {
 		p.lost(s, now)
 	}
-	if changed && !s.down && !s.endedAt.IsZero() {
-		p.startIdentify(s)
-	}
+	p.seekSuccessor(s)
 	tell := changed && s.down && now.Sub(s.toldAt) > tellPause
 	described := s.Server
 	p.mu.Unlock()
@@ -644,6 +644,7 @@
 	p.notePause(now)
 	p.dropUnlisted()
 	for _, s := range p.servers {
+		p.seekSuccessor(s)
 		if s.down && s.takesWork() && now.After(s.recheckAt) {
 			p.startCheck(s)
 		}
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -35,8 +35,8 @@
 
 const (
 	// listOld is the age from which the list is taken to lack servers that started.
-	// It is read about three times a second.
-	listOld = time.Second
+	// The platform's store tells a change within about 0.4 s.
+	listOld = 500 * time.Millisecond
 	// identifyLimit bounds the wait for a process's id.
 	identifyLimit = 500 * time.Millisecond
 	// pauseSeen is the time between two rechecks from which this process is taken to
@@ -49,7 +49,7 @@
 func (p *Pool) startIdentify(s *server) {
 	search := p.options.Successors
 	now := p.options.Now()
-	if search.Identify == nil || s.identifying || !p.mayBeSucceeded(s, now) || now.Sub(search.ListedAt()) < listOld {
+	if search.Identify == nil || s.identifying || s.identified || !p.isListOld(now) || !p.mayBeSucceeded(s, now) {
 		return
 	}
 	s.identifying = true
@@ -62,6 +62,10 @@
 	}()
 }
 
+func (p *Pool) isListOld(now time.Time) bool {
+	return now.Sub(p.options.Successors.ListedAt()) > listOld
+}
+
 // mayBeSucceeded reports whether a process at the server's address is of the same
 // service. Called with the lock held.
 func (p *Pool) mayBeSucceeded(s *server, now time.Time) bool {
@@ -73,19 +77,44 @@
 func (p *Pool) identified(s *server, id string, failure error) {
 	p.mu.Lock()
 	s.identifying = false
+	s.identified = failure == nil
 	now := p.options.Now()
-	if failure != nil || id == "" || p.servers[id] != nil || !p.mayBeSucceeded(s, now) {
+	if failure != nil || !p.mayBeSucceeded(s, now) {
 		p.mu.Unlock()
-		return // The list will name it.
+		return // It is asked again as long as it may be a successor.
+	}
+	found := p.succeed(s, id, now)
+	old, heardAgo := s.Server, now.Sub(s.answeredAt)
+	p.mu.Unlock()
+	if found != nil {
+		p.options.Successors.OnFound(old, found.Server, heardAgo)
+	}
+}
+
+// PeerFound takes in that a peer found the process that started in a server's place.
+func (p *Pool) PeerFound(serverID, successorID string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	s := p.servers[serverID]
+	if s == nil || !s.listed || s.Leaving || !p.isListOld(now) {
+		return
+	}
+	p.succeed(s, successorID, now)
+}
+
+// succeed has a server replaced by one of another id, unless that is known already.
+// Called with the lock held.
+func (p *Pool) succeed(s *server, id string, now time.Time) *server {
+	if id == "" || p.servers[id] != nil {
+		return nil
 	}
 	s.replaced = true
 	found := &server{Server: s.Server, listed: true, foundAt: now, heardAt: now, leases: map[*Lease]bool{}}
 	found.ID = id
 	found.Started++ // It started later, which is all that is known.
 	p.servers[id] = found
-	old, successor, heardAgo := s.Server, found.Server, now.Sub(s.answeredAt)
-	p.mu.Unlock()
-	p.options.Successors.OnFound(old, successor, heardAgo)
+	return found
 }
 
 // isUnlisted reports whether the server was found and the list lacks it still.
@@ -115,6 +144,14 @@
 	}
 }
 
+// seekSuccessor asks the process of a server that ended and is back for its id.
+// Called with the lock held.
+func (p *Pool) seekSuccessor(s *server) {
+	if !s.endedAt.IsZero() && !s.down && !s.replaced {
+		p.startIdentify(s)
+	}
+}
+
 // notePause sees from the time between two rechecks whether this process was paused.
 func (p *Pool) notePause(now time.Time) {
 	if !p.recheckedAt.IsZero() && now.Sub(p.recheckedAt) > pauseSeen {
--- a/internal/backend/pool/successor_test.go
+++ b/internal/backend/pool/successor_test.go
@@ -135,6 +135,16 @@
 	qt.Assert(t, g.streamServer(), qt.Equals, "")
 }
 
+func TestPeerTellsOfARestartedServer(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.PeerFound("a1", "a1-again")
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
+	g = newSuccessorRig(t)
+	g.listedAt = g.now
+	g.PeerFound("a1", "a1-again")
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1", qt.Commentf("the list is current and says otherwise"))
+}
+
 // TestFoundServerKeepsItsWorkWhenItIsListed: a loss is told to leases from before.
 func TestFoundServerKeepsItsWorkWhenItIsListed(t *testing.T) {
 	g := newSuccessorRig(t)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -233,6 +233,10 @@
 
 func (v *VM) heardLosses(notes []spread.LossNote) {
 	for _, note := range notes {
+		if note.SuccessorID != "" {
+			v.servers.PeerFound(note.ServerID, note.SuccessorID)
+			continue
+		}
 		v.servers.PeerLost(note.ServerID, note.Ended)
 	}
 }
@@ -307,6 +311,7 @@
 }
 
 func (v *VM) successorFound(old, successor pool.Server, heardAgo time.Duration) {
+	v.spread.TellLoss(spread.LossNote{ServerID: old.ID, Ended: true, SuccessorID: successor.ID})
 	event.SuccessorFound.Info(v.logger, "server", old.ID, "successor", successor.ID, "address", successor.Address, "heardAgoMillis", heardAgo.Milliseconds(),
 		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
 }
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -60,10 +60,12 @@
 	Count   int    `cbor:"2,keyasint"`
 }
 
-// LossNote tells of a server that is down. Ended means that its process is gone.
+// LossNote tells of a server that is down. Ended means that its process is gone,
+// and SuccessorID names the one that started in its place, if that is known.
 type LossNote struct {
-	ServerID string `cbor:"1,keyasint"`
-	Ended    bool   `cbor:"2,keyasint,omitempty"`
+	ServerID    string `cbor:"1,keyasint"`
+	Ended       bool   `cbor:"2,keyasint,omitempty"`
+	SuccessorID string `cbor:"3,keyasint,omitempty"`
 }
 
 // ServiceUse is what a VM did with a service in the last window of its budget
