Bound what callers hold: bodies by the VM's memory, idle connections by the version

Cause (by reading): a body was read up to 16 MB before the configuration's limit was asked, for any number of requests at once, on VMs of 112 MB. Connections were kept idle for 2 min whatever idle_timeout_ms said. Change: internal/node/caller. Bodies are read up to the version's limit and count together up to a fifth of the memory; above it a request is refused with 503 and may come back after 0.5 s. Idle connections are closed at the version's limit, never one on which a request is handled. A body that can't be read has its log line now. Metrics: readiness, store, peers, bodies, connections, and a counter of each numbered event.

--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
@@ -35,6 +36,13 @@
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_first_byte_seconds{kind=%q}`, kind.String())).Update(took.Seconds())
 }
 
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
 // WriteMetrics writes all metrics as text.
 func (v *VM) WriteMetrics(w io.Writer) {
 	snapshot := v.spread.Snapshot()
@@ -48,10 +56,17 @@
 	gauge("endivespoke_servers_listed", float64(len(snapshot.Servers)))
 	gauge("endivespoke_vms_live", float64(len(snapshot.Live)))
 	gauge("endivespoke_peer_sent_bytes", float64(v.peers.SentBytes()))
+	gauge("endivespoke_peer_heard_age_seconds", now.Sub(v.spread.PeerHeardAt()).Seconds())
+	gauge("endivespoke_store_answers", flag(!v.storeLost.Load()))
+	gauge("endivespoke_ready", flag(v.Ready()))
+	gauge("endivespoke_requests_running", float64(v.running()))
+	gauge("endivespoke_request_bodies_bytes", float64(v.bodies.Held()))
+	gauge("endivespoke_caller_connections_idle", float64(v.callers.Idle()))
 	if snapshot.Configuration != nil {
 		gauge("endivespoke_configuration_version", float64(snapshot.Configuration.Version))
 	}
 	gauges.WritePrometheus(w)
 	v.counters.set.WritePrometheus(w)
+	event.WriteMetrics(w)
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"context"
 	cryptorand "crypto/rand"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/periodic"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
@@ -75,6 +77,8 @@
 	copies        *copies.Copies
 	crashes       *crash.Counts
 	counters      *counters
+	bodies        *caller.Bodies
+	callers       *caller.Connections
 	storeFailedAt atomic.Int64 // In Unix nanoseconds, of now.
 	storeLost     atomic.Bool
 	started       time.Time
@@ -95,6 +99,8 @@
 		counters: newCounters(),
 		started:  time.Now(),
 	}
+	v.bodies = caller.NewBodies(int64(bodiesPart * float64(options.Settings.MemoryBytes)))
+	v.callers = caller.NewConnections(v.Now)
 	v.connections = http1.New(http1.Options{OnOpen: func(string) { v.counters.connections.Inc() }})
 	v.servers = pool.New(pool.Options{
 		Now:      v.Now,
@@ -369,6 +375,19 @@
 	return !v.leavingAt.IsZero()
 }
 
+// TrackCaller is for the ConnState field of the server of callers' requests.
+func (v *VM) TrackCaller(connection net.Conn, state http.ConnState) {
+	v.callers.Track(connection, state)
+}
+
+// closeIdleCallers closes callers' connections that were idle for too long under
+// the configuration in force.
+func (v *VM) closeIdleCallers(context.Context) {
+	if configuration := v.spread.Snapshot().Configuration; configuration != nil {
+		v.callers.CloseIdle(configuration.Limits.IdleTimeout)
+	}
+}
+
 // picture is the configuration that requests are accepted under.
 func (v *VM) picture() accept.Picture {
 	snapshot := v.spread.Snapshot()
@@ -396,6 +415,7 @@
 	supervisor.Add(&discovery{vm: v})
 	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
 	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
+	supervisor.Add(periodic.New("callers' connections", idleEvery, v.closeIdleCallers))
 	supervisor.Add(periodic.New("work", pool.LoadsEvery, func(context.Context) { v.spread.WorkChanged() }))
 	supervisor.Add(periodic.New("readiness", readinessEvery, func(ctx context.Context) {
 		ready, storeLost := v.Ready(), v.storeLost.Load()
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/trace"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
@@ -21,6 +23,42 @@
 // new streams. Later ones could not end in time, and are better off elsewhere.
 const leavingStreams = 0.125
 
+const (
+	// bodiesPart of the VM's memory at most holds bodies of requests that run.
+	bodiesPart = 0.2
+	// defaultBodyLimit bounds a body while no configuration is known, in bytes.
+	defaultBodyLimit = 4 << 20
+	// bodiesPause is when a caller may come back if bodies take all the room. Those
+	// of plain requests, which are the most, are held for a fraction of a second.
+	bodiesPause = 500 * time.Millisecond
+)
+
+// ErrUnread means that the caller's body could not be read to its end.
+const ErrUnread = errors.ConstError("the body could not be read")
+
+// ReadBody reads a request's body within the limits of the configuration and of
+// the VM's memory. Call release once the request has its answer; it is never nil.
+// The error is what the caller has to be told.
+func (v *VM) ReadBody(id string, from io.Reader, received time.Time) (body []byte, release func(), err error) {
+	limit := int64(defaultBodyLimit)
+	if c := v.spread.Snapshot().Configuration; c != nil && c.Limits.BodyBytes > 0 {
+		limit = c.Limits.BodyBytes
+	}
+	if body, release, err = v.bodies.Read(from, limit); err == nil {
+		return body, release, nil
+	}
+	switch {
+	case errors.Is(err, caller.ErrTooLong):
+		err = errors.Trace(accept.ErrTooLarge)
+	case errors.Is(err, caller.ErrNoMemory):
+		err = &relay.NotRun{Reason: err.Error(), RetryAt: v.Now().Add(bodiesPause)}
+	default:
+		err = errors.Annotate(ErrUnread, err.Error())
+	}
+	v.logEnd(id, nil, received, err, 0)
+	return nil, release, err
+}
+
 // Handle accepts and relays one request. The error is what the caller has to be
 // told; nil means that the sink got the whole answer.
 func (v *VM) Handle(ctx context.Context, incoming accept.Incoming, sink relay.Sink) (err error) {
@@ -122,8 +160,13 @@
 	case *relay.Cut:
 		return "cut"
 	default:
-		if errors.Is(err, accept.ErrNoRoute) || errors.Is(err, accept.ErrNoKey) {
-			return "denied"
+		if errors.Is(err, ErrUnread) {
+			return "unread"
+		}
+		for _, denied := range []error{accept.ErrNoRoute, accept.ErrNoKey, accept.ErrTooLarge, accept.ErrHeadTooLarge} {
+			if errors.Is(err, denied) {
+				return "denied"
+			}
 		}
 		return fmt.Sprintf("%T", err)
 	}
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -9,6 +9,10 @@
 package event
 
 import (
+	"fmt"
+	"io"
+	"sync/atomic"
+
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -16,6 +20,7 @@
 type Event struct {
 	Number int
 	Text   string
+	count  *atomic.Int64 // How often it happened in this process, logged or dropped.
 }
 
 // The events. Hundreds group them: 1 process, 2 configuration, 3 membership,
@@ -68,7 +73,7 @@
 var all []Event
 
 func define(number int, text string) Event {
-	event := Event{Number: number, Text: text}
+	event := Event{Number: number, Text: text, count: new(atomic.Int64)}
 	all = append(all, event)
 	return event
 }
@@ -88,6 +93,14 @@
 	logger.Warn(e.Text, e.numbered(pairs)...)
 }
 
+// WriteMetrics writes how often each event happened, as text for Prometheus.
+func WriteMetrics(w io.Writer) {
+	for _, e := range all {
+		fmt.Fprintf(w, "endivespoke_events_total{event=\"%d\"} %d\n", e.Number, e.count.Load())
+	}
+}
+
 func (e Event) numbered(pairs []any) []any {
+	e.count.Add(1)
 	return append([]any{"event", e.Number}, pairs...)
 }
