Tell ended and eased work together, added work at once

Only a stream that was placed has to be known at once, so that no other prompt goes there. Change: what makes room is gathered for 150 ms. Test: TestEasedWorkIsToldTogether (60 changes in 0.3 s: 60 messages before, 4 at most now).

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -140,7 +140,8 @@
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
-		LoadChanged: v.spread.WorkChanged,
+		LoadAdded:   v.spread.WorkChanged,
+		LoadEased:   v.spread.WorkEased,
 	})
 	return v
 }
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -49,6 +49,9 @@
 	// workEvery gathers the changes of this VM's work. Until they arrive, peers may
 	// place a prompt on the same server, so it is about the way between two VMs.
 	workEvery = 3 * time.Millisecond
+	// easedEvery gathers changes that only make room: those that hear of them late
+	// place work elsewhere, which costs little.
+	easedEvery = 150 * time.Millisecond
 	// callLimit bounds an exchange. VMs are a few milliseconds from each other, and
 	// a lost packet is sent again after 200 ms.
 	callLimit = 400 * time.Millisecond
@@ -104,6 +107,7 @@
 	options  Options
 	inbox    chan func(*state)
 	work     chan struct{}
+	eased    chan struct{}
 	notes    chan note
 	snapshot atomic.Pointer[Snapshot]
 	// heardAt is when a peer answered last, in Unix nanoseconds of Options.Now.
@@ -132,6 +136,7 @@
 		options: options,
 		inbox:   make(chan func(*state), inboxSize),
 		work:    make(chan struct{}, 1),
+		eased:   make(chan struct{}, 1),
 		notes:   make(chan note, inboxSize),
 	}
 	s.snapshot.Store(&Snapshot{Self: options.Self, Live: []Member{options.Self}})
@@ -162,7 +167,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	s.tick(ctx, st)
-	var workDue, hintDue, membersDue <-chan time.Time
+	var workDue, easedDue, hintDue, membersDue <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -173,8 +178,15 @@
 			if workDue == nil {
 				workDue = time.After(workEvery)
 			}
+		case <-s.eased:
+			if easedDue == nil {
+				easedDue = time.After(easedEvery)
+			}
 		case <-workDue:
-			workDue = nil
+			workDue, easedDue = nil, nil
+			s.tellWork(st)
+		case <-easedDue:
+			easedDue = nil
 			s.tellWork(st)
 		case <-hintDue:
 			hintDue = nil
@@ -308,7 +320,7 @@
 	})
 }
 
-// WorkChanged has this VM's work on the servers told soon.
+// WorkChanged has this VM's work on the servers told at once.
 func (s *Spread) WorkChanged() {
 	select {
 	case s.work <- struct{}{}:
@@ -316,6 +328,14 @@
 	}
 }
 
+// WorkEased has it told soon, for work that has ended or takes less than before.
+func (s *Spread) WorkEased() {
+	select {
+	case s.eased <- struct{}{}:
+	default:
+	}
+}
+
 // note is one thing to tell all peers once. One field is set.
 type note struct {
 	copied  *CopyNote
@@ -328,7 +348,11 @@
 func (s *Spread) tell(n note) {
 	select {
 	case s.notes <- n:
-		s.WorkChanged()
+		if n.copied != nil {
+			s.WorkEased() // It is needed once this VM is lost.
+		} else {
+			s.WorkChanged()
+		}
 	default:
 		s.options.Logger.Warn("a note to the peers was dropped: too many wait")
 	}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,11 +29,12 @@
 
 type vm struct {
 	*spread.Spread
-	address  string
-	mu       sync.Mutex
-	versions []uint64 // Of the configurations, as they came into force.
-	decoded  int
-	stop     context.CancelFunc
+	address    string
+	mu         sync.Mutex
+	versions   []uint64 // Of the configurations, as they came into force.
+	decoded    int
+	stop       context.CancelFunc
+	loadsHeard atomic.Int64
 }
 
 func (n *network) call(from string) func(context.Context, string, string, []byte) ([]byte, error) {
@@ -104,7 +106,7 @@
 		},
 		OnServers: func([]pool.Server) {},
 		Loads:     func() []pool.Load { return nil },
-		OnLoads:   func(string, []pool.Load) {},
+		OnLoads:   func(string, []pool.Load) { v.loadsHeard.Add(1) },
 		OnCopies:  func([]spread.CopyNote) {},
 		OnCrashes: func([]spread.CrashNote) {},
 		OnLosses:  func([]spread.LossNote) {},
@@ -164,6 +166,22 @@
 	}
 }
 
+// TestEasedWorkIsToldTogether plays streams that read their prompts and end, one
+// each 5 ms: peers get few messages of it, and of added work at once.
+func TestEasedWorkIsToldTogether(t *testing.T) {
+	vms := fleet(t, newNetwork(), 2)
+	for range 60 {
+		vms[0].WorkEased()
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(200 * time.Millisecond)
+	qt.Assert(t, vms[1].loadsHeard.Load() <= 4, qt.IsTrue, qt.Commentf("%d messages", vms[1].loadsHeard.Load()))
+	qt.Assert(t, vms[1].loadsHeard.Load() > 0, qt.IsTrue)
+	before := vms[1].loadsHeard.Load()
+	vms[0].WorkChanged()
+	within(t, 100*time.Millisecond, "added work is told", func() bool { return vms[1].loadsHeard.Load() > before })
+}
+
 // configBound is within what the platform's smallest bound of 2 s leaves after a
 // reader has seen a version.
 const configBound = 1500 * time.Millisecond
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -142,8 +142,10 @@
 	Spend      func(service string) bool
 	SpendSpare func(service string) bool
 	Refund     func(service string)
-	// LoadChanged is told when a stream's place or phase changed.
-	LoadChanged func()
+	// LoadAdded is told when a stream was placed, LoadEased when its prompt was read or
+	// it left its server.
+	LoadAdded func()
+	LoadEased func()
 	// Copies remembers where the copies of streams are; see Copy.
 	Copies Copies
 	// Crashes remembers the contents that crash servers.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -93,7 +93,8 @@
 		Spend:       func(string) bool { return repeats.Spend() },
 		SpendSpare:  func(string) bool { return repeats.SpendSpare() },
 		Refund:      func(string) { repeats.Refund() },
-		LoadChanged: func() {},
+		LoadAdded:   func() {},
+		LoadEased:   func() {},
 		Move:        g.move,
 		Copies: relay.Copies{
 			Put:  func(string, relay.Copy) {},
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -208,8 +208,8 @@
 	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.last, "promptTokens", s.request.Need.PromptTokens, "load", lease.Load)
 	before := s.events
-	s.relay.options.LoadChanged()
-	defer s.relay.options.LoadChanged()
+	s.relay.options.LoadAdded()
+	defer s.relay.options.LoadEased()
 	end = s.exchange(ctx, lease, dispatch, resumed)
 	s.settle(ctx, lease, end, resumed, s.events == before)
 	if backup != nil && s.events > before {
@@ -285,7 +285,7 @@
 // started notes a run's first event.
 func (s *stream) started(lease *pool.Lease, dispatch Dispatch, watch *watch) {
 	lease.Started()
-	s.relay.options.LoadChanged()
+	s.relay.options.LoadEased()
 	watch.begun.Store(true)
 	if dispatch.Backup != "" && s.request.PromptKey != "" {
 		s.relay.options.Copies.Put(s.request.PromptKey, Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.Backup})
