Doubt a restarted server's id if this process was paused while it asked

Found by reading: after a pause, what the old server had sent may be read before the pause is noted. Test: TestPauseDuringTheQuestionMakesItsAnswerUseless, failed without the change.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -131,7 +131,7 @@
 	heardAt     time.Time // From its address: also when a check succeeded.
 	answeredAt  time.Time // From its process.
 	identifying bool      // Its address is being asked for the id of the process there.
-	identified  bool      // It was told.
+	identified  bool      // The process there has told its id.
 	foundAt     time.Time // When it was found without the list; zero if it is listed.
 	dropAt      time.Time
 	leases      map[*Lease]bool
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -73,6 +73,9 @@
 // mayBeSucceeded reports whether a process at the server's address is of the same
 // service. Called with the lock held.
 func (p *Pool) mayBeSucceeded(s *server, now time.Time) bool {
+	if now.Sub(p.recheckedAt) > pauseSeen {
+		return false // This process was paused and has not noted it yet.
+	}
 	kept := p.options.Successors.AddressKept
 	return s.listed && !s.Leaving && now.Before(s.answeredAt.Add(kept)) && now.After(p.pausedAt.Add(kept))
 }
--- a/internal/backend/pool/successor_test.go
+++ b/internal/backend/pool/successor_test.go
@@ -19,6 +19,8 @@
 	found    chan string
 	asked    chan bool
 	heard    *pool.Lease
+	// whileAsked runs while the process is asked for its id, if set.
+	whileAsked func()
 }
 
 const addressKept = 2 * time.Second
@@ -28,6 +30,9 @@
 	g.rig = newRigWith(pool.Successors{
 		Identify: func(context.Context, pool.Server) (string, error) {
 			g.asked <- true
+			if g.whileAsked != nil {
+				g.whileAsked()
+			}
 			return "a1-again", nil
 		},
 		ListedAt: func() time.Time {
@@ -126,6 +131,20 @@
 	qt.Assert(t, g.isFound(), qt.IsFalse)
 }
 
+// TestPauseDuringTheQuestionMakesItsAnswerUseless has this process paused while it
+// waits for the id; it reads what the old server sent before anything else.
+func TestPauseDuringTheQuestionMakesItsAnswerUseless(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.whileAsked = func() {
+		g.pass(3 * time.Second)
+		g.heard.Heard()
+	}
+	g.crash(time.Second)
+	g.recheckFor(500 * time.Millisecond)
+	qt.Assert(t, g.asked, qt.HasLen, 1)
+	qt.Assert(t, g.isFound(), qt.IsFalse)
+}
+
 func TestFoundServerIsDroppedIfTheCurrentListLacksIt(t *testing.T) {
 	g := newSuccessorRig(t)
 	g.crash(time.Second)
