Tell VMs that join where copies are, and cut long streams of a leaving VM together

The streams were cut by the end of the process and had no line in the log. Change: a VM tells one that joins of the copies of its running streams. At the end of its grace it tells all VMs once more, then cuts what still streams, with a log line each that says why.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -13,9 +13,11 @@
 import (
 	"context"
 	cryptorand "crypto/rand"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -83,7 +85,12 @@
 	storeLost     atomic.Bool
 	started       time.Time
 
+	// cutting ends the streams of a VM that has to end before they do.
+	cutting context.Context
+	cut     context.CancelCauseFunc
+
 	mu        sync.Mutex
+	copied    map[string]spread.CopyNote // Of the streams that run here, by prompt key.
 	budgets   map[string]*budget.Shared
 	leavingAt time.Time // Zero until SIGTERM.
 	active    int
@@ -95,10 +102,12 @@
 		options:  options,
 		settings: options.Settings,
 		logger:   options.Logger,
+		copied:   map[string]spread.CopyNote{},
 		budgets:  map[string]*budget.Shared{},
 		counters: newCounters(),
 		started:  time.Now(),
 	}
+	v.cutting, v.cut = context.WithCancelCause(context.Background())
 	v.bodies = caller.NewBodies(int64(bodiesPart * float64(options.Settings.MemoryBytes)))
 	v.callers = caller.NewConnections(v.Now)
 	v.connections = http1.New(http1.Options{OnOpen: func(string) { v.counters.connections.Inc() }})
@@ -173,6 +182,7 @@
 		OnServers:           v.servers.Update,
 		Loads:               v.servers.Loads,
 		OnLoads:             v.servers.PeerLoads,
+		Copies:              v.copiesOfRunning,
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.heardCrashes,
 		OnLosses:            v.heardLosses,
@@ -219,7 +229,25 @@
 
 func (v *VM) putCopy(promptKey string, copied relay.Copy) {
 	v.copies.Put(promptKey, copied)
-	v.spread.TellCopy(spread.CopyNote{PromptKey: promptKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address})
+	note := spread.CopyNote{PromptKey: promptKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address}
+	v.mu.Lock()
+	v.copied[promptKey] = note
+	v.mu.Unlock()
+	v.spread.TellCopy(note)
+}
+
+// forgetCopy ends the telling of a stream's copy once the stream has ended here.
+func (v *VM) forgetCopy(promptKey string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.copied, promptKey)
+}
+
+// copiesOfRunning are those that another VM needs if this one is lost.
+func (v *VM) copiesOfRunning() []spread.CopyNote {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Collect(maps.Values(v.copied))
 }
 
 func (v *VM) heardCopies(notes []spread.CopyNote) {
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -85,7 +85,7 @@
 		Event: sink.Event,
 	}
 	if request.Route.Kind == routing.KindStreaming {
-		err = v.relay.Stream(ctx, request, counted)
+		err = v.stream(ctx, request, counted)
 	} else {
 		err = v.call(ctx, request, counted)
 	}
@@ -93,6 +93,14 @@
 	return err
 }
 
+func (v *VM) stream(ctx context.Context, request *relay.Request, sink relay.Sink) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(v.cutting, func() { cancel(context.Cause(v.cutting)) })()
+	defer v.forgetCopy(request.PromptKey)
+	return v.relay.Stream(ctx, request, sink)
+}
+
 func (v *VM) call(ctx context.Context, request *relay.Request, sink relay.Sink) error {
 	answer, err := v.relay.Call(ctx, request)
 	if err != nil {
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -24,6 +24,10 @@
 	leavingMost = 0.95
 	// stopLimit bounds the end of the VM's parts. They keep nothing.
 	stopLimit = 50 * time.Millisecond
+	// toldWithin is how long a message to other VMs may take before streams are cut.
+	toldWithin = 40 * time.Millisecond
+	// cutLimit bounds the end of the streams that are cut. They only close connections.
+	cutLimit = 60 * time.Millisecond
 	// leavingPoll is how often it is looked whether all is done.
 	leavingPoll = 20 * time.Millisecond
 )
@@ -72,6 +76,24 @@
 		}
 		pause(ctx, leavingPoll)
 	}
+	v.cutStreams(ctx)
+}
+
+// errLeaving is why streams are cut that would not end before this VM has to.
+const errLeaving = errors.ConstError("this VM has to end before the stream does")
+
+// cutStreams ends what still runs. Callers come back to other VMs at once, which
+// have to know by then where the copies of the streams' memory are.
+func (v *VM) cutStreams(ctx context.Context) {
+	for _, note := range v.copiesOfRunning() {
+		v.spread.TellCopy(note)
+	}
+	v.spread.WorkChanged()
+	pause(ctx, toldWithin)
+	v.cut(errLeaving)
+	for end := v.Now().Add(cutLimit); v.running() > 0 && v.Now().Before(end); {
+		pause(ctx, leavingPoll)
+	}
 }
 
 func (v *VM) running() int {
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -170,6 +170,7 @@
 	now := s.options.Now()
 	if st.members.hear(told.Members, now) {
 		st.membersDue = true
+		s.tellJoined(st)
 	}
 	if told.Config != nil {
 		s.unpack(st, told)
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -22,6 +22,7 @@
 	self    Member
 	others  map[string]*member
 	changed map[string]bool // IDs that others have not been told of yet.
+	joined  []Member        // Heard of for the first time since takeJoined.
 	// What is derived from the entries, kept until one changes: each message needs it.
 	upNow   []Member
 	hashNow uint64
@@ -84,6 +85,9 @@
 	if told.Down {
 		entry.downAt = now
 	}
+	if known == nil {
+		ms.joined = append(ms.joined, told)
+	}
 	ms.others[told.ID] = entry
 	ms.touch(told.ID)
 	ms.supersede(told)
@@ -173,6 +177,13 @@
 	return sum.Sum64()
 }
 
+// takeJoined gives the members that were heard of for the first time since the last call.
+func (ms *members) takeJoined() []Member {
+	joined := ms.joined
+	ms.joined = nil
+	return joined
+}
+
 // takeChanged gives the entries that changed since the last call.
 func (ms *members) takeChanged() []Member {
 	changed := []Member{}
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -95,11 +95,13 @@
 	OnServers           func(servers []pool.Server)
 	Loads               func() []pool.Load
 	OnLoads             func(peer string, loads []pool.Load)
-	OnCopies            func(notes []CopyNote)
-	OnCrashes           func(notes []CrashNote)
-	OnLosses            func(notes []LossNote)
-	Uses                func() []ServiceUse
-	OnUses              func(peer string, uses []ServiceUse)
+	// Copies are those of the streams that run here. A VM that joins is told of them.
+	Copies    func() []CopyNote
+	OnCopies  func(notes []CopyNote)
+	OnCrashes func(notes []CrashNote)
+	OnLosses  func(notes []LossNote)
+	Uses      func() []ServiceUse
+	OnUses    func(peer string, uses []ServiceUse)
 }
 
 // Spread is safe for concurrent use.
@@ -383,6 +385,23 @@
 	}
 }
 
+// tellJoined tells VMs that have just joined where the copies of this VM's streams
+// are: they were not there when that was told.
+func (s *Spread) tellJoined(st *state) {
+	joined := st.members.takeJoined()
+	if len(joined) == 0 {
+		return
+	}
+	m := message{From: st.members.self.ID, Copies: s.options.Copies()}
+	if len(m.Copies) == 0 {
+		return
+	}
+	body := m.encode()
+	for _, peer := range joined {
+		s.options.Post(peer.ID, peer.PeerAddress, body)
+	}
+}
+
 // addNotes moves the notes that wait into a message.
 func (s *Spread) addNotes(m *message) {
 	for {
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -107,6 +107,7 @@
 		OnServers: func([]pool.Server) {},
 		Loads:     func() []pool.Load { return nil },
 		OnLoads:   func(string, []pool.Load) { v.loadsHeard.Add(1) },
+		Copies:    func() []spread.CopyNote { return nil },
 		OnCopies:  func([]spread.CopyNote) {},
 		OnCrashes: func([]spread.CrashNote) {},
 		OnLosses:  func([]spread.LossNote) {},
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -145,11 +145,11 @@
 	case end.caller != nil:
 		return &Cut{Reason: "caller is gone: " + end.caller.Error()}
 	case s.begun:
-		return &Cut{Reason: ctx.Err().Error()}
+		return &Cut{Reason: context.Cause(ctx).Error()}
 	case s.sends == 0:
 		return &NotRun{Reason: "time is up"}
 	default:
-		return &TimedOut{Reason: ctx.Err().Error()}
+		return &TimedOut{Reason: context.Cause(ctx).Error()}
 	}
 }
 
