Keep the places of copies in the store, for VMs that are all lost together

Change: the first of the readers writes the places of the last 12 s, which all VMs tell each other, into one row every half second if they changed. A VM reads the row at its start, and waits 150 ms for it at most.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -50,6 +50,7 @@
 	ConfigurationKey string
 	Servers          Table
 	VMs              Table
+	Copies           Table
 	// How the platform's rows and messages are read and written.
 	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
 	DecodeServer        func(id string, raw []byte) (pool.Server, bool)
@@ -83,6 +84,7 @@
 	callers       *caller.Connections
 	storeFailedAt atomic.Int64 // In Unix nanoseconds, of now.
 	storeLost     atomic.Bool
+	copiesRead    atomic.Bool // What the VMs before this one knew of copies is known, or can't be.
 	started       time.Time
 
 	// cutting ends the streams of a VM that has to end before they do.
@@ -394,7 +396,9 @@
 // Ready reports whether this VM takes requests.
 func (v *VM) Ready() bool {
 	snapshot := v.spread.Snapshot()
-	return snapshot.Configuration != nil && snapshot.ServersKnown && !v.IsLeaving()
+	known := snapshot.Configuration != nil && snapshot.ServersKnown
+	copiesKnown := v.copiesRead.Load() || v.Now().After(v.started.Add(keptReadLimit))
+	return known && copiesKnown && !v.IsLeaving()
 }
 
 // IsLeaving reports whether SIGTERM came.
@@ -442,6 +446,7 @@
 		age: func(s *spread.Snapshot) time.Time { return s.ServersAt },
 	})
 	supervisor.Add(&discovery{vm: v})
+	supervisor.Add(&keeper{vm: v})
 	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
 	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
 	supervisor.Add(periodic.New("callers' connections", idleEvery, v.closeIdleCallers))
--- /dev/null
+++ b/internal/node/entry/keeper.go
@@ -0,0 +1,95 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+const (
+	// keepEvery is how often the places of copies are written, if they changed. Each
+	// call of the store is priced; streams of the last half second read their prompts again.
+	keepEvery = 500 * time.Millisecond
+	// keptFor is how old the entry of a copy that is written may be. Streams last 4 s to
+	// 10 s, and entries of those that have ended do no harm.
+	keptFor = 12 * time.Second
+	// keptMost bounds the entries of the row. One takes up to 100 bytes, and a row of
+	// the platform holds 64 KiB.
+	keptMost = 600
+	// keptReadLimit is how long a VM that starts waits for them at most until it is ready.
+	keptReadLimit = 150 * time.Millisecond
+	// keptKey is the row.
+	keptKey = "running"
+)
+
+// keeper keeps in the store where the copies of running streams are, for the case
+// that all VMs are lost together: servers keep copies for some seconds, and callers
+// come back as soon as VMs are there. VMs tell each other of all copies, so one
+// writes for all.
+type keeper struct {
+	vm      *VM
+	written int // How often copies had changed when they were last written.
+}
+
+// String names the service in the supervisor's messages.
+func (k *keeper) String() string {
+	return "copies in the store"
+}
+
+// Serve runs until the context ends.
+func (k *keeper) Serve(ctx context.Context) error {
+	k.read(ctx)
+	for ctx.Err() == nil {
+		pause(ctx, keepEvery)
+		snapshot := k.vm.spread.Snapshot()
+		if rankOf(snapshot.Self, snapshot.Live) == 0 && !k.vm.storeLost.Load() {
+			k.write(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// read learns what the VMs before this one knew. What peers told since goes first.
+func (k *keeper) read(ctx context.Context) {
+	defer k.vm.copiesRead.Store(true)
+	rows, err := k.vm.options.Copies.Read(ctx)
+	if err != nil {
+		event.CopiesUnread.Info(k.vm.logger, "error", err)
+		return
+	}
+	for _, row := range rows.Rows {
+		notes := []spread.CopyNote{}
+		if err = cbor.Unmarshal(row.Value, &notes); err != nil {
+			event.CopiesUnread.Info(k.vm.logger, "row", row.Key, "error", err)
+			continue
+		}
+		for _, note := range notes {
+			k.vm.copies.Fill(note.PromptKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
+		}
+	}
+}
+
+func (k *keeper) write(ctx context.Context) {
+	known, changes := k.vm.copies.Newest(keptFor, keptMost)
+	if changes == k.written {
+		return
+	}
+	notes := make([]spread.CopyNote, 0, len(known))
+	for promptKey, copied := range known {
+		notes = append(notes, spread.CopyNote{PromptKey: promptKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address})
+	}
+	value, err := cbor.Marshal(notes)
+	if err != nil {
+		panic(err) // Texts always have CBOR.
+	}
+	if err = k.vm.options.Copies.Put(ctx, keptKey, value); err != nil {
+		k.vm.logger.Debug("the places of copies could not be written", "error", err)
+		return // The next turn tries again.
+	}
+	k.written = changes
+}
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -68,6 +68,7 @@
 	SettingsReloaded     = define(803, "settings were read again")
 	SettingsRefused      = define(804, "new settings are wrong: the old ones stay in force")
 	LogDropped           = define(805, "log lines were dropped")
+	CopiesUnread         = define(806, "where copies of streams are could not be read from the store")
 )
 
 var all []Event
--- a/internal/request/copies/copies.go
+++ b/internal/request/copies/copies.go
@@ -10,6 +10,7 @@
 package copies
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -32,13 +33,15 @@
 type Copies struct {
 	options Options
 
-	mu     sync.Mutex
-	byKey  map[string]entry
-	sweeps time.Time
+	mu      sync.Mutex
+	byKey   map[string]entry
+	sweeps  time.Time
+	changes int
 }
 
 type entry struct {
 	relay.Copy
+	putAt time.Time
 	until time.Time
 }
 
@@ -51,11 +54,45 @@
 func (c *Copies) Put(promptKey string, copied relay.Copy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.put(promptKey, copied)
+}
+
+func (c *Copies) put(promptKey string, copied relay.Copy) {
 	now := c.options.Now()
 	if now.After(c.sweeps) || len(c.byKey) >= maxCopies {
 		c.sweep(now)
 	}
-	c.byKey[promptKey] = entry{Copy: copied, until: now.Add(kept)}
+	c.byKey[promptKey] = entry{Copy: copied, putAt: now, until: now.Add(kept)}
+	c.changes++
+}
+
+// Fill remembers a copy that may be outdated, unless one is known for the prompt.
+func (c *Copies) Fill(promptKey string, copied relay.Copy) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, found := c.byKey[promptKey]; !found {
+		c.put(promptKey, copied)
+	}
+}
+
+// Newest gives the copies that were put within some time, at most so many, and a
+// number that grows with each change.
+func (c *Copies) Newest(within time.Duration, most int) (byKey map[string]relay.Copy, changes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	oldest := c.options.Now().Add(-within)
+	keys := []string{}
+	for key, e := range c.byKey {
+		if e.putAt.After(oldest) {
+			keys = append(keys, key)
+		}
+	}
+	slices.SortFunc(keys, func(a, b string) int { return c.byKey[b].putAt.Compare(c.byKey[a].putAt) })
+	byKey = map[string]relay.Copy{}
+	for _, key := range keys[:min(most, len(keys))] {
+		byKey[key] = c.byKey[key].Copy
+	}
+	return byKey, c.changes
 }
 
 func (c *Copies) sweep(now time.Time) {
