Name copies by the whole request, not by the prompt's last part

Cause, by reading: the last part may belong to a session. If the VM of a session's second request is lost before others hear of its copy, they could go on from the copy of the first, which servers keep for 4 s after a cut. Test: TestCopyKeyIsOfOneRequestOnly.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -92,7 +92,7 @@
 	cut     context.CancelCauseFunc
 
 	mu        sync.Mutex
-	copied    map[string]spread.CopyNote // Of the streams that run here, by prompt key.
+	copied    map[string]spread.CopyNote // Of the streams that run here, by CopyKey.
 	budgets   map[string]*budget.Shared
 	leavingAt time.Time // Zero until SIGTERM.
 	active    int
@@ -229,20 +229,20 @@
 	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
 }
 
-func (v *VM) putCopy(promptKey string, copied relay.Copy) {
-	v.copies.Put(promptKey, copied)
-	note := spread.CopyNote{PromptKey: promptKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address}
+func (v *VM) putCopy(copyKey string, copied relay.Copy) {
+	v.copies.Put(copyKey, copied)
+	note := spread.CopyNote{CopyKey: copyKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address}
 	v.mu.Lock()
-	v.copied[promptKey] = note
+	v.copied[copyKey] = note
 	v.mu.Unlock()
 	v.spread.TellCopy(note)
 }
 
 // forgetCopy ends the telling of a stream's copy once the stream has ended here.
-func (v *VM) forgetCopy(promptKey string) {
+func (v *VM) forgetCopy(copyKey string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	delete(v.copied, promptKey)
+	delete(v.copied, copyKey)
 }
 
 // copiesOfRunning are those that another VM needs if this one is lost.
@@ -254,7 +254,7 @@
 
 func (v *VM) heardCopies(notes []spread.CopyNote) {
 	for _, note := range notes {
-		v.copies.Put(note.PromptKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
+		v.copies.Put(note.CopyKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
 	}
 }
 
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -97,7 +97,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(v.cutting, func() { cancel(context.Cause(v.cutting)) })()
-	defer v.forgetCopy(request.PromptKey)
+	defer v.forgetCopy(request.CopyKey)
 	return v.relay.Stream(ctx, request, sink)
 }
 
--- a/internal/node/entry/keeper.go
+++ b/internal/node/entry/keeper.go
@@ -69,7 +69,7 @@
 			continue
 		}
 		for _, note := range notes {
-			k.vm.copies.Fill(note.PromptKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
+			k.vm.copies.Fill(note.CopyKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
 		}
 	}
 }
@@ -80,8 +80,8 @@
 		return
 	}
 	notes := make([]spread.CopyNote, 0, len(known))
-	for promptKey, copied := range known {
-		notes = append(notes, spread.CopyNote{PromptKey: promptKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address})
+	for copyKey, copied := range known {
+		notes = append(notes, spread.CopyNote{CopyKey: copyKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address})
 	}
 	value, err := cbor.Marshal(notes)
 	if err != nil {
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -46,12 +46,13 @@
 	Rows    []ServerRow `cbor:"4,keyasint,omitempty"`
 }
 
-// CopyNote tells where the memory of a stream is copied to.
+// CopyNote tells where the memory of a stream is copied to. CopyKey is the same for
+// each attempt of its request.
 type CopyNote struct {
-	PromptKey string `cbor:"1,keyasint"`
-	RunID     string `cbor:"2,keyasint"`
-	ServerID  string `cbor:"3,keyasint"`
-	Address   string `cbor:"4,keyasint"`
+	CopyKey  string `cbor:"1,keyasint"`
+	RunID    string `cbor:"2,keyasint"`
+	ServerID string `cbor:"3,keyasint"`
+	Address  string `cbor:"4,keyasint"`
 }
 
 // CrashNote counts the servers that died while they ran a content.
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -110,13 +110,15 @@
 		Deadline:    deadline(in, route),
 		LastEventID: in.LastEventID,
 		Need:        in.Need,
-		PromptKey:   in.PromptKey,
 	}
 	if account.HasPriority {
 		request.Priority = account.Priority
 	}
 	if route.Kind == routing.KindStreaming {
 		request.Content = contentHash(account.Name, in)
+		if in.PromptKey != "" { // Else other requests may have the same content.
+			request.CopyKey = request.Content
+		}
 	}
 	return request, nil
 }
--- a/internal/request/accept/accept_test.go
+++ b/internal/request/accept/accept_test.go
@@ -92,3 +92,25 @@
 	qt.Assert(t, hashes[0], qt.Equals, hashes[1])
 	qt.Assert(t, hashes[0], qt.Not(qt.Equals), hashes[2])
 }
+
+// TestCopyKeyIsOfOneRequestOnly: the last part of a prompt may belong to a session,
+// and a request must not go on from the memory of another one.
+func TestCopyKeyIsOfOneRequestOnly(t *testing.T) {
+	configuration := routing.New(routing.Content{Version: 1, Routes: []routing.Route{{
+		Name: "s", Host: "h", Prefix: "/", Kind: routing.KindStreaming, Public: true, Shares: []routing.Share{{Service: "m", Weight: 1}},
+	}}})
+	now := time.Unix(1000, 0)
+	key := func(change func(*accept.Incoming)) string {
+		in := accept.Incoming{ID: "r1", Method: "POST", Host: "h", Path: "/a", Target: "/a", PromptKey: "session-1", Body: []byte("first question")}
+		change(&in)
+		request, err := accept.Accept(accept.Picture{Configuration: configuration, CurrentAt: now, StaleAfter: time.Second}, in, now, 0)
+		qt.Assert(t, err, qt.IsNil)
+		return request.CopyKey
+	}
+	first := key(func(*accept.Incoming) {})
+	again := key(func(in *accept.Incoming) { in.ID, in.LastEventID = "r2", "7" })
+	qt.Check(t, again, qt.Equals, first)
+	qt.Check(t, first, qt.Not(qt.Equals), "")
+	qt.Check(t, key(func(in *accept.Incoming) { in.Body = []byte("second question") }), qt.Not(qt.Equals), first)
+	qt.Check(t, key(func(in *accept.Incoming) { in.PromptKey = "" }), qt.Equals, "")
+}
--- a/internal/request/copies/copies.go
+++ b/internal/request/copies/copies.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	known := copies.New(copies.Options{Now: time.Now})
-//	known.Put(promptKey, relay.Copy{RunID: id, ServerID: server, Address: address})
-//	copied, found := known.Find(promptKey)
+//	known.Put(copyKey, relay.Copy{RunID: id, ServerID: server, Address: address})
+//	copied, found := known.Find(copyKey)
 package copies
 
 import (
@@ -50,28 +50,28 @@
 	return &Copies{options: options, byKey: map[string]entry{}}
 }
 
-// Put remembers the newest copy for a prompt.
-func (c *Copies) Put(promptKey string, copied relay.Copy) {
+// Put remembers the newest copy of a request's memory.
+func (c *Copies) Put(copyKey string, copied relay.Copy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.put(promptKey, copied)
+	c.put(copyKey, copied)
 }
 
-func (c *Copies) put(promptKey string, copied relay.Copy) {
+func (c *Copies) put(copyKey string, copied relay.Copy) {
 	now := c.options.Now()
 	if now.After(c.sweeps) || len(c.byKey) >= maxCopies {
 		c.sweep(now)
 	}
-	c.byKey[promptKey] = entry{Copy: copied, putAt: now, until: now.Add(kept)}
+	c.byKey[copyKey] = entry{Copy: copied, putAt: now, until: now.Add(kept)}
 	c.changes++
 }
 
-// Fill remembers a copy that may be outdated, unless one is known for the prompt.
-func (c *Copies) Fill(promptKey string, copied relay.Copy) {
+// Fill remembers a copy that may be outdated, unless one is known for the request.
+func (c *Copies) Fill(copyKey string, copied relay.Copy) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, found := c.byKey[promptKey]; !found {
-		c.put(promptKey, copied)
+	if _, found := c.byKey[copyKey]; !found {
+		c.put(copyKey, copied)
 	}
 }
 
@@ -104,11 +104,11 @@
 	}
 }
 
-// Find gives the newest copy for a prompt.
-func (c *Copies) Find(promptKey string) (copied relay.Copy, found bool) {
+// Find gives the newest copy of a request's memory.
+func (c *Copies) Find(copyKey string) (copied relay.Copy, found bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	e, found := c.byKey[promptKey]
+	e, found := c.byKey[copyKey]
 	if !found || c.options.Now().After(e.until) {
 		return relay.Copy{}, false
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -48,7 +48,7 @@
 	Deadline    time.Time
 	LastEventID string
 	Need        placement.Need
-	PromptKey   string // Names the prompt; "" if unknown.
+	CopyKey     string // The same for each attempt, and of no other request; "" if unknown.
 	Content     string // Hash of account, path and body.
 	// Servers are those that it was sent to, in order, for the log. Only the
 	// goroutine that relays the request touches it.
@@ -162,8 +162,8 @@
 
 // Copies finds the copy of a stream whose caller comes back after its VM was lost.
 type Copies struct {
-	Put  func(promptKey string, copied Copy)
-	Find func(promptKey string) (copied Copy, found bool)
+	Put  func(copyKey string, copied Copy)
+	Find func(copyKey string) (copied Copy, found bool)
 }
 
 // Crashes counts the servers that died while they ran a content.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -70,8 +70,8 @@
 	defer cancel()
 	s := &stream{relay: r, request: request, sink: sink, last: request.LastEventID, tried: map[string]bool{}}
 	defer s.releaseMove()
-	if request.LastEventID != "" && request.PromptKey != "" {
-		s.copied, _ = r.options.Copies.Find(request.PromptKey)
+	if request.LastEventID != "" && request.CopyKey != "" {
+		s.copied, _ = r.options.Copies.Find(request.CopyKey)
 	}
 	for {
 		if request.Content != "" && r.options.Crashes.Condemned(request.Content) {
@@ -287,8 +287,8 @@
 	lease.Started()
 	s.relay.options.LoadEased()
 	watch.begun.Store(true)
-	if dispatch.Backup != "" && s.request.PromptKey != "" {
-		s.relay.options.Copies.Put(s.request.PromptKey, Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.Backup})
+	if dispatch.Backup != "" && s.request.CopyKey != "" {
+		s.relay.options.Copies.Put(s.request.CopyKey, Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.Backup})
 	}
 }
 
