--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -30,8 +30,8 @@
 const ErrNone = errors.ConstError("no backend server may take the work")
 
 const (
-	// CheckLimit bounds a check. Servers are a few milliseconds away.
-	CheckLimit = 200 * time.Millisecond
+	// checkLimit bounds a check. Servers are a few milliseconds away.
+	checkLimit = 200 * time.Millisecond
 	// recheckEvery is the pause between checks of a server that is down.
 	recheckEvery = 400 * time.Millisecond
 	// callMemory is the weight of the newest call in a server's averages.
@@ -44,7 +44,7 @@
 	// lapses after three heartbeats.
 	endedLife = 5 * time.Second
 	// doubtLife is how long the servers of a failure domain that lost one are
-	// avoided until they were heard of. Their checks need CheckLimit.
+	// avoided until they were heard of. Their checks need checkLimit.
 	doubtLife = time.Second
 	// tellPause keeps VMs from telling each other again what they were told.
 	tellPause = 2 * time.Second
@@ -521,11 +521,7 @@
 
 // Verify opens a connection to learn at once whether the server is up.
 func (l *Lease) Verify(ctx context.Context) (up bool) {
-	ctx, cancel := context.WithTimeout(ctx, CheckLimit)
-	defer cancel()
-	err := l.pool.options.Check(ctx, l.Server.Address)
-	l.pool.checked(l.server, err)
-	return err == nil
+	return l.pool.check(ctx, l.server, l.Server.Address)
 }
 
 // VerifyIfQuiet checks the server if nothing was heard of it since a moment.
@@ -545,11 +541,15 @@
 	}
 	s.checking = true
 	address := s.Address
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), CheckLimit)
-		defer cancel()
-		p.checked(s, p.options.Check(ctx, address))
-	}()
+	go p.check(context.Background(), s, address)
+}
+
+func (p *Pool) check(ctx context.Context, s *server, address string) (up bool) {
+	ctx, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+	err := p.options.Check(ctx, address)
+	p.checked(s, err)
+	return err == nil
 }
 
 // checked takes in what a check found.
@@ -653,8 +653,8 @@
 	defer p.mu.Unlock()
 	now := p.options.Now()
 	p.notePause(now)
-	p.dropUnlisted()
 	for _, s := range p.servers {
+		p.dropUnlisted(s)
 		p.seekSuccessor(s)
 		isGone := now.Sub(s.endedAt) < endedLife && !p.isListOld(now)
 		if s.down && s.takesWork() && now.After(s.recheckAt) && !isGone {
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -129,24 +129,22 @@
 	return !s.foundAt.IsZero()
 }
 
-// dropUnlisted ends the use of found servers that are missing in the list although
-// it has been current again for LapseGrace. Called with the lock held.
-func (p *Pool) dropUnlisted() {
-	for id, s := range p.servers {
-		if !s.isUnlisted() {
-			continue
-		}
-		listedAt := p.options.Successors.ListedAt()
-		switch {
-		case !listedAt.After(s.foundAt):
-		case s.dropAt.IsZero():
-			s.dropAt = listedAt.Add(LapseGrace)
-		case listedAt.After(s.dropAt):
-			s.foundAt = time.Time{}
-			s.listed = false
-			if len(s.leases) == 0 {
-				delete(p.servers, id)
-			}
+// dropUnlisted ends the use of a found server that is missing in the list although
+// that has been current again for LapseGrace. Called with the lock held.
+func (p *Pool) dropUnlisted(s *server) {
+	if !s.isUnlisted() {
+		return
+	}
+	listedAt := p.options.Successors.ListedAt()
+	switch {
+	case !listedAt.After(s.foundAt):
+	case s.dropAt.IsZero():
+		s.dropAt = listedAt.Add(LapseGrace)
+	case listedAt.After(s.dropAt):
+		s.foundAt = time.Time{}
+		s.listed = false
+		if len(s.leases) == 0 {
+			delete(p.servers, s.ID)
 		}
 	}
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -229,9 +229,18 @@
 	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
 }
 
+// noteOf is how VMs tell each other of a copy, and copyOf the reverse.
+func noteOf(copyKey string, copied relay.Copy) spread.CopyNote {
+	return spread.CopyNote{CopyKey: copyKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address}
+}
+
+func copyOf(note spread.CopyNote) relay.Copy {
+	return relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address}
+}
+
 func (v *VM) putCopy(copyKey string, copied relay.Copy) {
 	v.copies.Put(copyKey, copied)
-	note := spread.CopyNote{CopyKey: copyKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address}
+	note := noteOf(copyKey, copied)
 	v.mu.Lock()
 	v.copied[copyKey] = note
 	v.mu.Unlock()
@@ -254,7 +263,7 @@
 
 func (v *VM) heardCopies(notes []spread.CopyNote) {
 	for _, note := range notes {
-		v.copies.Put(note.CopyKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
+		v.copies.Put(note.CopyKey, copyOf(note))
 	}
 }
 
--- a/internal/node/entry/keeper.go
+++ b/internal/node/entry/keeper.go
@@ -8,7 +8,6 @@
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
-	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
 const (
@@ -69,7 +68,7 @@
 			continue
 		}
 		for _, note := range notes {
-			k.vm.copies.Fill(note.CopyKey, relay.Copy{RunID: note.RunID, ServerID: note.ServerID, Address: note.Address})
+			k.vm.copies.Fill(note.CopyKey, copyOf(note))
 		}
 	}
 }
@@ -81,7 +80,7 @@
 	}
 	notes := make([]spread.CopyNote, 0, len(known))
 	for copyKey, copied := range known {
-		notes = append(notes, spread.CopyNote{CopyKey: copyKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address})
+		notes = append(notes, noteOf(copyKey, copied))
 	}
 	value, err := cbor.Marshal(notes)
 	if err != nil {
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -11,8 +11,8 @@
 import (
 	"fmt"
 	"io"
-	"sync/atomic"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -20,7 +20,7 @@
 type Event struct {
 	Number int
 	Text   string
-	count  *atomic.Int64 // How often it happened in this process, logged or dropped.
+	count  *metrics.Counter // How often it happened in this process, logged or dropped.
 }
 
 // The events. Hundreds group them: 1 process, 2 configuration, 3 membership,
@@ -73,8 +73,11 @@
 
 var all []Event
 
+// counters are those of all events.
+var counters = metrics.NewSet()
+
 func define(number int, text string) Event {
-	event := Event{Number: number, Text: text, count: new(atomic.Int64)}
+	event := Event{Number: number, Text: text, count: counters.NewCounter(fmt.Sprintf(`endivespoke_events_total{event="%d"}`, number))}
 	all = append(all, event)
 	return event
 }
@@ -96,12 +99,10 @@
 
 // WriteMetrics writes how often each event happened, as text for Prometheus.
 func WriteMetrics(w io.Writer) {
-	for _, e := range all {
-		fmt.Fprintf(w, "endivespoke_events_total{event=\"%d\"} %d\n", e.Number, e.count.Load())
-	}
+	counters.WritePrometheus(w)
 }
 
 func (e Event) numbered(pairs []any) []any {
-	e.count.Add(1)
+	e.count.Inc()
 	return append([]any{"event", e.Number}, pairs...)
 }
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -47,10 +47,16 @@
 	}
 }
 
+// introduce begins a message with who this VM is and what it has.
+func (s *Spread) introduce(st *state) message {
+	self := st.members.self
+	return message{From: self.ID, Address: self.PeerAddress, Summary: st.summary(s.options.Now())}
+}
+
 // exchange sends a summary and takes in the answer later. Retries is how often a
 // peer is asked again before it is taken as down.
 func (s *Spread) exchange(ctx context.Context, st *state, peer, address string, retries int) {
-	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
+	m := s.introduce(st)
 	m.Members = []Member{st.members.self}
 	if known := st.members.others[peer]; known != nil && known.Down {
 		m.Members = append(m.Members, known.Member) // So that it can refute it.
@@ -113,7 +119,7 @@
 		return // An earlier hint has told all.
 	}
 	st.hintDue, st.membersDue = false, false
-	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
+	m := s.introduce(st)
 	m.Members = st.members.takeChanged()
 	body := m.encode()
 	for _, peer := range some(st.members.peers(), hintFanout) {
@@ -149,7 +155,7 @@
 
 // answer gives what a message asks for.
 func (s *Spread) answer(st *state, told message) message {
-	m := message{From: st.members.self.ID, Address: st.members.self.PeerAddress, Summary: st.summary(s.options.Now())}
+	m := s.introduce(st)
 	if told.Summary != nil && told.Summary.MembersHash != m.Summary.MembersHash {
 		m.Members = st.members.up()
 	}
--- a/internal/request/copies/copies.go
+++ b/internal/request/copies/copies.go
@@ -41,7 +41,6 @@
 
 type entry struct {
 	relay.Copy
-	putAt time.Time
 	until time.Time
 }
 
@@ -62,7 +61,7 @@
 	if now.After(c.sweeps) || len(c.byKey) >= maxCopies {
 		c.sweep(now)
 	}
-	c.byKey[copyKey] = entry{Copy: copied, putAt: now, until: now.Add(kept)}
+	c.byKey[copyKey] = entry{Copy: copied, until: now.Add(kept)}
 	c.changes++
 }
 
@@ -80,14 +79,14 @@
 func (c *Copies) Newest(within time.Duration, most int) (byKey map[string]relay.Copy, changes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	oldest := c.options.Now().Add(-within)
+	oldest := c.options.Now().Add(kept - within) // The deadline of one that was put then.
 	keys := []string{}
 	for key, e := range c.byKey {
-		if e.putAt.After(oldest) {
+		if e.until.After(oldest) {
 			keys = append(keys, key)
 		}
 	}
-	slices.SortFunc(keys, func(a, b string) int { return c.byKey[b].putAt.Compare(c.byKey[a].putAt) })
+	slices.SortFunc(keys, func(a, b string) int { return c.byKey[b].until.Compare(c.byKey[a].until) })
 	byKey = map[string]relay.Copy{}
 	for _, key := range keys[:min(most, len(keys))] {
 		byKey[key] = c.byKey[key].Copy
