Count the grace of lapsed entries from the store's return

Cause, by reading and by the test: one of the two readers had been cut from the store until 24.7 s. Any removal that it saw within 2 s of its last failed call was kept back for 2 s more, counted from the removal, until its next rows. Both readers tell a version, and the VMs take the first; if that is the one without the mark, the server stays listed. Change: the grace ends 2 s after the first rows since the outage, for all entries. Test: TestEntryRemovedAfterTheReturnWaitsForTheSameBound, failed before. Left: two readers may still tell one version with different marks for those 2 s.

--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -211,6 +211,10 @@
 	rows    map[string]spread.ServerRow
 	version uint64
 	missing map[string]time.Time // Until when a lapsed server may come back.
+	// learnedAt is when rows were last taken in, and graceUntil the end of the grace
+	// after the last outage.
+	learnedAt  time.Time
+	graceUntil time.Time
 }
 
 // learn takes in rows. Heartbeats that change nothing are not passed on.
@@ -218,6 +222,7 @@
 	if full {
 		l.adoptSpread()
 	}
+	l.noteReturn(at)
 	base := l.version
 	seen := map[string]bool{}
 	changed := []spread.ServerRow{}
@@ -269,7 +274,7 @@
 // an outage of the store in which their entries may have lapsed.
 func (l *serverList) confirm(gone []spread.ServerRow, version uint64, at time.Time) []spread.ServerRow {
 	confirmed := []spread.ServerRow{}
-	lapsed := l.mayHaveLapsed(gone, at)
+	until, lapsed := l.grace(gone, at)
 	for _, mark := range gone {
 		known, found := l.rows[mark.Server.ID]
 		if !found || known.Gone {
@@ -279,7 +284,7 @@
 			continue
 		}
 		if lapsed && !known.Server.Leaving {
-			l.missing[mark.Server.ID] = at.Add(pool.LapseGrace)
+			l.missing[mark.Server.ID] = until
 			continue
 		}
 		confirmed = append(confirmed, mark)
@@ -293,12 +298,25 @@
 	return confirmed
 }
 
-func (l *serverList) mayHaveLapsed(gone []spread.ServerRow, at time.Time) bool {
+// noteReturn begins the grace with the first rows after an outage.
+func (l *serverList) noteReturn(at time.Time) {
 	failedAt := time.Unix(0, l.vm.storeFailedAt.Load())
-	if at.Sub(failedAt) < pool.LapseGrace {
-		return true
+	if !failedAt.Before(l.learnedAt) && at.Sub(failedAt) < pool.LapseGrace {
+		l.graceUntil = at.Add(pool.LapseGrace)
 	}
-	return float64(len(gone)) > lapsePart*float64(len(l.rows)) && len(gone) > 1
+	l.learnedAt = at
+}
+
+// grace gives until when entries that are gone may come back, if they may have lapsed:
+// after an outage, or because so many are gone at once that there must have been one.
+func (l *serverList) grace(gone []spread.ServerRow, at time.Time) (until time.Time, lapsed bool) {
+	if at.Before(l.graceUntil) {
+		return l.graceUntil, true
+	}
+	if float64(len(gone)) > lapsePart*float64(len(l.rows)) && len(gone) > 1 {
+		return at.Add(pool.LapseGrace), true
+	}
+	return time.Time{}, false
 }
 
 // announcement is a VM's row for VMs whose seeds are gone.
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -95,6 +95,23 @@
 	g.expect("a")
 }
 
+// TestEntryRemovedAfterTheReturnWaitsForTheSameBound: the grace is counted from the
+// store's return and not from the removal. A server that left 1.8 s after one VM had
+// reached the store again got work for 3.5 s.
+func TestEntryRemovedAfterTheReturnWaitsForTheSameBound(t *testing.T) {
+	g := newListRig(t)
+	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
+	g.vm.storeFailedAt.Store(g.at.UnixNano())
+	g.at = g.at.Add(100 * time.Millisecond)
+	g.learn(6, false, nil) // The store is back.
+	g.at = g.at.Add(pool.LapseGrace - 200*time.Millisecond)
+	g.learn(7, false, map[string]string{"a": ""})
+	g.expect("a", "b", "c")
+	g.at = g.at.Add(300 * time.Millisecond)
+	g.learn(8, false, map[string]string{"b": ""})
+	g.expect("c")
+}
+
 func TestManyEntriesGoneAtOnceHaveLapsed(t *testing.T) {
 	g := newListRig(t)
 	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
