List the same servers at one version on every VM

Each reader decided for itself whether an entry that is gone may have lapsed, and told the outcome as the content of the store's version. A VM whose reads had failed, while the store answered others, withheld marks for 2 s; VMs that took the version from it never asked the other reader.

An exhaustive model of two readers and three VMs, written for this, found two more faults of the old design, both real: a reader that did not see a server come and go has no mark for a VM that saw it come (5 steps), and one that did not see it go and come has no row for a VM that saw it go (7 steps). The first is a server that gets work for ever after it left, until the reader changes.

Change: rows are told as the store holds them; changes carry the sum of the list at their version and a VM whose list does not add up asks for the whole; the grace is each VM's own and begins when the list has not been current anywhere for two heartbeats (now read from the settings), not when one read has failed. The list of rows that the reader kept beside that of the spread is gone.

Seen failing: TestReaderThatLostTheStoreAloneWithholdsNothing on the code before; TestVersionsOfServersExhaustively without the sum (after 5 steps) and with marks kept by version only (after 7). States: 30,662 to depth 7, 275,870 to depth 9. The tests of the grace now make an outage as one, by a list that is not current for four heartbeats, where they set the time of a failed read; bounds unchanged.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -69,23 +69,22 @@
 
 // VM is safe for concurrent use.
 type VM struct {
-	options       Options
-	settings      Settings
-	logger        hclog.Logger
-	spread        *spread.Spread
-	peers         *wire.Pool
-	servers       *pool.Pool
-	connections   *http1.Pool
-	relay         *relay.Relay
-	copies        *copies.Copies
-	crashes       *crash.Counts
-	counters      *counters
-	bodies        *caller.Bodies
-	callers       *caller.Connections
-	storeFailedAt atomic.Int64 // In Unix nanoseconds, of now.
-	storeLost     atomic.Bool
-	copiesRead    atomic.Bool // What the VMs before this one knew of copies is known, or can't be.
-	started       time.Time
+	options     Options
+	settings    Settings
+	logger      hclog.Logger
+	spread      *spread.Spread
+	peers       *wire.Pool
+	servers     *pool.Pool
+	connections *http1.Pool
+	relay       *relay.Relay
+	copies      *copies.Copies
+	crashes     *crash.Counts
+	counters    *counters
+	bodies      *caller.Bodies
+	callers     *caller.Connections
+	storeLost   atomic.Bool
+	copiesRead  atomic.Bool // What the VMs before this one knew of copies is known, or can't be.
+	started     time.Time
 
 	// cutting ends the streams of a VM that has to end before they do.
 	cutting context.Context
@@ -180,6 +179,7 @@
 		Post:                v.postPeer,
 		Drop:                v.peers.Drop,
 		DecodeConfiguration: v.options.DecodeConfiguration,
+		ServerHeartbeat:     s.ServerHeartbeat,
 		OnConfiguration:     v.configurationChanged,
 		OnServers:           v.servers.Update,
 		Loads:               v.servers.Loads,
@@ -444,14 +444,13 @@
 	supervisor := suture.New("vm", suture.Spec{EventHook: func(e suture.Event) {
 		event.ServiceRestarted.Warn(v.logger, "detail", e.String())
 	}})
-	list := &serverList{vm: v, rows: map[string]spread.ServerRow{}, missing: map[string]time.Time{}}
 	supervisor.Add(v.spread)
 	supervisor.Add(&watcher{
 		name: "configuration", vm: v, table: v.options.Configuration, learn: v.learnConfiguration,
 		age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt },
 	})
 	supervisor.Add(&watcher{
-		name: "servers", vm: v, table: v.options.Servers, learn: list.learn, pause: serversPause,
+		name: "servers", vm: v, table: v.options.Servers, learn: v.learnServers, pause: serversPause,
 		age: func(s *spread.Snapshot) time.Time { return s.ServersAt },
 	})
 	supervisor.Add(&discovery{vm: v})
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -26,6 +26,9 @@
 	MaxLocateLife time.Duration
 	// ConfigBound is how soon a version has to be in force everywhere.
 	ConfigBound time.Duration
+	// ServerHeartbeat is how often a backend server writes its entry in the store; 0 if
+	// that is not known.
+	ServerHeartbeat time.Duration
 	// AddressKept is for how long the address of a backend server that ended is not
 	// given to one of another service.
 	AddressKept time.Duration
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -43,9 +43,6 @@
 	// firstRetry is doubled with each failed call in a row, up to lastRetry.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
-	// lapsePart is the part of all servers that, gone at once, is taken as lapsed
-	// and not as left.
-	lapsePart = 0.5
 )
 
 // watcher keeps one table's picture current while this VM is a reader.
@@ -162,7 +159,6 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.vm.storeFailedAt.Store(w.vm.Now().UnixNano())
 	w.vm.setStoreLost(ctx, true)
 	if !w.failing {
 		event.StoreLost.Warn(w.vm.logger, "table", w.name, "error", err)
@@ -204,119 +200,17 @@
 	v.spread.LearnConfiguration(ctx, raw, at)
 }
 
-// serverList turns the store's rows into changes for the VMs. It is used by one
-// goroutine.
-type serverList struct {
-	vm      *VM
-	rows    map[string]spread.ServerRow
-	version uint64
-	missing map[string]time.Time // Until when a lapsed server may come back.
-	// learnedAt is when rows were last taken in, and graceUntil the end of the grace
-	// after the last outage.
-	learnedAt  time.Time
-	graceUntil time.Time
-}
-
-// learn takes in rows. Heartbeats that change nothing are not passed on.
-func (l *serverList) learn(ctx context.Context, rows Rows, full bool, at time.Time) {
-	if full {
-		l.adoptSpread()
-	}
-	l.noteReturn(at)
-	base := l.version
-	seen := map[string]bool{}
-	changed := []spread.ServerRow{}
-	gone := []spread.ServerRow{}
+// learnServers takes in rows of backend servers.
+func (v *VM) learnServers(ctx context.Context, rows Rows, full bool, at time.Time) {
+	told := spread.StoreRows{Version: rows.Version, Full: full}
 	for _, row := range rows.Rows {
-		seen[row.Key] = true
-		server, ok := l.vm.options.DecodeServer(row.Key, row.Value)
+		server, ok := v.options.DecodeServer(row.Key, row.Value)
 		if row.Gone || !ok {
-			gone = append(gone, l.mark(row.Key, row.Version))
-			continue
-		}
-		delete(l.missing, row.Key)
-		known, found := l.rows[row.Key]
-		if found && (row.Version <= known.Changed || !known.Gone && known.Server == server) {
-			continue
-		}
-		changed = append(changed, spread.ServerRow{Server: server, Changed: max(row.Version, base+1)})
-	}
-	if full {
-		for id, known := range l.rows {
-			if !known.Gone && !seen[id] {
-				gone = append(gone, l.mark(id, rows.Version))
-			}
+			server = pool.Server{ID: row.Key}
 		}
+		told.Rows = append(told.Rows, spread.ServerRow{Server: server, Changed: row.Version, Gone: row.Gone || !ok})
 	}
-	changed = append(changed, l.confirm(gone, rows.Version, at)...)
-	for _, row := range changed {
-		l.rows[row.Server.ID] = row
-	}
-	l.version = max(l.version, rows.Version)
-	l.vm.spread.LearnServers(ctx, spread.ServerChanges{Base: base, Version: l.version, Rows: changed}, at)
-}
-
-// adoptSpread starts from what the VMs know, which may be more than this VM read.
-func (l *serverList) adoptSpread() {
-	snapshot := l.vm.spread.Snapshot()
-	l.rows = map[string]spread.ServerRow{}
-	l.version = snapshot.ServersVersion
-	for _, server := range snapshot.Servers {
-		l.rows[server.ID] = spread.ServerRow{Server: server, Changed: snapshot.ServersVersion}
-	}
-}
-
-func (l *serverList) mark(id string, version uint64) spread.ServerRow {
-	return spread.ServerRow{Server: pool.Server{ID: id}, Changed: version, Gone: true}
-}
-
-// confirm gives the marks of servers that have left, now or in the grace after
-// an outage of the store in which their entries may have lapsed.
-func (l *serverList) confirm(gone []spread.ServerRow, version uint64, at time.Time) []spread.ServerRow {
-	confirmed := []spread.ServerRow{}
-	until, lapsed := l.grace(gone, at)
-	for _, mark := range gone {
-		known, found := l.rows[mark.Server.ID]
-		if !found || known.Gone {
-			continue
-		}
-		if _, waiting := l.missing[mark.Server.ID]; waiting {
-			continue
-		}
-		if lapsed && !known.Server.Leaving {
-			l.missing[mark.Server.ID] = until
-			continue
-		}
-		confirmed = append(confirmed, mark)
-	}
-	for id, until := range l.missing {
-		if at.After(until) {
-			delete(l.missing, id)
-			confirmed = append(confirmed, l.mark(id, version))
-		}
-	}
-	return confirmed
-}
-
-// noteReturn begins the grace with the first rows after an outage.
-func (l *serverList) noteReturn(at time.Time) {
-	failedAt := time.Unix(0, l.vm.storeFailedAt.Load())
-	if !failedAt.Before(l.learnedAt) && at.Sub(failedAt) < pool.LapseGrace {
-		l.graceUntil = at.Add(pool.LapseGrace)
-	}
-	l.learnedAt = at
-}
-
-// grace gives until when entries that are gone may come back, if they may have lapsed:
-// after an outage, or because so many are gone at once that there must have been one.
-func (l *serverList) grace(gone []spread.ServerRow, at time.Time) (until time.Time, lapsed bool) {
-	if at.Before(l.graceUntil) {
-		return l.graceUntil, true
-	}
-	if float64(len(gone)) > lapsePart*float64(len(l.rows)) && len(gone) > 1 {
-		return at.Add(pool.LapseGrace), true
-	}
-	return time.Time{}, false
+	v.spread.LearnServers(ctx, told, at)
 }
 
 // announcement is a VM's row for VMs whose seeds are gone.
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -15,17 +15,22 @@
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
+const (
+	heartbeat = 1200 * time.Millisecond
+	// outage is an outage of the store in which entries lapse.
+	outage = 4 * heartbeat
+)
+
 // listRig is a VM's list of servers, fed with rows by hand.
 type listRig struct {
-	t    *testing.T
-	vm   *VM
-	list *serverList
-	at   time.Time
+	t  *testing.T
+	vm *VM
+	at time.Time
 }
 
 func newListRig(t *testing.T) *listRig {
 	vm := New(Options{
-		Settings:            Settings{Name: "vm-1", RepeatWindow: 10 * time.Second},
+		Settings:            Settings{Name: "vm-1", RepeatWindow: 10 * time.Second, ServerHeartbeat: heartbeat},
 		Logger:              hclog.NewNullLogger(),
 		DecodeConfiguration: func([]byte) (*routing.Configuration, error) { return routing.New(routing.Content{Version: 1}), nil },
 		DecodeServer: func(id string, raw []byte) (pool.Server, bool) {
@@ -35,8 +40,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = vm.spread.Serve(ctx) }()
-	list := &serverList{vm: vm, rows: map[string]spread.ServerRow{}, missing: map[string]time.Time{}}
-	return &listRig{t: t, vm: vm, list: list, at: vm.Now().Add(time.Hour)}
+	return &listRig{t: t, vm: vm, at: vm.Now().Add(time.Hour)}
 }
 
 // row is what the store tells of a server; "" means that its entry is gone.
@@ -45,7 +49,7 @@
 	for id, value := range rows {
 		told.Rows = append(told.Rows, Row{Key: id, Value: []byte(value), Version: version, Gone: value == ""})
 	}
-	g.list.learn(context.Background(), told, full, g.at)
+	g.vm.learnServers(context.Background(), told, full, g.at)
 }
 
 func (g *listRig) listed() []string {
@@ -84,7 +88,7 @@
 func TestLapsedEntriesHaveTheirGrace(t *testing.T) {
 	g := newListRig(t)
 	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "leaving"})
-	g.vm.storeFailedAt.Store(g.at.UnixNano())
+	g.at = g.at.Add(outage)
 	g.learn(9, false, map[string]string{"a": "", "b": "", "c": ""})
 	g.expect("a", "b") // One that was leaving has left.
 	g.at = g.at.Add(pool.LapseGrace / 2)
@@ -101,8 +105,7 @@
 func TestEntryRemovedAfterTheReturnWaitsForTheSameBound(t *testing.T) {
 	g := newListRig(t)
 	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
-	g.vm.storeFailedAt.Store(g.at.UnixNano())
-	g.at = g.at.Add(100 * time.Millisecond)
+	g.at = g.at.Add(outage)
 	g.learn(6, false, nil) // The store is back.
 	g.at = g.at.Add(pool.LapseGrace - 200*time.Millisecond)
 	g.learn(7, false, map[string]string{"a": ""})
@@ -112,6 +115,21 @@
 	g.expect("c")
 }
 
+// TestReaderThatLostTheStoreAloneWithholdsNothing: the list stayed current, so that
+// what is gone has left. A VM to which the store had not answered kept such servers for
+// 2 s more, and the VMs that had the list from it did so too.
+func TestReaderThatLostTheStoreAloneWithholdsNothing(t *testing.T) {
+	g := newListRig(t)
+	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
+	for version := uint64(6); version < 12; version++ {
+		g.at = g.at.Add(heartbeat)
+		g.vm.spread.LearnServers(context.Background(), spread.StoreRows{Version: version}, g.at) // As peers tell it.
+	}
+	g.at = g.at.Add(heartbeat)
+	g.learn(12, false, map[string]string{"a": ""})
+	g.expect("b", "c")
+}
+
 func TestManyEntriesGoneAtOnceHaveLapsed(t *testing.T) {
 	g := newListRig(t)
 	g.learn(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
@@ -129,7 +147,7 @@
 	ctx := context.Background()
 	leaving := pool.Server{ID: "a", Service: "s", Leaving: true}
 	rows := []spread.ServerRow{{Server: leaving, Changed: 8}}
-	g.vm.spread.LearnServers(ctx, spread.ServerChanges{Version: 8, Full: true, Rows: rows}, g.at)
+	g.vm.spread.LearnServers(ctx, spread.StoreRows{Version: 8, Full: true, Rows: rows}, g.at)
 	g.learn(6, true, map[string]string{"a": "ready"})
 	g.expect("a leaving")
 }
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -183,7 +183,7 @@
 	}
 	if told.Servers != nil {
 		st.serversFetch = time.Time{}
-		s.applyServers(st, told.Servers, told.From)
+		s.applyServers(st, told, now)
 	}
 	if told.Summary != nil {
 		s.learnAges(st, told.Summary, now)
@@ -202,22 +202,32 @@
 	s.adopt(st, raw, told.From)
 }
 
+// applyServers takes in a peer's changes of the list of servers.
+func (s *Spread) applyServers(st *state, told message, now time.Time) {
+	if told.Summary != nil && told.Servers.Version > st.servers.version {
+		st.servers.noteReturn(momentOf(told.Summary.ServersAge, now))
+	}
+	if st.servers.apply(told.Servers, now) {
+		s.serversChanged(st, told.Servers, told.From)
+	}
+}
+
 // learnAges takes over how current a peer knows a version to be that this VM has too.
 func (s *Spread) learnAges(st *state, told *summary, now time.Time) {
 	if at := momentOf(told.ConfigAge, now); told.ConfigVersion == st.configVersion() && at.After(st.configAt) {
 		st.configAt = at
 	}
-	if at := momentOf(told.ServersAge, now); told.ServersVersion == st.servers.version && at.After(st.servers.currentAt) {
-		st.servers.currentAt = at
+	if told.ServersVersion == st.servers.version {
+		st.servers.noteCurrent(momentOf(told.ServersAge, now))
 	}
 }
 
 // fetch asks the sender for what it has and this VM lacks, unless a fetch of
 // that runs already.
 func (s *Spread) fetch(ctx context.Context, st *state, told message, now time.Time) {
-	w := want{ConfigVersion: st.configVersion(), ServersVersion: st.servers.version}
+	w := want{ConfigVersion: st.configVersion(), ServersVersion: st.servers.base()}
 	w.Config = told.Summary.ConfigVersion > w.ConfigVersion && now.After(st.configFetch)
-	w.Servers = told.Summary.ServersVersion > w.ServersVersion && now.After(st.serversFetch)
+	w.Servers = told.Summary.ServersVersion > st.servers.version && now.After(st.serversFetch)
 	if !w.Config && !w.Servers {
 		return
 	}
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -38,12 +38,14 @@
 }
 
 // ServerChanges bring a list of servers from version Base to Version. With Full
-// set they are the whole list, whatever the version before.
+// set they are the whole list, whatever the version before. Sum is that of the list at
+// Version.
 type ServerChanges struct {
 	Base    uint64      `cbor:"1,keyasint"`
 	Version uint64      `cbor:"2,keyasint"`
 	Full    bool        `cbor:"3,keyasint,omitempty"`
 	Rows    []ServerRow `cbor:"4,keyasint,omitempty"`
+	Sum     uint64      `cbor:"5,keyasint,omitempty"`
 }
 
 // CopyNote tells where the memory of a stream is copied to. CopyKey is the same for
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -7,7 +7,7 @@
 //	s := spread.New(spread.Options{Self: member, Seeds: addresses, Call: peers.Call, ...})
 //	supervisor.Add(s)
 //	s.LearnConfiguration(ctx, raw, readAt)   // from the store
-//	s.LearnServers(ctx, changes, readAt)
+//	s.LearnServers(ctx, rows, readAt)
 //	snapshot := s.Snapshot()                 // immutable, for any goroutine
 //	reply := s.OnMessage(body)               // a peer's message
 //
@@ -91,10 +91,13 @@
 	Drop   func(peer string)
 	// DecodeConfiguration reads a configuration as the store holds it.
 	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
-	OnConfiguration     func(configuration *routing.Configuration)
-	OnServers           func(servers []pool.Server)
-	Loads               func() []pool.Load
-	OnLoads             func(peer string, loads []pool.Load)
+	// ServerHeartbeat is how often a backend server writes its entry in the store; 0 if
+	// that is not known.
+	ServerHeartbeat time.Duration
+	OnConfiguration func(configuration *routing.Configuration)
+	OnServers       func(servers []pool.Server)
+	Loads           func() []pool.Load
+	OnLoads         func(peer string, loads []pool.Load)
 	// Copies are those of the streams that run here. A VM that joins is told of them.
 	Copies    func() []CopyNote
 	OnCopies  func(notes []CopyNote)
@@ -169,7 +172,7 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	s.tick(ctx, st)
-	var workDue, easedDue, hintDue, membersDue <-chan time.Time
+	var workDue, easedDue, hintDue, membersDue, graceDue <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -196,9 +199,16 @@
 		case <-membersDue:
 			membersDue = nil
 			s.hint(st)
+		case <-graceDue:
+			graceDue = nil
+			s.endGrace(st, s.options.Now())
+			s.publish(st)
 		case <-ticker.C:
 			s.tick(ctx, st)
 		}
+		if len(st.servers.lapsed) > 0 && graceDue == nil {
+			graceDue = time.After(st.servers.graceUntil.Sub(s.options.Now()))
+		}
 		if st.hintDue && hintDue == nil {
 			hintDue = time.After(hintEvery)
 		}
@@ -211,7 +221,7 @@
 // resume starts from what a loop before this one published, if it was restarted.
 func (s *Spread) resume() *state {
 	before := s.Snapshot()
-	st := &state{members: newMembers(before.Self), seeds: s.options.Seeds, servers: newServers(before.Servers, before.ServersVersion)}
+	st := &state{members: newMembers(before.Self), seeds: s.options.Seeds, servers: newServers(before.Servers, before.ServersVersion, s.options.ServerHeartbeat)}
 	st.config = before.Configuration
 	for _, m := range before.Live {
 		if m.ID != before.Self.ID {
@@ -288,23 +298,37 @@
 	return st.config.Version
 }
 
-// LearnServers takes in changes that the store told at readAt.
-func (s *Spread) LearnServers(ctx context.Context, changes ServerChanges, readAt time.Time) {
+// LearnServers takes in what the store told at readAt.
+func (s *Spread) LearnServers(ctx context.Context, rows StoreRows, readAt time.Time) {
 	s.do(ctx, func(st *state) {
-		s.applyServers(st, &changes, "store")
-		st.servers.currentAt = readAt
+		st.servers.noteCurrent(readAt)
+		s.endGrace(st, readAt)
+		if changes, changed := st.servers.learn(rows, readAt); changed {
+			s.serversChanged(st, changes, "store")
+		}
 		s.publish(st)
 	})
 }
 
-func (s *Spread) applyServers(st *state, changes *ServerChanges, from string) {
-	if !st.servers.apply(changes) {
+// serversChanged passes the changed list on.
+func (s *Spread) serversChanged(st *state, changes *ServerChanges, from string) {
+	listed := st.servers.listed()
+	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", from, "servers", len(listed), "changed", len(changes.Rows),
+		"lapsed", len(st.servers.lapsed))
+	s.options.OnServers(listed)
+	st.hintDue = true
+}
+
+// endGrace drops servers whose entries lapsed and were not back in time.
+func (s *Spread) endGrace(st *state, now time.Time) {
+	lapsed := len(st.servers.lapsed)
+	if !st.servers.endGrace(now) {
 		return
 	}
 	listed := st.servers.listed()
-	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", from, "servers", len(listed), "changed", len(changes.Rows))
+	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", "end of the grace", "servers", len(listed), "changed", lapsed,
+		"lapsed", 0)
 	s.options.OnServers(listed)
-	st.hintDue = true
 }
 
 // LearnMembers takes in the addresses of VMs that the store lists, which may be down.
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -262,11 +262,11 @@
 	server := pool.Server{ID: "s1", Address: "10.0.0.1:1", Service: "s"}
 	ctx := context.Background()
 	rows := []spread.ServerRow{{Server: server, Changed: 4}}
-	vms[0].LearnServers(ctx, spread.ServerChanges{Version: 4, Rows: rows}, time.Now())
+	vms[0].LearnServers(ctx, spread.StoreRows{Version: 4, Full: true, Rows: rows}, time.Now())
 	server.Leaving = true
 	rows = []spread.ServerRow{{Server: server, Changed: 6}}
-	vms[1].LearnServers(ctx, spread.ServerChanges{Base: 4, Version: 6, Rows: rows}, time.Now())
-	vms[0].LearnServers(ctx, spread.ServerChanges{Base: 4, Version: 6, Rows: rows}, time.Now())
+	vms[1].LearnServers(ctx, spread.StoreRows{Version: 6, Rows: rows}, time.Now())
+	vms[0].LearnServers(ctx, spread.StoreRows{Version: 6, Rows: rows}, time.Now())
 	within(t, configBound, "it leaves", func() bool {
 		for _, v := range vms {
 			listed := v.Snapshot().Servers
