Simulate streams on model engines, and compare policies over many seeds

endivespoke-lab experiment plays a load and faults in simulated time with the real packages pool and placement, and writes a table and a page with plots (gonum/plot).

pool gets a seam for its background checks and goes through its servers in order, so that a seed plays the same each time.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -17,6 +17,9 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -85,6 +88,9 @@
 	Check    func(ctx context.Context, address string) error
 	OnChange func(server Server, down bool, reason string)
 	Tell     func(serverID string, ended bool)
+	// Go runs a check beside the caller; nil for a goroutine. Simulations run it as an
+	// event of their own time.
+	Go func(do func())
 	// HasIdle reports whether an open connection to an address is kept.
 	HasIdle    func(address string) bool
 	Successors Successors
@@ -183,6 +189,9 @@
 	if options.Tell == nil {
 		options.Tell = func(string, bool) {}
 	}
+	if options.Go == nil {
+		options.Go = func(do func()) { go do() }
+	}
 	if options.HasIdle == nil {
 		options.HasIdle = func(string) bool { return false }
 	}
@@ -329,7 +338,7 @@
 // order, so that VMs with the same picture don't all take the first.
 func (p *Pool) candidates(service string, tried map[string]bool, now time.Time) ([]*server, []placement.Candidate) {
 	usable := []*server{}
-	for _, s := range p.servers {
+	for _, s := range p.ordered() {
 		if s.Service == service && s.takesWork() && !tried[s.ID] {
 			usable = append(usable, s)
 		}
@@ -345,6 +354,12 @@
 	return usable, described
 }
 
+// ordered lists the servers by ID, so that what follows depends on Draw alone and not on
+// the order of a map: a simulation's seed then plays the same each time.
+func (p *Pool) ordered() []*server {
+	return slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
+}
+
 func (s *server) takesWork() bool {
 	return s.listed && !s.Leaving && !s.replaced
 }
@@ -541,7 +556,7 @@
 	}
 	s.checking = true
 	address := s.Address
-	go p.check(context.Background(), s, address)
+	p.options.Go(func() { p.check(context.Background(), s, address) })
 }
 
 func (p *Pool) check(ctx context.Context, s *server, address string) (up bool) {
@@ -605,7 +620,7 @@
 	}
 	p.lossAt[s.group()] = now
 	wasTold := now.Sub(s.toldAt) < tellPause
-	for _, other := range p.servers {
+	for _, other := range p.ordered() {
 		if other.group() == s.group() && other.takesWork() && !other.down && (!wasTold || len(other.leases) > 0) {
 			p.startCheck(other)
 		}
@@ -653,7 +668,7 @@
 	defer p.mu.Unlock()
 	now := p.options.Now()
 	p.notePause(now)
-	for _, s := range p.servers {
+	for _, s := range p.ordered() {
 		p.dropUnlisted(s)
 		p.seekSuccessor(s)
 		isGone := now.Sub(s.endedAt) < endedLife && !p.isListOld(now)
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -54,12 +54,12 @@
 	}
 	s.identifying = true
 	old := s.Server
-	go func() {
+	p.options.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), identifyLimit)
 		defer cancel()
 		id, err := search.Identify(ctx, old)
 		p.identified(s, id, err)
-	}()
+	})
 }
 
 // isListOld reports whether the platform's list may lack servers that started.
--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -21,8 +21,11 @@
 	"github.com/endivespoke/endivespoke/internal/lab/bench"
 	"github.com/endivespoke/endivespoke/internal/lab/demo"
 	"github.com/endivespoke/endivespoke/internal/lab/enginefake"
+	"github.com/endivespoke/endivespoke/internal/lab/measurement"
 	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
 	"github.com/endivespoke/endivespoke/internal/lab/servicefake"
+	"github.com/endivespoke/endivespoke/internal/lab/simulation"
+	"github.com/endivespoke/endivespoke/platform"
 )
 
 type commands struct {
@@ -31,6 +34,9 @@
 	Service  serviceCommand  `cmd:"" help:"Stand in for one plain service."`
 	Bench    benchCommand    `cmd:"" help:"Measure; with no names, everything."`
 	Demo     demoCommand     `cmd:"" help:"Run the whole system, break it, check every answer."`
+	// In simulated time.
+	Experiment experimentCommand `cmd:"" help:"Play a load and faults in simulated time and compare policies."`
+	Compare    compareCommand    `cmd:"" help:"Compare two runs of the platform's bench, day by day."`
 }
 
 // lab is what commands write to.
@@ -137,3 +143,54 @@
 func (c *benchCommand) Run(l *lab) error {
 	return bench.Run(context.Background(), bench.Options{Bin: c.Bin, Output: c.Output, Names: c.Names}, l.out)
 }
+
+type experimentCommand struct {
+	Scenario string   `arg:"" help:"JSON file with the load, the engines and the faults; see examples/."`
+	Seed     uint64   `help:"First seed." default:"1"`
+	Seeds    int      `help:"Plays of each policy, each with its own seed." default:"20"`
+	Policy   []string `help:"Policies to compare; all by default."`
+	Workers  int      `help:"Plays at a time." default:"2"`
+	Report   string   `help:"HTML file to write the table and plots to."`
+}
+
+// Run plays the scenario.
+func (c *experimentCommand) Run(l *lab) error {
+	scenario, err := simulation.ReadScenario(c.Scenario)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	policies, err := simulation.PoliciesNamed(c.Policy)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	seeds := []uint64{}
+	for i := range uint64(max(c.Seeds, 1)) {
+		seeds = append(seeds, c.Seed+i)
+	}
+	results, err := simulation.Compare(context.Background(), scenario, policies, seeds, c.Workers)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err = simulation.WriteTable(l.out, scenario, results); err != nil || c.Report == "" {
+		return errors.Trace(err)
+	}
+	return errors.Trace(simulation.WriteReport(c.Report, scenario, results))
+}
+
+type compareCommand struct {
+	Before string `arg:"" help:"Journal entry of the first run."`
+	After  string `arg:"" help:"Journal entry of the second run, of the same site."`
+}
+
+// Run compares the two.
+func (c *compareCommand) Run(l *lab) error {
+	before, err := platform.ReadJournal(c.Before)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	after, err := platform.ReadJournal(c.After)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(measurement.WriteComparison(l.out, before, after))
+}
--- /dev/null
+++ b/internal/lab/simulation/fleet.go
@@ -0,0 +1,109 @@
+package simulation
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+// easedAfter is package spread's: work that ended is told after this time.
+const easedAfter = 150 * time.Millisecond
+
+func (v *vm) name() string {
+	return fmt.Sprintf("vm-%d", v.index)
+}
+
+// ordered gives the VM's streams in the order in which they came.
+func (v *vm) ordered() []*stream {
+	streams := []*stream{}
+	for s := range v.streams {
+		streams = append(streams, s)
+	}
+	slices.SortFunc(streams, func(a, b *stream) int { return a.number - b.number })
+	return streams
+}
+
+func (w *world) nextEngine() int {
+	return len(w.scenario.Engines.FailureDomains) * w.scenario.Engines.PerFailureDomain
+}
+
+func address(number int) string {
+	return fmt.Sprintf("engine-%d:1", number)
+}
+
+// scheduleArrivals draws the streams of the whole play, the same for each policy.
+func (w *world) scheduleArrivals() {
+	load := w.scenario.Load
+	for at := 0.0; ; {
+		at += -math.Log(1-w.random.Float64()) / load.StreamsPerSecond
+		if at >= w.scenario.Seconds {
+			return
+		}
+		s := &stream{
+			world:  w,
+			vm:     w.vms[w.random.IntN(len(w.vms))],
+			number: len(w.streams),
+			prompt: w.vary(load.PromptTokens, load.PromptSpread),
+			tokens: w.vary(load.Events, load.EventsSpread) * w.scenario.Engines.TokensPerEvent,
+			tried:  map[string]bool{},
+		}
+		s.left = s.tokens
+		w.streams = append(w.streams, s)
+		w.after(seconds(at), func() {
+			s.askedAt = w.now
+			s.vm.streams[s] = true
+			s.place("")
+		})
+	}
+}
+
+// vary draws a whole number around a mean, at least 1.
+func (w *world) vary(mean int, spread float64) int {
+	return max(1, int(float64(mean)*(1+spread*(2*w.random.Float64()-1))))
+}
+
+func (w *world) scheduleFaults() {
+	for _, fault := range w.scenario.Faults {
+		hit := w.hit(fault)
+		w.after(seconds(fault.AtSeconds), func() { w.strike(fault, hit) })
+	}
+}
+
+// hit draws the numbers of the engines that a fault meets.
+func (w *world) hit(fault Fault) []int {
+	all := w.random.Perm(w.nextEngine())
+	if fault.FailureDomain != "" {
+		return slices.DeleteFunc(all, func(i int) bool { return w.engines[address(i)].FailureDomain != fault.FailureDomain })
+	}
+	return all[:int(math.Round(fault.Share*float64(len(all))))]
+}
+
+func (w *world) strike(fault Fault, hit []int) {
+	if fault.Kind == FaultEnd {
+		for _, v := range w.vms {
+			v.ended = true
+		}
+		return
+	}
+	for _, i := range hit {
+		e := w.engines[address(i)]
+		if fault.Kind == FaultLeaving {
+			e.Leaving = true
+		} else {
+			e.lose(fault.Kind == FaultSilence)
+		}
+		if fault.ForSeconds > 0 {
+			w.after(seconds(fault.ForSeconds), func() { w.replace(i) })
+		}
+	}
+	w.after(millis(w.scenario.Network.ListMillis), w.list)
+}
+
+// replace starts another engine at an address.
+func (w *world) replace(number int) {
+	old := w.engines[address(number)]
+	old.lose(false)
+	w.startEngine(old.FailureDomain, address(number), number)
+	w.after(millis(w.scenario.Network.ListMillis), w.list)
+}
