--- a/internal/operator/terminal/platform.go
+++ b/internal/operator/terminal/platform.go
@@ -14,6 +14,7 @@
 type entryCommand struct {
 	SettingsFile string `help:"Settings file; the one that the platform names if empty." env:"ENDIVESPOKE_SETTINGS_FILE"`
 	MetricsPort  int    `help:"Port for metrics at the VM's own address, path /metrics; 0 for none." env:"ENDIVESPOKE_METRICS_PORT" default:"9464"`
+	PeerListen   string `help:"IP:PORT to listen on for other VMs, if they reach this one by another address than the settings name." env:"ENDIVESPOKE_PEER_LISTEN"`
 	LogLevel     string `help:"One of trace, debug, info, warn, error." env:"ENDIVESPOKE_LOG_LEVEL" default:"info" enum:"trace,debug,info,warn,error"`
 }
 
@@ -21,7 +22,7 @@
 func (c *entryCommand) Run(t *terminal) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	options := platform.Options{Path: c.SettingsFile, Level: c.LogLevel, MetricsPort: c.MetricsPort, Output: t.out}
+	options := platform.Options{Path: c.SettingsFile, Level: c.LogLevel, MetricsPort: c.MetricsPort, PeerListen: c.PeerListen, Output: t.out}
 	if options.Path == "" {
 		options.Path = platform.SettingsPath()
 	}
