--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -70,7 +70,7 @@
 // VM is safe for concurrent use.
 type VM struct {
 	options     Options
-	settings    Settings
+	settings    atomic.Pointer[Settings]
 	logger      hclog.Logger
 	spread      *spread.Spread
 	peers       *wire.Pool
@@ -101,13 +101,13 @@
 func New(options Options) *VM {
 	v := &VM{
 		options:  options,
-		settings: options.Settings,
 		logger:   options.Logger,
 		copied:   map[string]spread.CopyNote{},
 		budgets:  map[string]*budget.Shared{},
 		counters: newCounters(),
 		started:  time.Now(),
 	}
+	v.settings.Store(&options.Settings)
 	v.cutting, v.cut = context.WithCancelCause(context.Background())
 	v.bodies = caller.NewBodies(int64(bodiesPart * float64(options.Settings.MemoryBytes)))
 	v.callers = caller.NewConnections(v.Now)
@@ -163,7 +163,7 @@
 }
 
 func (v *VM) spreadOptions() spread.Options {
-	s := v.settings
+	s := v.settings.Load()
 	return spread.Options{
 		Self: spread.Member{
 			ID:            s.Name + "." + cryptorand.Text()[:8],
@@ -294,9 +294,9 @@
 	known := v.budgets[service]
 	if known == nil {
 		known = budget.NewShared(budget.SharedOptions{
-			Ratio:     v.settings.RepeatPart,
-			Allowance: v.settings.RepeatAllowance,
-			Window:    v.settings.RepeatWindow,
+			Ratio:     v.settings.Load().RepeatPart,
+			Allowance: v.settings.Load().RepeatAllowance,
+			Window:    v.settings.Load().RepeatWindow,
 			Now:       v.Now,
 		})
 		v.budgets[service] = known
@@ -399,7 +399,7 @@
 // LocateLife is how long a locate answer may be kept. It is short, so that a VM
 // that leaves gets no new connections soon; some callers keep it three times as long.
 func (v *VM) LocateLife() time.Duration {
-	return min(time.Second, v.settings.MaxLocateLife)
+	return min(time.Second, v.settings.Load().MaxLocateLife)
 }
 
 // Ready reports whether this VM takes requests.
@@ -436,7 +436,7 @@
 	return accept.Picture{
 		Configuration: snapshot.Configuration,
 		CurrentAt:     snapshot.ConfigurationAt,
-		StaleAfter:    v.settings.ConfigBound,
+		StaleAfter:    v.settings.Load().ConfigBound,
 	}
 }
 
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -120,7 +120,7 @@
 	if !v.leavingAt.IsZero() {
 		limit := v.takeUntil()
 		if request.Route.Kind == routing.KindStreaming {
-			limit = v.leavingAt.Add(time.Duration(leavingStreams * float64(v.settings.Grace)))
+			limit = v.leavingAt.Add(time.Duration(leavingStreams * float64(v.settings.Load().Grace)))
 		}
 		if now.After(limit) {
 			return &relay.NotRun{Reason: "this VM is leaving", RetryAt: now}
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -39,6 +40,41 @@
 	RepeatWindow    time.Duration
 }
 
+// Reload takes over what may change while the VM runs: the seeds, the grace, the life of
+// locate answers and the bound of configurations. It names the other fields that are not
+// as at the start; they hold from the next start on.
+func (v *VM) Reload(ctx context.Context, next Settings) (taken, fromNextStart []string) {
+	before := *v.settings.Load()
+	in := before
+	note := func(list *[]string, name string, changed bool) {
+		if changed {
+			*list = append(*list, name)
+		}
+	}
+	note(&taken, "seeds", !slices.Equal(before.Seeds, next.Seeds))
+	note(&taken, "grace", before.Grace != next.Grace)
+	note(&taken, "maxLocateLife", before.MaxLocateLife != next.MaxLocateLife)
+	note(&taken, "configBound", before.ConfigBound != next.ConfigBound)
+	in.Seeds, in.Grace, in.MaxLocateLife, in.ConfigBound = next.Seeds, next.Grace, next.MaxLocateLife, next.ConfigBound
+	v.settings.Store(&in)
+	if !slices.Equal(before.Seeds, next.Seeds) {
+		v.spread.LearnMembers(ctx, next.Seeds)
+	}
+	note(&fromNextStart, "name", before.Name != next.Name)
+	note(&fromNextStart, "failureDomain", before.FailureDomain != next.FailureDomain)
+	note(&fromNextStart, "callerAddress", before.CallerAddress != next.CallerAddress)
+	note(&fromNextStart, "readyAddress", before.ReadyAddress != next.ReadyAddress)
+	note(&fromNextStart, "peerAddress", before.PeerAddress != next.PeerAddress)
+	note(&fromNextStart, "locateAddress", before.LocateAddress != next.LocateAddress)
+	note(&fromNextStart, "storeAddress", before.StoreAddress != next.StoreAddress)
+	note(&fromNextStart, "memoryBytes", before.MemoryBytes != next.MemoryBytes)
+	note(&fromNextStart, "serverHeartbeat", before.ServerHeartbeat != next.ServerHeartbeat)
+	note(&fromNextStart, "addressKept", before.AddressKept != next.AddressKept)
+	repeats := before.RepeatPart != next.RepeatPart || before.RepeatAllowance != next.RepeatAllowance || before.RepeatWindow != next.RepeatWindow
+	note(&fromNextStart, "repeats", repeats)
+	return taken, fromNextStart
+}
+
 // ErrHistoryGone means that the store no longer knows what changed since the
 // version that a watch asked for.
 const ErrHistoryGone = errors.ConstError("the store has dropped its history")
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -257,7 +257,7 @@
 	if d.announced {
 		return
 	}
-	address := d.vm.settings.PeerAddress
+	address := d.vm.settings.Load().PeerAddress
 	value, err := json.Marshal(announcement{PeerAddress: address})
 	if err != nil {
 		return // A text always has JSON.
@@ -275,7 +275,7 @@
 		d.vm.logger.Debug("VMs could not be read", "error", err)
 		return
 	}
-	addresses := slices.Clone(d.vm.settings.Seeds)
+	addresses := slices.Clone(d.vm.settings.Load().Seeds)
 	for _, row := range rows.Rows {
 		told := announcement{}
 		if err = json.Unmarshal(row.Value, &told); err == nil && !slices.Contains(addresses, told.PeerAddress) {
