--- a/internal/lab/simulation/fleet.go
+++ b/internal/lab/simulation/fleet.go
@@ -4,12 +4,8 @@
 	"fmt"
 	"math"
 	"slices"
-	"time"
 )
 
-// easedAfter is package spread's: work that ended is told after this time.
-const easedAfter = 150 * time.Millisecond
-
 func (v *vm) name() string {
 	return fmt.Sprintf("vm-%d", v.index)
 }
--- a/internal/lab/simulation/report.go
+++ b/internal/lab/simulation/report.go
@@ -19,7 +19,7 @@
 )
 
 // columns are the table's, for the terminal and the report.
-var columns = []string{"policy", "worth", "+-", "bound", "first event p50", "p99", "length mean", "p99", "long pauses", "unfinished", "read twice", "resumed", "moved"}
+var columns = []string{"policy", "worth", "+-", "bound", "first event p50", "p99", "length mean", "p99", "long pauses", "unfinished", "read twice", "resumed", "moved", "messages/s"}
 
 // row gives a policy's figures as text, in the order of columns.
 func row(name string, f Figures) []string {
@@ -37,6 +37,7 @@
 		fmt.Sprintf("%.1f %%", 100*f.ReadTwice),
 		fmt.Sprintf("%.1f", f.Resumed),
 		fmt.Sprintf("%.1f", f.Moved),
+		fmt.Sprintf("%.0f", f.Messages),
 	}
 }
 
--- a/internal/lab/simulation/result.go
+++ b/internal/lab/simulation/result.go
@@ -18,8 +18,11 @@
 	NoMoves  bool // Streams whose copy is lost stay where they are.
 	NoNews   bool // VMs don't know each other's work.
 	NoSample bool // After a loss all candidates are looked at, not a sample.
-	// NewsMillis is how late peers hear of new work; 0 for what VMs do.
-	NewsMillis float64
+	// NewsMillis is how late peers hear of new work, EasedMillis how late of work that
+	// ended, and Fanout how many peers hear of it; 0 for what VMs do.
+	NewsMillis  float64
+	EasedMillis float64
+	Fanout      int
 }
 
 // Policies are compared unless others are asked for. The first is the product's.
@@ -30,6 +33,8 @@
 	{Name: "no sample after a loss", NoSample: true},
 	{Name: "work told after 40 ms", NewsMillis: 40},
 	{Name: "work not told", NoNews: true},
+	{Name: "ended work told after 1 s", EasedMillis: 1000},
+	{Name: "work told to 16 peers", Fanout: 16},
 }
 
 // PoliciesNamed gives the policies of these names, all if there are none.
@@ -52,8 +57,12 @@
 	return chosen, nil
 }
 
-// newsMillis is package spread's: new work is told after this time.
-const newsMillis = 3
+// newsMillis and easedMillis are package spread's: new work is told after the one, work
+// that ended after the other.
+const (
+	newsMillis  = 3
+	easedMillis = 150
+)
 
 func (p Policy) newsAfter() time.Duration {
 	if p.NewsMillis > 0 {
@@ -62,6 +71,13 @@
 	return millis(newsMillis)
 }
 
+func (p Policy) easedAfter() time.Duration {
+	if p.EasedMillis > 0 {
+		return millis(p.EasedMillis)
+	}
+	return millis(easedMillis)
+}
+
 // Outcome is what one stream's caller got. Times are from the start of the play.
 type Outcome struct {
 	AskedAt    time.Duration
@@ -80,10 +96,11 @@
 	Outcomes []Outcome
 	Resumed  int // Times that streams went on from copies.
 	Moved    int
+	Messages int // Of VMs, about their work.
 }
 
 func (w *world) result(begin time.Time) Result {
-	result := Result{}
+	result := Result{Messages: w.messages}
 	for _, s := range w.streams {
 		result.Outcomes = append(result.Outcomes, w.outcome(s, begin))
 		result.Resumed += s.resumed
@@ -170,6 +187,7 @@
 	ReadTwice   float64 // Prompt tokens read beyond the prompts, as a part of them.
 	Resumed     float64 // Per play.
 	Moved       float64 // Per play.
+	Messages    float64 // Per play and second.
 }
 
 // Figures sums up.
@@ -201,6 +219,7 @@
 		worths = append(worths, worth/float64(max(len(play.Outcomes), 1)))
 		f.Resumed += float64(play.Resumed) / float64(len(r.Plays))
 		f.Moved += float64(play.Moved) / float64(len(r.Plays))
+		f.Messages += float64(play.Messages) / float64(len(r.Plays)) / scenario.Seconds
 	}
 	all := float64(max(streams, 1))
 	f.Bound, f.Unfinished, f.LongPauses = f.Bound/all, f.Unfinished/all, f.LongPauses/all
--- a/internal/lab/simulation/simulation.go
+++ b/internal/lab/simulation/simulation.go
@@ -96,6 +96,7 @@
 	vms      []*vm
 	streams  []*stream
 	nextID   int
+	messages int
 }
 
 func newRandom(seed uint64) *rand.Rand {
--- a/internal/lab/simulation/stream.go
+++ b/internal/lab/simulation/stream.go
@@ -63,6 +63,15 @@
 	}
 	w.list()
 	w.recheck()
+	w.tellAll()
+}
+
+// tellAll has each VM tell its work even if nothing changes.
+func (w *world) tellAll() {
+	for _, v := range w.vms {
+		v.tellWork()
+	}
+	w.after(pool.LoadsEvery, w.tellAll)
 }
 
 // list has all VMs list the engines that are there.
@@ -124,7 +133,7 @@
 func (v *vm) workEased() {
 	if !v.easedDue {
 		v.easedDue = true
-		v.world.after(easedAfter, func() { v.easedDue = false; v.tellWork() })
+		v.world.after(v.world.policy.easedAfter(), func() { v.easedDue = false; v.tellWork() })
 	}
 }
 
@@ -133,13 +142,23 @@
 		return
 	}
 	loads := v.servers.Loads()
-	for _, other := range v.world.vms {
-		if other != v {
+	for _, i := range v.world.told() {
+		if other := v.world.vms[i]; other != v {
+			v.world.messages++
 			v.world.after(millis(v.world.scenario.Network.HopMillis), func() { other.servers.PeerLoads(v.name(), loads) })
 		}
 	}
 }
 
+// told gives the numbers of the VMs that hear of a VM's work.
+func (w *world) told() []int {
+	all := w.random.Perm(len(w.vms))
+	if w.policy.Fanout == 0 {
+		return all
+	}
+	return all[:min(w.policy.Fanout, len(all))]
+}
+
 // stream is one caller's request.
 type stream struct {
 	world    *world
