Repeat the word of a VM's work only if no news was told meanwhile

Each VM told all its peers its work every 1.2 s beside the news, which at 91 VMs was two messages of five. What is repeated only keeps peers from forgetting it after 3 s, so a message with news does as well.

Test seen failing: TestWorkThatDoesNotChangeIsToldAgain before spread repeated it itself.

--- a/internal/lab/simulation/stream.go
+++ b/internal/lab/simulation/stream.go
@@ -24,6 +24,8 @@
 	// to be moved again. copyWatch is how often it is looked whether a copy is lost.
 	moveAgain = 500 * time.Millisecond
 	copyWatch = 20 * time.Millisecond
+	// spreadTick is how often package spread looks whether peers must be told again.
+	spreadTick = 250 * time.Millisecond
 	// placeAgain is the pause until a stream that found no engine asks again, as callers do.
 	placeAgain = 500 * time.Millisecond
 )
@@ -38,6 +40,7 @@
 	streams  map[*stream]bool
 	newsDue  bool
 	easedDue bool
+	toldAt   time.Time // When peers were last told of its work.
 	ended    bool
 }
 
@@ -66,12 +69,14 @@
 	w.tellAll()
 }
 
-// tellAll has each VM tell its work even if nothing changes.
+// tellAll has each VM tell its work even if nothing changes, as package spread does.
 func (w *world) tellAll() {
 	for _, v := range w.vms {
-		v.tellWork()
+		if w.now.Sub(v.toldAt) >= pool.LoadsEvery {
+			v.tellWork()
+		}
 	}
-	w.after(pool.LoadsEvery, w.tellAll)
+	w.after(spreadTick, w.tellAll)
 }
 
 // list has all VMs list the engines that are there.
@@ -141,6 +146,7 @@
 	if v.world.policy.NoNews {
 		return
 	}
+	v.toldAt = v.world.now
 	loads := v.servers.Loads()
 	for _, i := range v.world.told() {
 		if other := v.world.vms[i]; other != v {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -458,7 +458,6 @@
 	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
 	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
 	supervisor.Add(periodic.New("callers' connections", idleEvery, v.closeIdleCallers))
-	supervisor.Add(periodic.New("work", pool.LoadsEvery, func(context.Context) { v.spread.WorkChanged() }))
 	supervisor.Add(&readiness{vm: v})
 	return supervisor
 }
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
@@ -16,6 +17,9 @@
 	for _, peer := range some(peers, exchangesPerTick) {
 		s.exchange(ctx, st, peer.ID, peer.PeerAddress, 1)
 	}
+	if s.options.Now().Sub(st.workToldAt) >= pool.LoadsEvery {
+		s.tellWork(st)
+	}
 	if len(peers) == 0 || st.ticks%seedTicks == 0 {
 		s.askSeeds(ctx, st)
 	}
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -130,8 +130,9 @@
 	// Until when a fetch may take; zero if none runs.
 	configFetch  time.Time
 	serversFetch time.Time
-	hintDue      bool // News of the store or of this VM itself wait.
-	membersDue   bool // News of other VMs wait.
+	workToldAt   time.Time // When peers were last told of this VM's work.
+	hintDue      bool      // News of the store or of this VM itself wait.
+	membersDue   bool      // News of other VMs wait.
 	ticks        int
 }
 
@@ -399,8 +400,10 @@
 	s.tell(note{lost: &lost})
 }
 
-// tellWork sends this VM's work and the notes that wait to the peers.
+// tellWork sends this VM's work and the notes that wait to the peers. They forget it
+// after a while, so that it is told again even if nothing changes.
 func (s *Spread) tellWork(st *state) {
+	st.workToldAt = s.options.Now()
 	m := message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads(), Uses: s.options.Uses()}
 	s.addNotes(&m)
 	body := m.encode()
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -183,6 +183,34 @@
 	within(t, 100*time.Millisecond, "added work is told", func() bool { return vms[1].loadsHeard.Load() > before })
 }
 
+// TestWorkThatDoesNotChangeIsToldAgain: peers forget it after three seconds, and a
+// message may be lost.
+func TestWorkThatDoesNotChangeIsToldAgain(t *testing.T) {
+	vms := fleet(t, newNetwork(), 2)
+	before := vms[1].loadsHeard.Load()
+	time.Sleep(3 * time.Second)
+	heard := vms[1].loadsHeard.Load() - before
+	qt.Assert(t, heard >= 2, qt.IsTrue, qt.Commentf("%d messages", heard))
+}
+
+// TestWorkIsToldAgainOnlyIfNoNewsWasTold: peers forget what they were not told again. A
+// VM that tells news often repeats nothing beside.
+func TestWorkIsToldAgainOnlyIfNoNewsWasTold(t *testing.T) {
+	vms := fleet(t, newNetwork(), 3)
+	time.Sleep(pool.LoadsEvery) // What was told of the start has passed.
+	before := vms[1].loadsHeard.Load()
+	const repeats = 4
+	calls := int64(0)
+	for end := time.Now().Add(repeats * pool.LoadsEvery); time.Now().Before(end); time.Sleep(400 * time.Millisecond) {
+		vms[0].WorkChanged()
+		calls++
+	}
+	heard := vms[1].loadsHeard.Load() - before
+	// Each call of vms[0] once, and what the idle vms[2] repeats.
+	qt.Check(t, heard <= calls+repeats+2, qt.IsTrue, qt.Commentf("%d messages after %d calls", heard, calls))
+	qt.Check(t, heard >= repeats, qt.IsTrue, qt.Commentf("%d messages after %d calls", heard, calls))
+}
+
 // configBound is within what the platform's smallest bound of 2 s leaves after a
 // reader has seen a version.
 const configBound = 1500 * time.Millisecond
