Try a resume that its server failed there again

Change: such a run is tried there again, up to twice; the last attempt is left for the prompt. TestResumeThatItsServerFailedIsTriedThereAgain failed first.

--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -14,29 +14,30 @@
 // fail or be slow while its health check passes.
 package placement
 
-// Candidate is what is known of one server. Counts include what peers told.
+// Candidate is what is known of one server. Counts include what peers told. Its JSON
+// stands in the log of placements.
 type Candidate struct {
-	ID            string
-	FailureDomain string
-	Slots         int
+	ID            string `json:"id"`
+	FailureDomain string `json:"failureDomain"`
+	Slots         int    `json:"slots"`
 	// Avoided servers are taken only if no other can be.
-	Avoided bool
+	Avoided bool `json:"avoided"`
 	// PendingTokens are of prompts that were sent and have no first event yet.
-	PendingTokens int
+	PendingTokens int `json:"pendingTokens"`
 	// Running is the number of streams after their first event.
-	Running int
+	Running int `json:"running"`
 	// MemoryTokens are of all streams and copies there; CacheTokens is the room, 0 if
 	// the server is no engine and has no such bound.
-	MemoryTokens int
-	CacheTokens  int
+	MemoryTokens int `json:"memoryTokens"`
+	CacheTokens  int `json:"cacheTokens"`
 	// Calls is the number of short calls in flight from this VM.
-	Calls int
+	Calls int `json:"calls"`
 	// FailureRate is the recent part of calls that failed, 0 to 1.
-	FailureRate float64
+	FailureRate float64 `json:"failureRate"`
 	// LatencyMillis is the recent time of a call that succeeded.
-	LatencyMillis float64
+	LatencyMillis float64 `json:"latencyMillis"`
 	// Connected means that an idle connection is kept.
-	Connected bool
+	Connected bool `json:"connected"`
 }
 
 // Need is what a stream takes.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -406,8 +406,13 @@
 func (v *VM) Ready() bool {
 	snapshot := v.spread.Snapshot()
 	known := snapshot.Configuration != nil && snapshot.ServersKnown
-	copiesKnown := v.copiesRead.Load() || v.Now().After(v.started.Add(keptReadLimit))
-	return known && copiesKnown && !v.IsLeaving()
+	return known && v.copiesKnown() && !v.IsLeaving()
+}
+
+// copiesKnown reports whether what the VMs before this one knew of copies is known, or
+// is not waited for any longer.
+func (v *VM) copiesKnown() bool {
+	return v.copiesRead.Load() || v.Now().After(v.started.Add(keptReadLimit))
 }
 
 // IsLeaving reports whether SIGTERM came.
@@ -470,7 +475,10 @@
 }
 
 // readiness tells the others whether this VM takes requests.
-type readiness struct{ vm *VM }
+type readiness struct {
+	vm   *VM
+	told bool // What was told last.
+}
 
 // String names the service in the supervisor's messages.
 func (r *readiness) String() string {
@@ -482,6 +490,7 @@
 func (r *readiness) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		ready := r.vm.Ready()
+		r.log(ready)
 		r.vm.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready = ready })
 		if ready {
 			pause(ctx, readyPause)
@@ -492,6 +501,20 @@
 	return ctx.Err()
 }
 
+func (r *readiness) log(ready bool) {
+	if ready == r.told {
+		return
+	}
+	r.told = ready
+	snapshot := r.vm.spread.Snapshot()
+	version := uint64(0)
+	if snapshot.Configuration != nil {
+		version = snapshot.Configuration.Version
+	}
+	event.ReadinessChanged.Info(r.vm.logger, "ready", ready, "configuration", version, "serversKnown", snapshot.ServersKnown,
+		"copiesKnown", r.vm.copiesKnown(), "leaving", r.vm.IsLeaving(), "sinceStartMillis", r.vm.Now().Sub(r.vm.started).Milliseconds())
+}
+
 const (
 	// checksEvery is how often servers that are down are looked at.
 	checksEvery = 200 * time.Millisecond
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -69,6 +69,7 @@
 	SettingsRefused      = define(804, "new settings are wrong: the old ones stay in force")
 	LogDropped           = define(805, "log lines were dropped")
 	CopiesUnread         = define(806, "where copies of streams are could not be read from the store")
+	ReadinessChanged     = define(807, "this VM takes requests, or takes none any more")
 )
 
 var all []Event
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -356,6 +357,38 @@
 
 // TestSilentStreamGoesOnWithinItsGap has the first server stop sending without a
 // word in the middle of an event.
+// TestResumeThatItsServerFailedIsTriedThereAgain: a server that fails part of its
+// requests keeps the copy. Reading the prompt again would take a second.
+func TestResumeThatItsServerFailedIsTriedThereAgain(t *testing.T) {
+	for failures, sends := range map[int]int{1: 3, 2: 4, 3: 5} {
+		t.Run(fmt.Sprint(failures, " failures"), func(t *testing.T) {
+			runs := atomic.Int64{}
+			either := func(w http.ResponseWriter, r *http.Request) {
+				switch run := int(runs.Add(1)); {
+				case run == 1:
+					events(5, abort)(w, r)
+				case run <= 1+failures:
+					say(http.StatusInternalServerError, "failed")(w, r)
+				default:
+					events(12, complete)(w, r)
+				}
+			}
+			g := newRig(t, map[string]script{"a1": either, "b1": either})
+			c := &caller{}
+			err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+			seen := g.seen()
+			qt.Assert(t, seen, qt.HasLen, sends)
+			qt.Assert(t, seen[2].server, qt.Equals, seen[1].server)
+			qt.Assert(t, seen[2].copied, qt.Equals, "r1")
+			if failures == 3 {
+				qt.Assert(t, seen[4].copied, qt.Equals, "") // The last attempt reads the prompt.
+			}
+		})
+	}
+}
+
 func TestSilentStreamGoesOnWithinItsGap(t *testing.T) {
 	var first sync.Once
 	either := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -27,26 +27,30 @@
 	quietLimit = 400 * time.Millisecond
 	// moveAgain is the pause until a stream without a copy is tried to be moved again.
 	moveAgain = 500 * time.Millisecond
+	// mostCopyFailures is how often a run from one copy is tried again after a failure of
+	// its server. Each takes some 5 ms, and the last attempt is left for the prompt.
+	mostCopyFailures = 2
 	// quietEvery is how often that is looked at.
 	quietEvery = 100 * time.Millisecond
 )
 
 // stream is the state of one streamed answer.
 type stream struct {
-	relay   *Relay
-	request *Request
-	sink    Sink
-	begun   bool
-	last    string // Id of the last event that the caller has.
-	events  int
-	sends   int // Sends that may have run.
-	refused int // Sends that no server ran.
-	repeats int // Sends that were paid from the budget.
-	tried   map[string]bool
-	copied  Copy
-	moves   chan moved // What a move of the present run came to, once it has.
-	lostAt  time.Time
-	reason  string
+	relay        *Relay
+	request      *Request
+	sink         Sink
+	begun        bool
+	last         string // Id of the last event that the caller has.
+	events       int
+	sends        int // Sends that may have run.
+	refused      int // Sends that no server ran.
+	repeats      int // Sends that were paid from the budget.
+	tried        map[string]bool
+	copied       Copy
+	copyFailures int        // Runs from its copy that failed at the server, which kept the copy.
+	moves        chan moved // What a move of the present run came to, once it has.
+	lostAt       time.Time
+	reason       string
 }
 
 // runEnd is how one run at a server ended.
@@ -54,6 +58,7 @@
 	done     bool
 	noServer bool    // No server may take it.
 	answer   *Answer // A server's own failure, before any event.
+	failure  bool    // The server answered with a failure of its own, and it may be tried again.
 	notSent  bool
 	notRun   bool
 	replaced bool
@@ -212,8 +217,12 @@
 	defer s.relay.options.LoadEased()
 	end = s.exchange(ctx, lease, dispatch, resumed)
 	s.settle(ctx, lease, end, resumed, s.events == before)
-	if backup != nil && s.events > before {
+	switch {
+	case backup != nil && s.events > before:
 		s.copied = Copy{RunID: s.request.ID, ServerID: backup.ID, Address: backup.Address}
+	case resumed && end.failure && s.copyFailures < mostCopyFailures:
+		s.copyFailures++
+		s.copied = from // It is kept until a run has ended well.
 	}
 	return end
 }
@@ -277,7 +286,7 @@
 	}
 	retry := verdict.Status >= http.StatusInternalServerError && s.request.Route.Repeatable() && s.sends < s.request.Route.MaxAttempts
 	if retry {
-		return runEnd{err: errors.Errorf("server answered %d", verdict.Status)}
+		return runEnd{failure: true, err: errors.Errorf("server answered %d", verdict.Status)}
 	}
 	return runEnd{answer: &Answer{Status: verdict.Status, Header: verdict.Header, Body: body}}
 }
