Counters by reason for refusals, early ends of runs, losses; histogram of resume pauses

On-call engineers had the counts of events and of outcomes, not why a request was refused or how a run ended. NotRun carries its kind; docs/OPERATIONS.md lists the metrics.

--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/accept"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
@@ -32,6 +35,46 @@
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_request_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
 
+// refused counts why a request was denied or not run.
+func (c *counters) refused(err error) {
+	var notRun *relay.NotRun
+	if errors.As(err, &notRun) {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_not_run_total{reason=%q}`, notRun.Kind)).Inc()
+	}
+	for reason, denied := range map[string]error{
+		"noRoute": accept.ErrNoRoute, "noKey": accept.ErrNoKey, "bodyTooLarge": accept.ErrTooLarge, "headTooLarge": accept.ErrHeadTooLarge,
+	} {
+		if errors.Is(err, denied) {
+			c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_denied_total{reason=%q}`, reason)).Inc()
+		}
+	}
+}
+
+// runEnded counts a run at a server that ended early.
+func (c *counters) runEnded(how relay.EarlyEnd) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_runs_ended_early_total{how=%q}`, how)).Inc()
+}
+
+// resumed notes the pause of a stream that went on at another server.
+func (c *counters) resumed(fromCopy bool, pause time.Duration) {
+	from := "prompt"
+	if fromCopy {
+		from = "copy"
+	}
+	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_stream_pause_seconds{from=%q}`, from)).Update(pause.Seconds())
+}
+
+func (c *counters) serverDown(cause string) {
+	how := "other"
+	switch {
+	case strings.Contains(cause, "refused"):
+		how = "refused"
+	case strings.Contains(cause, "timeout"):
+		how = "timeout"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_servers_down_total{how=%q}`, how)).Inc()
+}
+
 func (c *counters) firstByte(kind routing.Kind, took time.Duration) {
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_first_byte_seconds{kind=%q}`, kind.String())).Update(took.Seconds())
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -150,6 +150,7 @@
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
+		Counts:      relay.Counts{EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.WorkChanged,
 		LoadEased:   v.spread.WorkEased,
 	})
@@ -223,6 +224,7 @@
 func (v *VM) serverChanged(server pool.Server, down bool, reason string) {
 	if down {
 		v.connections.Forget(server.Address)
+		v.counters.serverDown(reason)
 		event.ServerDown.Warn(v.logger, "server", server.ID, "address", server.Address, "failureDomain", server.FailureDomain, "reason", reason)
 		return
 	}
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -51,7 +51,7 @@
 	case errors.Is(err, caller.ErrTooLong):
 		err = errors.Trace(accept.ErrTooLarge)
 	case errors.Is(err, caller.ErrNoMemory):
-		err = &relay.NotRun{Reason: err.Error(), RetryAt: v.Now().Add(bodiesPause)}
+		err = &relay.NotRun{Kind: relay.RefusalMemory, Reason: err.Error(), RetryAt: v.Now().Add(bodiesPause)}
 	default:
 		err = errors.Annotate(ErrUnread, err.Error())
 	}
@@ -123,7 +123,7 @@
 			limit = v.leavingAt.Add(time.Duration(leavingStreams * float64(v.settings.Load().Grace)))
 		}
 		if now.After(limit) {
-			return &relay.NotRun{Reason: "this VM is leaving", RetryAt: now}
+			return &relay.NotRun{Kind: relay.RefusalLeaving, Reason: "this VM is leaving", RetryAt: now}
 		}
 	}
 	v.active++
@@ -141,6 +141,7 @@
 	took := v.Now().Sub(received)
 	outcome := outcomeOf(err)
 	v.counters.ended(request, outcome, took)
+	v.counters.refused(err)
 	pairs := []any{"request", id, "outcome", outcome, "millis", took.Milliseconds(), "status", status}
 	if request != nil {
 		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service, "servers", request.Servers)
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -77,7 +77,7 @@
 func Accept(picture Picture, in Incoming, now time.Time, draw float64) (request *relay.Request, err error) {
 	c := picture.Configuration
 	if c == nil {
-		return nil, &relay.NotRun{Reason: "no configuration is known yet", RetryAt: now.Add(ComeBackPause)}
+		return nil, &relay.NotRun{Kind: relay.RefusalNoConfiguration, Reason: "no configuration is known yet", RetryAt: now.Add(ComeBackPause)}
 	}
 	route, found := c.Match(in.Host, in.Path)
 	if !found {
@@ -128,7 +128,7 @@
 	if now.Sub(p.CurrentAt) <= p.StaleAfter {
 		return errors.Trace(reason)
 	}
-	return &relay.NotRun{Reason: reason.Error() + ", but the configuration may be outdated", RetryAt: now.Add(ComeBackPause)}
+	return &relay.NotRun{Kind: relay.RefusalOutdated, Reason: reason.Error() + ", but the configuration may be outdated", RetryAt: now.Add(ComeBackPause)}
 }
 
 func deadline(in Incoming, route *routing.Route) time.Time {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -76,7 +76,7 @@
 	}
 	if len(c.tried) > 0 && !c.relay.options.Spend(c.request.Service) {
 		lease.Release()
-		return &NotRun{Reason: "the retry budget of the service is spent", RetryAt: c.relay.options.Now().Add(retryPause)}
+		return &NotRun{Kind: RefusalBudget, Reason: "the retry budget of the service is spent", RetryAt: c.relay.options.Now().Add(retryPause)}
 	}
 	c.tried[lease.Server.ID] = true
 	c.request.Servers = append(c.request.Servers, lease.Server.ID)
@@ -128,6 +128,7 @@
 	if ctx.Err() != nil || (result.err == nil && !result.verdict.NotRun && result.verdict.Status < http.StatusInternalServerError) {
 		return
 	}
+	c.relay.options.Counts.endedEarly(result.earlyEnd(errors.Is(result.err, http1.ErrNotSent)))
 	event.RunEnded.Info(c.relay.options.Logger, "request", c.request.ID, "server", result.server.ID,
 		"status", result.verdict.Status, "notRun", result.verdict.NotRun, "reason", fmt.Sprint(result.err))
 }
@@ -207,7 +208,7 @@
 
 func (c *call) ended(ctx context.Context) error {
 	if c.sent == 0 && c.flying == 0 {
-		return &NotRun{Reason: "time is up: " + c.reason}
+		return &NotRun{Kind: RefusalTime, Reason: "time is up: " + c.reason}
 	}
 	if c.failure != nil {
 		c.reason = "a server failed, and no other answered in time"
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -93,9 +93,26 @@
 	Event func(event []byte) error
 }
 
+// Refusal names why a request was not run, for counters.
+type Refusal string
+
+// Why requests are not run.
+const (
+	RefusalNoConfiguration Refusal = "noConfiguration"
+	RefusalOutdated        Refusal = "configurationOutdated"
+	RefusalLeaving         Refusal = "vmLeaving"
+	RefusalMemory          Refusal = "vmMemory"
+	RefusalNoServer        Refusal = "noServer"
+	RefusalByServers       Refusal = "serversRefused"
+	RefusalBudget          Refusal = "retryBudget"
+	RefusalCrashes         Refusal = "crashesServers"
+	RefusalTime            Refusal = "timeIsUp"
+)
+
 // NotRun means that no server has run the request or ever will. RetryAt is when
 // a server may have room for it; zero if that is not known.
 type NotRun struct {
+	Kind    Refusal
 	Reason  string
 	RetryAt time.Time
 }
@@ -142,6 +159,7 @@
 	Spend      func(service string) bool
 	SpendSpare func(service string) bool
 	Refund     func(service string)
+	Counts     Counts
 	// LoadAdded is told when a stream was placed, LoadEased when its prompt was read or
 	// it left its server.
 	LoadAdded func()
@@ -209,5 +227,5 @@
 func (r *Relay) noServer(request *Request) error {
 	listed, up := r.options.Servers.Room(request.Service)
 	reason := fmt.Sprintf("no server of service %s may take it: %d listed, %d up", request.Service, listed, up)
-	return &NotRun{Reason: reason, RetryAt: r.options.Now().Add(retryPause)}
+	return &NotRun{Kind: RefusalNoServer, Reason: reason, RetryAt: r.options.Now().Add(retryPause)}
 }
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -57,6 +57,8 @@
 	moves     []string // "from to" of each.
 	stopRun   map[string]chan struct{}
 	onMove    func() // Called once a run was moved, if set.
+	ended     []relay.EarlyEnd
+	resumed   []bool // Whether each resume was from a copy.
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -94,9 +96,17 @@
 		Spend:       func(string) bool { return repeats.Spend() },
 		SpendSpare:  func(string) bool { return repeats.SpendSpare() },
 		Refund:      func(string) { repeats.Refund() },
-		LoadAdded:   func() {},
-		LoadEased:   func() {},
-		Move:        g.move,
+		Counts: relay.Counts{
+			EndedEarly: func(how relay.EarlyEnd) { g.mu.Lock(); defer g.mu.Unlock(); g.ended = append(g.ended, how) },
+			Resumed: func(fromCopy bool, _ time.Duration) {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				g.resumed = append(g.resumed, fromCopy)
+			},
+		},
+		LoadAdded: func() {},
+		LoadEased: func() {},
+		Move:      g.move,
 		Copies: relay.Copies{
 			Put:  func(string, relay.Copy) {},
 			Find: func(string) (relay.Copy, bool) { return relay.Copy{}, false },
@@ -389,6 +399,31 @@
 	}
 }
 
+// TestEarlyEndsAreCounted: metrics tell how runs ended, and how streams went on.
+func TestEarlyEndsAreCounted(t *testing.T) {
+	runs := atomic.Int64{}
+	either := func(w http.ResponseWriter, r *http.Request) {
+		switch runs.Add(1) {
+		case 1:
+			events(5, abort)(w, r)
+		case 2:
+			refuse(w, r)
+		default:
+			events(12, complete)(w, r)
+		}
+	}
+	g := newRig(t, map[string]script{"a1": either, "b1": either})
+	c := &caller{}
+	qt.Assert(t, g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink()), qt.IsNil)
+	qt.Assert(t, g.ended, qt.DeepEquals, []relay.EarlyEnd{relay.EndBroken, relay.EndRefused})
+	qt.Assert(t, g.resumed, qt.DeepEquals, []bool{false})
+
+	g = newRig(t, map[string]script{"a1": say(http.StatusInternalServerError, "failed")})
+	_, err := g.relay.Call(context.Background(), request(routing.KindIdempotent))
+	qt.Assert(t, err, qt.IsNil) // The failure is passed on.
+	qt.Assert(t, g.ended[0], qt.Equals, relay.EndFailed)
+}
+
 func TestSilentStreamGoesOnWithinItsGap(t *testing.T) {
 	var first sync.Once
 	either := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -80,7 +80,7 @@
 	}
 	for {
 		if request.Content != "" && r.options.Crashes.Condemned(request.Content) {
-			return s.giveUp("it crashes the servers that run it")
+			return s.giveUp(RefusalCrashes, "it crashes the servers that run it")
 		}
 		end := s.run(ctx)
 		if end.done {
@@ -119,29 +119,29 @@
 	}
 	switch {
 	case end.noServer:
-		return s.giveUp(s.reason)
+		return s.giveUp(RefusalNoServer, s.reason)
 	case s.refused > maxSends:
-		return s.giveUp("servers refused it: " + s.reason)
+		return s.giveUp(RefusalByServers, "servers refused it: "+s.reason)
 	case s.sends > 0 && !s.request.Route.Repeatable():
-		return s.giveUp(s.reason)
+		return s.giveUp(RefusalByServers, s.reason)
 	case s.sends >= s.request.Route.MaxAttempts:
-		return s.giveUp("all attempts are used: " + s.reason)
+		return s.giveUp(RefusalByServers, "all attempts are used: "+s.reason)
 	case !s.relay.options.Spend(s.request.Service):
-		return s.giveUp("the retry budget of the service is spent")
+		return s.giveUp(RefusalBudget, "the retry budget of the service is spent")
 	}
 	s.repeats++
 	return nil
 }
 
 // giveUp gives the outcome of a stream that does not go on.
-func (s *stream) giveUp(reason string) error {
+func (s *stream) giveUp(kind Refusal, reason string) error {
 	switch {
 	case s.begun:
 		return &Cut{Reason: reason}
 	case s.sends > 0:
 		return &Unknown{Reason: reason}
 	default:
-		return &NotRun{Reason: reason, RetryAt: s.relay.options.Now().Add(retryPause)}
+		return &NotRun{Kind: kind, Reason: reason, RetryAt: s.relay.options.Now().Add(retryPause)}
 	}
 }
 
@@ -152,7 +152,7 @@
 	case s.begun:
 		return &Cut{Reason: context.Cause(ctx).Error()}
 	case s.sends == 0:
-		return &NotRun{Reason: "time is up"}
+		return &NotRun{Kind: RefusalTime, Reason: "time is up"}
 	default:
 		return &TimedOut{Reason: context.Cause(ctx).Error()}
 	}
@@ -233,6 +233,7 @@
 	if end.done || end.moved || end.caller != nil || ctx.Err() != nil {
 		return
 	}
+	s.relay.options.Counts.endedEarly(end.earlyEnd())
 	event.RunEnded.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
 		"fromCopy", resumed, "lastEvent", s.last, "notRun", end.notRun, "silent", end.silent, "reason", fmt.Sprint(end.err))
 	switch {
@@ -330,9 +331,16 @@
 			s.last = e.id
 		}
 		if !s.lostAt.IsZero() {
-			event.StreamResumed.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
-				"fromCopy", dispatch.CopyAt != "", "nextEvent", e.id, "gapMillis", s.relay.options.Now().Sub(s.lostAt).Milliseconds())
-			s.lostAt = time.Time{}
+			s.wentOn(lease, dispatch, e.id)
 		}
 	}
 }
+
+// wentOn notes the first event that the caller got after a loss.
+func (s *stream) wentOn(lease *pool.Lease, dispatch Dispatch, eventID string) {
+	gap := s.relay.options.Now().Sub(s.lostAt)
+	s.lostAt = time.Time{}
+	s.relay.options.Counts.resumed(dispatch.CopyAt != "", gap)
+	event.StreamResumed.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
+		"fromCopy", dispatch.CopyAt != "", "nextEvent", eventID, "gapMillis", gap.Milliseconds())
+}
