--- /dev/null
+++ b/internal/backend/pool/peers_test.go
@@ -0,0 +1,77 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// peersRig is a pool that knows many servers.
+func peersRig(servers int) (p *pool.Pool, now *time.Time) {
+	at := time.Unix(0, 0)
+	p = pool.New(pool.Options{Now: func() time.Time { return at }, Draw: func() float64 { return 0 }})
+	listed := []pool.Server{}
+	for i := range servers {
+		listed = append(listed, pool.Server{ID: fmt.Sprint("s", i), Address: fmt.Sprint("a", i), Service: "s", FailureDomain: fmt.Sprint(i % 5), Slots: 16})
+	}
+	p.Update(listed)
+	p.SetRooms(map[string]pool.Room{"s": {CacheTokens: 55_000, Copies: true}})
+	return p, &at
+}
+
+// loadOn is what a place on the one server shows of its load.
+func loadOn(t *testing.T, p *pool.Pool) placement.Candidate {
+	t.Helper()
+	lease, _, err := p.Stream(pool.Ask{Service: "s"})
+	qt.Assert(t, err, qt.IsNil)
+	defer lease.Release()
+	return lease.Load
+}
+
+// TestNewestWordOfAPeerCounts: what a peer tells replaces what it told before, and is
+// forgotten when it tells nothing more.
+func TestNewestWordOfAPeerCounts(t *testing.T) {
+	p, now := peersRig(1)
+	p.PeerLoads("a", []pool.Load{{ServerID: "s0", PendingTokens: 500, MemoryTokens: 600}})
+	p.PeerLoads("b", []pool.Load{{ServerID: "s0", Running: 2, MemoryTokens: 70}, {ServerID: "gone", Running: 1}})
+	got := loadOn(t, p)
+	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{500, 2, 670})
+	*now = now.Add(2 * time.Second)
+	p.PeerLoads("a", []pool.Load{{ServerID: "s0", Running: 1, MemoryTokens: 650}})
+	got = loadOn(t, p)
+	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{0, 3, 720})
+	*now = now.Add(2 * time.Second) // b was silent for 4 s.
+	got = loadOn(t, p)
+	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{0, 1, 650})
+	p.PeerLoads("a", nil)
+	got = loadOn(t, p)
+	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{0, 0, 0})
+}
+
+// BenchmarkStream places streams among the servers of a large fleet, with its VMs' work.
+func BenchmarkStream(b *testing.B) {
+	for _, size := range []struct{ vms, servers int }{{9, 24}, {91, 144}, {430, 680}} {
+		b.Run(fmt.Sprintf("%d VMs", size.vms), func(b *testing.B) {
+			p, _ := peersRig(size.servers)
+			for i := range size.vms {
+				loads := []pool.Load{}
+				for j := range 6 {
+					loads = append(loads, pool.Load{ServerID: fmt.Sprint("s", (i*7+j)%size.servers), Running: 1, MemoryTokens: 6000})
+				}
+				p.PeerLoads(fmt.Sprint("vm", i), loads)
+			}
+			for b.Loop() {
+				lease, _, err := p.Stream(pool.Ask{Service: "s", Need: placement.Need{PromptTokens: 5000, OutputTokens: 800}})
+				if err != nil {
+					b.Fatal(err)
+				}
+				lease.Release()
+			}
+		})
+	}
+}
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -103,6 +103,7 @@
 	mu      sync.Mutex
 	servers map[string]*server
 	peers   map[string]peerLoads
+	others  map[string]Load // The peers' work by server, summed.
 	rooms   map[string]Room // By service.
 	lossAt  map[group]time.Time
 
@@ -121,7 +122,7 @@
 }
 
 type peerLoads struct {
-	loads      map[string]Load
+	loads      []Load
 	validUntil time.Time
 }
 
@@ -198,7 +199,7 @@
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, lossAt: map[group]time.Time{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, others: map[string]Load{}, lossAt: map[group]time.Time{}}
 }
 
 // Update replaces the list of servers. What is known of those that stay is kept.
@@ -258,13 +259,42 @@
 
 // PeerLoads takes in what a peer has on the servers.
 func (p *Pool) PeerLoads(peer string, loads []Load) {
-	byServer := make(map[string]Load, len(loads))
-	for _, load := range loads {
-		byServer[load.ServerID] = load
-	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[peer] = peerLoads{loads: byServer, validUntil: p.options.Now().Add(peerLoadLife)}
+	p.forgetPeer(peer)
+	p.peers[peer] = peerLoads{loads: loads, validUntil: p.options.Now().Add(peerLoadLife)}
+	for _, load := range loads {
+		p.addOthers(load, 1)
+	}
+}
+
+// forgetPeer drops what a peer told. Called with the lock held.
+func (p *Pool) forgetPeer(peer string) {
+	for _, load := range p.peers[peer].loads {
+		p.addOthers(load, -1)
+	}
+	delete(p.peers, peer)
+}
+
+// addOthers adds to the sums of the peers' work, or takes away from them.
+func (p *Pool) addOthers(load Load, sign int) {
+	sum := p.others[load.ServerID]
+	sum.PendingTokens += sign * load.PendingTokens
+	sum.Running += sign * load.Running
+	sum.MemoryTokens += sign * load.MemoryTokens
+	p.others[load.ServerID] = sum
+	if sum == (Load{}) {
+		delete(p.others, load.ServerID)
+	}
+}
+
+// forgetSilentPeers drops what was told too long ago. Called with the lock held.
+func (p *Pool) forgetSilentPeers(now time.Time) {
+	for peer, told := range p.peers {
+		if now.After(told.validUntil) {
+			p.forgetPeer(peer)
+		}
+	}
 }
 
 // Loads lists the stream work of this VM.
@@ -301,16 +331,10 @@
 // candidate describes a server to package placement.
 func (p *Pool) candidate(s *server, now time.Time) placement.Candidate {
 	load := s.load()
-	for peer, told := range p.peers {
-		if now.After(told.validUntil) {
-			delete(p.peers, peer)
-			continue
-		}
-		theirs := told.loads[s.ID]
-		load.PendingTokens += theirs.PendingTokens
-		load.Running += theirs.Running
-		load.MemoryTokens += theirs.MemoryTokens
-	}
+	theirs := p.others[s.ID]
+	load.PendingTokens += theirs.PendingTokens
+	load.Running += theirs.Running
+	load.MemoryTokens += theirs.MemoryTokens
 	return placement.Candidate{
 		ID:            s.ID,
 		FailureDomain: s.FailureDomain,
@@ -337,6 +361,7 @@
 // candidates lists the servers of a service that may take new work, in random
 // order, so that VMs with the same picture don't all take the first.
 func (p *Pool) candidates(service string, tried map[string]bool, now time.Time) ([]*server, []placement.Candidate) {
+	p.forgetSilentPeers(now)
 	usable := []*server{}
 	for _, s := range p.ordered() {
 		if s.Service == service && s.takesWork() && !tried[s.ID] {
--- a/internal/lab/simulation/fleet.go
+++ b/internal/lab/simulation/load.go
@@ -6,21 +6,7 @@
 	"slices"
 )
 
-func (v *vm) name() string {
-	return fmt.Sprintf("vm-%d", v.index)
-}
-
-// ordered gives the VM's streams in the order in which they came.
-func (v *vm) ordered() []*stream {
-	streams := []*stream{}
-	for s := range v.streams {
-		streams = append(streams, s)
-	}
-	slices.SortFunc(streams, func(a, b *stream) int { return a.number - b.number })
-	return streams
-}
-
-func (w *world) nextEngine() int {
+func (w *world) engineCount() int {
 	return len(w.scenario.Engines.FailureDomains) * w.scenario.Engines.PerFailureDomain
 }
 
@@ -68,7 +54,7 @@
 
 // hit draws the numbers of the engines that a fault meets.
 func (w *world) hit(fault Fault) []int {
-	all := w.random.Perm(w.nextEngine())
+	all := w.random.Perm(w.engineCount())
 	if fault.FailureDomain != "" {
 		return slices.DeleteFunc(all, func(i int) bool { return w.engines[address(i)].FailureDomain != fault.FailureDomain })
 	}
--- a/internal/lab/simulation/stream.go
+++ b/internal/lab/simulation/stream.go
@@ -1,12 +1,8 @@
 package simulation
 
 import (
-	"context"
-	"syscall"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
@@ -24,147 +20,10 @@
 	// to be moved again. copyWatch is how often it is looked whether a copy is lost.
 	moveAgain = 500 * time.Millisecond
 	copyWatch = 20 * time.Millisecond
-	// spreadTick is how often package spread looks whether peers must be told again.
-	spreadTick = 250 * time.Millisecond
 	// placeAgain is the pause until a stream that found no engine asks again, as callers do.
 	placeAgain = 500 * time.Millisecond
 )
 
-var errLost = errors.Wrap(errors.New("the engine is gone"), syscall.ECONNREFUSED)
-
-// vm is one VM: a real pool of engines.
-type vm struct {
-	world    *world
-	index    int
-	servers  *pool.Pool
-	streams  map[*stream]bool
-	newsDue  bool
-	easedDue bool
-	toldAt   time.Time // When peers were last told of its work.
-	ended    bool
-}
-
-func (w *world) startVMs() {
-	for i := range w.scenario.VMs {
-		v := &vm{world: w, index: i, streams: map[*stream]bool{}}
-		v.servers = pool.New(pool.Options{
-			Now:   func() time.Time { return w.now },
-			Draw:  w.random.Float64,
-			Check: func(_ context.Context, address string) error { return w.check(address) },
-			Go: func(do func()) {
-				w.after(2*millis(w.scenario.Network.HopMillis), do)
-			},
-			OnChange: v.serverChanged,
-			Tell:     func(id string, ended bool) { v.tellLoss(id, ended) },
-		})
-		v.servers.SetRooms(map[string]pool.Room{serviceName: {
-			CacheTokens: w.scenario.Engines.MemoryTokens,
-			Copies:      !w.policy.NoCopies,
-			Moves:       !w.policy.NoMoves,
-		}})
-		w.vms = append(w.vms, v)
-	}
-	w.list()
-	w.recheck()
-	w.tellAll()
-}
-
-// tellAll has each VM tell its work even if nothing changes, as package spread does.
-func (w *world) tellAll() {
-	for _, v := range w.vms {
-		if w.now.Sub(v.toldAt) >= pool.LoadsEvery {
-			v.tellWork()
-		}
-	}
-	w.after(spreadTick, w.tellAll)
-}
-
-// list has all VMs list the engines that are there.
-func (w *world) list() {
-	listed := []pool.Server{}
-	for i := range w.nextEngine() {
-		if e := w.engines[address(i)]; !e.lost {
-			listed = append(listed, e.Server)
-		}
-	}
-	for _, v := range w.vms {
-		v.servers.Update(listed)
-	}
-}
-
-// recheck has the pools look at what is down, as VMs do five times a second.
-func (w *world) recheck() {
-	for _, v := range w.vms {
-		v.servers.Recheck(context.Background())
-	}
-	w.after(200*time.Millisecond, w.recheck)
-}
-
-func (w *world) check(address string) error {
-	if e := w.engines[address]; e == nil || e.lost {
-		return errLost
-	}
-	return nil
-}
-
-// serverChanged has the streams on a server that is down go on elsewhere.
-func (v *vm) serverChanged(server pool.Server, down bool, _ string) {
-	if !down {
-		return
-	}
-	for _, s := range v.ordered() {
-		if r := s.run; r != nil && r.engine.ID == server.ID {
-			v.world.after(0, func() { s.goOn(r, false) })
-		}
-	}
-}
-
-func (v *vm) tellLoss(id string, ended bool) {
-	for _, other := range v.world.vms {
-		if other != v {
-			v.world.after(millis(v.world.scenario.Network.HopMillis)+v.world.policy.newsAfter(), func() { other.servers.PeerLost(id, ended) })
-		}
-	}
-}
-
-// workChanged tells the peers of this VM's work, soon if it grew.
-func (v *vm) workChanged() {
-	if !v.newsDue {
-		v.newsDue = true
-		v.world.after(v.world.policy.newsAfter(), func() { v.newsDue = false; v.tellWork() })
-	}
-}
-
-func (v *vm) workEased() {
-	if !v.easedDue {
-		v.easedDue = true
-		v.world.after(v.world.policy.easedAfter(), func() { v.easedDue = false; v.tellWork() })
-	}
-}
-
-func (v *vm) tellWork() {
-	if v.world.policy.NoNews {
-		return
-	}
-	v.toldAt = v.world.now
-	loads := v.servers.Loads()
-	for _, i := range v.world.told() {
-		if other := v.world.vms[i]; other != v {
-			v.world.messages++
-			v.world.after(millis(v.world.scenario.Network.HopMillis), func() { other.servers.PeerLoads(v.name(), loads) })
-		}
-	}
-}
-
-// told gives the numbers of the VMs that hear of a VM's work.
-func (w *world) told() []int {
-	all := w.random.Perm(len(w.vms))
-	if w.policy.Fanout == 0 {
-		return all
-	}
-	return all[:min(w.policy.Fanout, len(all))]
-}
-
 // stream is one caller's request.
 type stream struct {
 	world    *world
