Hold requests while a VM that has just started learns its configuration

Ruled out: opening the callers' port later, since a refused connection uses up the try as well. Change: until it is ready for the first time, and at most 0.25 s after its start, a VM holds requests. Later ones that it can't serve are refused at once, as before. TestRequestsOfAVMThatStartsWaitUntilItKnowsItsServers failed first (503).

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -85,6 +85,7 @@
 	storeLost   atomic.Bool
 	copiesRead  atomic.Bool // What the VMs before this one knew of copies is known, or can't be.
 	started     time.Time
+	ready       chan struct{} // Closed when this VM takes requests for the first time.
 
 	// cutting ends the streams of a VM that has to end before they do.
 	cutting context.Context
@@ -106,6 +107,7 @@
 		budgets:  map[string]*budget.Shared{},
 		counters: newCounters(),
 		started:  time.Now(),
+		ready:    make(chan struct{}),
 	}
 	v.settings.Store(&options.Settings)
 	v.cutting, v.cut = context.WithCancelCause(context.Background())
@@ -480,6 +482,7 @@
 type readiness struct {
 	vm   *VM
 	told bool // What was told last.
+	been bool // It has been ready.
 }
 
 // String names the service in the supervisor's messages.
@@ -492,7 +495,7 @@
 func (r *readiness) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
 		ready := r.vm.Ready()
-		r.log(ready)
+		r.note(ready)
 		r.vm.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready = ready })
 		if ready {
 			pause(ctx, readyPause)
@@ -503,11 +506,16 @@
 	return ctx.Err()
 }
 
-func (r *readiness) log(ready bool) {
+// note logs a change, and lets the requests in that wait for the first one.
+func (r *readiness) note(ready bool) {
 	if ready == r.told {
 		return
 	}
 	r.told = ready
+	if ready && !r.been {
+		r.been = true
+		close(r.vm.ready)
+	}
 	snapshot := r.vm.spread.Snapshot()
 	version := uint64(0)
 	if snapshot.Configuration != nil {
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -33,6 +33,11 @@
 	bodiesPause = 500 * time.Millisecond
 )
 
+// startHold is until when after its start a VM holds requests that it can't serve yet:
+// its wait for peers, and twice the store's published time for an answer on each of two
+// connections, with room for a busy machine.
+const startHold = 250 * time.Millisecond
+
 // ErrUnread means that the caller's body could not be read to its end.
 const ErrUnread = errors.ConstError("the body could not be read")
 
@@ -64,6 +69,7 @@
 func (v *VM) Handle(ctx context.Context, incoming accept.Incoming, sink relay.Sink) (err error) {
 	ctx, span := trace.Span(ctx, "caller")
 	defer span.End()
+	v.awaitStart(ctx)
 	now := v.Now()
 	request, err := accept.Accept(v.picture(), incoming, now, rand.Float64())
 	if err == nil {
@@ -113,6 +119,23 @@
 	return nil
 }
 
+// awaitStart holds a request that came while this VM learns what it needs to serve it,
+// which takes some 80 ms from its start. After a loss of all VMs the callers of long
+// streams are back at once, and most have only one more try.
+func (v *VM) awaitStart(ctx context.Context) {
+	left := v.started.Add(startHold).Sub(v.Now())
+	if left <= 0 {
+		return
+	}
+	limit := time.NewTimer(left)
+	defer limit.Stop()
+	select {
+	case <-v.ready:
+	case <-limit.C:
+	case <-ctx.Done():
+	}
+}
+
 // admit counts the request, or refuses it if this VM is leaving.
 func (v *VM) admit(request *relay.Request, now time.Time) error {
 	v.mu.Lock()
