Read the store as soon as peers have answered that know nothing either

Cause: VMs that start together after a loss of all waited 60 ms for a peer that knows all, though each had heard from the others within 10 ms. Change: they look each 5 ms, and wait on only while a peer's newer content is on its way. Whether a VM is ready is looked at each 5 ms as long as requests may wait for it.

TestVMThatStartsReadsOnceItsPeersKnowNothing failed first.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -501,6 +501,10 @@
 			pause(ctx, readyPause)
 			continue
 		}
+		if r.vm.Now().Before(r.vm.started.Add(startHold)) {
+			pause(ctx, startPause)
+			continue
+		}
 		pause(ctx, unreadyPause)
 	}
 	return ctx.Err()
@@ -530,8 +534,10 @@
 	checksEvery = 200 * time.Millisecond
 	// idleEvery is how often idle connections are looked at.
 	idleEvery = 500 * time.Millisecond
-	// unreadyPause and readyPause are how often it is looked whether this VM takes
-	// requests. SIGTERM is told at once.
+	// startPause, unreadyPause and readyPause are how often it is looked whether this VM
+	// takes requests: while requests wait for its start, later, and once it does. SIGTERM
+	// is told at once.
+	startPause   = 5 * time.Millisecond
 	unreadyPause = 20 * time.Millisecond
 	readyPause   = 500 * time.Millisecond
 )
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -35,8 +35,10 @@
 	overduePerRank = 60 * time.Millisecond
 	// isolatedAfter is how long no peer may answer until a VM reads for itself.
 	isolatedAfter = 900 * time.Millisecond
-	// joinLimit is how long a VM that starts waits for a peer that knows all.
+	// joinLimit is how long a VM that starts waits for a peer that knows all, and joinPoll
+	// how often it looks whether peers have answered that know nothing either.
 	joinLimit = 60 * time.Millisecond
+	joinPoll  = 5 * time.Millisecond
 	// idlePause bounds the time until a VM that doesn't read looks again whether it
 	// has become one of the readers.
 	idlePause = 200 * time.Millisecond
@@ -67,9 +69,9 @@
 // Serve watches until the context ends.
 func (w *watcher) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if wait := w.dueAt().Sub(w.vm.Now()); wait > 0 {
+		if wait := w.dueAt(w.vm.spread.Snapshot()).Sub(w.vm.Now()); wait > 0 {
 			w.known = false // The peers' picture goes on without this VM.
-			pause(ctx, min(wait, idlePause))
+			pause(ctx, min(wait, w.lookAgain()))
 			continue
 		}
 		if err := w.once(ctx); err != nil {
@@ -85,9 +87,9 @@
 // dueAt is when this VM has to read: at once (zero) if it is one of the readers or has
 // to learn whether the store is back, else when the picture it gets from them is too
 // old.
-func (w *watcher) dueAt() time.Time {
-	snapshot := w.vm.spread.Snapshot()
-	if joined := w.vm.started.Add(joinLimit); len(snapshot.Live) == 1 && w.vm.Now().Before(joined) {
+func (w *watcher) dueAt(snapshot *spread.Snapshot) time.Time {
+	alone := len(snapshot.Live) == 1
+	if joined := w.vm.started.Add(joinLimit); (alone || snapshot.Fetching) && w.vm.Now().Before(joined) {
 		return joined
 	}
 	rank := rankOf(snapshot.Self, snapshot.Live)
@@ -103,6 +105,14 @@
 	return old
 }
 
+// lookAgain is after how long it is looked again whether this VM has to read.
+func (w *watcher) lookAgain() time.Duration {
+	if w.vm.Now().Before(w.vm.started.Add(joinLimit)) {
+		return joinPoll
+	}
+	return idlePause
+}
+
 // rankOf orders the live VMs for reading, those in different failure domains first.
 func rankOf(self spread.Member, live []spread.Member) int {
 	seen := map[string]int{}
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -152,6 +152,27 @@
 	g.expect("a leaving")
 }
 
+// TestVMThatStartsReadsOnceItsPeersKnowNothing: when all VMs were lost together they
+// start together, and waiting for each other would only cost time.
+func TestVMThatStartsReadsOnceItsPeersKnowNothing(t *testing.T) {
+	g := newListRig(t)
+	w := &watcher{vm: g.vm, age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt }}
+	self := spread.Member{ID: "vm-1"}
+	others := []spread.Member{self, {ID: "vm-0"}, {ID: "vm-2"}, {ID: "vm-3"}}
+	now := time.Now()
+	waits := func(snapshot spread.Snapshot) bool {
+		snapshot.Self = self
+		return w.dueAt(&snapshot).After(now)
+	}
+	g.vm.started = now
+	qt.Check(t, waits(spread.Snapshot{Live: []spread.Member{self}}), qt.IsTrue)
+	qt.Check(t, waits(spread.Snapshot{Live: others, Fetching: true}), qt.IsTrue)
+	qt.Check(t, waits(spread.Snapshot{Live: others}), qt.IsFalse)
+	g.vm.started = now.Add(-joinLimit)
+	qt.Check(t, waits(spread.Snapshot{Live: []spread.Member{self}}), qt.IsFalse)
+	qt.Check(t, waits(spread.Snapshot{Live: others, Fetching: true}), qt.IsFalse)
+}
+
 func TestRankPutsFailureDomainsInTurn(t *testing.T) {
 	live := []spread.Member{}
 	for _, id := range []string{"a1", "a2", "a3", "b1"} {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -74,8 +74,10 @@
 	ServersKnown    bool
 	ServersVersion  uint64
 	ServersAt       time.Time
-	Self            Member
-	Live            []Member // With this VM, by ID.
+	// Fetching means that a peer that has newer content is being asked for it.
+	Fetching bool
+	Self     Member
+	Live     []Member // With this VM, by ID.
 }
 
 // Options shapes a Spread. Call sends a message to a peer and returns its
@@ -254,6 +256,7 @@
 		ServersKnown:    st.servers.version > 0,
 		ServersVersion:  st.servers.version,
 		ServersAt:       st.servers.currentAt,
+		Fetching:        !st.configFetch.IsZero() || !st.serversFetch.IsZero(),
 		Self:            st.members.self,
 		Live:            st.members.up(),
 	})
