Split large fleets into cells: work is told and streams are placed within them

The word of each change went to up to 128 VMs.

Change: from 48 VMs on the fleet is split into cells of some 32 VMs, ranked by a hash of their addresses within each failure domain, and the servers likewise. A VM tells its work and its use of the budget to its cell, chooses among the cell's servers, and among all when those have no room. Each cell has its part of the allowance for repeats. Copies, losses and crashes are told to all, as before.

--- /dev/null
+++ b/internal/backend/placement/cells.go
@@ -0,0 +1,47 @@
+package placement
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+// Large fleets are split into cells: VMs place streams on the servers of their own cell
+// and tell only the VMs of that cell of their work. Without cells each placement is told
+// to every VM, and the messages grow with the square of the fleet. 91 VMs and 144 servers
+// make three cells of 30 VMs and 48 servers, with servers of each failure domain in each.
+
+// cellSize is the number of VMs that a cell has at about. With 32 a VM that places a
+// stream at the published rates tells some 15 KB/s.
+const cellSize = 32
+
+// CellCount is the number of cells for so many VMs; fleets below 48 VMs are one.
+func CellCount(vms int) int {
+	return max(1, (vms+cellSize/2)/cellSize)
+}
+
+// Cells assigns the members of a group, such as the servers of a service in one failure
+// domain, evenly to so many cells. VMs with the same lists agree. Members are ranked by a
+// hash, so that one that comes or goes moves at most one other between two cells.
+func Cells(group []string, count int) map[string]int {
+	ranked := slices.Clone(group)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashOf(a), hashOf(b)), cmp.Compare(a, b))
+	})
+	ranked = slices.Compact(ranked)
+	cells := make(map[string]int, len(ranked))
+	for rank, member := range ranked {
+		cells[member] = rank * count / len(ranked)
+	}
+	return cells
+}
+
+func hashOf(text string) uint64 {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(text)) // A hash never fails to write.
+	// The last bytes of addresses differ most and FNV mixes them least.
+	sum := hash.Sum64()
+	sum ^= sum >> 33
+	sum *= 0xff51afd7ed558ccd
+	return sum ^ sum>>33
+}
--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -83,7 +83,7 @@
 // yet. Each then looks at a sample, so that they seldom take the same server.
 func Stream(candidates []Candidate, need Need) (at int, found bool) {
 	price := func(c Candidate) (cost float64, fits bool) {
-		return streamCost(c, need), hasMemory(c, need)
+		return streamCost(c, need), Fits(c, need)
 	}
 	if need.AfterLoss {
 		size := max(int(samplePart*float64(len(candidates))), leastSample)
@@ -111,11 +111,12 @@
 		if c.FailureDomain == streamDomain {
 			return 0, false
 		}
-		return float64(c.MemoryTokens) + streamCost(c, need), hasMemory(c, need)
+		return float64(c.MemoryTokens) + streamCost(c, need), Fits(c, need)
 	})
 }
 
-func hasMemory(c Candidate, need Need) bool {
+// Fits reports whether a server has room for the memory that a stream ends with.
+func Fits(c Candidate, need Need) bool {
 	return c.CacheTokens == 0 || float64(c.MemoryTokens+need.Tokens()) <= memoryPart*float64(c.CacheTokens)
 }
 
--- a/internal/backend/pool/peers_test.go
+++ b/internal/backend/pool/peers_test.go
@@ -75,3 +75,24 @@
 		})
 	}
 }
+
+// TestStreamsStayInTheCellWhileItHasRoom: VMs of other cells don't hear of this VM's work.
+func TestStreamsStayInTheCellWhileItHasRoom(t *testing.T) {
+	p, _ := peersRig(40)
+	p.SetCell(1, 4)
+	used := map[string]int{}
+	for range 30 { // 10 servers with room for nine such streams or copies each.
+		lease, backup, err := p.Stream(pool.Ask{Service: "s", Need: placement.Need{PromptTokens: 4500, OutputTokens: 800}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, backup, qt.IsNotNil)
+		used[lease.Server.ID]++
+		used[backup.ID]++
+	}
+	qt.Assert(t, len(used) <= 10, qt.IsTrue, qt.Commentf("%d servers were used", len(used)))
+	for range 30 {
+		lease, _, err := p.Stream(pool.Ask{Service: "s", Need: placement.Need{PromptTokens: 4500, OutputTokens: 800}})
+		qt.Assert(t, err, qt.IsNil)
+		used[lease.Server.ID]++
+	}
+	qt.Assert(t, len(used) > 10, qt.IsTrue, qt.Commentf("streams wait in a full cell while others have room"))
+}
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -106,6 +106,9 @@
 	others  map[string]Load // The peers' work by server, summed.
 	rooms   map[string]Room // By service.
 	lossAt  map[group]time.Time
+	cell    int            // This VM's.
+	cells   int            // 0 and 1 for a fleet that is not split.
+	cellOf  map[string]int // Of the servers, by address; nil until it is needed.
 
 	recheckedAt time.Time
 	pausedAt    time.Time // When this process last went on after a pause.
@@ -220,6 +223,7 @@
 		known.foundAt = time.Time{}
 	}
 	p.supersede()
+	p.cellOf = nil
 	p.leaveTogether()
 	for id, s := range p.servers {
 		if !s.listed && len(s.leases) == 0 {
@@ -439,12 +443,9 @@
 	now := p.options.Now()
 	chosen := p.holder(ask)
 	if chosen == nil {
-		usable, described := p.candidates(ask.Service, ask.Tried, now)
-		at, found := placement.Stream(described, ask.Need)
-		if !found {
+		if chosen = p.chooseForStream(ask, now); chosen == nil {
 			return nil, nil, errors.Trace(ErrNone)
 		}
-		chosen = usable[at]
 	}
 	lease = p.lease(chosen, &Lease{stream: true, need: ask.Need, started: ask.On != "" || ask.Begun, Load: p.candidate(chosen, now)})
 	room := p.rooms[ask.Service]
@@ -452,16 +453,85 @@
 	if !room.Copies {
 		return lease, nil, nil
 	}
+	lease.backup = p.chooseForCopy(ask, chosen, now)
+	if lease.backup == nil {
+		lease.tellCopyLost()
+		return lease, nil, nil
+	}
+	lease.backup.copies += ask.Need.Tokens()
+	copied := lease.backup.Server
+	return lease, &copied, nil
+}
+
+// chooseForStream chooses among the servers of this VM's cell, and among all if those
+// are down or have no room. Called with the lock held.
+func (p *Pool) chooseForStream(ask Ask, now time.Time) *server {
+	usable, described := p.candidates(ask.Service, ask.Tried, now)
+	near, nearDescribed := p.inCell(usable, described)
+	if at, found := placement.Stream(nearDescribed, ask.Need); found && !nearDescribed[at].Avoided && placement.Fits(nearDescribed[at], ask.Need) {
+		return near[at]
+	}
+	if at, found := placement.Stream(described, ask.Need); found {
+		return usable[at]
+	}
+	return nil
+}
+
+// chooseForCopy chooses the holder of a stream's copy in the same way; nil if none has
+// room. Called with the lock held.
+func (p *Pool) chooseForCopy(ask Ask, chosen *server, now time.Time) *server {
 	usable, described := p.candidates(ask.Service, map[string]bool{chosen.ID: true}, now)
+	near, nearDescribed := p.inCell(usable, described)
+	if at, found := placement.Backup(nearDescribed, chosen.FailureDomain, ask.Need); found && !nearDescribed[at].Avoided {
+		return near[at]
+	}
 	if at, found := placement.Backup(described, chosen.FailureDomain, ask.Need); found && !described[at].Avoided {
-		lease.backup = usable[at]
-		lease.backup.copies += ask.Need.Tokens()
-		copied := usable[at].Server
-		backup = &copied
-	} else {
-		lease.tellCopyLost()
+		return usable[at]
+	}
+	return nil
+}
+
+// SetCell tells which cell of how many this VM is in; see placement.Cells.
+func (p *Pool) SetCell(cell, cells int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cells != cells {
+		p.cellOf = nil
+	}
+	p.cell, p.cells = cell, cells
+}
+
+// inCell gives those of the servers that are in this VM's cell. Called with the lock
+// held.
+func (p *Pool) inCell(usable []*server, described []placement.Candidate) (near []*server, nearDescribed []placement.Candidate) {
+	if p.cells <= 1 {
+		return usable, described
+	}
+	if p.cellOf == nil {
+		p.assignCells()
+	}
+	for i, s := range usable {
+		if p.cellOf[s.Address] == p.cell {
+			near = append(near, s)
+			nearDescribed = append(nearDescribed, described[i])
+		}
+	}
+	return near, nearDescribed
+}
+
+// assignCells assigns all servers, those of each service and failure domain for
+// themselves. Called with the lock held.
+func (p *Pool) assignCells() {
+	groups := map[group][]string{}
+	for _, s := range p.servers {
+		if s.listed {
+			groups[s.group()] = append(groups[s.group()], s.Address)
+		}
+	}
+	p.cellOf = map[string]int{}
+	for _, addresses := range groups {
+		maps.Copy(p.cellOf, placement.Cells(addresses, p.cells))
 	}
-	return lease, backup, nil
 }
 
 // holder gives the server that the ask names, if it is there and not down. A
--- a/internal/lab/simulation/result.go
+++ b/internal/lab/simulation/result.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
 // Policy is a way to decide. The zero value is what VMs do; each field takes one part
@@ -23,6 +25,7 @@
 	NewsMillis  float64
 	EasedMillis float64
 	Fanout      int
+	Cells       int // Into how many the fleet is split; 0 for what VMs do.
 }
 
 // Policies are compared unless others are asked for. The first is the product's.
@@ -35,6 +38,7 @@
 	{Name: "work not told", NoNews: true},
 	{Name: "ended work told after 1 s", EasedMillis: 1000},
 	{Name: "work told to 16 peers", Fanout: 16},
+	{Name: "one cell", Cells: 1},
 }
 
 // PoliciesNamed gives the policies of these names, all if there are none.
@@ -71,6 +75,13 @@
 	return millis(newsMillis)
 }
 
+func (p Policy) cells(vms int) int {
+	if p.Cells > 0 {
+		return p.Cells
+	}
+	return placement.CellCount(vms)
+}
+
 func (p Policy) easedAfter() time.Duration {
 	if p.EasedMillis > 0 {
 		return millis(p.EasedMillis)
--- a/internal/lab/simulation/vm.go
+++ b/internal/lab/simulation/vm.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
 
@@ -25,6 +26,7 @@
 type vm struct {
 	world    *world
 	index    int
+	cell     int
 	servers  *pool.Pool
 	streams  map[*stream]bool
 	newsDue  bool
@@ -53,11 +55,26 @@
 		}})
 		w.vms = append(w.vms, v)
 	}
+	w.formCells()
 	w.list()
 	w.recheck()
 	w.tellAll()
 }
 
+// formCells splits the VMs as package spread does.
+func (w *world) formCells() {
+	count := w.policy.cells(len(w.vms))
+	names := []string{}
+	for _, v := range w.vms {
+		names = append(names, v.name())
+	}
+	cells := placement.Cells(names, count)
+	for _, v := range w.vms {
+		v.cell = cells[v.name()]
+		v.servers.SetCell(v.cell, count)
+	}
+}
+
 // tellAll has each VM tell its work even if nothing changes, as package spread does.
 func (w *world) tellAll() {
 	for _, v := range w.vms {
@@ -138,7 +155,7 @@
 	v.toldAt = v.world.now
 	loads := v.servers.Loads()
 	for _, i := range v.world.told() {
-		if other := v.world.vms[i]; other != v {
+		if other := v.world.vms[i]; other != v && other.cell == v.cell {
 			v.world.messages++
 			v.world.after(millis(v.world.scenario.Network.HopMillis), func() { other.servers.PeerLoads(v.name(), loads) })
 		}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -193,6 +193,7 @@
 		OnLosses:            v.heardLosses,
 		Uses:                v.uses,
 		OnUses:              v.heardUses,
+		OnCell:              v.cellChanged,
 	}
 }
 
@@ -223,6 +224,14 @@
 	v.servers.SetRooms(rooms)
 }
 
+// cellChanged takes in which VMs and servers this VM shares its work with.
+func (v *VM) cellChanged(cell, cells int) {
+	v.servers.SetCell(cell, cells)
+	if cells > 1 {
+		event.CellChanged.Info(v.logger, "cell", cell, "cells", cells)
+	}
+}
+
 func (v *VM) serverChanged(server pool.Server, down bool, reason string) {
 	if down {
 		v.connections.Forget(server.Address)
@@ -301,6 +310,7 @@
 			Ratio:     v.settings.Load().RepeatPart,
 			Allowance: v.settings.Load().RepeatAllowance,
 			Window:    v.settings.Load().RepeatWindow,
+			Parts:     func() int { return v.spread.Snapshot().Cells },
 			Now:       v.Now,
 		})
 		v.budgets[service] = known
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -39,6 +39,7 @@
 	ListUnreadable       = define(301, "the platform's VM list could not be read")
 	PeerDown             = define(302, "a VM does not answer")
 	PeerBack             = define(303, "a VM answers again")
+	CellChanged          = define(304, "this VM shares its work with another part of the fleet")
 	StreamLost           = define(401, "an engine stream was lost")
 	GenerationContinued  = define(402, "a generation goes on after a loss")
 	GenerationFailed     = define(403, "a generation was given up")
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -3,9 +3,12 @@
 import (
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
 // forgetAfter is how long a member that is down is remembered and tried again.
@@ -26,6 +29,9 @@
 	// What is derived from the entries, kept until one changes: each message needs it.
 	upNow   []Member
 	hashNow uint64
+	cell    int      // This VM's; see placement.Cells.
+	cells   int      // How many there are.
+	mates   []Member // The others of this VM's cell.
 }
 
 func newMembers(self Member) *members {
@@ -132,10 +138,35 @@
 	if ms.upNow == nil {
 		ms.upNow = ms.listUp()
 		ms.hashNow = hashOf(ms.upNow)
+		ms.split()
 	}
 	return ms.upNow
 }
 
+// split finds this VM's cell among those that are up.
+func (ms *members) split() {
+	ms.cells = placement.CellCount(len(ms.upNow))
+	byDomain := map[string][]string{}
+	for _, m := range ms.upNow {
+		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m.PeerAddress)
+	}
+	cellOf := map[string]int{}
+	for _, addresses := range byDomain {
+		maps.Copy(cellOf, placement.Cells(addresses, ms.cells))
+	}
+	ms.cell = cellOf[ms.self.PeerAddress]
+	ms.mates = slices.DeleteFunc(slices.Clone(ms.upNow), func(m Member) bool {
+		return m.ID == ms.self.ID || cellOf[m.PeerAddress] != ms.cell
+	})
+}
+
+// cellPeers lists the others of this VM's cell. The list is shared and must not be
+// changed.
+func (ms *members) cellPeers() []Member {
+	ms.up()
+	return ms.mates
+}
+
 func (ms *members) listUp() []Member {
 	up := []Member{ms.self}
 	for _, m := range ms.others {
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -113,6 +113,10 @@
 	Uses     []ServiceUse   `cbor:"13,keyasint,omitempty"`
 }
 
+func (m *message) hasNotes() bool {
+	return len(m.Copies)+len(m.Crashes)+len(m.Losses) > 0
+}
+
 func (m *message) encode() []byte {
 	body, err := cbor.Marshal(m)
 	if err != nil {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -44,8 +45,8 @@
 	// membersEvery gathers what is heard of other VMs. When many start at once, each
 	// hears of all the others, and passes that on a few times instead of each time.
 	membersEvery = 100 * time.Millisecond
-	// workFanout is how many peers are told of this VM's work.
-	workFanout = 128
+	// notesFanout is how many peers at most are told of copies, losses and crashes.
+	notesFanout = 128
 	// workEvery gathers the changes of this VM's work. Until they arrive, peers may
 	// place a prompt on the same server, so it is about the way between two VMs.
 	workEvery = 3 * time.Millisecond
@@ -78,6 +79,9 @@
 	Fetching bool
 	Self     Member
 	Live     []Member // With this VM, by ID.
+	// Cell is this VM's of Cells; see placement.Cells.
+	Cell  int
+	Cells int
 }
 
 // Options shapes a Spread. Call sends a message to a peer and returns its
@@ -107,6 +111,8 @@
 	OnLosses  func(notes []LossNote)
 	Uses      func() []ServiceUse
 	OnUses    func(peer string, uses []ServiceUse)
+	// OnCell is told when this VM is in another cell, or the fleet is split anew.
+	OnCell func(cell, cells int)
 }
 
 // Spread is safe for concurrent use.
@@ -140,6 +146,9 @@
 
 // New makes a spread. It does nothing until it is served.
 func New(options Options) *Spread {
+	if options.OnCell == nil {
+		options.OnCell = func(int, int) {}
+	}
 	s := &Spread{
 		options: options,
 		inbox:   make(chan func(*state), inboxSize),
@@ -249,7 +258,9 @@
 }
 
 func (s *Spread) publish(st *state) {
-	s.snapshot.Store(&Snapshot{
+	before := s.Snapshot()
+	live := st.members.up()
+	now := &Snapshot{
 		Configuration:   st.config,
 		ConfigurationAt: st.configAt,
 		Servers:         st.servers.listed(),
@@ -258,8 +269,14 @@
 		ServersAt:       st.servers.currentAt,
 		Fetching:        !st.configFetch.IsZero() || !st.serversFetch.IsZero(),
 		Self:            st.members.self,
-		Live:            st.members.up(),
-	})
+		Live:            live,
+		Cell:            st.members.cell,
+		Cells:           st.members.cells,
+	}
+	s.snapshot.Store(now)
+	if before.Cell != now.Cell || before.Cells != now.Cells {
+		s.options.OnCell(now.Cell, now.Cells)
+	}
 }
 
 // LearnConfiguration takes in what the store held at readAt. A raw of nil means
@@ -403,14 +420,29 @@
 	s.tell(note{lost: &lost})
 }
 
-// tellWork sends this VM's work and the notes that wait to the peers. They forget it
-// after a while, so that it is told again even if nothing changes.
+// tellWork sends this VM's work to the VMs of its cell, and the notes that wait to all
+// peers. They forget the work after a while, so that it is told again even if nothing
+// changes.
 func (s *Spread) tellWork(st *state) {
 	st.workToldAt = s.options.Now()
-	m := message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads(), Uses: s.options.Uses()}
-	s.addNotes(&m)
+	notes := message{From: st.members.self.ID}
+	s.addNotes(&notes)
+	work := notes
+	work.HasLoads, work.Loads, work.Uses = true, s.options.Loads(), s.options.Uses()
+	inCell := map[string]bool{}
+	for _, peer := range st.members.cellPeers() {
+		inCell[peer.ID] = true
+	}
+	s.post(st.members.cellPeers(), &work)
+	if notes.hasNotes() {
+		others := slices.DeleteFunc(st.members.peers(), func(m Member) bool { return inCell[m.ID] })
+		s.post(some(others, notesFanout), &notes)
+	}
+}
+
+func (s *Spread) post(peers []Member, m *message) {
 	body := m.encode()
-	for _, peer := range some(st.members.peers(), workFanout) {
+	for _, peer := range peers {
 		s.options.Post(peer.ID, peer.PeerAddress, body)
 	}
 }
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -35,6 +35,14 @@
 	decoded    int
 	stop       context.CancelFunc
 	loadsHeard atomic.Int64
+	// lossesHeard counts the notes of losses, and loadsFrom holds who told its work.
+	lossesHeard atomic.Int64
+	loadsFrom   sync.Map
+}
+
+func (v *vm) toldBy(other *vm) bool {
+	_, found := v.loadsFrom.Load(other.Snapshot().Self.ID)
+	return found
 }
 
 func (n *network) call(from string) func(context.Context, string, string, []byte) ([]byte, error) {
@@ -106,11 +114,11 @@
 		},
 		OnServers: func([]pool.Server) {},
 		Loads:     func() []pool.Load { return nil },
-		OnLoads:   func(string, []pool.Load) { v.loadsHeard.Add(1) },
+		OnLoads:   func(peer string, _ []pool.Load) { v.loadsHeard.Add(1); v.loadsFrom.Store(peer, true) },
 		Copies:    func() []spread.CopyNote { return nil },
 		OnCopies:  func([]spread.CopyNote) {},
 		OnCrashes: func([]spread.CrashNote) {},
-		OnLosses:  func([]spread.LossNote) {},
+		OnLosses:  func([]spread.LossNote) { v.lossesHeard.Add(1) },
 		Uses:      func() []spread.ServiceUse { return nil },
 		OnUses:    func(string, []spread.ServiceUse) {},
 	})
@@ -211,6 +219,42 @@
 	qt.Check(t, heard >= repeats, qt.IsTrue, qt.Commentf("%d messages after %d calls", heard, calls))
 }
 
+// TestWorkIsToldWithinTheCellAndLossesToAll: with 64 VMs there are two cells.
+func TestWorkIsToldWithinTheCellAndLossesToAll(t *testing.T) {
+	vms := fleet(t, newNetwork(), 64)
+	qt.Assert(t, vms[0].Snapshot().Cells, qt.Equals, 2)
+	mates := 0
+	for _, v := range vms[1:] {
+		if v.Snapshot().Cell == vms[0].Snapshot().Cell {
+			mates++
+		}
+	}
+	qt.Assert(t, mates >= 29 && mates <= 33, qt.IsTrue, qt.Commentf("%d VMs share the cell", mates))
+	told := func() (count int) {
+		for _, v := range vms[1:] {
+			if v.toldBy(vms[0]) {
+				count++
+			}
+		}
+		return count
+	}
+	for _, v := range vms {
+		v.loadsFrom.Clear() // While the fleet grew it was split otherwise.
+	}
+	vms[0].WorkChanged()
+	within(t, time.Second, "the cell knows", func() bool { return told() == mates })
+	vms[0].TellLoss(spread.LossNote{ServerID: "s1"})
+	within(t, time.Second, "all know of the loss", func() bool {
+		for _, v := range vms[1:] {
+			if v.lossesHeard.Load() == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	qt.Assert(t, told(), qt.Equals, mates)
+}
+
 // configBound is within what the platform's smallest bound of 2 s leaves after a
 // reader has seen a version.
 const configBound = 1500 * time.Millisecond
--- a/internal/request/budget/shared.go
+++ b/internal/request/budget/shared.go
@@ -18,10 +18,14 @@
 
 // SharedOptions shapes a Shared: in any Window, Ratio repeats for each request
 // and Allowance beside, of all VMs together.
+//
+// In a large fleet only the VMs of one cell tell each other what they use. Parts is the
+// number of cells then, and each has its part of the Allowance; nil for one.
 type SharedOptions struct {
 	Ratio     float64
 	Allowance float64
 	Window    time.Duration
+	Parts     func() int
 	Now       func() time.Time
 }
 
@@ -56,6 +60,9 @@
 
 // NewShared makes a budget that nothing was spent of.
 func NewShared(options SharedOptions) *Shared {
+	if options.Parts == nil {
+		options.Parts = func() int { return 1 }
+	}
 	return &Shared{options: options, newest: options.Now(), peers: map[string]peerUsage{}}
 }
 
@@ -81,7 +88,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := s.total()
-	if float64(total.Repeats+1) > part*caution*(s.options.Ratio*float64(total.Requests)+s.options.Allowance) {
+	allowance := s.options.Allowance / float64(max(s.options.Parts(), 1))
+	if float64(total.Repeats+1) > part*caution*(s.options.Ratio*float64(total.Requests)+allowance) {
 		return false
 	}
 	s.history[s.at].Repeats++
--- a/internal/request/budget/shared_test.go
+++ b/internal/request/budget/shared_test.go
@@ -109,3 +109,24 @@
 		}
 	})
 }
+
+// TestCellsShareTheAllowance: VMs of different cells don't hear of each other, and all
+// together stay within the bound.
+func TestCellsShareTheAllowance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	const cells, requests = 3, 20
+	spent := 0
+	for range cells {
+		cell := budget.NewShared(budget.SharedOptions{
+			Ratio: 0.8, Allowance: 150, Window: 10 * time.Second, Now: func() time.Time { return now }, Parts: func() int { return cells },
+		})
+		for range requests {
+			cell.Earn()
+		}
+		for cell.Spend() {
+			spent++
+		}
+	}
+	bound := 0.8*cells*requests + 150
+	qt.Assert(t, float64(spent) <= bound && float64(spent) > bound/2, qt.IsTrue, qt.Commentf("%d of %v", spent, bound))
+}
