Try a move again that failed for lack of room

A failed move counted as done.

Change: it is tried again after the usual half second, up to four times a stream, and gives its place in the budget back. TestFailedMoveIsTriedAgain failed first (time-out).

--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -12,6 +12,10 @@
 // links, more when moves queue.
 const moveLimit = 300 * time.Millisecond
 
+// mostMoveFailures is how often a move of one stream may fail, for lack of room at the
+// target or because it ended, until the stream stays without a copy.
+const mostMoveFailures = 4
+
 // moved is where a run goes on whose memory was moved.
 type moved struct {
 	lease  *pool.Lease
@@ -48,8 +52,10 @@
 	from, err := s.relay.options.Move(ctx, s.request.ID, lease.Server, target.Server)
 	if err != nil {
 		target.Release()
+		s.relay.options.Refund(s.request.Service)
+		s.moveFailures++
 		event.StreamNotMoved.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "to", target.Server.ID, "reason", err.Error())
-		return true
+		return s.moveFailures >= mostMoveFailures
 	}
 	s.moves <- moved{lease: target, backup: backup, from: from}
 	return true
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -57,8 +57,10 @@
 	moves     []string // "from to" of each.
 	stopRun   map[string]chan struct{}
 	onMove    func() // Called once a run was moved, if set.
-	ended     []relay.EarlyEnd
-	resumed   []bool // Whether each resume was from a copy.
+	// moveFaults is how many moves are refused for lack of room.
+	moveFaults int
+	ended      []relay.EarlyEnd
+	resumed    []bool // Whether each resume was from a copy.
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -120,6 +122,10 @@
 func (g *rig) move(_ context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.moveFaults > 0 {
+		g.moveFaults--
+		return relay.Copy{}, errors.New("server answered 503 to a move")
+	}
 	g.moves = append(g.moves, from.ID+" "+to.ID)
 	close(g.stopRun[from.ID])
 	if g.onMove != nil {
@@ -585,6 +591,38 @@
 
 // TestStreamWithoutACopyIsMovedOnceThereIsRoom starts with one failure domain. The
 // stream has no copy until servers of others are listed.
+// TestFailedMoveIsTriedAgain: a target without room refuses the copy. The run goes on
+// where it is, and without a second try it had no copy for the rest of its time.
+func TestFailedMoveIsTriedAgain(t *testing.T) {
+	stop := make(chan struct{})
+	run := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerCopy) != "" {
+			events(30, complete)(w, r)
+			return
+		}
+		events(10, complete)(w, r)
+		<-stop
+		abort()
+	}
+	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run})
+	g.stopRun = map[string]chan struct{}{"a1": stop}
+	g.moveFaults = 1
+	all := g.listed
+	for _, server := range all {
+		if server.ID == "a1" {
+			g.servers.Update([]pool.Server{server})
+		}
+	}
+	time.AfterFunc(100*time.Millisecond, func() { g.servers.Update(all) })
+	c := &caller{}
+	r := request(routing.KindStreaming)
+	r.Route.GapObjective = 4 * time.Second
+	qt.Assert(t, g.relay.Stream(context.Background(), r, c.sink()), qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(30))
+	qt.Assert(t, g.seen(), qt.HasLen, 2)
+	qt.Assert(t, g.seen()[1].copied, qt.Equals, "handle of r1")
+}
+
 func TestStreamWithoutACopyIsMovedOnceThereIsRoom(t *testing.T) {
 	stop := make(chan struct{})
 	run := func(w http.ResponseWriter, r *http.Request) {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -47,7 +47,8 @@
 	repeats      int // Sends that were paid from the budget.
 	tried        map[string]bool
 	copied       Copy
-	copyFailures int        // Runs from its copy that failed at the server, which kept the copy.
+	copyFailures int // Runs from its copy that failed at the server, which kept the copy.
+	moveFailures int
 	moves        chan moved // What a move of the present run came to, once it has.
 	lostAt       time.Time
 	reason       string
