--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -64,6 +64,7 @@
 	c.set.GetOrCreateHistogram(fmt.Sprintf(`endivespoke_stream_pause_seconds{from=%q}`, from)).Update(pause.Seconds())
 }
 
+// serverDown counts a server that was found down, by the text of the system's error.
 func (c *counters) serverDown(cause string) {
 	how := "other"
 	switch {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -306,10 +306,11 @@
 	defer v.mu.Unlock()
 	known := v.budgets[service]
 	if known == nil {
+		settings := v.settings.Load()
 		known = budget.NewShared(budget.SharedOptions{
-			Ratio:     v.settings.Load().RepeatPart,
-			Allowance: v.settings.Load().RepeatAllowance,
-			Window:    v.settings.Load().RepeatWindow,
+			Ratio:     settings.RepeatPart,
+			Allowance: settings.RepeatAllowance,
+			Window:    settings.RepeatWindow,
 			Parts:     func() int { return v.spread.Snapshot().Cells },
 			Now:       v.Now,
 		})
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -33,9 +33,8 @@
 	bodiesPause = 500 * time.Millisecond
 )
 
-// startHold is until when after its start a VM holds requests that it can't serve yet:
-// its wait for peers, and twice the store's published time for an answer on each of two
-// connections, with room for a busy machine.
+// startHold is until when after its start a VM holds requests that it can't serve yet: a
+// little more than joinLimit for its peers and keptReadLimit for the store.
 const startHold = 250 * time.Millisecond
 
 // ErrUnread means that the caller's body could not be read to its end.
@@ -120,7 +119,7 @@
 }
 
 // awaitStart holds a request that came while this VM learns what it needs to serve it,
-// which takes some 80 ms from its start. After a loss of all VMs the callers of long
+// which takes 30 to 80 ms from its start. After a loss of all VMs the callers of long
 // streams are back at once, and most have only one more try.
 func (v *VM) awaitStart(ctx context.Context) {
 	left := v.started.Add(startHold).Sub(v.Now())
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -36,11 +36,12 @@
 // or the grace is nearly over. The listeners are served by the caller, who
 // closes them after Serve returned.
 func (v *VM) Serve(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryPart * float64(v.settings.Load().MemoryBytes)))
+	settings := v.settings.Load()
+	debug.SetMemoryLimit(int64(memoryPart * float64(settings.MemoryBytes)))
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := v.supervisor().ServeBackground(running)
-	event.VMStarted.Info(v.logger, "vm", v.settings.Load().Name, "caller", v.settings.Load().CallerAddress, "peer", v.settings.Load().PeerAddress, "failureDomain", v.settings.Load().FailureDomain, "metrics", v.settings.Load().MetricsAddress)
+	event.VMStarted.Info(v.logger, "vm", settings.Name, "caller", settings.CallerAddress, "peer", settings.PeerAddress, "failureDomain", settings.FailureDomain, "metrics", settings.MetricsAddress)
 	select {
 	case <-ctx.Done():
 		v.leave(running)
@@ -53,7 +54,7 @@
 	case <-time.After(stopLimit):
 	}
 	v.peers.Close()
-	event.VMStopped.Info(v.logger, "vm", v.settings.Load().Name, "stillRunning", v.running())
+	event.VMStopped.Info(v.logger, "vm", settings.Name, "stillRunning", v.running())
 	return nil
 }
 
@@ -63,13 +64,14 @@
 	v.leavingAt = v.Now()
 	began := v.leavingAt
 	v.mu.Unlock()
-	event.VMStopping.Info(v.logger, "vm", v.settings.Load().Name, "running", v.running())
+	settings := v.settings.Load()
+	event.VMStopping.Info(v.logger, "vm", settings.Name, "running", v.running())
 	v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.Leaving = false, true })
-	if err := v.options.VMs.Remove(ctx, v.settings.Load().PeerAddress); err != nil {
+	if err := v.options.VMs.Remove(ctx, settings.PeerAddress); err != nil {
 		v.logger.Debug("this VM's row could not be removed", "error", err)
 	}
 	least := began.Add(time.Duration(leavingLeast * float64(v.LocateLife())))
-	most := began.Add(time.Duration(leavingMost * float64(v.settings.Load().Grace)))
+	most := began.Add(time.Duration(leavingMost * float64(settings.Grace)))
 	for v.Now().Before(most) {
 		if v.Now().After(least) && v.running() == 0 {
 			return
