End a stream whose server was lost after its last event

An exhaustive test of resumes, over what two servers do with the first four sends of a stream and the loss of its VM, found it: when a server is lost between its last event and the end of its answer, the next one has nothing left to send and ends well at once. That counted as a broken answer, four times in a row, and the stream as cut though its caller had all events.

Change: a framed answer without events ends a stream that had some. Unframed ones, whose end a loss looks like too, don't. TestStreamWhoseServerIsLostAfterItsLastEvent failed first.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -368,7 +368,7 @@
 // and the response read, both whole, and the server does not close it.
 func (r *Response) Close() {
 	c := r.connection
-	if !r.stop() || !r.complete || c.unreusable || r.Response.Close || !r.isFramed() || !r.isWritten() || c.reader.Buffered() > 0 {
+	if !r.stop() || !r.complete || c.unreusable || r.Response.Close || !r.IsFramed() || !r.isWritten() || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
@@ -376,7 +376,9 @@
 	r.pool.keep(r.address, c)
 }
 
-func (r *Response) isFramed() bool {
+// IsFramed reports whether the body's end is marked. Otherwise it ends with the
+// connection, which a loss of the server looks like too.
+func (r *Response) IsFramed() bool {
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -307,7 +307,8 @@
 	reader := bufio.NewReader(response.Body)
 	for first := true; ; first = false {
 		e, err := readEvent(reader)
-		if err == io.EOF && !first {
+		if err == io.EOF && (!first || s.hadAll(response)) {
+			s.begin(verdict)
 			response.Finished()
 			return runEnd{done: true}
 		}
@@ -319,10 +320,7 @@
 		if first {
 			s.started(lease, dispatch, watch)
 		}
-		if !s.begun {
-			s.begun = true
-			s.sink.Begin(verdict.Status, verdict.Header)
-		}
+		s.begin(verdict)
 		if err = s.sink.Event(e.raw); err != nil {
 			return runEnd{caller: err}
 		}
@@ -337,6 +335,21 @@
 	}
 }
 
+// hadAll reports whether a server that went on and sent no event says with that that the
+// caller had all of them: the server before was lost between its last event and its end.
+func (s *stream) hadAll(response *http1.Response) bool {
+	return s.last != "" && response.IsFramed()
+}
+
+// begin gives the caller the head, unless it has one.
+func (s *stream) begin(verdict Verdict) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	s.sink.Begin(verdict.Status, verdict.Header)
+}
+
 // wentOn notes the first event that the caller got after a loss.
 func (s *stream) wentOn(lease *pool.Lease, dispatch Dispatch, eventID string) {
 	gap := s.relay.options.Now().Sub(s.lostAt)
