--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -155,8 +155,8 @@
 // TestVMThatStartsReadsOnceItsPeersKnowNothing: when all VMs were lost together they
 // start together, and waiting for each other would only cost time.
 func TestVMThatStartsReadsOnceItsPeersKnowNothing(t *testing.T) {
-	g := newListRig(t)
-	w := &watcher{vm: g.vm, age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt }}
+	vm := New(Options{Settings: Settings{Name: "vm-1"}, Logger: hclog.NewNullLogger()}) // Nothing runs.
+	w := &watcher{vm: vm, age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt }}
 	self := spread.Member{ID: "vm-1"}
 	others := []spread.Member{self, {ID: "vm-0"}, {ID: "vm-2"}, {ID: "vm-3"}}
 	now := time.Now()
@@ -164,11 +164,11 @@
 		snapshot.Self = self
 		return w.dueAt(&snapshot).After(now)
 	}
-	g.vm.started = now
+	vm.started = now
 	qt.Check(t, waits(spread.Snapshot{Live: []spread.Member{self}}), qt.IsTrue)
 	qt.Check(t, waits(spread.Snapshot{Live: others, Fetching: true}), qt.IsTrue)
 	qt.Check(t, waits(spread.Snapshot{Live: others}), qt.IsFalse)
-	g.vm.started = now.Add(-joinLimit)
+	vm.started = now.Add(-joinLimit)
 	qt.Check(t, waits(spread.Snapshot{Live: []spread.Member{self}}), qt.IsFalse)
 	qt.Check(t, waits(spread.Snapshot{Live: others, Fetching: true}), qt.IsFalse)
 }
