Simulation: each policy meets the same loads and faults

Arrivals were drawn from the series that VMs' decisions draw from, after each VM had told its work for the first time; with work not told the load was another. Loads and faults have a series of their own now (TestPoliciesMeetTheSameLoad failed first).

--- a/internal/lab/simulation/load.go
+++ b/internal/lab/simulation/load.go
@@ -18,13 +18,13 @@
 func (w *world) scheduleArrivals() {
 	load := w.scenario.Load
 	for at := 0.0; ; {
-		at += -math.Log(1-w.random.Float64()) / load.StreamsPerSecond
+		at += -math.Log(1-w.drawn.Float64()) / load.StreamsPerSecond
 		if at >= w.scenario.Seconds {
 			return
 		}
 		s := &stream{
 			world:  w,
-			vm:     w.vms[w.random.IntN(len(w.vms))],
+			vm:     w.vms[w.drawn.IntN(len(w.vms))],
 			number: len(w.streams),
 			prompt: w.vary(load.PromptTokens, load.PromptSpread),
 			tokens: w.vary(load.Events, load.EventsSpread) * w.scenario.Engines.TokensPerEvent,
@@ -42,7 +42,7 @@
 
 // vary draws a whole number around a mean, at least 1.
 func (w *world) vary(mean int, spread float64) int {
-	return max(1, int(float64(mean)*(1+spread*(2*w.random.Float64()-1))))
+	return max(1, int(float64(mean)*(1+spread*(2*w.drawn.Float64()-1))))
 }
 
 func (w *world) scheduleFaults() {
@@ -54,7 +54,7 @@
 
 // hit draws the numbers of the engines that a fault meets.
 func (w *world) hit(fault Fault) []int {
-	all := w.random.Perm(w.engineCount())
+	all := w.drawn.Perm(w.engineCount())
 	if fault.FailureDomain != "" {
 		return slices.DeleteFunc(all, func(i int) bool { return w.engines[address(i)].FailureDomain != fault.FailureDomain })
 	}
--- a/internal/lab/simulation/simulation.go
+++ b/internal/lab/simulation/simulation.go
@@ -91,7 +91,8 @@
 	*clock
 	scenario *Scenario
 	policy   Policy
-	random   *rand.Rand
+	random   *rand.Rand         // Of the VMs' decisions.
+	drawn    *rand.Rand         // Of the load and the faults: they are the same for each policy.
 	engines  map[string]*engine // By address.
 	vms      []*vm
 	streams  []*stream
@@ -99,8 +100,14 @@
 	messages int
 }
 
-func newRandom(seed uint64) *rand.Rand {
-	return rand.New(rand.NewPCG(seed, seed))
+// A seed gives two independent series of random numbers.
+const (
+	decisionStream = 1
+	loadStream     = 2
+)
+
+func newRandom(seed, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, stream))
 }
 
 // play plays a scenario once.
@@ -109,7 +116,8 @@
 		clock:    newClock(),
 		scenario: scenario,
 		policy:   policy,
-		random:   newRandom(seed),
+		random:   newRandom(seed, decisionStream),
+		drawn:    newRandom(seed, loadStream),
 		engines:  map[string]*engine{},
 	}
 	w.startEngines()
--- a/internal/lab/simulation/simulation_test.go
+++ b/internal/lab/simulation/simulation_test.go
@@ -27,7 +27,7 @@
 	scenario.Faults = nil
 	scenario.Load.StreamsPerSecond = 0.05
 	scenario.Load.PromptSpread, scenario.Load.EventsSpread = 0, 0
-	scenario.Seconds = 120
+	scenario.Seconds = 300
 	return scenario
 }
 
@@ -36,6 +36,17 @@
 	qt.Assert(t, play(scenario, Policy{}, 5), qt.DeepEquals, play(scenario, Policy{}, 5))
 }
 
+// TestPoliciesMeetTheSameLoad: else their difference would be that of the loads too.
+func TestPoliciesMeetTheSameLoad(t *testing.T) {
+	scenario := scenarioOf(t, "common-end.json")
+	product, other := play(scenario, Policy{}, 5), play(scenario, Policy{NoNews: true}, 5)
+	qt.Assert(t, len(product.Outcomes), qt.Equals, len(other.Outcomes))
+	for i := range product.Outcomes {
+		qt.Assert(t, product.Outcomes[i].AskedAt, qt.Equals, other.Outcomes[i].AskedAt)
+		qt.Assert(t, product.Outcomes[i].Prompt, qt.Equals, other.Outcomes[i].Prompt)
+	}
+}
+
 // TestStreamAloneTakesWhatTheEngineNeeds: 5,200 tokens at 5 a ms, then 130 events of 9
 // steps.
 func TestStreamAloneTakesWhatTheEngineNeeds(t *testing.T) {
@@ -59,7 +70,7 @@
 	scenario := quietScenario(t)
 	scenario.Engines.FailureDomains, scenario.Engines.PerFailureDomain = []string{"a"}, 1
 	scenario.VMs = 1
-	w := &world{clock: newClock(), scenario: scenario, random: newRandom(1), engines: map[string]*engine{}}
+	w := &world{clock: newClock(), scenario: scenario, random: newRandom(1, decisionStream), engines: map[string]*engine{}}
 	w.startEngines()
 	w.startVMs()
 	for i := range 2 {
