Lab: a stand-in holds its port from the moment it is found free

Its port had been found free, closed and opened again, and test binaries with neighbouring process ids begin 101 ports apart, of which package platform takes more. Another binary took it in between; which one is not on record.

Change: stand-ins listen at once (loopback.Listen), and processes begin 977 ports apart. Ports of VMs, which listen themselves, are still given out before.

--- a/internal/lab/loopback/loopback.go
+++ b/internal/lab/loopback/loopback.go
@@ -3,7 +3,8 @@
 //
 // # Usage
 //
-//	addresses, err := loopback.Addresses(4)
+//	addresses, err := loopback.Addresses(4)   // For other processes.
+//	listener, err := loopback.Listen()        // For this one.
 package loopback
 
 import (
@@ -28,23 +29,33 @@
 // callers in one process get the same.
 var portsTaken atomic.Int64
 
-// Addresses gives addresses of this host that nothing listens on.
+// processStride parts the places at which processes with neighbouring ids begin. It is
+// more ports than a test binary takes, and has no factor in common with portCount.
+const processStride = 977
+
+// Addresses gives addresses of this host that nothing listens on. Another process may
+// take one before it is used; where this process listens itself, call Listen.
 func Addresses(count int) (addresses []string, err error) {
-	for tries := 0; len(addresses) < count; tries++ {
-		if tries == portCount {
-			return nil, errors.New("no free port")
-		}
-		// Processes that run at once begin at places of their own.
-		port := firstPort + (int64(os.Getpid())*101+portsTaken.Add(1))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			continue // Another process listens there.
+	for range count {
+		var listener net.Listener
+		if listener, err = Listen(); err != nil {
+			return nil, err
 		}
-		if err := listener.Close(); err != nil {
+		if err = listener.Close(); err != nil {
 			return nil, errors.Trace(err)
 		}
-		addresses = append(addresses, address)
+		addresses = append(addresses, listener.Addr().String())
 	}
 	return addresses, nil
 }
+
+// Listen listens on a free port.
+func Listen() (listener net.Listener, err error) {
+	for range portCount {
+		port := firstPort + (int64(os.Getpid())*processStride+portsTaken.Add(1))%portCount
+		if listener, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return listener, nil
+		} // Another process listens there.
+	}
+	return nil, errors.Annotate(err, "no free port")
+}
