--- a/internal/backend/placement/cells.go
+++ b/internal/backend/placement/cells.go
@@ -11,8 +11,8 @@
 // to every VM, and the messages grow with the square of the fleet. 91 VMs and 144 servers
 // make three cells of 30 VMs and 48 servers, with servers of each failure domain in each.
 
-// cellSize is the number of VMs that a cell has at about. With 32 a VM that places a
-// stream at the published rates tells some 15 KB/s.
+// cellSize is about how many VMs a cell has. Cells of 11 place streams worse than one
+// cell of 91 in simulation, those of 30 do not; see docs/DECISIONS.md 14.
 const cellSize = 32
 
 // CellCount is the number of cells for so many VMs; fleets below 48 VMs are one.
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -386,11 +386,12 @@
 func (p *Pool) candidates(service string, tried map[string]bool, now time.Time) ([]*server, []placement.Candidate) {
 	p.forgetSilentPeers(now)
 	usable := []*server{}
-	for _, s := range p.ordered() {
+	for _, s := range p.servers {
 		if s.Service == service && s.takesWork() && !tried[s.ID] {
 			usable = append(usable, s)
 		}
 	}
+	slices.SortFunc(usable, byID)
 	for i := len(usable) - 1; i > 0; i-- {
 		j := int(p.options.Draw() * float64(i+1))
 		usable[i], usable[j] = usable[j], usable[i]
@@ -405,7 +406,11 @@
 // ordered lists the servers by ID, so that what follows depends on Draw alone and not on
 // the order of a map: a simulation's seed then plays the same each time.
 func (p *Pool) ordered() []*server {
-	return slices.SortedFunc(maps.Values(p.servers), func(a, b *server) int { return strings.Compare(a.ID, b.ID) })
+	return slices.SortedFunc(maps.Values(p.servers), byID)
+}
+
+func byID(a, b *server) int {
+	return strings.Compare(a.ID, b.ID)
 }
 
 func (s *server) takesWork() bool {
--- a/internal/lab/simulation/engine.go
+++ b/internal/lab/simulation/engine.go
@@ -26,7 +26,6 @@
 type run struct {
 	stream     *stream
 	engine     *engine
-	attempt    int // The stream's attempt that it belongs to.
 	promptLeft int
 	read       int // Prompt tokens read by this run.
 	context    int // Tokens in its memory.
@@ -40,19 +39,19 @@
 func (w *world) startEngines() {
 	for _, domain := range w.scenario.Engines.FailureDomains {
 		for range w.scenario.Engines.PerFailureDomain {
-			w.startEngine(domain, fmt.Sprintf("engine-%d:1", len(w.engines)), len(w.engines))
+			w.startEngine(domain, len(w.engines))
 		}
 	}
 }
 
-// startEngine starts an engine at an address, which has the speed of the number.
-func (w *world) startEngine(domain, address string, number int) *engine {
+// startEngine starts the engine of a number, which gives its address and its speed.
+func (w *world) startEngine(domain string, number int) {
 	w.nextID++
 	speeds := w.scenario.Engines.Speeds
-	e := &engine{
+	w.engines[address(number)] = &engine{
 		Server: pool.Server{
-			ID:            fmt.Sprintf("%s#%d", address, w.nextID),
-			Address:       address,
+			ID:            fmt.Sprintf("%s#%d", address(number), w.nextID),
+			Address:       address(number),
 			Service:       serviceName,
 			FailureDomain: domain,
 			Slots:         w.scenario.Engines.Slots,
@@ -62,11 +61,9 @@
 		speed:  speeds[number%len(speeds)],
 		copies: map[*stream]int{},
 	}
-	w.engines[address] = e
-	return e
 }
 
-// accept takes a run in. One that goes on from a copy needs no slot for its prompt.
+// accept takes a run in.
 func (e *engine) accept(r *run) {
 	r.engine = e
 	e.waiting = append(e.waiting, r)
--- a/internal/lab/simulation/load.go
+++ b/internal/lab/simulation/load.go
@@ -86,6 +86,6 @@
 func (w *world) replace(number int) {
 	old := w.engines[address(number)]
 	old.lose(false)
-	w.startEngine(old.FailureDomain, address(number), number)
+	w.startEngine(old.FailureDomain, number)
 	w.after(millis(w.scenario.Network.ListMillis), w.list)
 }
--- a/internal/lab/simulation/result.go
+++ b/internal/lab/simulation/result.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"slices"
@@ -69,24 +70,15 @@
 )
 
 func (p Policy) newsAfter() time.Duration {
-	if p.NewsMillis > 0 {
-		return millis(p.NewsMillis)
-	}
-	return millis(newsMillis)
+	return millis(cmp.Or(p.NewsMillis, newsMillis))
 }
 
-func (p Policy) cells(vms int) int {
-	if p.Cells > 0 {
-		return p.Cells
-	}
-	return placement.CellCount(vms)
+func (p Policy) easedAfter() time.Duration {
+	return millis(cmp.Or(p.EasedMillis, easedMillis))
 }
 
-func (p Policy) easedAfter() time.Duration {
-	if p.EasedMillis > 0 {
-		return millis(p.EasedMillis)
-	}
-	return millis(easedMillis)
+func (p Policy) cells(vms int) int {
+	return cmp.Or(p.Cells, placement.CellCount(vms))
 }
 
 // Outcome is what one stream's caller got. Times are from the start of the play.
--- a/internal/lab/simulation/simulation.go
+++ b/internal/lab/simulation/simulation.go
@@ -5,18 +5,18 @@
 //
 // # Usage
 //
-//	scenario, err := simulation.ReadScenario("examples/domain-loss.json")
-//	results, err := simulation.Compare(ctx, scenario, simulation.Policies, seeds)
+//	scenario, err := simulation.ReadScenario("examples/domain-losses.json")
+//	results, err := simulation.Compare(ctx, scenario, simulation.Policies, seeds, workers)
 //	simulation.WriteTable(os.Stdout, scenario, results)
 //	err = simulation.WriteReport("report.html", scenario, results)
 //
 // # What is modelled
 //
 // An engine runs steps: each gives every running stream one token and reads one chunk
-// of the oldest prompt that waits, and takes as long as the longer of the two. Memory is held for prompts, outputs and copies. A
-// stream asks one VM, which chooses an engine; VMs tell each other their work. An
-// engine that is lost is noticed by its broken connections or by silence, and its
-// streams go on from their copies or read their prompts again.
+// of the oldest prompt that waits, and takes as long as the longer of the two. Memory is
+// held for prompts, outputs and copies. A stream asks one VM, which chooses an engine; VMs
+// tell each other their work. An engine that is lost is noticed by its broken connections
+// or by silence, and its streams go on from their copies or read their prompts again.
 //
 // Short calls, budgets, the platform's store beyond the delay of its list, the loss of
 // VMs and processor time are not modelled.
--- a/internal/lab/simulation/stream.go
+++ b/internal/lab/simulation/stream.go
@@ -93,7 +93,7 @@
 }
 
 func (s *stream) newRun(fromCopy bool) *run {
-	r := &run{stream: s, attempt: s.attempts, tokensLeft: s.left}
+	r := &run{stream: s, tokensLeft: s.left}
 	if context := s.prompt + s.tokens - s.left; fromCopy {
 		r.context = context
 	} else {
@@ -221,7 +221,7 @@
 	}
 	limit := quietLimit
 	if r.began {
-		limit = time.Duration(silencePart * s.world.scenario.Load.GapAimMillis * float64(time.Millisecond))
+		limit = millis(silencePart * s.world.scenario.Load.GapAimMillis)
 	}
 	s.world.after(limit, func() {
 		if s.run == r {
--- a/internal/lab/simulation/vm.go
+++ b/internal/lab/simulation/vm.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"slices"
 	"syscall"
 	"time"
@@ -46,7 +47,7 @@
 				w.after(2*millis(w.scenario.Network.HopMillis), do)
 			},
 			OnChange: v.serverChanged,
-			Tell:     func(id string, ended bool) { v.tellLoss(id, ended) },
+			Tell:     v.tellLoss,
 		})
 		v.servers.SetRooms(map[string]pool.Room{serviceName: {
 			CacheTokens: w.scenario.Engines.MemoryTokens,
@@ -177,10 +178,5 @@
 
 // ordered gives the VM's streams in the order in which they came.
 func (v *vm) ordered() []*stream {
-	streams := []*stream{}
-	for s := range v.streams {
-		streams = append(streams, s)
-	}
-	slices.SortFunc(streams, func(a, b *stream) int { return a.number - b.number })
-	return streams
+	return slices.SortedFunc(maps.Keys(v.streams), func(a, b *stream) int { return a.number - b.number })
 }
--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -41,12 +41,24 @@
 	if errors.As(err, &notRun) {
 		c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_not_run_total{reason=%q}`, notRun.Kind)).Inc()
 	}
-	for reason, denied := range map[string]error{
-		"noRoute": accept.ErrNoRoute, "noKey": accept.ErrNoKey, "bodyTooLarge": accept.ErrTooLarge, "headTooLarge": accept.ErrHeadTooLarge,
-	} {
-		if errors.Is(err, denied) {
-			c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_denied_total{reason=%q}`, reason)).Inc()
-		}
+	if reason := deniedFor(err); reason != "" {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_denied_total{reason=%q}`, reason)).Inc()
+	}
+}
+
+// deniedFor names why a request was denied, "" if it was not.
+func deniedFor(err error) (reason string) {
+	switch {
+	case errors.Is(err, accept.ErrNoRoute):
+		return "noRoute"
+	case errors.Is(err, accept.ErrNoKey):
+		return "noKey"
+	case errors.Is(err, accept.ErrTooLarge):
+		return "bodyTooLarge"
+	case errors.Is(err, accept.ErrHeadTooLarge):
+		return "headTooLarge"
+	default:
+		return ""
 	}
 }
 
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -194,10 +194,8 @@
 		if errors.Is(err, ErrUnread) {
 			return "unread"
 		}
-		for _, denied := range []error{accept.ErrNoRoute, accept.ErrNoKey, accept.ErrTooLarge, accept.ErrHeadTooLarge} {
-			if errors.Is(err, denied) {
-				return "denied"
-			}
+		if deniedFor(err) != "" {
+			return "denied"
 		}
 		return fmt.Sprintf("%T", err)
 	}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -212,7 +212,8 @@
 		st.servers.noteReturn(momentOf(told.Summary.ServersAge, now))
 	}
 	if st.servers.apply(told.Servers, now) {
-		s.serversChanged(st, told.Servers, told.From)
+		s.serversChanged(st, told.From, len(told.Servers.Rows))
+		st.hintDue = true
 	}
 }
 
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -32,6 +32,7 @@
 	cell    int      // This VM's; see placement.Cells.
 	cells   int      // How many there are.
 	mates   []Member // The others of this VM's cell.
+	outside []Member // Those of the other cells.
 }
 
 func newMembers(self Member) *members {
@@ -155,16 +156,23 @@
 		maps.Copy(cellOf, placement.Cells(addresses, ms.cells))
 	}
 	ms.cell = cellOf[ms.self.PeerAddress]
-	ms.mates = slices.DeleteFunc(slices.Clone(ms.upNow), func(m Member) bool {
-		return m.ID == ms.self.ID || cellOf[m.PeerAddress] != ms.cell
-	})
+	ms.mates, ms.outside = nil, nil
+	for _, m := range ms.upNow {
+		switch {
+		case m.ID == ms.self.ID:
+		case cellOf[m.PeerAddress] == ms.cell:
+			ms.mates = append(ms.mates, m)
+		default:
+			ms.outside = append(ms.outside, m)
+		}
+	}
 }
 
-// cellPeers lists the others of this VM's cell. The list is shared and must not be
-// changed.
-func (ms *members) cellPeers() []Member {
+// byCell lists the others of this VM's cell and those outside. The lists are shared and
+// must not be changed.
+func (ms *members) byCell() (mates, outside []Member) {
 	ms.up()
-	return ms.mates
+	return ms.mates, ms.outside
 }
 
 func (ms *members) listUp() []Member {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -325,31 +325,27 @@
 		st.servers.noteCurrent(readAt)
 		s.endGrace(st, readAt)
 		if changes, changed := st.servers.learn(rows, readAt); changed {
-			s.serversChanged(st, changes, "store")
+			s.serversChanged(st, "store", len(changes.Rows))
+			st.hintDue = true
 		}
 		s.publish(st)
 	})
 }
 
-// serversChanged passes the changed list on.
-func (s *Spread) serversChanged(st *state, changes *ServerChanges, from string) {
+// serversChanged has this VM use the changed list.
+func (s *Spread) serversChanged(st *state, from string, changed int) {
 	listed := st.servers.listed()
-	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", from, "servers", len(listed), "changed", len(changes.Rows),
+	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", from, "servers", len(listed), "changed", changed,
 		"lapsed", len(st.servers.lapsed))
 	s.options.OnServers(listed)
-	st.hintDue = true
 }
 
 // endGrace drops servers whose entries lapsed and were not back in time.
 func (s *Spread) endGrace(st *state, now time.Time) {
 	lapsed := len(st.servers.lapsed)
-	if !st.servers.endGrace(now) {
-		return
+	if st.servers.endGrace(now) {
+		s.serversChanged(st, "end of the grace", lapsed)
 	}
-	listed := st.servers.listed()
-	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", "end of the grace", "servers", len(listed), "changed", lapsed,
-		"lapsed", 0)
-	s.options.OnServers(listed)
 }
 
 // LearnMembers takes in the addresses of VMs that the store lists, which may be down.
@@ -429,14 +425,10 @@
 	s.addNotes(&notes)
 	work := notes
 	work.HasLoads, work.Loads, work.Uses = true, s.options.Loads(), s.options.Uses()
-	inCell := map[string]bool{}
-	for _, peer := range st.members.cellPeers() {
-		inCell[peer.ID] = true
-	}
-	s.post(st.members.cellPeers(), &work)
+	mates, outside := st.members.byCell()
+	s.post(mates, &work)
 	if notes.hasNotes() {
-		others := slices.DeleteFunc(st.members.peers(), func(m Member) bool { return inCell[m.ID] })
-		s.post(some(others, notesFanout), &notes)
+		s.post(some(slices.Clone(outside), notesFanout), &notes)
 	}
 }
 
@@ -458,10 +450,7 @@
 	if len(m.Copies) == 0 {
 		return
 	}
-	body := m.encode()
-	for _, peer := range joined {
-		s.options.Post(peer.ID, peer.PeerAddress, body)
-	}
+	s.post(joined, &m)
 }
 
 // addNotes moves the notes that wait into a message.
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -128,7 +128,7 @@
 	if ctx.Err() != nil || (result.err == nil && !result.verdict.NotRun && result.verdict.Status < http.StatusInternalServerError) {
 		return
 	}
-	c.relay.options.Counts.endedEarly(result.earlyEnd(errors.Is(result.err, http1.ErrNotSent)))
+	c.relay.options.Counts.EndedEarly(result.earlyEnd())
 	event.RunEnded.Info(c.relay.options.Logger, "request", c.request.ID, "server", result.server.ID,
 		"status", result.verdict.Status, "notRun", result.verdict.NotRun, "reason", fmt.Sprint(result.err))
 }
--- a/internal/request/relay/counts.go
+++ b/internal/request/relay/counts.go
@@ -1,6 +1,12 @@
 package relay
 
-import "time"
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/http1"
+)
 
 // EarlyEnd names how a run at a server ended before its answer was whole, for counters.
 type EarlyEnd string
@@ -15,25 +21,13 @@
 	EndBroken   EarlyEnd = "broken"   // The connection broke.
 )
 
-// Counts is told of decisions, for metrics. Each function may be nil.
+// Counts is told of decisions, for metrics.
 type Counts struct {
 	EndedEarly func(how EarlyEnd)
 	// Resumed is told of a stream's pause until it went on at another server.
 	Resumed func(fromCopy bool, pause time.Duration)
 }
 
-func (c *Counts) endedEarly(how EarlyEnd) {
-	if c.EndedEarly != nil {
-		c.EndedEarly(how)
-	}
-}
-
-func (c *Counts) resumed(fromCopy bool, pause time.Duration) {
-	if c.Resumed != nil {
-		c.Resumed(fromCopy, pause)
-	}
-}
-
 // earlyEnd names how a stream's run ended.
 func (e *runEnd) earlyEnd() EarlyEnd {
 	switch {
@@ -53,13 +47,13 @@
 }
 
 // earlyEnd names how a call's exchange ended.
-func (r *callResult) earlyEnd(notSent bool) EarlyEnd {
+func (r *callResult) earlyEnd() EarlyEnd {
 	switch {
 	case r.verdict.Replaced:
 		return EndReplaced
 	case r.verdict.NotRun:
 		return EndRefused
-	case notSent:
+	case errors.Is(r.err, http1.ErrNotSent):
 		return EndNotSent
 	case r.err != nil:
 		return EndBroken
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -605,11 +605,9 @@
 	qt.Assert(t, g.servers.Calls(), qt.Equals, 0)
 }
 
-// TestStreamWithoutACopyIsMovedOnceThereIsRoom starts with one failure domain. The
-// stream has no copy until servers of others are listed.
-// TestFailedMoveIsTriedAgain: a target without room refuses the copy. The run goes on
-// where it is, and without a second try it had no copy for the rest of its time.
-func TestFailedMoveIsTriedAgain(t *testing.T) {
+// newLonelyRig has one failure domain at first; servers of others are listed later. The
+// run on the first server waits to be moved.
+func newLonelyRig(t *testing.T, othersAfter time.Duration) *rig {
 	stop := make(chan struct{})
 	run := func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerCopy) != "" {
@@ -622,14 +620,21 @@
 	}
 	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run})
 	g.stopRun = map[string]chan struct{}{"a1": stop}
-	g.moveFaults = 1
 	all := g.listed
 	for _, server := range all {
 		if server.ID == "a1" {
 			g.servers.Update([]pool.Server{server})
 		}
 	}
-	time.AfterFunc(100*time.Millisecond, func() { g.servers.Update(all) })
+	time.AfterFunc(othersAfter, func() { g.servers.Update(all) })
+	return g
+}
+
+// TestFailedMoveIsTriedAgain: a target without room refuses the copy. The run goes on
+// where it is, and without a second try it had no copy for the rest of its time.
+func TestFailedMoveIsTriedAgain(t *testing.T) {
+	g := newLonelyRig(t, 100*time.Millisecond)
+	g.moveFaults = 1
 	c := &caller{}
 	r := request(routing.KindStreaming)
 	r.Route.GapObjective = 4 * time.Second
@@ -639,26 +644,10 @@
 	qt.Assert(t, g.seen()[1].copied, qt.Equals, "handle of r1")
 }
 
+// TestStreamWithoutACopyIsMovedOnceThereIsRoom starts with one failure domain. The
+// stream has no copy until servers of others are listed.
 func TestStreamWithoutACopyIsMovedOnceThereIsRoom(t *testing.T) {
-	stop := make(chan struct{})
-	run := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerCopy) != "" {
-			events(30, complete)(w, r)
-			return
-		}
-		events(10, complete)(w, r)
-		<-stop
-		abort()
-	}
-	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run})
-	g.stopRun = map[string]chan struct{}{"a1": stop}
-	all := g.listed
-	for _, server := range all {
-		if server.ID == "a1" {
-			g.servers.Update([]pool.Server{server})
-		}
-	}
-	time.AfterFunc(300*time.Millisecond, func() { g.servers.Update(all) })
+	g := newLonelyRig(t, 300*time.Millisecond)
 	c := &caller{}
 	r := request(routing.KindStreaming)
 	r.Route.GapObjective = 4 * time.Second
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -234,7 +234,7 @@
 	if end.done || end.moved || end.caller != nil || ctx.Err() != nil {
 		return
 	}
-	s.relay.options.Counts.endedEarly(end.earlyEnd())
+	s.relay.options.Counts.EndedEarly(end.earlyEnd())
 	event.RunEnded.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
 		"fromCopy", resumed, "lastEvent", s.last, "notRun", end.notRun, "silent", end.silent, "reason", fmt.Sprint(end.err))
 	switch {
@@ -354,7 +354,7 @@
 func (s *stream) wentOn(lease *pool.Lease, dispatch Dispatch, eventID string) {
 	gap := s.relay.options.Now().Sub(s.lostAt)
 	s.lostAt = time.Time{}
-	s.relay.options.Counts.resumed(dispatch.CopyAt != "", gap)
+	s.relay.options.Counts.Resumed(dispatch.CopyAt != "", gap)
 	event.StreamResumed.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
 		"fromCopy", dispatch.CopyAt != "", "nextEvent", eventID, "gapMillis", gap.Milliseconds())
 }
