Cells: hash each member once, not at each comparison

Cause: Cells is computed anew by each VM for each change of membership or of the list, and sorted with a hash in each comparison: 2 n log n hashes for n members. Change: each member is hashed once. Which cell a member is in stays as it was (TestCellsAreEven and its neighbours).

--- a/internal/backend/placement/cells.go
+++ b/internal/backend/placement/cells.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"slices"
 )
 
@@ -24,11 +25,13 @@
 // domain, evenly to so many cells. VMs with the same lists agree. Members are ranked by a
 // hash, so that one that comes or goes moves at most one other between two cells.
 func Cells(group []string, count int) map[string]int {
-	ranked := slices.Clone(group)
-	slices.SortFunc(ranked, func(a, b string) int {
-		return cmp.Or(cmp.Compare(hashOf(a), hashOf(b)), cmp.Compare(a, b))
+	hashes := make(map[string]uint64, len(group))
+	for _, member := range group {
+		hashes[member] = hashOf(member)
+	}
+	ranked := slices.SortedFunc(maps.Keys(hashes), func(a, b string) int {
+		return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b))
 	})
-	ranked = slices.Compact(ranked)
 	cells := make(map[string]int, len(ranked))
 	for rank, member := range ranked {
 		cells[member] = rank * count / len(ranked)
