--- /dev/null
+++ b/internal/backend/pool/lease.go
@@ -0,0 +1,170 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+)
+
+const (
+	// callMemory is the weight of the newest call in a server's averages.
+	callMemory = 0.15
+	// failureHalfLife is how soon a server's failures count half, so that one that
+	// gets no calls is tried again.
+	failureHalfLife = 2 * time.Second
+)
+
+// Lease is work on a server. Down is closed when the server is found down, and
+// CopyLost when the holder of the stream's copy is, or if there is none. Load is
+// what was known of the server when it was chosen, for the log. Moves tells
+// whether the stream can be moved.
+type Lease struct {
+	Server   Server
+	Down     chan struct{}
+	CopyLost chan struct{}
+	Load     placement.Candidate
+	Moves    bool
+
+	pool    *Pool
+	server  *server
+	stream  bool
+	need    placement.Need
+	started bool // The first event has arrived.
+	backup  *server
+	told    bool // Down is closed.
+	lost    bool // CopyLost is closed.
+	ended   bool
+}
+
+func (p *Pool) lease(s *server, lease *Lease) *Lease {
+	lease.Server = s.Server
+	lease.Down = make(chan struct{})
+	lease.CopyLost = make(chan struct{})
+	lease.pool = p
+	lease.server = s
+	s.leases[lease] = true
+	return lease
+}
+
+func (l *Lease) tellDown() {
+	if !l.told {
+		l.told = true
+		close(l.Down)
+	}
+}
+
+func (l *Lease) tellCopyLost() {
+	if !l.lost {
+		l.lost = true
+		close(l.CopyLost)
+	}
+}
+
+// Started tells that the first event of the stream arrived.
+func (l *Lease) Started() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.started = true
+}
+
+// Heard tells that the server sent something.
+func (l *Lease) Heard() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	now := l.pool.options.Now()
+	l.server.heardAt = now
+	l.server.answeredAt = now
+}
+
+// Release gives the room back. Calling it again does nothing.
+func (l *Lease) Release() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.ended {
+		return
+	}
+	l.ended = true
+	delete(l.server.leases, l)
+	if !l.stream {
+		l.server.calls--
+	}
+	if l.backup != nil {
+		l.backup.copies -= l.need.Tokens()
+	}
+}
+
+// Answered notes how a short call went.
+func (l *Lease) Answered(took time.Duration, failed bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	s := l.server
+	now := l.pool.options.Now()
+	s.heardAt = now
+	s.note(now, failed)
+	if failed {
+		return
+	}
+	s.answeredAt = now
+	millis := float64(took) / float64(time.Millisecond)
+	if s.latency == 0 {
+		s.latency = millis
+	}
+	s.latency += callMemory * (millis - s.latency)
+}
+
+func (s *server) note(now time.Time, failed bool) {
+	value := 0.0
+	if failed {
+		value = 1
+	}
+	rate := s.decayedFailures(now)
+	s.failureRate = rate + callMemory*(value-rate)
+	s.failureAt = now
+}
+
+func (s *server) decayedFailures(now time.Time) float64 {
+	halves := float64(now.Sub(s.failureAt)) / float64(failureHalfLife)
+	return s.failureRate / (1 + halves)
+}
+
+// Replaced tells that another instance has the server's address. Peers are told
+// that this one is gone.
+func (l *Lease) Replaced() {
+	l.pool.mu.Lock()
+	known := l.server.replaced
+	l.server.replaced = true
+	l.pool.startIdentify(l.server)
+	l.pool.mu.Unlock()
+	if !known {
+		l.pool.options.Tell(l.Server.ID, true)
+	}
+}
+
+// Broke tells that a connection to the server broke, or that nothing arrives on
+// it. The server is checked, unless a check already runs.
+func (l *Lease) Broke() {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.server.note(l.pool.options.Now(), true)
+	l.pool.startCheck(l.server)
+}
+
+// Unreachable tells that no connection to the server could be opened.
+func (l *Lease) Unreachable(cause error) {
+	l.pool.checked(l.server, cause)
+}
+
+// Verify opens a connection to learn at once whether the server is up.
+func (l *Lease) Verify(ctx context.Context) (up bool) {
+	return l.pool.check(ctx, l.server, l.Server.Address)
+}
+
+// VerifyIfQuiet checks the server if nothing was heard of it since a moment.
+func (l *Lease) VerifyIfQuiet(since time.Time) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.server.heardAt.Before(since) {
+		l.pool.startCheck(l.server)
+	}
+}
