Heed what servers say of themselves: leaving, and when to come back

Cause: the header Server-Leaving and the Retry-After of a 503 were passed on and not read, so a server that said it was leaving got work for as long as some list named it. A server that said it is leaving gets no new work (calls, streams, resumes, copies, moves) until another process has its address, whatever the store, the list and peers say; peers and VMs that join are told. Ruled out: telling peers of rests, which are meant for one VM.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -39,7 +39,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
-	chosen := p.holder(ask)
+	chosen := p.holder(ask, now)
 	if chosen == nil {
 		if chosen = p.chooseForStream(ask, now); chosen == nil {
 			return nil, nil, errors.Trace(ErrNone)
@@ -61,11 +61,10 @@
 	return lease, &copied, nil
 }
 
-// holder gives the server that the ask names, if it is there and not down. A
-// leaving server may go on with what it holds.
-func (p *Pool) holder(ask Ask) *server {
+// holder gives the server that the ask names, if it may take work and is not down.
+func (p *Pool) holder(ask Ask, now time.Time) *server {
 	s := p.servers[ask.On]
-	if s == nil || s.down || !s.endedAt.IsZero() || s.replaced || !s.listed || s.Leaving {
+	if s == nil || s.down || !s.endedAt.IsZero() || !s.takesWork() || s.rests(now) {
 		return nil
 	}
 	return s
@@ -105,7 +104,7 @@
 	p.forgetSilentPeers(now)
 	usable := []*server{}
 	for _, s := range p.servers {
-		if s.Service == service && s.takesWork() && !tried[s.ID] {
+		if s.Service == service && s.takesWork() && !s.rests(now) && !tried[s.ID] {
 			usable = append(usable, s)
 		}
 	}
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -51,6 +51,8 @@
 	Check    func(ctx context.Context, address string) error
 	OnChange func(server Server, down bool, reason string)
 	Tell     func(serverID string, ended bool)
+	// OnDeparture is told of a server that told this VM that it is leaving.
+	OnDeparture func(server Server)
 	// Go runs a check beside the caller; nil for a goroutine. Simulations run it as an
 	// event of their own time.
 	Go func(do func())
@@ -63,15 +65,16 @@
 type Pool struct {
 	options Options
 
-	mu      sync.Mutex
-	servers map[string]*server
-	peers   map[string]peerLoads
-	others  map[string]Load // The peers' work by server, summed.
-	rooms   map[string]Room // By service.
-	lossAt  map[group]time.Time
-	cell    int            // This VM's.
-	cells   int            // 0 and 1 for a fleet that is not split.
-	cellOf  map[string]int // Of the servers, by address; nil until it is needed.
+	mu         sync.Mutex
+	servers    map[string]*server
+	peers      map[string]peerLoads
+	others     map[string]Load // The peers' work by server, summed.
+	rooms      map[string]Room // By service.
+	lossAt     map[group]time.Time
+	departures map[string]departure // By server ID.
+	cell       int                  // This VM's.
+	cells      int                  // 0 and 1 for a fleet that is not split.
+	cellOf     map[string]int       // Of the servers, by address; nil until it is needed.
 
 	recheckedAt time.Time
 	pausedAt    time.Time // When this process last went on after a pause.
@@ -91,6 +94,8 @@
 	Server
 	listed      bool
 	replaced    bool      // Another instance has the address.
+	saidLeaving bool      // It told this VM or a peer that it is leaving.
+	restUntil   time.Time // It wants no requests from this VM until then.
 	endedAt     time.Time // When its process was found to be gone; zero if it was not.
 	toldAt      time.Time // When a peer told that it is down.
 	down        bool
@@ -121,10 +126,13 @@
 	if options.HasIdle == nil {
 		options.HasIdle = func(string) bool { return false }
 	}
+	if options.OnDeparture == nil {
+		options.OnDeparture = func(Server) {}
+	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, others: map[string]Load{}, lossAt: map[group]time.Time{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, others: map[string]Load{}, lossAt: map[group]time.Time{}, departures: map[string]departure{}}
 }
 
 // Update replaces the list of servers. What is known of those that stay is kept.
@@ -143,7 +151,9 @@
 		known.Server = entry
 		known.listed = true
 		known.foundAt = time.Time{}
+		p.recallDeparture(known)
 	}
+	p.forgetDepartures(p.options.Now())
 	p.supersede()
 	p.cellOf = nil
 	p.leaveTogether()
@@ -169,7 +179,7 @@
 
 // leaves reports whether the server will end soon: it says so, or took its entry away.
 func (s *server) leaves() bool {
-	return s.Leaving || !s.listed
+	return s.isLeaving() || !s.listed
 }
 
 // supersede finds entries whose address has a process that started later.
@@ -213,7 +223,7 @@
 }
 
 func (s *server) takesWork() bool {
-	return s.listed && !s.Leaving && !s.replaced
+	return s.listed && !s.isLeaving() && !s.replaced
 }
 
 // Calls is the number of short calls in flight from this VM.
@@ -226,20 +236,3 @@
 	}
 	return calls
 }
-
-// Room tells how many servers of a service may take work, and how many of them
-// are not down.
-func (p *Pool) Room(service string) (listed, up int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, s := range p.servers {
-		if s.Service != service || !s.takesWork() {
-			continue
-		}
-		listed++
-		if !s.down {
-			up++
-		}
-	}
-	return listed, up
-}
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -224,7 +224,7 @@
 		g.Recheck(context.Background())
 		time.Sleep(time.Millisecond)
 	}
-	_, up := g.Room("s")
+	up := g.Standing("s").Up
 	qt.Assert(t, up, qt.Equals, 1)
 }
 
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -77,7 +77,7 @@
 		return false // This process was paused and has not noted it yet.
 	}
 	kept := p.options.Successors.AddressKept
-	return s.listed && !s.Leaving && now.Before(s.answeredAt.Add(kept)) && now.After(p.pausedAt.Add(kept))
+	return s.listed && !s.isLeaving() && !s.rests(now) && now.Before(s.answeredAt.Add(kept)) && now.After(p.pausedAt.Add(kept))
 }
 
 // identified takes in the id of the process at a server's address.
@@ -104,7 +104,7 @@
 	defer p.mu.Unlock()
 	now := p.options.Now()
 	s := p.servers[serverID]
-	if s == nil || !s.listed || s.Leaving || !p.isListOld(now) {
+	if s == nil || !s.listed || s.isLeaving() || !p.isListOld(now) {
 		return
 	}
 	p.succeed(s, successorID, now)
--- /dev/null
+++ b/internal/backend/pool/word_test.go
@@ -0,0 +1,99 @@
+package pool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+)
+
+// TestServersWordGoesBeforeListsAndPeers plays a server whose processes come and go under
+// one id, told of by itself, by peers and by lists in any order, stale ones included. No
+// process that said it is leaving may get work after that.
+func TestServersWordGoesBeforeListsAndPeers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newRig(server("other", "b"))
+		said := map[int64]bool{} // By start of the process.
+		listed := func(started int64, leaving bool) []pool.Server {
+			entry := server("a1", "a")
+			entry.Started, entry.Leaving = started, leaving
+			return []pool.Server{server("other", "b"), entry}
+		}
+		var chosen *pool.Lease
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			started := rapid.Int64Range(1, 3).Draw(t, "process")
+			switch rapid.SampledFrom([]string{"list", "list", "gone", "say", "peer", "work", "wait"}).Draw(t, "step") {
+			case "list":
+				g.Update(listed(started, rapid.Bool().Draw(t, "leaving")))
+			case "gone":
+				g.Update(listed(started, false)[:1])
+			case "say":
+				if chosen != nil {
+					g.TakeWord(chosen.Server, pool.Word{Leaving: true})
+					said[chosen.Server.Started] = true
+				}
+			case "peer":
+				g.PeerDepartures([]pool.Departure{{ServerID: "a1", Started: started}})
+				said[started] = true
+			case "wait":
+				g.pass(time.Duration(rapid.IntRange(0, 3000).Draw(t, "millis")) * time.Millisecond)
+			}
+			lease, err := g.Call("s", map[string]bool{"other": true})
+			if err != nil {
+				continue
+			}
+			latest := int64(0)
+			for process := range said {
+				latest = max(latest, process)
+			}
+			property.Assert(t, said[lease.Server.Started] && lease.Server.Started == latest, qt.IsFalse,
+				qt.Commentf("process %d got work after it had said that it leaves", lease.Server.Started))
+			chosen = lease
+			lease.Release()
+		}
+	})
+}
+
+// TestWordCountsForStreamsCopiesAndResumes: each kind of new work passes the server over.
+func TestWordCountsForStreamsCopiesAndResumes(t *testing.T) {
+	for name, word := range map[string]pool.Word{"leaving": {Leaving: true}, "resting": {RestUntil: time.Unix(1010, 0)}} {
+		g := newRig(server("a1", "a"), server("b1", "b"), server("c1", "c"))
+		lease, _, err := g.Stream(pool.Ask{Service: "s", Need: ask.Need, On: "a1"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, lease.Server.ID, qt.Equals, "a1")
+		g.TakeWord(lease.Server, word)
+		for range 6 {
+			lease, backup, err := g.Stream(pool.Ask{Service: "s", Need: ask.Need, On: "a1"})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, lease.Server.ID != "a1" && backup.ID != "a1", qt.IsTrue, qt.Commentf("%s: on %s, copy on %s", name, lease.Server.ID, backup.ID))
+		}
+		qt.Check(t, g.MayAsk(lease.Server), qt.Equals, name == "leaving")
+	}
+}
+
+// TestRestEndsAtItsTime: deadlines that grow are taken over, shorter ones don't end a rest.
+func TestRestEndsAtItsTime(t *testing.T) {
+	g := newRig(server("a1", "a"), server("b1", "b"))
+	for i, id := range []string{"a1", "b1"} {
+		g.TakeWord(server(id, id[:1]), pool.Word{RestUntil: time.Unix(1002+int64(i), 0)})
+	}
+	g.TakeWord(server("a1", "a"), pool.Word{RestUntil: time.Unix(1001, 0)})
+	standing := g.Standing("s")
+	qt.Assert(t, standing, qt.DeepEquals, pool.Standing{Listed: 2, Up: 2, Resting: 2, RestUntil: time.Unix(1002, 0)})
+	_, err := g.Call("s", nil)
+	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
+	g.pass(2 * time.Second)
+	lease, err := g.Call("s", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, lease.Server.ID, qt.Equals, "a1")
+	qt.Assert(t, g.Standing("s").RestUntil.IsZero(), qt.IsTrue)
+	g.TakeWord(server("b1", "b"), pool.Word{RestUntil: time.Unix(1e9, 0)})
+	g.pass(time.Hour + 2*time.Second)
+	qt.Assert(t, fmt.Sprint(g.Standing("s").Resting), qt.Equals, "0")
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -56,7 +56,9 @@
 	DecodeServer        func(id string, raw []byte) (pool.Server, bool)
 	Encode              func(relay.Dispatch) *http.Request
 	Decode              func(*http.Response) relay.Verdict
-	IDHeader            string
+	// DecodeWord reads what a server says of itself in any answer.
+	DecodeWord func(*http.Response) pool.Word
+	IDHeader   string
 	// EncodeMove asks a server to stop a run and to move its memory; DecodeMove
 	// reads the name under which the run goes on from there.
 	EncodeMove func(runID string, to pool.Server) (request *http.Request, body []byte)
@@ -115,11 +117,12 @@
 	v.callers = caller.NewConnections(v.Now)
 	v.connections = http1.New(http1.Options{OnOpen: func(string) { v.counters.connections.Inc() }})
 	v.servers = pool.New(pool.Options{
-		Now:      v.Now,
-		Draw:     rand.Float64,
-		Check:    v.connections.Check,
-		HasIdle:  v.connections.HasIdle,
-		OnChange: v.serverChanged,
+		Now:         v.Now,
+		Draw:        rand.Float64,
+		Check:       v.connections.Check,
+		HasIdle:     v.connections.HasIdle,
+		OnDeparture: v.serverSaidLeaving,
+		OnChange:    v.serverChanged,
 		Successors: pool.Successors{
 			Identify:    v.identify,
 			ListedAt:    func() time.Time { return v.spread.Snapshot().ServersAt },
@@ -191,6 +194,8 @@
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.heardCrashes,
 		OnLosses:            v.heardLosses,
+		Departures:          v.servers.Departures,
+		OnDepartures:        v.servers.PeerDepartures,
 		Uses:                v.uses,
 		OnUses:              v.heardUses,
 		OnCell:              v.cellChanged,
@@ -242,6 +247,12 @@
 	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
 }
 
+func (v *VM) serverSaidLeaving(server pool.Server) {
+	event.ServerSaidLeaving.Info(v.logger, "server", server.ID, "address", server.Address, "listedAsLeaving", server.Leaving,
+		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
+	v.spread.TellDeparture(pool.Departure{ServerID: server.ID, Started: server.Started})
+}
+
 // noteOf is how VMs tell each other of a copy, and copyOf the reverse.
 func noteOf(copyKey string, copied relay.Copy) spread.CopyNote {
 	return spread.CopyNote{CopyKey: copyKey, RunID: copied.RunID, ServerID: copied.ServerID, Address: copied.Address}
@@ -339,6 +350,7 @@
 		return relay.Copy{}, errors.Trace(err)
 	}
 	defer response.Close()
+	v.servers.TakeWord(from, v.options.DecodeWord(response.Response))
 	var answer []byte
 	if answer, err = response.ReadAll(moveAnswerLimit); err != nil {
 		return relay.Copy{}, errors.Trace(err)
@@ -368,6 +380,9 @@
 		return "", errors.Trace(err)
 	}
 	defer response.Close()
+	if v.options.DecodeWord(response.Response).Leaving {
+		return "", errors.New("the process there is leaving")
+	}
 	return v.options.DecodeIdentify(response.Response), nil
 }
 
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -58,6 +58,7 @@
 	ServerDown           = define(606, "a backend server accepts no connections")
 	ServerUp             = define(607, "a backend server accepts connections again")
 	SuccessorFound       = define(608, "a restarted backend server was found under a new id")
+	ServerSaidLeaving    = define(609, "a backend server said in an answer that it is leaving")
 	RequestEnded         = define(701, "a request ended")
 	RunEnded             = define(702, "a run at a backend server ended early")
 	StreamResumed        = define(703, "a stream goes on at another backend server")
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -276,6 +276,9 @@
 	if len(told.Crashes) > 0 {
 		s.options.OnCrashes(told.Crashes)
 	}
+	if len(told.Departures) > 0 {
+		s.options.OnDepartures(told.Departures)
+	}
 	if len(told.Losses) > 0 {
 		s.options.OnLosses(told.Losses)
 	}
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -111,10 +111,12 @@
 	Crashes  []CrashNote    `cbor:"11,keyasint,omitempty"`
 	Losses   []LossNote     `cbor:"12,keyasint,omitempty"`
 	Uses     []ServiceUse   `cbor:"13,keyasint,omitempty"`
+	// Departures are of servers that said they are leaving.
+	Departures []pool.Departure `cbor:"14,keyasint,omitempty"`
 }
 
 func (m *message) hasNotes() bool {
-	return len(m.Copies)+len(m.Crashes)+len(m.Losses) > 0
+	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures) > 0
 }
 
 func (m *message) encode() []byte {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -109,8 +109,12 @@
 	OnCopies  func(notes []CopyNote)
 	OnCrashes func(notes []CrashNote)
 	OnLosses  func(notes []LossNote)
-	Uses      func() []ServiceUse
-	OnUses    func(peer string, uses []ServiceUse)
+	// Departures are of the listed servers that said they are leaving. A VM that joins is
+	// told of them.
+	Departures   func() []pool.Departure
+	OnDepartures func(departures []pool.Departure)
+	Uses         func() []ServiceUse
+	OnUses       func(peer string, uses []ServiceUse)
 	// OnCell is told when this VM is in another cell, or the fleet is split anew.
 	OnCell func(cell, cells int)
 }
@@ -384,6 +388,7 @@
 	copied  *CopyNote
 	crashed *CrashNote
 	lost    *LossNote
+	left    *pool.Departure
 }
 
 // tell queues a note. When too many wait it is dropped: each only saves work
@@ -416,6 +421,11 @@
 	s.tell(note{lost: &lost})
 }
 
+// TellDeparture tells others of a server that said it is leaving.
+func (s *Spread) TellDeparture(left pool.Departure) {
+	s.tell(note{left: &left})
+}
+
 // tellWork sends this VM's work to the VMs of its cell, and the notes that wait to all
 // peers. They forget the work after a while, so that it is told again even if nothing
 // changes.
@@ -440,14 +450,14 @@
 }
 
 // tellJoined tells VMs that have just joined where the copies of this VM's streams
-// are: they were not there when that was told.
+// are, and which servers said they are leaving: they were not there when that was told.
 func (s *Spread) tellJoined(st *state) {
 	joined := st.members.takeJoined()
 	if len(joined) == 0 {
 		return
 	}
-	m := message{From: st.members.self.ID, Copies: s.options.Copies()}
-	if len(m.Copies) == 0 {
+	m := message{From: st.members.self.ID, Copies: s.options.Copies(), Departures: s.options.Departures()}
+	if !m.hasNotes() {
 		return
 	}
 	s.post(joined, &m)
@@ -465,6 +475,8 @@
 				m.Crashes = append(m.Crashes, *n.crashed)
 			case n.lost != nil:
 				m.Losses = append(m.Losses, *n.lost)
+			case n.left != nil:
+				m.Departures = append(m.Departures, *n.left)
 			}
 		default:
 			return
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -78,6 +79,7 @@
 	NotRun     bool
 	Replaced   bool // Another instance has the address.
 	EventsOnly bool // The body is a stream of events.
+	Word       pool.Word
 }
 
 // Answer is a whole answer of a server.
@@ -104,6 +106,7 @@
 	RefusalMemory          Refusal = "vmMemory"
 	RefusalNoServer        Refusal = "noServer"
 	RefusalByServers       Refusal = "serversRefused"
+	RefusalResting         Refusal = "serversRest"
 	RefusalBudget          Refusal = "retryBudget"
 	RefusalCrashes         Refusal = "crashesServers"
 	RefusalTime            Refusal = "timeIsUp"
@@ -220,12 +223,22 @@
 	if err != nil {
 		return nil, Verdict{}, err
 	}
-	return response, r.options.Decode(response.Response), nil
+	verdict = r.options.Decode(response.Response)
+	if !verdict.Replaced { // Else the word is another process's.
+		r.options.Servers.TakeWord(dispatch.Server, verdict.Word)
+	}
+	return response, verdict, nil
 }
 
-// noServer is the refusal when no server may take the request.
+// noServer is the refusal when no server may take the request. If all servers rest,
+// callers come back once the first wants requests again, and not all at the same moment.
 func (r *Relay) noServer(request *Request) error {
-	listed, up := r.options.Servers.Room(request.Service)
-	reason := fmt.Sprintf("no server of service %s may take it: %d listed, %d up", request.Service, listed, up)
-	return &NotRun{Kind: RefusalNoServer, Reason: reason, RetryAt: r.options.Now().Add(retryPause)}
+	standing := r.options.Servers.Standing(request.Service)
+	refusal := &NotRun{Kind: RefusalNoServer, RetryAt: r.options.Now().Add(retryPause)}
+	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting", request.Service, standing.Listed, standing.Up, standing.Resting)
+	if !standing.RestUntil.IsZero() {
+		refusal.Kind = RefusalResting
+		refusal.RetryAt = standing.RestUntil.Add(rand.N(retryPause))
+	}
+	return refusal
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -119,6 +119,8 @@
 		s.relay.options.Refund(s.request.Service)
 	}
 	switch {
+	case end.noServer && !s.begun && s.sends == 0:
+		return end.err // It tells when there may be a server.
 	case end.noServer:
 		return s.giveUp(RefusalNoServer, s.reason)
 	case s.refused > maxSends:
