Large fleets: news goes to those who need it, and is compared before it is sent

Cause, at 295 VMs (trial with messages counted by kind, until 2 s of traffic): each VM sent 8 to 10 MB before traffic began, 99 % of it whole lists of members in answers, since a differing hash was answered with all 295 entries; it opened 310 to 480 connections to peers, since exchanges and hints went to VMs chosen anew each time; and a loss of a failure domain had each VM check each of its servers and tell up to 128 VMs. Change: neighbours on a hash ring (log n) for exchanges and hints; digests of members, and then only the entries that are lacking; versions of the list that change no server are taken over by their sum, without a fetch; three watchers for each failure domain of a service check it and tell all, through one lead a cell; places of copies are told in the cell and asked for at two VMs of each cell; work that does not change is told each 3 s, and not at all by idle VMs. Fleets of one cell (below 48 VMs) go on as before but for the digests. Ruled out: telling by gossip alone (a loss has to be known within milliseconds), watchers for each server (144 tellers for one loss of 48 servers, instead of 3).

--- a/internal/backend/placement/cells.go
+++ b/internal/backend/placement/cells.go
@@ -27,7 +27,7 @@
 func Cells(group []string, count int) map[string]int {
 	hashes := make(map[string]uint64, len(group))
 	for _, member := range group {
-		hashes[member] = hashOf(member)
+		hashes[member] = Hash(member)
 	}
 	ranked := slices.SortedFunc(maps.Keys(hashes), func(a, b string) int {
 		return cmp.Or(cmp.Compare(hashes[a], hashes[b]), cmp.Compare(a, b))
@@ -39,7 +39,8 @@
 	return cells
 }
 
-func hashOf(text string) uint64 {
+// Hash is the same on all VMs and processes.
+func Hash(text string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(text)) // A hash never fails to write.
 	// The last bytes of addresses differ most and FNV mixes them least.
--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -131,7 +131,7 @@
 		ID:            s.ID,
 		FailureDomain: s.FailureDomain,
 		Slots:         s.Slots,
-		Avoided:       s.down || now.Sub(s.endedAt) < endedLife || p.isDoubtful(s, now),
+		Avoided:       s.down || now.Before(s.avoidUntil) || now.Sub(s.endedAt) < endedLife || p.isDoubtful(s, now),
 		PendingTokens: load.PendingTokens,
 		Running:       load.Running,
 		MemoryTokens:  load.MemoryTokens,
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -137,7 +137,7 @@
 	l.pool.startIdentify(l.server)
 	l.pool.mu.Unlock()
 	if !known {
-		l.pool.options.Tell(l.Server.ID, true)
+		l.pool.options.Tell(l.Server, true)
 	}
 }
 
--- a/internal/backend/pool/loads.go
+++ b/internal/backend/pool/loads.go
@@ -5,11 +5,13 @@
 )
 
 const (
-	// peerLoadLife is how long what a peer told of its work counts. Peers tell it
-	// every LoadsEvery even if nothing changes; one message may be lost.
-	peerLoadLife = 3 * time.Second
-	// LoadsEvery is the longest pause between two messages about a VM's work.
-	LoadsEvery = 1200 * time.Millisecond
+	// LoadsEvery is the longest pause between two messages about a VM's work, and
+	// LoadsSeldom the same in a fleet of several cells.
+	LoadsEvery  = 1200 * time.Millisecond
+	LoadsSeldom = 3 * time.Second
+	// peerLoadLife is how long what a peer told of its work counts: one message may be
+	// lost. What a VM told that went down is forgotten at once.
+	peerLoadLife = 2*LoadsSeldom + time.Second
 )
 
 // Load is the work that one VM has on a server.
@@ -36,6 +38,15 @@
 	}
 }
 
+// ForgetPeers drops what VMs told that went down.
+func (p *Pool) ForgetPeers(peers []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, peer := range peers {
+		p.forgetPeer(peer)
+	}
+}
+
 // forgetPeer drops what a peer told. Called with the lock held.
 func (p *Pool) forgetPeer(peer string) {
 	for _, load := range p.peers[peer].loads {
--- a/internal/backend/pool/loss.go
+++ b/internal/backend/pool/loss.go
@@ -13,6 +13,12 @@
 	checkLimit = 200 * time.Millisecond
 	// recheckEvery is the pause between checks of a server that is down.
 	recheckEvery = 400 * time.Millisecond
+	// recheckUnwatched is the same for a server that other VMs watch, in case that they are
+	// all lost.
+	recheckUnwatched = 3 * time.Second
+	// toldLife is how long a server is avoided that a peer found down. Its watchers tell of
+	// it again as long as it is.
+	toldLife = 3 * time.Second
 	// endedLife is how long a server whose process was gone is avoided under its old
 	// entry. A process that started again has a new one; the entry of the old one
 	// lapses after three heartbeats.
@@ -48,12 +54,14 @@
 	p.mu.Lock()
 	now := p.options.Now()
 	s.checking = false
-	s.recheckAt = now.Add(recheckEvery)
+	s.recheckAt = now.Add(p.recheckPause(s))
 	changed := s.down != (failure != nil)
+	wasDoubted := now.Before(s.avoidUntil) || p.isDoubtful(s, now)
 	s.down = failure != nil
 	ended := errors.Is(failure, syscall.ECONNREFUSED)
 	if failure == nil {
 		s.heardAt = now
+		s.avoidUntil = time.Time{}
 	}
 	if ended {
 		s.endedAt = now
@@ -63,15 +71,26 @@
 		p.lost(s, now)
 	}
 	p.seekSuccessor(s)
-	tell := changed && s.down && now.Sub(s.toldAt) > tellPause
+	watched := p.cells > 1 && p.watches(s)
+	tellDown := changed && s.down && now.Sub(s.toldAt) > tellPause
+	if watched {
+		tellDown = s.down && (changed || now.Sub(s.announcedAt) > tellPause)
+	}
+	if tellDown {
+		s.announcedAt = now
+	}
+	tellUp := watched && failure == nil && (changed || wasDoubted)
 	described := s.Server
 	p.mu.Unlock()
+	if tellDown {
+		p.options.Tell(described, ended)
+	}
+	if tellUp {
+		p.options.TellUp(described)
+	}
 	if !changed {
 		return
 	}
-	if tell {
-		p.options.Tell(described.ID, ended)
-	}
 	reason := "accepts connections"
 	if failure != nil {
 		reason = failure.Error()
@@ -79,25 +98,43 @@
 	p.options.OnChange(described, failure != nil, reason)
 }
 
-// lost tells the leases of a server, and has the others of its failure domain
-// checked: they often fail together. Called with the lock held.
-//
-// Only the VM that found the loss has them all checked, and tells what it finds. The
-// others check those on which they have work: with 91 VMs and 18 servers in a failure
-// domain, one loss would otherwise cost 1,600 connections.
+// watches reports whether this VM checks the server for others. Called with the lock held.
+func (p *Pool) watches(s *server) bool {
+	return p.cells <= 1 || p.options.Watches(s.Service, s.FailureDomain)
+}
+
+// recheckPause is the pause until a server that is down is checked again. Those who don't
+// watch it hear from the watchers when it is up. Called with the lock held.
+func (p *Pool) recheckPause(s *server) time.Duration {
+	if p.watches(s) {
+		return recheckEvery
+	}
+	return recheckUnwatched
+}
+
+// lost tells the leases of a server, and has others of its failure domain checked: they
+// often fail together. Called with the lock held.
 func (p *Pool) lost(s *server, now time.Time) {
 	for lease := range s.leases {
 		lease.tellDown()
 	}
 	p.copiesLost(s)
-	doubted := now.Sub(p.lossAt[s.group()]) < doubtLife
-	if doubted {
+	if now.Sub(p.lossAt[s.group()]) < doubtLife {
 		return // They are being checked already.
 	}
 	p.lossAt[s.group()] = now
-	wasTold := now.Sub(s.toldAt) < tellPause
+	p.checkGroup(s, now.Sub(s.toldAt) < tellPause)
+}
+
+// checkGroup has the servers checked that may have been lost with one. A VM checks those on
+// which it has work. The others are checked by the VM that found the loss, which tells what
+// it finds, and in a fleet of several cells by the watchers only: with 295 VMs and 48
+// servers in a failure domain, one loss would otherwise cost thousands of connections.
+// Called with the lock held.
+func (p *Pool) checkGroup(s *server, wasTold bool) {
+	all := p.watches(s) && (p.cells > 1 || !wasTold)
 	for _, other := range p.ordered() {
-		if other.group() == s.group() && other.takesWork() && !other.down && (!wasTold || len(other.leases) > 0) {
+		if other.group() == s.group() && other.takesWork() && !other.down && (all || len(other.leases) > 0) {
 			p.startCheck(other)
 		}
 	}
@@ -115,24 +152,59 @@
 }
 
 // PeerLost takes in that a peer found a server down. Ended means that its process is
-// gone: this VM then avoids it, and checks it only if it has work there.
+// gone: this VM then avoids it, and checks it only if it has work there or watches it. A
+// watcher tells all of the first loss in a group at once, and has the group checked.
 func (p *Pool) PeerLost(serverID string, ended bool) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	s := p.servers[serverID]
 	if s == nil || s.down {
+		p.mu.Unlock()
 		return
 	}
-	s.toldAt = p.options.Now()
+	now := p.options.Now()
+	watched := p.cells > 1 && p.watches(s)
+	first := watched && now.Sub(p.lossAt[s.group()]) >= doubtLife
+	s.toldAt = now
 	if ended {
-		s.endedAt = s.toldAt
-		p.lossAt[s.group()] = s.toldAt
+		s.endedAt = now
 		p.copiesLost(s)
-		if len(s.leases) == 0 {
-			return
-		}
 	}
-	p.startCheck(s)
+	if ended || first {
+		p.lossAt[s.group()] = now
+	}
+	switch {
+	case first:
+		p.checkGroup(s, true)
+	case watched || len(s.leases) > 0 || (!ended && p.cells <= 1):
+		p.startCheck(s)
+	case !ended:
+		s.avoidUntil = now.Add(toldLife)
+	}
+	if first {
+		s.announcedAt = now
+	}
+	described := s.Server
+	p.mu.Unlock()
+	if first {
+		p.options.Tell(described, ended)
+	}
+}
+
+// PeerFoundUp takes in that a watcher found that a server accepts connections. A VM that
+// found it down itself checks it.
+func (p *Pool) PeerFoundUp(serverID string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[serverID]
+	if s == nil {
+		return
+	}
+	if s.down {
+		p.startCheck(s)
+		return
+	}
+	s.avoidUntil = time.Time{}
+	s.heardAt = p.options.Now()
 }
 
 // Recheck checks the servers that are down and still listed. Call it often.
--- a/internal/backend/pool/peers_test.go
+++ b/internal/backend/pool/peers_test.go
@@ -41,11 +41,15 @@
 	p.PeerLoads("b", []pool.Load{{ServerID: "s0", Running: 2, MemoryTokens: 70}, {ServerID: "gone", Running: 1}})
 	got := loadOn(t, p)
 	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{500, 2, 670})
-	*now = now.Add(2 * time.Second)
+	*now = now.Add(4 * time.Second)
 	p.PeerLoads("a", []pool.Load{{ServerID: "s0", Running: 1, MemoryTokens: 650}})
 	got = loadOn(t, p)
 	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{0, 3, 720})
-	*now = now.Add(2 * time.Second) // b was silent for 4 s.
+	*now = now.Add(4 * time.Second) // b was silent for 8 s.
+	got = loadOn(t, p)
+	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{0, 1, 650})
+	p.PeerLoads("b", []pool.Load{{ServerID: "s0", Running: 5}})
+	p.ForgetPeers([]string{"b"}) // It went down.
 	got = loadOn(t, p)
 	qt.Assert(t, []int{got.PendingTokens, got.Running, got.MemoryTokens}, qt.DeepEquals, []int{0, 1, 650})
 	p.PeerLoads("a", nil)
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -50,7 +50,13 @@
 	Draw     func() float64
 	Check    func(ctx context.Context, address string) error
 	OnChange func(server Server, down bool, reason string)
-	Tell     func(serverID string, ended bool)
+	//
+	// In a fleet of several cells only the watchers of a group of servers check those on
+	// which they have no work: Watches tells whether this VM is one, nil for yes, and
+	// TellUp has the others told that a server accepts connections.
+	Tell    func(server Server, ended bool)
+	TellUp  func(server Server)
+	Watches func(service, failureDomain string) bool
 	// OnDeparture is told of a server that told this VM that it is leaving.
 	OnDeparture func(server Server)
 	// Go runs a check beside the caller; nil for a goroutine. Simulations run it as an
@@ -98,6 +104,8 @@
 	restUntil   time.Time // It wants no requests from this VM until then.
 	endedAt     time.Time // When its process was found to be gone; zero if it was not.
 	toldAt      time.Time // When a peer told that it is down.
+	avoidUntil  time.Time // A peer told that it is down, and this VM has not checked it.
+	announcedAt time.Time // When this VM, which watches it, last told that it is down.
 	down        bool
 	checking    bool
 	recheckAt   time.Time
@@ -118,7 +126,13 @@
 // New makes an empty pool.
 func New(options Options) *Pool {
 	if options.Tell == nil {
-		options.Tell = func(string, bool) {}
+		options.Tell = func(Server, bool) {}
+	}
+	if options.TellUp == nil {
+		options.TellUp = func(Server) {}
+	}
+	if options.Watches == nil {
+		options.Watches = func(string, string) bool { return true }
 	}
 	if options.Go == nil {
 		options.Go = func(do func()) { go do() }
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -49,7 +49,7 @@
 func (p *Pool) startIdentify(s *server) {
 	search := p.options.Successors
 	now := p.options.Now()
-	if search.Identify == nil || s.identifying || s.identified || !p.isListOld(now) || !p.mayBeSucceeded(s, now) {
+	if search.Identify == nil || !p.watches(s) || s.identifying || s.identified || !p.isListOld(now) || !p.mayBeSucceeded(s, now) {
 		return
 	}
 	s.identifying = true
--- a/internal/backend/pool/word.go
+++ b/internal/backend/pool/word.go
@@ -58,13 +58,21 @@
 	}
 }
 
-// PeerDepartures takes in which servers told a peer that they are leaving.
+// PeerDepartures takes in which servers told a peer that they are leaving. In a fleet of
+// several cells the watchers of a server pass that on.
 func (p *Pool) PeerDepartures(told []Departure) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := p.options.Now()
+	passOn := []Server{}
 	for _, d := range told {
-		p.noteDeparture(d, now)
+		isNews := p.noteDeparture(d, now)
+		if known := p.servers[d.ServerID]; isNews && known != nil && p.cells > 1 && p.watches(known) {
+			passOn = append(passOn, known.Server)
+		}
+	}
+	p.mu.Unlock()
+	for _, server := range passOn {
+		p.options.OnDeparture(server)
 	}
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -129,9 +129,13 @@
 			AddressKept: options.Settings.AddressKept,
 			OnFound:     v.successorFound,
 		},
-		Tell: func(serverID string, ended bool) {
-			v.spread.TellLoss(spread.LossNote{ServerID: serverID, Ended: ended})
+		Tell: func(server pool.Server, ended bool) {
+			v.spread.TellLoss(groupOf(server.Service, server.FailureDomain), spread.LossNote{ServerID: server.ID, Ended: ended})
 		},
+		TellUp: func(server pool.Server) {
+			v.spread.TellLoss(groupOf(server.Service, server.FailureDomain), spread.LossNote{ServerID: server.ID, Up: true})
+		},
+		Watches: func(service, failureDomain string) bool { return v.spread.Watches(groupOf(service, failureDomain)) },
 	})
 	v.peers = wire.NewPool(wire.PoolOptions{
 		Self:   options.Settings.Name,
@@ -153,7 +157,7 @@
 		Spend:       v.spend,
 		SpendSpare:  v.spendSpare,
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
-		Copies:      relay.Copies{Put: v.putCopy, Find: v.copies.Find},
+		Copies:      relay.Copies{Put: v.putCopy, Find: v.findCopy},
 		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
 		Counts:      relay.Counts{EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.WorkChanged,
@@ -194,6 +198,8 @@
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.heardCrashes,
 		OnLosses:            v.heardLosses,
+		OnGone:              v.servers.ForgetPeers,
+		FindCopies:          v.knownCopies,
 		Departures:          v.servers.Departures,
 		OnDepartures:        v.servers.PeerDepartures,
 		Uses:                v.uses,
@@ -250,7 +256,7 @@
 func (v *VM) serverSaidLeaving(server pool.Server) {
 	event.ServerSaidLeaving.Info(v.logger, "server", server.ID, "address", server.Address, "listedAsLeaving", server.Leaving,
 		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
-	v.spread.TellDeparture(pool.Departure{ServerID: server.ID, Started: server.Started})
+	v.spread.TellDeparture(groupOf(server.Service, server.FailureDomain), pool.Departure{ServerID: server.ID, Started: server.Started})
 }
 
 // noteOf is how VMs tell each other of a copy, and copyOf the reverse.
@@ -291,6 +297,26 @@
 	}
 }
 
+// findCopy gives the copy of a stream that ran here, or at another VM of this cell. In a
+// fleet of several cells others may know of it.
+func (v *VM) findCopy(ctx context.Context, copyKey string) (copied relay.Copy, found bool) {
+	if copied, found = v.copies.Find(copyKey); found || v.spread.Snapshot().Cells <= 1 {
+		return copied, found
+	}
+	note, found := v.spread.AskCopy(ctx, copyKey)
+	return copyOf(note), found
+}
+
+func (v *VM) knownCopies(keys []string) []spread.CopyNote {
+	notes := []spread.CopyNote{}
+	for _, key := range keys {
+		if copied, found := v.copies.Find(key); found {
+			notes = append(notes, noteOf(key, copied))
+		}
+	}
+	return notes
+}
+
 func (v *VM) tellCrash(content string, count int) {
 	v.spread.TellCrash(spread.CrashNote{Content: content, Count: count})
 }
@@ -303,14 +329,22 @@
 
 func (v *VM) heardLosses(notes []spread.LossNote) {
 	for _, note := range notes {
-		if note.SuccessorID != "" {
+		switch {
+		case note.SuccessorID != "":
 			v.servers.PeerFound(note.ServerID, note.SuccessorID)
-			continue
+		case note.Up:
+			v.servers.PeerFoundUp(note.ServerID)
+		default:
+			v.servers.PeerLost(note.ServerID, note.Ended)
 		}
-		v.servers.PeerLost(note.ServerID, note.Ended)
 	}
 }
 
+// groupOf names the servers of a service in a failure domain to those who watch them.
+func groupOf(service, failureDomain string) string {
+	return service + "/" + failureDomain
+}
+
 // budgetOf gives the service's budget for repeats, which all VMs share.
 func (v *VM) budgetOf(service string) *budget.Shared {
 	v.mu.Lock()
@@ -387,7 +421,7 @@
 }
 
 func (v *VM) successorFound(old, successor pool.Server, heardAgo time.Duration) {
-	v.spread.TellLoss(spread.LossNote{ServerID: old.ID, Ended: true, SuccessorID: successor.ID})
+	v.spread.TellLoss(groupOf(old.Service, old.FailureDomain), spread.LossNote{ServerID: old.ID, Ended: true, SuccessorID: successor.ID})
 	event.SuccessorFound.Info(v.logger, "server", old.ID, "successor", successor.ID, "address", successor.Address, "heardAgoMillis", heardAgo.Milliseconds(),
 		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
 }
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
@@ -13,17 +12,17 @@
 func (s *Spread) tick(ctx context.Context, st *state) {
 	st.members.forget(s.options.Now())
 	st.ticks++
-	peers := st.members.peers()
+	peers := slices.Clone(st.members.neighbours())
 	for _, peer := range some(peers, exchangesPerTick) {
 		s.exchange(ctx, st, peer.ID, peer.PeerAddress, 1)
 	}
-	if s.options.Now().Sub(st.workToldAt) >= pool.LoadsEvery {
+	if s.isWorkDue(st) {
 		s.tellWork(st)
 	}
 	if len(peers) == 0 || st.ticks%seedTicks == 0 {
 		s.askSeeds(ctx, st)
 	}
-	if down, found := st.members.oneDown(); found {
+	if down, found := st.members.oneDown(); found && (st.members.cells <= 1 || st.ticks%downTicks == 0) {
 		s.exchange(ctx, st, down.ID, down.PeerAddress, 0) // It may only have been cut off.
 	}
 	s.publish(st)
@@ -48,6 +47,7 @@
 		ServersVersion: st.servers.version,
 		ServersAge:     ageOf(st.servers.currentAt, now),
 		MembersHash:    st.members.hash(),
+		ServersSum:     st.servers.sum,
 	}
 }
 
@@ -122,11 +122,17 @@
 	if !st.hintDue && !st.membersDue {
 		return // An earlier hint has told all.
 	}
+	news := st.hintDue
 	st.hintDue, st.membersDue = false, false
 	m := s.introduce(st)
+	m.NoAnswer = true
 	m.Members = st.members.takeChanged()
 	body := m.encode()
-	for _, peer := range some(st.members.peers(), hintFanout) {
+	fanout := hintFanout
+	if !news && st.members.cells > 1 {
+		fanout = membersFanout
+	}
+	for _, peer := range some(slices.Clone(st.members.neighbours()), fanout) {
 		s.options.Post(peer.ID, peer.PeerAddress, body)
 	}
 }
@@ -139,7 +145,11 @@
 		return nil
 	}
 	s.learnWork(told)
-	if told.Summary == nil && told.Want == nil {
+	if len(told.WantCopies) > 0 {
+		found := message{From: s.options.Self.ID, Copies: s.options.FindCopies(told.WantCopies)}
+		return found.encode()
+	}
+	if told.Summary == nil && told.Want == nil && told.WantMembers == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
@@ -147,7 +157,9 @@
 	answers := make(chan message, 1)
 	s.do(ctx, func(st *state) {
 		s.learn(context.WithoutCancel(ctx), st, told)
-		answers <- s.answer(st, told)
+		if !told.NoAnswer {
+			answers <- s.answer(st, told)
+		}
 	})
 	select {
 	case answer := <-answers:
@@ -161,8 +173,9 @@
 func (s *Spread) answer(st *state, told message) message {
 	m := s.introduce(st)
 	if told.Summary != nil && told.Summary.MembersHash != m.Summary.MembersHash {
-		m.Members = st.members.up()
+		m.Digests = st.members.digests()
 	}
+	m.Members = st.members.named(told.WantMembers)
 	if known := st.members.others[told.From]; known != nil && known.Down {
 		m.Members = append(slices.Clone(m.Members), known.Member) // So that it can refute it.
 	}
@@ -182,6 +195,9 @@
 		st.membersDue = true
 		s.tellJoined(st)
 	}
+	if told.Digests != nil {
+		s.reconcile(ctx, st, told)
+	}
 	if told.Config != nil {
 		s.unpack(st, told)
 	}
@@ -190,12 +206,39 @@
 		s.applyServers(st, told, now)
 	}
 	if told.Summary != nil {
+		s.learnSum(st, told.Summary, now)
 		s.learnAges(st, told.Summary, now)
 		s.fetch(ctx, st, told, now)
 	}
 	s.publish(st)
 }
 
+// reconcile gives a peer the entries of members that it lacks, and asks it for those that
+// this VM lacks.
+func (s *Spread) reconcile(ctx context.Context, st *state, told message) {
+	lacking, wanted := st.members.compare(told.Digests)
+	if len(lacking)+len(wanted) == 0 {
+		return
+	}
+	m := message{From: st.members.self.ID, Members: lacking, WantMembers: wanted}
+	body := m.encode()
+	if len(wanted) == 0 {
+		s.options.Post(told.From, told.Address, body)
+		return
+	}
+	go s.ask(ctx, told.From, told.Address, body, callLimit)
+}
+
+// learnSum takes over a peer's newer version if its list has the same servers as this
+// VM's: most versions are servers' heartbeats.
+func (s *Spread) learnSum(st *state, told *summary, now time.Time) {
+	if st.servers.version == 0 || told.ServersVersion <= st.servers.version || told.ServersSum != st.servers.sum {
+		return
+	}
+	st.servers.noteReturn(momentOf(told.ServersAge, now))
+	st.servers.apply(&ServerChanges{Base: st.servers.version, Version: told.ServersVersion, Sum: told.ServersSum}, now)
+}
+
 func (s *Spread) unpack(st *state, told message) {
 	st.configFetch = time.Time{}
 	raw, err := decompress(told.Config)
@@ -263,7 +306,11 @@
 	}
 }
 
+// learnWork takes in the parts of a message that the loop does not own.
 func (s *Spread) learnWork(told message) {
+	if told.PassOn {
+		s.passOn(told)
+	}
 	if told.HasLoads {
 		s.options.OnLoads(told.From, told.Loads)
 	}
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -31,8 +31,11 @@
 	hashNow uint64
 	cell    int      // This VM's; see placement.Cells.
 	cells   int      // How many there are.
-	mates   []Member // The others of this VM's cell.
-	outside []Member // Those of the other cells.
+	mates   []Member // See topology.go, as are the next ones.
+	near    []Member
+	leads   []Member
+	keepers []Member
+	gone    []string // Went down, or were replaced, since takeGone.
 }
 
 func newMembers(self Member) *members {
@@ -91,6 +94,7 @@
 	entry := &member{Member: told}
 	if told.Down {
 		entry.downAt = now
+		ms.gone = append(ms.gone, told.ID)
 	}
 	if known == nil {
 		ms.joined = append(ms.joined, told)
@@ -109,6 +113,7 @@
 	for id, other := range ms.others {
 		if id != newest.ID && other.PeerAddress == newest.PeerAddress {
 			delete(ms.others, id)
+			ms.gone = append(ms.gone, id)
 		}
 	}
 }
@@ -120,6 +125,7 @@
 		return false
 	}
 	known.Down, known.downAt = true, now
+	ms.gone = append(ms.gone, id)
 	ms.touch(id)
 	return true
 }
@@ -139,13 +145,13 @@
 	if ms.upNow == nil {
 		ms.upNow = ms.listUp()
 		ms.hashNow = hashOf(ms.upNow)
-		ms.split()
+		ms.arrange()
 	}
 	return ms.upNow
 }
 
-// split finds this VM's cell among those that are up.
-func (ms *members) split() {
+// arrange finds this VM's cell among those that are up, and whom it talks to.
+func (ms *members) arrange() {
 	ms.cells = placement.CellCount(len(ms.upNow))
 	byDomain := map[string][]string{}
 	for _, m := range ms.upNow {
@@ -156,23 +162,31 @@
 		maps.Copy(cellOf, placement.Cells(addresses, ms.cells))
 	}
 	ms.cell = cellOf[ms.self.PeerAddress]
-	ms.mates, ms.outside = nil, nil
+	cells := make([][]Member, ms.cells)
+	ms.mates = nil
 	for _, m := range ms.upNow {
-		switch {
-		case m.ID == ms.self.ID:
-		case cellOf[m.PeerAddress] == ms.cell:
+		cell := cellOf[m.PeerAddress]
+		cells[cell] = append(cells[cell], m)
+		if cell == ms.cell && m.ID != ms.self.ID {
 			ms.mates = append(ms.mates, m)
-		default:
-			ms.outside = append(ms.outside, m)
 		}
 	}
+	ms.near = nearOf(ms.self, ringOf(ms.upNow))
+	ms.leads = leadsOf(ms.self, cells, ms.cell)
+	ms.keepers = keepersOf(cells)
 }
 
-// byCell lists the others of this VM's cell and those outside. The lists are shared and
-// must not be changed.
-func (ms *members) byCell() (mates, outside []Member) {
+// neighbours lists the VMs that are near. The list is shared and must not be changed.
+func (ms *members) neighbours() []Member {
 	ms.up()
-	return ms.mates, ms.outside
+	return ms.near
+}
+
+// inCell lists the others of this VM's cell, and the leads of the other cells. The lists
+// are shared and must not be changed.
+func (ms *members) inCell() (mates, leads []Member) {
+	ms.up()
+	return ms.mates, ms.leads
 }
 
 func (ms *members) listUp() []Member {
@@ -223,6 +237,13 @@
 	return joined
 }
 
+// takeGone gives the members that went down, or were replaced, since the last call.
+func (ms *members) takeGone() []string {
+	gone := ms.gone
+	ms.gone = nil
+	return gone
+}
+
 // takeChanged gives the entries that changed since the last call.
 func (ms *members) takeChanged() []Member {
 	changed := []Member{}
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -65,10 +65,13 @@
 
 // LossNote tells of a server that is down. Ended means that its process is gone,
 // and SuccessorID names the one that started in its place, if that is known.
+//
+// A note with Up set is the reverse: a watcher found that the server accepts connections.
 type LossNote struct {
 	ServerID    string `cbor:"1,keyasint"`
 	Ended       bool   `cbor:"2,keyasint,omitempty"`
 	SuccessorID string `cbor:"3,keyasint,omitempty"`
+	Up          bool   `cbor:"4,keyasint,omitempty"`
 }
 
 // ServiceUse is what a VM did with a service in the last window of its budget
@@ -86,6 +89,7 @@
 	ServersVersion uint64 `cbor:"3,keyasint,omitempty"`
 	ServersAge     int64  `cbor:"4,keyasint,omitempty"`
 	MembersHash    uint64 `cbor:"5,keyasint,omitempty"`
+	ServersSum     uint64 `cbor:"6,keyasint,omitempty"` // Of the list at ServersVersion.
 }
 
 // want asks for what is newer than these versions.
@@ -111,6 +115,16 @@
 	Crashes  []CrashNote    `cbor:"11,keyasint,omitempty"`
 	Losses   []LossNote     `cbor:"12,keyasint,omitempty"`
 	Uses     []ServiceUse   `cbor:"13,keyasint,omitempty"`
+	// NoAnswer tells that nobody waits for one.
+	NoAnswer bool `cbor:"19,keyasint,omitempty"`
+	// PassOn asks a lead to tell its mates.
+	PassOn bool `cbor:"15,keyasint,omitempty"`
+	// Digests are of all members that the sender knows to be up, and WantMembers of those
+	// whose entries it wants.
+	Digests     []byte `cbor:"16,keyasint,omitempty"`
+	WantMembers []byte `cbor:"17,keyasint,omitempty"`
+	// WantCopies are the keys of copies that the sender looks for.
+	WantCopies []string `cbor:"18,keyasint,omitempty"`
 	// Departures are of servers that said they are leaving.
 	Departures []pool.Departure `cbor:"14,keyasint,omitempty"`
 }
--- /dev/null
+++ b/internal/peer/spread/notes.go
@@ -0,0 +1,201 @@
+package spread
+
+import (
+	"bytes"
+	"context"
+	"slices"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// What VMs tell each other once: their work on servers, where copies are, and losses,
+// crashes and departures of servers. Each only saves work that the others can also do
+// without it, so notes may be lost.
+
+// note is one thing to tell once. One of the pointers is set. Group names the servers that
+// it is about: only their watchers tell all.
+type note struct {
+	copied  *CopyNote
+	crashed *CrashNote
+	lost    *LossNote
+	left    *pool.Departure
+	group   string
+}
+
+// tell queues a note. When too many wait it is dropped.
+func (s *Spread) tell(n note) {
+	select {
+	case s.notes <- n:
+		if n.copied != nil {
+			s.WorkEased() // It is needed once this VM is lost.
+		} else {
+			s.WorkChanged()
+		}
+	default:
+		s.options.Logger.Warn("a note to the peers was dropped: too many wait")
+	}
+}
+
+// TellCopy tells the VMs of the cell where a stream's memory is copied to.
+func (s *Spread) TellCopy(copied CopyNote) {
+	s.tell(note{copied: &copied})
+}
+
+// TellCrash tells all of a server that died with a content.
+func (s *Spread) TellCrash(crashed CrashNote) {
+	s.tell(note{crashed: &crashed})
+}
+
+// TellLoss tells of a server of a group that is down, or up again: all VMs if this VM
+// watches the group, and else its watchers.
+func (s *Spread) TellLoss(group string, lost LossNote) {
+	s.tell(note{lost: &lost, group: group})
+}
+
+// TellDeparture tells in the same way of a server that said it is leaving.
+func (s *Spread) TellDeparture(group string, left pool.Departure) {
+	s.tell(note{left: &left, group: group})
+}
+
+// isWorkDue reports whether this VM's work has to be told again although nothing changed:
+// peers forget it after a while. In a fleet of several cells a VM without any is silent.
+func (s *Spread) isWorkDue(st *state) bool {
+	since := s.options.Now().Sub(st.workToldAt)
+	if st.members.cells <= 1 {
+		return since >= pool.LoadsEvery
+	}
+	if since < pool.LoadsSeldom {
+		return false
+	}
+	work := s.currentWork(st)
+	return len(work.Loads) > 0 || !bytes.Equal(work.encode(), st.workTold)
+}
+
+// currentWork is what this VM tells of its work.
+func (s *Spread) currentWork(st *state) message {
+	return message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads(), Uses: s.options.Uses()}
+}
+
+// tellWork sends this VM's work to the VMs of its cell, and the notes that wait to those
+// that need them.
+func (s *Spread) tellWork(st *state) {
+	st.workToldAt = s.options.Now()
+	work := s.currentWork(st)
+	st.workTold = work.encode()
+	toAll := message{From: st.members.self.ID}
+	reports := map[string]*message{} // To watchers, by their ID.
+	receivers := map[string]Member{}
+	for _, n := range s.takeNotes() {
+		switch {
+		case n.copied != nil:
+			work.Copies = append(work.Copies, *n.copied)
+		case n.group == "" || s.Watches(n.group):
+			toAll.add(n)
+		default:
+			for _, watcher := range s.Watchers(n.group) {
+				if reports[watcher.ID] == nil {
+					reports[watcher.ID] = &message{From: st.members.self.ID}
+					receivers[watcher.ID] = watcher
+				}
+				reports[watcher.ID].add(n)
+			}
+		}
+	}
+	work.Crashes, work.Losses, work.Departures = toAll.Crashes, toAll.Losses, toAll.Departures
+	mates, leads := st.members.inCell()
+	s.post(mates, &work)
+	if toAll.hasNotes() {
+		toAll.PassOn = true
+		s.post(leads, &toAll)
+	}
+	for id, report := range reports {
+		s.post([]Member{receivers[id]}, report)
+	}
+}
+
+// add puts a note into a message.
+func (m *message) add(n note) {
+	switch {
+	case n.copied != nil:
+		m.Copies = append(m.Copies, *n.copied)
+	case n.crashed != nil:
+		m.Crashes = append(m.Crashes, *n.crashed)
+	case n.lost != nil:
+		m.Losses = append(m.Losses, *n.lost)
+	case n.left != nil:
+		m.Departures = append(m.Departures, *n.left)
+	}
+}
+
+// takeNotes gives the notes that wait.
+func (s *Spread) takeNotes() []note {
+	waiting := []note{}
+	for {
+		select {
+		case n := <-s.notes:
+			waiting = append(waiting, n)
+		default:
+			return waiting
+		}
+	}
+}
+
+func (s *Spread) post(peers []Member, m *message) {
+	body := m.encode()
+	for _, peer := range peers {
+		s.options.Post(peer.ID, peer.PeerAddress, body)
+	}
+}
+
+// passOn tells the mates what a VM of another cell tells all.
+func (s *Spread) passOn(told message) {
+	told.PassOn = false
+	s.post(s.Snapshot().Mates, &told)
+}
+
+// tellJoined tells VMs that have just joined this VM's cell where the copies of its streams
+// are, and which servers said they are leaving: they were not there when that was told.
+func (s *Spread) tellJoined(st *state) {
+	joined := st.members.takeJoined()
+	if len(joined) == 0 {
+		return
+	}
+	mates, _ := st.members.inCell()
+	joined = slices.DeleteFunc(joined, func(j Member) bool {
+		return !slices.ContainsFunc(mates, func(mate Member) bool { return mate.ID == j.ID })
+	})
+	m := message{From: st.members.self.ID, Copies: s.options.Copies(), Departures: s.options.Departures()}
+	if len(joined) > 0 && m.hasNotes() {
+		s.post(joined, &m)
+	}
+}
+
+// AskCopy asks the keepers of all cells where a copy is. The first answer counts.
+func (s *Spread) AskCopy(ctx context.Context, key string) (copied CopyNote, found bool) {
+	ctx, cancel := context.WithTimeout(ctx, copyLimit)
+	defer cancel()
+	m := message{From: s.options.Self.ID, WantCopies: []string{key}}
+	body := m.encode()
+	keepers := slices.DeleteFunc(slices.Clone(s.Snapshot().Keepers), func(k Member) bool { return k.ID == s.options.Self.ID })
+	answers := make(chan []CopyNote, len(keepers))
+	for _, keeper := range keepers {
+		go func() {
+			reply, err := s.options.Call(ctx, keeper.ID, keeper.PeerAddress, body)
+			if err != nil {
+				answers <- nil // The others are asked too.
+				return
+			}
+			told, err := decode(reply)
+			if err != nil {
+				s.options.Logger.Warn("a peer's answer could not be read", "peer", keeper.ID, "error", err)
+			}
+			answers <- told.Copies
+		}()
+	}
+	for range keepers {
+		if notes := <-answers; len(notes) > 0 {
+			return notes[0], true
+		}
+	}
+	return CopyNote{}, false
+}
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -21,7 +21,7 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,11 +42,14 @@
 	hintFanout = 6
 	// hintEvery gathers the news of that time into one hint.
 	hintEvery = 15 * time.Millisecond
+	// membersFanout is the same for news of other VMs only, in a fleet of several cells:
+	// what some VMs miss, they get by exchanges.
+	membersFanout = 3
+	// downTicks is how often, in ticks, a fleet of several cells asks a member that is down.
+	downTicks = 8
 	// membersEvery gathers what is heard of other VMs. When many start at once, each
 	// hears of all the others, and passes that on a few times instead of each time.
 	membersEvery = 100 * time.Millisecond
-	// notesFanout is how many peers at most are told of copies, losses and crashes.
-	notesFanout = 128
 	// workEvery gathers the changes of this VM's work. Until they arrive, peers may
 	// place a prompt on the same server, so it is about the way between two VMs.
 	workEvery = 3 * time.Millisecond
@@ -61,6 +64,8 @@
 	// isolatedAfter is how long no peer may have answered until a VM doubts its own
 	// link and not its peers.
 	isolatedAfter = time.Second
+	// copyLimit bounds the question where a copy is. Reading a prompt again takes a second.
+	copyLimit = 80 * time.Millisecond
 	// seedTicks is how often a VM asks its seeds, in ticks, even if it knows peers.
 	seedTicks = 20
 	// inboxSize bounds the messages that wait for the loop.
@@ -82,6 +87,10 @@
 	// Cell is this VM's of Cells; see placement.Cells.
 	Cell  int
 	Cells int
+	// Mates are the others of the cell, and Keepers the VMs of all cells that are asked
+	// where copies are; see topology.go.
+	Mates   []Member
+	Keepers []Member
 }
 
 // Options shapes a Spread. Call sends a message to a peer and returns its
@@ -109,6 +118,10 @@
 	OnCopies  func(notes []CopyNote)
 	OnCrashes func(notes []CrashNote)
 	OnLosses  func(notes []LossNote)
+	// FindCopies gives those of the copies that this VM knows.
+	FindCopies func(keys []string) []CopyNote
+	// OnGone is told of VMs that went down or were replaced by another process.
+	OnGone func(peers []string)
 	// Departures are of the listed servers that said they are leaving. A VM that joins is
 	// told of them.
 	Departures   func() []pool.Departure
@@ -129,6 +142,9 @@
 	snapshot atomic.Pointer[Snapshot]
 	// heardAt is when a peer answered last, in Unix nanoseconds of Options.Now.
 	heardAt atomic.Int64
+
+	watchMu sync.Mutex
+	watched watchList
 }
 
 // state is owned by the loop's goroutine.
@@ -143,6 +159,7 @@
 	configFetch  time.Time
 	serversFetch time.Time
 	workToldAt   time.Time // When peers were last told of this VM's work.
+	workTold     []byte    // What they were told.
 	hintDue      bool      // News of the store or of this VM itself wait.
 	membersDue   bool      // News of other VMs wait.
 	ticks        int
@@ -150,6 +167,9 @@
 
 // New makes a spread. It does nothing until it is served.
 func New(options Options) *Spread {
+	if options.OnGone == nil {
+		options.OnGone = func([]string) {}
+	}
 	if options.OnCell == nil {
 		options.OnCell = func(int, int) {}
 	}
@@ -160,7 +180,7 @@
 		eased:   make(chan struct{}, 1),
 		notes:   make(chan note, inboxSize),
 	}
-	s.snapshot.Store(&Snapshot{Self: options.Self, Live: []Member{options.Self}})
+	s.snapshot.Store(&Snapshot{Self: options.Self, Live: []Member{options.Self}, Cells: 1})
 	return s
 }
 
@@ -276,8 +296,13 @@
 		Live:            live,
 		Cell:            st.members.cell,
 		Cells:           st.members.cells,
+		Mates:           st.members.mates,
+		Keepers:         st.members.keepers,
 	}
 	s.snapshot.Store(now)
+	if gone := st.members.takeGone(); len(gone) > 0 {
+		s.options.OnGone(gone)
+	}
 	if before.Cell != now.Cell || before.Cells != now.Cells {
 		s.options.OnCell(now.Cell, now.Cells)
 	}
@@ -383,107 +408,6 @@
 	}
 }
 
-// note is one thing to tell all peers once. One field is set.
-type note struct {
-	copied  *CopyNote
-	crashed *CrashNote
-	lost    *LossNote
-	left    *pool.Departure
-}
-
-// tell queues a note. When too many wait it is dropped: each only saves work
-// that the peers can also do without it.
-func (s *Spread) tell(n note) {
-	select {
-	case s.notes <- n:
-		if n.copied != nil {
-			s.WorkEased() // It is needed once this VM is lost.
-		} else {
-			s.WorkChanged()
-		}
-	default:
-		s.options.Logger.Warn("a note to the peers was dropped: too many wait")
-	}
-}
-
-// TellCopy tells others where a stream's memory is copied to.
-func (s *Spread) TellCopy(copied CopyNote) {
-	s.tell(note{copied: &copied})
-}
-
-// TellCrash tells others of a server that died with a content.
-func (s *Spread) TellCrash(crashed CrashNote) {
-	s.tell(note{crashed: &crashed})
-}
-
-// TellLoss tells others of a server that is down.
-func (s *Spread) TellLoss(lost LossNote) {
-	s.tell(note{lost: &lost})
-}
-
-// TellDeparture tells others of a server that said it is leaving.
-func (s *Spread) TellDeparture(left pool.Departure) {
-	s.tell(note{left: &left})
-}
-
-// tellWork sends this VM's work to the VMs of its cell, and the notes that wait to all
-// peers. They forget the work after a while, so that it is told again even if nothing
-// changes.
-func (s *Spread) tellWork(st *state) {
-	st.workToldAt = s.options.Now()
-	notes := message{From: st.members.self.ID}
-	s.addNotes(&notes)
-	work := notes
-	work.HasLoads, work.Loads, work.Uses = true, s.options.Loads(), s.options.Uses()
-	mates, outside := st.members.byCell()
-	s.post(mates, &work)
-	if notes.hasNotes() {
-		s.post(some(slices.Clone(outside), notesFanout), &notes)
-	}
-}
-
-func (s *Spread) post(peers []Member, m *message) {
-	body := m.encode()
-	for _, peer := range peers {
-		s.options.Post(peer.ID, peer.PeerAddress, body)
-	}
-}
-
-// tellJoined tells VMs that have just joined where the copies of this VM's streams
-// are, and which servers said they are leaving: they were not there when that was told.
-func (s *Spread) tellJoined(st *state) {
-	joined := st.members.takeJoined()
-	if len(joined) == 0 {
-		return
-	}
-	m := message{From: st.members.self.ID, Copies: s.options.Copies(), Departures: s.options.Departures()}
-	if !m.hasNotes() {
-		return
-	}
-	s.post(joined, &m)
-}
-
-// addNotes moves the notes that wait into a message.
-func (s *Spread) addNotes(m *message) {
-	for {
-		select {
-		case n := <-s.notes:
-			switch {
-			case n.copied != nil:
-				m.Copies = append(m.Copies, *n.copied)
-			case n.crashed != nil:
-				m.Crashes = append(m.Crashes, *n.crashed)
-			case n.lost != nil:
-				m.Losses = append(m.Losses, *n.lost)
-			case n.left != nil:
-				m.Departures = append(m.Departures, *n.left)
-			}
-		default:
-			return
-		}
-	}
-}
-
 // some gives up to count of the members, chosen at random.
 func some(members []Member, count int) []Member {
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
--- /dev/null
+++ b/internal/peer/spread/topology_test.go
@@ -0,0 +1,134 @@
+package spread
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+)
+
+var time0 = time.Unix(0, 0)
+
+func membersOf(count int) []Member {
+	members := []Member{}
+	for i := range count {
+		members = append(members, Member{ID: fmt.Sprint("vm-", i), PeerAddress: fmt.Sprintf("10.%d.%d.%d:80", i%5, i/250, i), FailureDomain: fmt.Sprint(i % 5), Version: 1})
+	}
+	return members
+}
+
+// TestNearIsSmallAndReachesAll: news that each VM passes to those near it reaches all in few
+// steps, also after 55 of 100 VMs are lost together.
+func TestNearIsSmallAndReachesAll(t *testing.T) {
+	for _, c := range []struct{ vms, near, steps int }{{2, 1, 1}, {6, 5, 1}, {13, 12, 1}, {30, 8, 4}, {100, 10, 6}, {300, 12, 7}, {430, 12, 8}} {
+		all := membersOf(c.vms)
+		for _, left := range [][]Member{all, all[:(c.vms*45+99)/100]} {
+			ring := ringOf(left)
+			near := map[string][]Member{}
+			for _, m := range left {
+				near[m.ID] = nearOf(m, ring)
+				qt.Assert(t, len(near[m.ID]) <= c.near, qt.IsTrue, qt.Commentf("%d of %d VMs are near", len(near[m.ID]), c.vms))
+			}
+			known := map[string]bool{left[0].ID: true}
+			for range c.steps {
+				told := []Member{}
+				for id := range known {
+					told = append(told, near[id]...)
+				}
+				for _, m := range told {
+					known[m.ID] = true
+				}
+			}
+			qt.Assert(t, known, qt.HasLen, len(left), qt.Commentf("of %d VMs after %d steps", len(left), c.steps))
+		}
+	}
+}
+
+// TestWatchersAreInDifferentDomainsAndStable: VMs agree on them, a leaving VM is the last
+// choice, and one that goes leaves others that go on.
+func TestWatchersAreInDifferentDomainsAndStable(t *testing.T) {
+	live := membersOf(100)
+	watched := map[string]int{}
+	for i := range 50 {
+		group := fmt.Sprint("model/", i)
+		watchers := watchersOf(group, live)
+		qt.Assert(t, watchers, qt.HasLen, watchersOfGroup)
+		domains := map[string]bool{}
+		for _, m := range watchers {
+			domains[m.FailureDomain] = true
+			watched[m.ID]++
+		}
+		qt.Assert(t, domains, qt.HasLen, watchersOfGroup)
+		fewer := []Member{}
+		for _, m := range live {
+			if m.ID != watchers[0].ID {
+				fewer = append(fewer, m)
+			}
+		}
+		after := watchersOf(group, fewer)
+		stayed := 0
+		for _, m := range after {
+			if slices.Contains(watchers, m) {
+				stayed++
+			}
+		}
+		qt.Assert(t, stayed >= watchersOfGroup-2, qt.IsTrue, qt.Commentf("%d of those that are left go on", stayed))
+	}
+	qt.Assert(t, len(watched) > 60, qt.IsTrue, qt.Commentf("only %d of 100 VMs watch 50 groups", len(watched)))
+}
+
+// TestReconcileNeedsOneQuestion: two VMs that know any members know the same after one has
+// told its digests and the other has answered, down ones and newer versions included.
+func TestReconcileNeedsOneQuestion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := membersOf(12)
+		a, b := newMembers(all[0]), newMembers(all[1])
+		for _, ms := range []*members{a, b} {
+			for _, m := range all[2:] {
+				switch rapid.IntRange(0, 3).Draw(t, "known") {
+				case 1:
+					ms.hear([]Member{m}, time0)
+				case 2:
+					m.Version = 2
+					ms.hear([]Member{m}, time0)
+				case 3:
+					ms.hear([]Member{m}, time0)
+					ms.lost(m.ID, time0)
+				}
+			}
+		}
+		lacking, wanted := b.compare(a.digests())
+		a.hear(lacking, time0)
+		b.hear(a.named(wanted), time0)
+		downOnce := map[string]bool{}
+		for _, ms := range []*members{a, b} {
+			for id, m := range ms.others {
+				if m.Down {
+					downOnce[id] = true
+				}
+			}
+		}
+		for _, m := range b.up() {
+			known := a.others[m.ID]
+			if m.ID == a.self.ID || downOnce[m.ID] {
+				continue // A peer that one of them takes as down is left to its own word.
+			}
+			property.Assert(t, known != nil && known.Version == m.Version, qt.IsTrue, qt.Commentf("%s", m.ID))
+		}
+		for _, m := range a.up() {
+			if m.ID != b.self.ID && !downOnce[m.ID] {
+				property.Assert(t, b.others[m.ID] != nil && b.others[m.ID].Version == m.Version, qt.IsTrue, qt.Commentf("%s", m.ID))
+			}
+		}
+		for id, m := range b.others {
+			if known := a.others[id]; m.Down && known != nil && known.Version == m.Version {
+				property.Assert(t, known.Down, qt.IsTrue, qt.Commentf("%s is down", id))
+			}
+		}
+	})
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -184,7 +184,7 @@
 // Copies finds the copy of a stream whose caller comes back after its VM was lost.
 type Copies struct {
 	Put  func(copyKey string, copied Copy)
-	Find func(copyKey string) (copied Copy, found bool)
+	Find func(ctx context.Context, copyKey string) (copied Copy, found bool)
 }
 
 // Crashes counts the servers that died while they ran a content.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -77,7 +77,7 @@
 	s := &stream{relay: r, request: request, sink: sink, last: request.LastEventID, tried: map[string]bool{}}
 	defer s.releaseMove()
 	if request.LastEventID != "" && request.CopyKey != "" {
-		s.copied, _ = r.options.Copies.Find(request.CopyKey)
+		s.copied, _ = r.options.Copies.Find(ctx, request.CopyKey)
 	}
 	for {
 		if request.Content != "" && r.options.Crashes.Condemned(request.Content) {
