Renew the copy of a stream while it runs on

Cause: a stream whose copy's holder was lost was stopped and moved, which takes a repeat of the budget that all share (0.7 of 0.75 of it at most). Change: a move that lets the run go on costs no repeat and no pause. The copy is renewed at another holder as soon as the first is lost, brought up to date each 1.5 s (servers keep it for 4 s), renewed elsewhere after a refusal or another loss, and freed when the stream ends. Runs whose server leaves are moved as before. Events 707 and 708 tell of it, so that a prompt that was read again can be traced from the request's id. Tests: TestLostCopyIsRenewedWithoutAPause, TestRenewedCopyIsKeptUpToDateAndFreed.

--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -32,15 +32,18 @@
 	need    placement.Need
 	started bool // The first event has arrived.
 	backup  *server
-	told    bool // Down is closed.
-	lost    bool // CopyLost is closed.
-	ended   bool
+	// copyLost is closed when the present holder is lost: CopyLost, or that of a later one.
+	copyLost chan struct{}
+	told     bool // Down is closed.
+	lost     bool // CopyLost is closed.
+	ended    bool
 }
 
 func (p *Pool) lease(s *server, lease *Lease) *Lease {
 	lease.Server = s.Server
 	lease.Down = make(chan struct{})
 	lease.CopyLost = make(chan struct{})
+	lease.copyLost = lease.CopyLost
 	lease.pool = p
 	lease.server = s
 	s.leases[lease] = true
@@ -57,10 +60,41 @@
 func (l *Lease) tellCopyLost() {
 	if !l.lost {
 		l.lost = true
-		close(l.CopyLost)
+		close(l.copyLost)
 	}
 }
 
+// NewHolder gives the stream another holder for its copy; nil if none has room. Lost is
+// closed when that is lost. CopyLost speaks of the first holder only.
+func (l *Lease) NewHolder() (holder *Server, lost chan struct{}) {
+	p := l.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.ended {
+		return nil, nil
+	}
+	if l.backup != nil {
+		l.backup.copies -= l.need.Tokens()
+		l.backup = nil
+	}
+	chosen := p.chooseForCopy(Ask{Service: l.Server.Service, Need: l.need}, l.server, p.options.Now())
+	if chosen == nil {
+		return nil, nil
+	}
+	chosen.copies += l.need.Tokens()
+	l.backup = chosen
+	l.copyLost, l.lost = make(chan struct{}), false
+	described := chosen.Server
+	return &described, l.copyLost
+}
+
+// IsLeaving reports whether the stream's server ends soon.
+func (l *Lease) IsLeaving() bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return l.server.leaves()
+}
+
 // Started tells that the first event of the stream arrived.
 func (l *Lease) Started() {
 	l.pool.mu.Lock()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -62,6 +62,10 @@
 	// EncodeMove asks a server to stop a run and to move its memory; DecodeMove
 	// reads the name under which the run goes on from there.
 	EncodeMove func(runID string, to pool.Server) (request *http.Request, body []byte)
+	// EncodeCopy asks it to copy the memory of a run that goes on, answered in the same
+	// way, and EncodeFree to drop that copy.
+	EncodeCopy func(runID string, to pool.Server) (request *http.Request, body []byte)
+	EncodeFree func(handle string) *http.Request
 	DecodeMove func(status int, body []byte) (handle string, err error)
 	// EncodeIdentify asks a server for its id, at its service's health path;
 	// DecodeIdentify reads the id, "" if there is none.
@@ -154,6 +158,7 @@
 		Decode:      options.Decode,
 		IDHeader:    options.IDHeader,
 		Move:        v.move,
+		Renewals:    relay.Renewals{Copy: v.copyRun, Free: v.freeCopy},
 		Spend:       v.spend,
 		SpendSpare:  v.spendSpare,
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
@@ -379,6 +384,29 @@
 // move asks a server to move a run's memory.
 func (v *VM) move(ctx context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
 	request, body := v.options.EncodeMove(runID, to)
+	return v.transfer(ctx, request, body, from, to)
+}
+
+// copyRun asks a server to copy the memory of a run that goes on.
+func (v *VM) copyRun(ctx context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
+	request, body := v.options.EncodeCopy(runID, to)
+	return v.transfer(ctx, request, body, from, to)
+}
+
+// freeCopy asks the source of a copy to drop it.
+func (v *VM) freeCopy(ctx context.Context, copied relay.Copy, from pool.Server) error {
+	response, err := v.connections.Send(ctx, http1.Request{Address: from.Address, HTTP: v.options.EncodeFree(copied.RunID)})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer response.Close()
+	v.servers.TakeWord(from, v.options.DecodeWord(response.Response))
+	_, err = response.ReadAll(moveAnswerLimit) // The connection is kept if all was read.
+	return errors.Trace(err)
+}
+
+// transfer sends a server the request to move or copy a run's memory.
+func (v *VM) transfer(ctx context.Context, request *http.Request, body []byte, from, to pool.Server) (relay.Copy, error) {
 	response, err := v.connections.Send(ctx, http1.Request{Address: from.Address, HTTP: request, Body: body})
 	if err != nil {
 		return relay.Copy{}, errors.Trace(err)
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -65,6 +65,8 @@
 	SecondServerAsked    = define(704, "a second backend server was asked")
 	StreamPlaced         = define(705, "a stream was sent to a backend server")
 	StreamNotMoved       = define(706, "a stream without a copy could not be moved")
+	CopyRenewed          = define(707, "a stream that lost its copy has another")
+	CopyNotRenewed       = define(708, "a stream without a copy got none yet")
 	StoreLost            = define(801, "the platform's store does not answer")
 	StoreRegained        = define(802, "the platform's store answers again")
 	SettingsReloaded     = define(803, "settings were read again")
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -153,7 +153,8 @@
 	Decode func(*http.Response) Verdict
 	// Move stops a run and moves its memory to another server, where it can go on
 	// from the copy that is returned; nil if servers can't.
-	Move func(ctx context.Context, runID string, from, to pool.Server) (Copy, error)
+	Move     func(ctx context.Context, runID string, from, to pool.Server) (Copy, error)
+	Renewals Renewals
 	// IDHeader is the header in which servers echo the request's id.
 	IDHeader string
 	// Spend takes one repeat of the service's shared budget. Refund gives it back
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -59,6 +59,10 @@
 	stopRun   map[string]chan struct{}
 	copies    sync.Map // By CopyKey.
 	onMove    func()   // Called once a run was moved, if set.
+	copied    []string // "from to" of each copy of a run that went on, and "free handle".
+	// copyFaults is how many of these are refused, and renews whether servers can copy.
+	copyFaults int
+	renews     bool
 	// moveFaults is how many moves are refused for lack of room.
 	moveFaults int
 	ended      []relay.EarlyEnd
@@ -96,7 +100,12 @@
 	connections := http1.New(http1.Options{})
 	repeats := budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
 	g.crashes = crash.New(crash.Options{Now: time.Now, Tell: func(string, int) {}})
+	renewals := relay.Renewals{}
+	if g.renews {
+		renewals = relay.Renewals{Copy: g.copyRun, Free: g.freeCopy}
+	}
 	return relay.New(relay.Options{
+		Renewals:    renewals,
 		Servers:     servers,
 		Connections: connections,
 		Logger:      hclog.NewNullLogger(),
@@ -150,6 +159,30 @@
 	return relay.Copy{RunID: "handle of " + runID, ServerID: to.ID, Address: from.Address}, nil
 }
 
+func (g *rig) copyRun(_ context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.copied = append(g.copied, from.ID+" "+to.ID)
+	if g.copyFaults > 0 {
+		g.copyFaults--
+		return relay.Copy{}, errors.New("server answered 503 to a copy")
+	}
+	return relay.Copy{RunID: "copy of " + runID, ServerID: to.ID, Address: from.Address}, nil
+}
+
+func (g *rig) freeCopy(_ context.Context, copied relay.Copy, _ pool.Server) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.copied = append(g.copied, "free "+copied.RunID)
+	return nil
+}
+
+func (g *rig) copyCalls() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string{}, g.copied...)
+}
+
 func encode(d relay.Dispatch) *http.Request {
 	header := http.Header{headerID: {d.Request.ID}, headerLast: {d.LastEventID}, headerBackup: {d.BackupID}}
 	if d.CopyAt != "" {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -50,6 +50,7 @@
 	copyFailures int // Runs from its copy that failed at the server, which kept the copy.
 	moveFailures int
 	moves        chan moved // What a move of the present run came to, once it has.
+	renewed      Copy       // Of the run that ended last, if its copy had been renewed.
 	lostAt       time.Time
 	reason       string
 }
@@ -221,6 +222,10 @@
 	end = s.exchange(ctx, lease, dispatch, resumed)
 	s.settle(ctx, lease, end, resumed, s.events == before)
 	switch {
+	case s.renewed != Copy{} && (end.done || end.caller != nil || ctx.Err() != nil || end.moved):
+		s.free(ctx, s.renewed, lease.Server)
+	case s.renewed != Copy{}:
+		s.copied = s.renewed
 	case backup != nil && s.events > before:
 		s.copied = Copy{RunID: s.request.ID, ServerID: backup.ID, Address: backup.Address}
 	case resumed && end.failure && s.copyFailures < mostCopyFailures:
@@ -263,7 +268,10 @@
 	defer cancel()
 	watch := s.watch(ctx, cancel, lease, resumed)
 	s.moves = make(chan moved, 1)
-	defer func() { end.moved = s.finishMove(watch, end) }()
+	defer func() {
+		end.moved = s.finishMove(watch, end)
+		s.renewed = watch.guard.copied
+	}()
 	response, verdict, err := s.relay.send(ctx, dispatch)
 	if err != nil {
 		return runEnd{notSent: errors.Is(err, http1.ErrNotSent), silent: watch.fired(), err: err}
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -19,6 +19,9 @@
 	stopped chan struct{}
 	begun   atomic.Bool   // The run's first event has arrived.
 	ended   chan struct{} // Closed when follow has returned.
+	guard   guard         // Owned by follow until then.
+	// endRenewal ends the renewal of a copy that runs: the run has ended.
+	endRenewal func()
 }
 
 func (s *stream) watch(ctx context.Context, cancel func(), lease *pool.Lease, resumed bool) *watch {
@@ -34,14 +37,18 @@
 	if gap > 0 && resumed {
 		w.timer.Reset(time.Duration(resumePart * float64(gap)))
 	}
-	go w.follow(lease, s.relay.options.Now, func() bool { return s.move(ctx, lease) })
+	renewing, endRenewal := context.WithCancel(ctx)
+	w.endRenewal = endRenewal
+	go s.follow(ctx, renewing, w, lease)
 	return w
 }
 
-// follow ends the run when the server is found down, and has it checked when it
-// is quiet.
-func (w *watch) follow(lease *pool.Lease, now func() time.Time, move func() (done bool)) {
+// follow ends the run when the server is found down, has it checked when it is quiet, and
+// sees to it that there is a copy. Renewing ends with the run, and ctx later, so that a
+// move that stopped the run can be finished.
+func (s *stream) follow(ctx, renewing context.Context, w *watch, lease *pool.Lease) {
 	defer close(w.ended)
+	now := s.relay.options.Now
 	ticker := time.NewTicker(quietEvery)
 	defer ticker.Stop()
 	began := now()
@@ -49,9 +56,23 @@
 	moveDue := false
 	movePause := time.Time{}
 	for {
-		if moveDue && w.begun.Load() && now().After(movePause) {
-			moveDue = !move()
+		switch g := &w.guard; {
+		case !w.begun.Load():
+		case moveDue && s.mayRenew(lease):
+			if lost := s.renew(renewing, lease, g, true); lost != nil {
+				copyLost = lost
+			}
+			moveDue = false
+		case moveDue && now().After(movePause):
+			moveDue = !s.move(ctx, lease)
 			movePause = now().Add(moveAgain)
+		case !g.renewAt.IsZero() && lease.IsLeaving():
+			g.renewAt = time.Time{}
+			moveDue = true
+		case !g.renewAt.IsZero() && now().After(g.renewAt):
+			if lost := s.renew(renewing, lease, g, false); lost != nil {
+				copyLost = lost
+			}
 		}
 		select {
 		case <-w.stopped:
@@ -95,6 +116,7 @@
 // stop ends the watch and waits for a move that runs.
 func (w *watch) stop() {
 	w.timer.Stop()
+	w.endRenewal()
 	close(w.stopped)
 	<-w.ended
 }
