Fewer calls to the store when many VMs start

Cause: each VM that starts wrote its row, read where copies are, and read the configuration and the servers if it had neither after 60 ms: some 1,200 calls for 295 VMs. Change: the first twelve by rank have rows; the first two of each cell read where copies are; VMs that are no readers wait 150 ms more, and up to 0.6 s by rank, for what readers tell. One VM of each cell writes where its copies are, each less often the more cells there are. A VM's rank is worked out once for each change of membership.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -89,6 +89,8 @@
 	bodies      *caller.Bodies
 	callers     *caller.Connections
 	storeLost   atomic.Bool
+	ranked      rankCache
+	announced   atomic.Bool // This VM has a row in the store.
 	copiesRead  atomic.Bool // What the VMs before this one knew of copies is known, or can't be.
 	started     time.Time
 	ready       chan struct{} // Closed when this VM takes requests for the first time.
--- a/internal/node/entry/keeper.go
+++ b/internal/node/entry/keeper.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,16 +22,20 @@
 	// keptMost bounds the entries of the row. One takes up to 100 bytes, and a row of
 	// the platform holds 64 KiB.
 	keptMost = 600
+	// keptReaders is how many VMs of a cell read the rows when they start. Those that come
+	// back from a loss of all VMs ask them.
+	keptReaders = 2
 	// keptReadLimit is how long a VM that starts waits for them at most until it is ready.
 	keptReadLimit = 150 * time.Millisecond
-	// keptKey is the row.
+	// keptKey is the row, of the first cell in a fleet of several: "running-3" is that of
+	// the fourth.
 	keptKey = "running"
 )
 
 // keeper keeps in the store where the copies of running streams are, for the case
 // that all VMs are lost together: servers keep copies for some seconds, and callers
-// come back as soon as VMs are there. VMs tell each other of all copies, so one
-// writes for all.
+// come back as soon as VMs are there. The VMs of a cell tell each other of all copies, so
+// one of each cell writes for it.
 type keeper struct {
 	vm      *VM
 	written int // How often copies had changed when they were last written.
@@ -42,20 +48,40 @@
 
 // Serve runs until the context ends.
 func (k *keeper) Serve(ctx context.Context) error {
-	k.read(ctx)
+	k.vm.awaitPeers(ctx)
+	if k.turn(k.vm.spread.Snapshot()) < keptReaders {
+		k.read(ctx)
+	}
+	k.vm.copiesRead.Store(true)
 	for ctx.Err() == nil {
-		pause(ctx, keepEvery)
 		snapshot := k.vm.spread.Snapshot()
-		if rankOf(snapshot.Self, snapshot.Live) == 0 && !k.vm.storeLost.Load() {
-			k.write(ctx)
+		// With several cells there are as many writers, and each writes less often.
+		pause(ctx, time.Duration(math.Sqrt(float64(snapshot.Cells))*float64(keepEvery)))
+		if snapshot = k.vm.spread.Snapshot(); k.turn(snapshot) == 0 && !k.vm.storeLost.Load() {
+			k.write(ctx, keyOf(snapshot))
 		}
 	}
 	return ctx.Err()
 }
 
+// turn is this VM's place among those of its cell. The first one writes.
+func (k *keeper) turn(snapshot *spread.Snapshot) int {
+	if snapshot.Cells <= 1 {
+		return k.vm.rank(snapshot)
+	}
+	return rankOf(snapshot.Self, append([]spread.Member{snapshot.Self}, snapshot.Mates...))
+}
+
+// keyOf is the row of the VM's cell.
+func keyOf(snapshot *spread.Snapshot) string {
+	if snapshot.Cell == 0 {
+		return keptKey
+	}
+	return fmt.Sprintf("%s-%d", keptKey, snapshot.Cell)
+}
+
 // read learns what the VMs before this one knew. What peers told since goes first.
 func (k *keeper) read(ctx context.Context) {
-	defer k.vm.copiesRead.Store(true)
 	rows, err := k.vm.options.Copies.Read(ctx)
 	if err != nil {
 		event.CopiesUnread.Info(k.vm.logger, "error", err)
@@ -73,7 +99,7 @@
 	}
 }
 
-func (k *keeper) write(ctx context.Context) {
+func (k *keeper) write(ctx context.Context, key string) {
 	known, changes := k.vm.copies.Newest(keptFor, keptMost)
 	if changes == k.written {
 		return
@@ -86,7 +112,7 @@
 	if err != nil {
 		panic(err) // Texts always have CBOR.
 	}
-	if err = k.vm.options.Copies.Put(ctx, keptKey, value); err != nil {
+	if err = k.vm.options.Copies.Put(ctx, key, value); err != nil {
 		k.vm.logger.Debug("the places of copies could not be written", "error", err)
 		return // The next turn tries again.
 	}
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -67,8 +67,10 @@
 	settings := v.settings.Load()
 	event.VMStopping.Info(v.logger, "vm", settings.Name, "running", v.running())
 	v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.Leaving = false, true })
-	if err := v.options.VMs.Remove(ctx, settings.PeerAddress); err != nil {
-		v.logger.Debug("this VM's row could not be removed", "error", err)
+	if v.announced.Load() {
+		if err := v.options.VMs.Remove(ctx, settings.PeerAddress); err != nil {
+			v.logger.Debug("this VM's row could not be removed", "error", err)
+		}
 	}
 	least := began.Add(time.Duration(leavingLeast * float64(v.LocateLife())))
 	most := began.Add(time.Duration(leavingMost * float64(settings.Grace)))
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,6 +32,9 @@
 	// passes from VM to VM. With 64 VMs it is 2.2 s, below the bound of 3 s there.
 	overdue            = time.Second
 	overduePerDoubling = 200 * time.Millisecond
+	// startPatience is how long after joinLimit a VM that starts, and is no reader, waits
+	// for what the readers tell. Without it 295 VMs that start together would all read.
+	startPatience = 150 * time.Millisecond
 	// overduePerRank spreads the VMs that notice it at once.
 	overduePerRank = 60 * time.Millisecond
 	// isolatedAfter is how long no peer may answer until a VM reads for itself.
@@ -92,10 +96,13 @@
 	if joined := w.vm.started.Add(joinLimit); (alone || snapshot.Fetching) && w.vm.Now().Before(joined) {
 		return joined
 	}
-	rank := rankOf(snapshot.Self, snapshot.Live)
+	rank := w.vm.rank(snapshot)
 	if rank < readers || w.failing {
 		return time.Time{}
 	}
+	if w.age(snapshot).IsZero() && !alone {
+		return w.vm.started.Add(joinLimit + startPatience + time.Duration(min(rank, 10))*overduePerRank)
+	}
 	limit := overdue + time.Duration(math.Log2(float64(len(snapshot.Live)))*float64(overduePerDoubling))
 	old := w.age(snapshot).Add(limit + time.Duration(min(rank, 10))*overduePerRank)
 	isolated := w.vm.spread.PeerHeardAt().Add(isolatedAfter)
@@ -105,6 +112,13 @@
 	return old
 }
 
+// awaitPeers waits until this VM knows how many VMs there are, or has asked for long enough.
+func (v *VM) awaitPeers(ctx context.Context) {
+	for ctx.Err() == nil && v.Now().Before(v.started.Add(joinLimit)) && len(v.spread.Snapshot().Live) == 1 {
+		pause(ctx, joinPoll)
+	}
+}
+
 // lookAgain is after how long it is looked again whether this VM has to read.
 func (w *watcher) lookAgain() time.Duration {
 	if w.vm.Now().Before(w.vm.started.Add(joinLimit)) {
@@ -113,6 +127,25 @@
 	return idlePause
 }
 
+// rankCache is this VM's rank among the same live VMs. Each is looked at several times a
+// second and ranking 300 VMs takes a while.
+type rankCache struct {
+	mu   sync.Mutex
+	live []spread.Member
+	rank int
+}
+
+// rank is this VM's place in the order of readers.
+func (v *VM) rank(snapshot *spread.Snapshot) int {
+	v.ranked.mu.Lock()
+	defer v.ranked.mu.Unlock()
+	if len(v.ranked.live) != len(snapshot.Live) || &v.ranked.live[0] != &snapshot.Live[0] {
+		v.ranked.live = snapshot.Live
+		v.ranked.rank = rankOf(snapshot.Self, snapshot.Live)
+	}
+	return v.ranked.rank
+}
+
 // rankOf orders the live VMs for reading, those in different failure domains first.
 func rankOf(self spread.Member, live []spread.Member) int {
 	seen := map[string]int{}
@@ -230,11 +263,15 @@
 
 // discovery keeps this VM's row in the store and learns the others' rows.
 type discovery struct {
-	vm        *VM
-	announced bool
+	vm *VM
 }
 
 const (
+	// announcers is how many VMs have a row: those whose turn it would be to read. A VM
+	// that starts needs to reach one of them.
+	announcers = 12
+	// announceLook is how often a VM without a row looks whether it needs one.
+	announceLook = time.Second
 	// discoverEvery is how often the readers look for VMs that nobody knows.
 	discoverEvery = 10 * time.Second
 	// announceRetry is the pause after a failed try to write the row.
@@ -248,23 +285,31 @@
 
 // Serve runs until the context ends.
 func (d *discovery) Serve(ctx context.Context) error {
+	pause(ctx, joinLimit) // Until it knows how many VMs there are, or is alone.
+	lookAt := time.Time{}
 	for ctx.Err() == nil {
-		d.announce(ctx)
 		snapshot := d.vm.spread.Snapshot()
-		if len(snapshot.Live) == 1 || rankOf(snapshot.Self, snapshot.Live) < readers {
+		alone := len(snapshot.Live) == 1
+		rank := d.vm.rank(snapshot)
+		if rank < announcers {
+			d.announce(ctx)
+		}
+		if (alone || rank < readers) && !d.vm.Now().Before(lookAt) {
 			d.look(ctx)
+			lookAt = d.vm.Now().Add(discoverEvery)
 		}
-		if !d.announced || len(snapshot.Live) == 1 {
+		if alone || (rank < announcers && !d.vm.announced.Load()) {
+			lookAt = time.Time{}
 			pause(ctx, announceRetry)
 			continue
 		}
-		pause(ctx, discoverEvery)
+		pause(ctx, announceLook)
 	}
 	return ctx.Err()
 }
 
 func (d *discovery) announce(ctx context.Context) {
-	if d.announced {
+	if d.vm.announced.Load() {
 		return
 	}
 	address := d.vm.settings.Load().PeerAddress
@@ -276,7 +321,7 @@
 		d.vm.logger.Debug("this VM could not be announced", "error", err)
 		return
 	}
-	d.announced = true
+	d.vm.announced.Store(true)
 }
 
 func (d *discovery) look(ctx context.Context) {
