Store and peers: fewer calls in an outage, no timers on idle connections

Reading the code: a VM that the store had turned away went on asking each second although it was no reader; in an outage all VMs found their picture old; with all turned away each took itself for a reader. And each connection between VMs had a ticker of 75 ms for answers that entry VMs never wait for: some 600 wake-ups a VM and second. Change: VMs that the store does not answer rank last instead of not at all; in fleets of several cells those that hear their peers look again after 4 s, and overdue VMs ask in the order of their rank; one seed is asked first; the look for overdue answers runs only while one is due. A VM that lost one table and not the other no longer tells the others of it twice. Ruled out: longer waits of the readers, whose answers bound the age of every picture. Tests: TestFewVMsReadWhileTheStoreIsAway. TestVMThatStartsReadsOnceItsPeersKnowNothing holds a VM that knows nobody to its new limit of 120 ms.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -88,6 +88,7 @@
 	counters    *counters
 	bodies      *caller.Bodies
 	callers     *caller.Connections
+	tablesLost  atomic.Int64
 	storeLost   atomic.Bool
 	ranked      rankCache
 	announced   atomic.Bool // This VM has a row in the store.
@@ -545,11 +546,11 @@
 	}})
 	supervisor.Add(v.spread)
 	supervisor.Add(&watcher{
-		name: "configuration", vm: v, table: v.options.Configuration, learn: v.learnConfiguration,
+		name: "configuration", vm: v, table: v.options.Configuration, peerHeardAt: v.spread.PeerHeardAt, learn: v.learnConfiguration,
 		age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt },
 	})
 	supervisor.Add(&watcher{
-		name: "servers", vm: v, table: v.options.Servers, learn: v.learnServers, pause: serversPause,
+		name: "servers", vm: v, table: v.options.Servers, peerHeardAt: v.spread.PeerHeardAt, learn: v.learnServers, pause: serversPause,
 		age: func(s *spread.Snapshot) time.Time { return s.ServersAt },
 	})
 	supervisor.Add(&discovery{vm: v})
@@ -561,8 +562,10 @@
 	return supervisor
 }
 
-// setStoreLost tells the others whether the store answers this VM, if that changed.
-func (v *VM) setStoreLost(ctx context.Context, lost bool) {
+// countLost counts the tables of the store that don't answer this VM, and tells the others
+// whether there are any, if that changed.
+func (v *VM) countLost(ctx context.Context, change int64) {
+	lost := v.tablesLost.Add(change) > 0
 	if v.storeLost.Swap(lost) != lost {
 		v.spread.SetSelf(ctx, func(self *spread.Member) { self.StoreLost = lost })
 	}
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -35,14 +35,24 @@
 	// startPatience is how long after joinLimit a VM that starts, and is no reader, waits
 	// for what the readers tell. Without it 295 VMs that start together would all read.
 	startPatience = 150 * time.Millisecond
-	// overduePerRank spreads the VMs that notice it at once.
-	overduePerRank = 60 * time.Millisecond
+	// overduePerRank spreads the VMs that notice it at once, up to the rank overdueRanks, or
+	// overdueRanksOfCells in a fleet of several cells: while the store is away, pictures get
+	// old everywhere, and a few VMs that ask are enough. One that hears no peer asks sooner.
+	overduePerRank      = 60 * time.Millisecond
+	overdueRanks        = 10
+	overdueRanksOfCells = 100
+	// lostLook is how often a VM of such a fleet that is no reader looks whether a store
+	// that did not answer it is back.
+	lostLook = 4 * time.Second
 	// isolatedAfter is how long no peer may answer until a VM reads for itself.
 	isolatedAfter = 900 * time.Millisecond
 	// joinLimit is how long a VM that starts waits for a peer that knows all, and joinPoll
 	// how often it looks whether peers have answered that know nothing either.
 	joinLimit = 60 * time.Millisecond
-	joinPoll  = 5 * time.Millisecond
+	// aloneLimit is the same until a seed has answered: when 295 VMs start, each seed is
+	// asked by a hundred.
+	aloneLimit = 120 * time.Millisecond
+	joinPoll   = 5 * time.Millisecond
 	// idlePause bounds the time until a VM that doesn't read looks again whether it
 	// has become one of the readers.
 	idlePause = 200 * time.Millisecond
@@ -53,16 +63,19 @@
 
 // watcher keeps one table's picture current while this VM is a reader.
 type watcher struct {
-	name    string
-	vm      *VM
-	table   Table
-	pause   time.Duration
-	age     func(*spread.Snapshot) time.Time
-	learn   func(ctx context.Context, rows Rows, full bool, at time.Time)
-	since   uint64
-	known   bool
-	failing bool
-	retry   time.Duration
+	name  string
+	vm    *VM
+	table Table
+	pause time.Duration
+	age   func(*spread.Snapshot) time.Time
+	// peerHeardAt is when a peer answered this VM last.
+	peerHeardAt func() time.Time
+	learn       func(ctx context.Context, rows Rows, full bool, at time.Time)
+	since       uint64
+	known       bool
+	failing     bool
+	failedAt    time.Time // When it last failed.
+	retry       time.Duration
 }
 
 // String names the service in the supervisor's messages.
@@ -93,23 +106,33 @@
 // old.
 func (w *watcher) dueAt(snapshot *spread.Snapshot) time.Time {
 	alone := len(snapshot.Live) == 1
+	if asked := w.vm.started.Add(aloneLimit); alone && w.vm.Now().Before(asked) {
+		return asked
+	}
 	if joined := w.vm.started.Add(joinLimit); (alone || snapshot.Fetching) && w.vm.Now().Before(joined) {
 		return joined
 	}
 	rank := w.vm.rank(snapshot)
-	if rank < readers || w.failing {
+	if rank < readers || (w.failing && snapshot.Cells <= 1) {
 		return time.Time{}
 	}
+	ranks := overdueRanks
+	if snapshot.Cells > 1 {
+		ranks = overdueRanksOfCells
+	}
+	patience := time.Duration(min(rank, ranks)) * overduePerRank
 	if w.age(snapshot).IsZero() && !alone {
-		return w.vm.started.Add(joinLimit + startPatience + time.Duration(min(rank, 10))*overduePerRank)
+		return w.vm.started.Add(joinLimit + startPatience + min(patience, overdueRanks*overduePerRank))
 	}
 	limit := overdue + time.Duration(math.Log2(float64(len(snapshot.Live)))*float64(overduePerDoubling))
-	old := w.age(snapshot).Add(limit + time.Duration(min(rank, 10))*overduePerRank)
-	isolated := w.vm.spread.PeerHeardAt().Add(isolatedAfter)
-	if isolated.Before(old) {
+	due := w.age(snapshot).Add(limit + patience)
+	if isolated := w.peerHeardAt().Add(isolatedAfter); isolated.Before(due) {
 		return isolated
 	}
-	return old
+	if look := w.failedAt.Add(lostLook); w.failing && look.After(due) {
+		return look
+	}
+	return due
 }
 
 // awaitPeers waits until this VM knows how many VMs there are, or has asked for long enough.
@@ -121,7 +144,7 @@
 
 // lookAgain is after how long it is looked again whether this VM has to read.
 func (w *watcher) lookAgain() time.Duration {
-	if w.vm.Now().Before(w.vm.started.Add(joinLimit)) {
+	if w.vm.Now().Before(w.vm.started.Add(aloneLimit)) {
 		return joinPoll
 	}
 	return idlePause
@@ -146,22 +169,34 @@
 	return v.ranked.rank
 }
 
-// rankOf orders the live VMs for reading, those in different failure domains first.
+// rankOf orders the live VMs for reading, those in different failure domains first and
+// those last that the store does not answer.
 func rankOf(self spread.Member, live []spread.Member) int {
 	seen := map[string]int{}
 	type ranked struct {
+		lost bool
 		turn int
 		id   string
 	}
 	order := []ranked{}
 	for _, m := range live {
-		if m.Leaving || m.StoreLost {
+		if m.Leaving {
+			continue
+		}
+		if m.StoreLost {
+			order = append(order, ranked{lost: true, id: m.ID})
 			continue
 		}
 		order = append(order, ranked{turn: seen[m.FailureDomain], id: m.ID})
 		seen[m.FailureDomain]++
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
+		if a.lost != b.lost {
+			if b.lost {
+				return -1
+			}
+			return 1
+		}
 		if a.turn != b.turn {
 			return a.turn - b.turn
 		}
@@ -202,11 +237,11 @@
 	if ctx.Err() != nil {
 		return
 	}
-	w.vm.setStoreLost(ctx, true)
 	if !w.failing {
 		event.StoreLost.Warn(w.vm.logger, "table", w.name, "error", err)
+		w.vm.countLost(ctx, 1)
 	}
-	w.failing = true
+	w.failing, w.failedAt = true, w.vm.Now()
 	w.retry = min(max(2*w.retry, firstRetry), lastRetry)
 	pause(ctx, w.retry+time.Duration(rand.Int64N(int64(firstRetry))))
 }
@@ -214,8 +249,8 @@
 func (w *watcher) succeeded(ctx context.Context) {
 	if w.failing {
 		event.StoreRegained.Info(w.vm.logger, "table", w.name)
+		w.vm.countLost(ctx, -1)
 	}
-	w.vm.setStoreLost(ctx, false)
 	w.failing = false
 	w.retry = 0
 }
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -169,8 +169,32 @@
 	qt.Check(t, waits(spread.Snapshot{Live: others, Fetching: true}), qt.IsTrue)
 	qt.Check(t, waits(spread.Snapshot{Live: others}), qt.IsFalse)
 	vm.started = now.Add(-joinLimit)
-	qt.Check(t, waits(spread.Snapshot{Live: []spread.Member{self}}), qt.IsFalse)
 	qt.Check(t, waits(spread.Snapshot{Live: others, Fetching: true}), qt.IsFalse)
+	vm.started = now.Add(-aloneLimit)
+	qt.Check(t, waits(spread.Snapshot{Live: []spread.Member{self}}), qt.IsFalse)
+}
+
+// TestFewVMsReadWhileTheStoreIsAway plays an outage of the store that gets old for all
+// VMs of a large fleet: those that hear their peers leave the looking to a few.
+func TestFewVMsReadWhileTheStoreIsAway(t *testing.T) {
+	vm := New(Options{Settings: Settings{Name: "vm-1"}, Logger: hclog.NewNullLogger()}) // Nothing runs.
+	current := vm.Now().Add(-4500 * time.Millisecond)                                   // As long as the platform's outages.
+	live := []spread.Member{}
+	for i := range 295 {
+		live = append(live, spread.Member{ID: fmt.Sprintf("vm-%03d", i), FailureDomain: fmt.Sprint(i % 5), StoreLost: i < 40})
+	}
+	vm.started = vm.started.Add(-time.Minute)
+	now := vm.Now()
+	reading := 0
+	for _, self := range live {
+		w := &watcher{vm: vm, failing: self.StoreLost, failedAt: now.Add(-time.Second), age: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt }}
+		w.peerHeardAt = func() time.Time { return now }
+		vm.ranked.live = nil // Of the VM before it.
+		if !w.dueAt(&spread.Snapshot{Self: self, Live: live, Cells: 9, ConfigurationAt: current}).After(now) {
+			reading++
+		}
+	}
+	qt.Assert(t, reading >= readers && reading <= 40, qt.IsTrue, qt.Commentf("%d of 295 VMs read", reading))
 }
 
 func TestRankPutsFailureDomainsInTurn(t *testing.T) {
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,8 +20,11 @@
 	if s.isWorkDue(st) {
 		s.tellWork(st)
 	}
-	if len(peers) == 0 || st.ticks%seedTicks == 0 {
-		s.askSeeds(ctx, st)
+	switch {
+	case st.ticks == 1:
+		s.askSeeds(ctx, st, 1) // Many VMs may start together and have the same three.
+	case len(peers) == 0 || st.ticks%seedTicks == 0:
+		s.askSeeds(ctx, st, len(st.seeds))
 	}
 	if down, found := st.members.oneDown(); found && (st.members.cells <= 1 || st.ticks%downTicks == 0) {
 		s.exchange(ctx, st, down.ID, down.PeerAddress, 0) // It may only have been cut off.
@@ -28,15 +32,16 @@
 	s.publish(st)
 }
 
-func (s *Spread) askSeeds(ctx context.Context, st *state) {
+// askSeeds asks up to so many seeds that are not known as members.
+func (s *Spread) askSeeds(ctx context.Context, st *state, most int) {
 	known := map[string]bool{}
 	for _, m := range st.members.up() {
 		known[m.PeerAddress] = true
 	}
-	for _, address := range st.seeds {
-		if !known[address] {
-			s.exchange(ctx, st, "seed "+address, address, 0)
-		}
+	unknown := slices.DeleteFunc(slices.Clone(st.seeds), func(address string) bool { return known[address] })
+	rand.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	for _, address := range unknown[:min(most, len(unknown))] {
+		s.exchange(ctx, st, "seed "+address, address, 0)
 	}
 }
 
--- a/internal/peer/wire/pool.go
+++ b/internal/peer/wire/pool.go
@@ -291,16 +291,21 @@
 	delete(l.waiting, call)
 }
 
-// write sends what is queued, and ends the connection when an answer is overdue.
+// write sends what is queued, and ends the connection when an answer is overdue. It only
+// wakes up by itself while an answer is due: a VM of a large fleet holds some sixty
+// connections.
 func (l *link) write(connection *websocket.Conn) {
-	ticker := time.NewTicker(l.pool.options.AckLimit / 4)
-	defer ticker.Stop()
 	lastBatch := time.Time{}
+	var overdueLook <-chan time.Time
 	for {
+		if overdueLook == nil && l.awaitsAck() {
+			overdueLook = time.After(l.pool.options.AckLimit / 4)
+		}
 		select {
 		case <-l.ctx.Done():
 			return
-		case <-ticker.C:
+		case <-overdueLook:
+			overdueLook = nil
 			if l.overdue(time.Now()) {
 				return
 			}
@@ -314,6 +319,12 @@
 	}
 }
 
+func (l *link) awaitsAck() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unacked > 0
+}
+
 func (l *link) overdue(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
