--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -19,6 +19,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -71,6 +72,8 @@
 	keepAliveCount = 2
 	// maxStale bounds the answers to other requests that are read past.
 	maxStale = 3
+	// maxHead bounds the head of a response, in bytes.
+	maxHead = 64 << 10
 	// readBuffer holds a whole answer of a plain service.
 	readBuffer = 4 << 10
 	// inlineBody is the largest body that is written before the answer is awaited.
@@ -108,10 +111,22 @@
 type connection struct {
 	net.Conn
 	reader     *bufio.Reader
+	left       int64 // Bytes that may be read until the head of a response has ended.
 	idleUntil  time.Time
+	used       bool // It has carried a request.
 	unreusable bool
 }
 
+// Read reads from the connection, within the bound for a head while one is read.
+func (c *connection) Read(to []byte) (n int, err error) {
+	if c.left <= 0 {
+		return 0, errors.Errorf("head of a response has more than %d bytes", maxHead)
+	}
+	n, err = c.Conn.Read(to[:min(int64(len(to)), c.left)])
+	c.left -= int64(n)
+	return n, err
+}
+
 // Response is a response whose body is still to be read.
 type Response struct {
 	*http.Response
@@ -263,7 +278,9 @@
 		return nil, err
 	}
 	p.options.OnOpen(address)
-	return &connection{Conn: raw, reader: bufio.NewReaderSize(raw, readBuffer)}, nil
+	c := &connection{Conn: raw, left: math.MaxInt64}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c, nil
 }
 
 func (p *Pool) keep(address string, c *connection) {
@@ -326,7 +343,9 @@
 // that arrive where this one's is expected.
 func (c *connection) readHead(request Request) (*http.Response, error) {
 	for stale := 0; ; {
+		c.left = maxHead
 		head, err := http.ReadResponse(c.reader, request.HTTP)
+		c.left = math.MaxInt64
 		if err != nil {
 			return nil, err
 		}
@@ -334,6 +353,9 @@
 			continue
 		}
 		echoed := head.Header.Get(request.IDHeader)
+		if request.ID != "" && echoed == "" && c.used {
+			return nil, errors.New("an answer names no request: it may be of an earlier one")
+		}
 		if request.ID == "" || echoed == "" || echoed == request.ID {
 			return head, nil
 		}
@@ -372,6 +394,7 @@
 		_ = c.Close()
 		return
 	}
+	c.used = true
 	c.idleUntil = r.pool.options.Now().Add(idleTime(r.Header))
 	r.pool.keep(r.address, c)
 }
--- a/internal/backend/pool/loss.go
+++ b/internal/backend/pool/loss.go
@@ -42,13 +42,21 @@
 }
 
 func (p *Pool) check(ctx context.Context, s *server, address string) (up bool) {
-	ctx, cancel := context.WithTimeout(ctx, checkLimit)
-	defer cancel()
-	err := p.options.Check(ctx, address)
+	began := p.options.Now()
+	err := p.checkOnce(ctx, address)
+	if err != nil && p.options.Now().Sub(began) > checkLimit+pauseSeen {
+		err = p.checkOnce(ctx, address) // This process was paused: the limit had passed when it woke up.
+	}
 	p.checked(s, err)
 	return err == nil
 }
 
+func (p *Pool) checkOnce(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, checkLimit)
+	defer cancel()
+	return p.options.Check(ctx, address)
+}
+
 // checked takes in what a check found.
 func (p *Pool) checked(s *server, failure error) {
 	p.mu.Lock()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/periodic"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
@@ -128,6 +129,7 @@
 		Draw:        rand.Float64,
 		Check:       v.connections.Check,
 		HasIdle:     v.connections.HasIdle,
+		Go:          func(do func()) { rescue.Go(v.logger, "check of a server", do) },
 		OnDeparture: v.serverSaidLeaving,
 		OnChange:    v.serverChanged,
 		Successors: pool.Successors{
@@ -305,11 +307,11 @@
 	}
 }
 
-// findCopy gives the copy of a stream that ran here, or at another VM of this cell. In a
-// fleet of several cells others may know of it.
+// findCopy gives the copy of a stream that ran here, or at another VM of this cell. The
+// keepers may know of others.
 func (v *VM) findCopy(ctx context.Context, copyKey string) (copied relay.Copy, found bool) {
-	if copied, found = v.copies.Find(copyKey); found || v.spread.Snapshot().Cells <= 1 {
-		return copied, found
+	if copied, found = v.copies.Find(copyKey); found {
+		return copied, true
 	}
 	note, found := v.spread.AskCopy(ctx, copyKey)
 	return copyOf(note), found
@@ -497,10 +499,16 @@
 	return min(time.Second, v.settings.Load().MaxLocateLife)
 }
 
-// Ready reports whether this VM takes requests.
+// Ready reports whether this VM takes requests. One that has just started doesn't with an
+// outdated picture, which may have keys that are withdrawn and servers that have left, until
+// it has had the time to get a newer one.
 func (v *VM) Ready() bool {
 	snapshot := v.spread.Snapshot()
 	known := snapshot.Configuration != nil && snapshot.ServersKnown
+	now, bound := v.Now(), v.settings.Load().ConfigBound
+	if now.Before(v.started.Add(startHold)) && (now.Sub(snapshot.ConfigurationAt) > bound || now.Sub(snapshot.ServersAt) > bound) {
+		return false
+	}
 	return known && v.copiesKnown() && !v.IsLeaving()
 }
 
--- a/internal/node/entry/keeper.go
+++ b/internal/node/entry/keeper.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -22,9 +23,9 @@
 	// keptMost bounds the entries of the row. One takes up to 100 bytes, and a row of
 	// the platform holds 64 KiB.
 	keptMost = 600
-	// keptReaders is how many VMs of a cell read the rows when they start. Those that come
-	// back from a loss of all VMs ask them.
-	keptReaders = 2
+	// keptReaders is up to which rank VMs of a fleet of one cell read the rows when they
+	// start; in larger ones the keepers do, whom the others ask; see package spread.
+	keptReaders = 12
 	// keptReadLimit is how long a VM that starts waits for them at most until it is ready.
 	keptReadLimit = 150 * time.Millisecond
 	// keptKey is the row, of the first cell in a fleet of several: "running-3" is that of
@@ -49,7 +50,7 @@
 // Serve runs until the context ends.
 func (k *keeper) Serve(ctx context.Context) error {
 	k.vm.awaitPeers(ctx)
-	if k.turn(k.vm.spread.Snapshot()) < keptReaders {
+	if k.reads(k.vm.spread.Snapshot()) {
 		k.read(ctx)
 	}
 	k.vm.copiesRead.Store(true)
@@ -57,19 +58,31 @@
 		snapshot := k.vm.spread.Snapshot()
 		// With several cells there are as many writers, and each writes less often.
 		pause(ctx, time.Duration(math.Sqrt(float64(snapshot.Cells))*float64(keepEvery)))
-		if snapshot = k.vm.spread.Snapshot(); k.turn(snapshot) == 0 && !k.vm.storeLost.Load() {
+		if snapshot = k.vm.spread.Snapshot(); k.writes(snapshot) {
 			k.write(ctx, keyOf(snapshot))
 		}
 	}
 	return ctx.Err()
 }
 
-// turn is this VM's place among those of its cell. The first one writes.
-func (k *keeper) turn(snapshot *spread.Snapshot) int {
-	if snapshot.Cells <= 1 {
-		return k.vm.rank(snapshot)
+func (k *keeper) reads(snapshot *spread.Snapshot) bool {
+	isKeeper := slices.ContainsFunc(snapshot.Keepers, func(m spread.Member) bool { return m.ID == snapshot.Self.ID })
+	return isKeeper || (snapshot.Cells <= 1 && k.vm.rank(snapshot) < keptReaders)
+}
+
+// writes reports whether this VM writes for its cell: the first keeper there that the store
+// answers.
+func (k *keeper) writes(snapshot *spread.Snapshot) bool {
+	for _, keeper := range snapshot.Keepers {
+		if keeper.ID == snapshot.Self.ID {
+			return !k.vm.storeLost.Load()
+		}
+		isMate := slices.ContainsFunc(snapshot.Mates, func(m spread.Member) bool { return m.ID == keeper.ID })
+		if isMate && !keeper.StoreLost && !keeper.Leaving {
+			return false
+		}
 	}
-	return rankOf(snapshot.Self, append([]spread.Member{snapshot.Self}, snapshot.Mates...))
+	return false
 }
 
 // keyOf is the row of the VM's cell.
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -56,6 +56,8 @@
 	// idlePause bounds the time until a VM that doesn't read looks again whether it
 	// has become one of the readers.
 	idlePause = 200 * time.Millisecond
+	// startRetry is the pause after a failed call while requests wait for this VM's start.
+	startRetry = 30 * time.Millisecond
 	// firstRetry is doubled with each failed call in a row, up to lastRetry.
 	firstRetry = 100 * time.Millisecond
 	lastRetry  = time.Second
@@ -137,7 +139,7 @@
 
 // awaitPeers waits until this VM knows how many VMs there are, or has asked for long enough.
 func (v *VM) awaitPeers(ctx context.Context) {
-	for ctx.Err() == nil && v.Now().Before(v.started.Add(joinLimit)) && len(v.spread.Snapshot().Live) == 1 {
+	for ctx.Err() == nil && v.Now().Before(v.started.Add(aloneLimit)) && len(v.spread.Snapshot().Live) == 1 {
 		pause(ctx, joinPoll)
 	}
 }
@@ -242,6 +244,10 @@
 		w.vm.countLost(ctx, 1)
 	}
 	w.failing, w.failedAt = true, w.vm.Now()
+	if w.vm.Now().Before(w.vm.started.Add(startHold)) {
+		pause(ctx, startRetry)
+		return
+	}
 	w.retry = min(max(2*w.retry, firstRetry), lastRetry)
 	pause(ctx, w.retry+time.Duration(rand.Int64N(int64(firstRetry))))
 }
@@ -305,6 +311,8 @@
 	// announcers is how many VMs have a row: those whose turn it would be to read. A VM
 	// that starts needs to reach one of them.
 	announcers = 12
+	// announceAfter is when, after its start, a VM that knows others first has a row.
+	announceAfter = time.Second
 	// announceLook is how often a VM without a row looks whether it needs one.
 	announceLook = time.Second
 	// discoverEvery is how often the readers look for VMs that nobody knows.
@@ -320,7 +328,10 @@
 
 // Serve runs until the context ends.
 func (d *discovery) Serve(ctx context.Context) error {
-	pause(ctx, joinLimit) // Until it knows how many VMs there are, or is alone.
+	d.vm.awaitPeers(ctx)
+	if len(d.vm.spread.Snapshot().Live) > 1 {
+		pause(ctx, d.vm.started.Add(announceAfter).Sub(d.vm.Now())) // It doesn't know yet how many VMs there are.
+	}
 	lookAt := time.Time{}
 	for ctx.Err() == nil {
 		snapshot := d.vm.spread.Snapshot()
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -31,6 +31,7 @@
 	VMStopping           = define(102, "VM is leaving: it finishes what it runs")
 	VMStopped            = define(103, "VM has stopped")
 	ServiceRestarted     = define(104, "a part of the process failed and is restarted")
+	PartFailed           = define(105, "one piece of work failed unexpectedly and was given up")
 	ConfigInForce        = define(201, "configuration is in force")
 	ConfigOutdated       = define(202, "configuration may be outdated: new requests are refused")
 	ConfigCurrent        = define(203, "configuration is known to be current again")
--- /dev/null
+++ b/internal/node/rescue/rescue_test.go
@@ -0,0 +1,37 @@
+package rescue_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
+)
+
+// TestUnexpectedErrorIsLoggedAndEndsItsPartOnly: without the package this test's process
+// would end.
+func TestUnexpectedErrorIsLoggedAndEndsItsPartOnly(t *testing.T) {
+	log := bytes.Buffer{}
+	written := sync.WaitGroup{}
+	written.Add(1)
+	logger := hclog.New(&hclog.LoggerOptions{Output: writer(func(line []byte) { log.Write(line); written.Done() })})
+	rescue.Go(logger, "a part", func() {
+		var missing map[string]int
+		missing["a"]++
+	})
+	written.Wait()
+	qt.Assert(t, strings.Contains(log.String(), "a part"), qt.IsTrue)
+	qt.Assert(t, strings.Contains(log.String(), "nil map"), qt.IsTrue, qt.Commentf(log.String()))
+}
+
+type writer func(line []byte)
+
+// Write takes one line of the log.
+func (w writer) Write(line []byte) (int, error) {
+	w(line)
+	return len(line), nil
+}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 )
 
 // tick asks a few peers what they have.
@@ -71,7 +72,7 @@
 		m.Members = append(m.Members, known.Member) // So that it can refute it.
 	}
 	body := m.encode()
-	go func() {
+	rescue.Go(s.options.Logger, "exchange with a peer", func() {
 		for try := 0; ; try++ {
 			if s.ask(ctx, peer, address, body, callLimit) {
 				return
@@ -83,7 +84,7 @@
 		if retries > 0 {
 			s.do(ctx, func(st *state) { s.lost(st, peer) })
 		}
-	}()
+	})
 }
 
 // ask makes one call and takes in its answer.
@@ -231,7 +232,7 @@
 		s.options.Post(told.From, told.Address, body)
 		return
 	}
-	go s.ask(ctx, told.From, told.Address, body, callLimit)
+	rescue.Go(s.options.Logger, "members from a peer", func() { s.ask(ctx, told.From, told.Address, body, callLimit) })
 }
 
 // learnSum takes over a peer's newer version if its list has the same servers as this
@@ -293,12 +294,12 @@
 	}
 	m := message{From: st.members.self.ID, Want: &w}
 	body := m.encode()
-	go func() {
+	rescue.Go(s.options.Logger, "fetch from a peer", func() {
 		if s.ask(ctx, told.From, told.Address, body, fetchLimit) {
 			return
 		}
 		s.do(ctx, func(st *state) { s.fetchFailed(st, w) })
-	}()
+	})
 }
 
 // fetchFailed lets the next hint start another fetch.
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -45,6 +45,10 @@
 	// membersFanout is the same for news of other VMs only, in a fleet of several cells:
 	// what some VMs miss, they get by exchanges.
 	membersFanout = 3
+	// joinEvery is how often a VM that knows no other asks one of its seeds, for joinTicks
+	// after its start: seeds may start a moment later.
+	joinEvery = 40 * time.Millisecond
+	joinTicks = 4
 	// downTicks is how often, in ticks, a fleet of several cells asks a member that is down.
 	downTicks = 8
 	// membersEvery gathers what is heard of other VMs. When many start at once, each
@@ -208,9 +212,17 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	s.tick(ctx, st)
-	var workDue, easedDue, hintDue, membersDue, graceDue <-chan time.Time
+	var workDue, easedDue, hintDue, membersDue, graceDue, joinDue <-chan time.Time
 	for {
+		if joinDue == nil && st.ticks <= joinTicks && len(st.members.others) == 0 {
+			joinDue = time.After(joinEvery)
+		}
 		select {
+		case <-joinDue:
+			joinDue = nil
+			if len(st.members.others) == 0 {
+				s.askSeeds(ctx, st, 1)
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		case do := <-s.inbox:
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -11,6 +11,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 )
 
 // hedgePart of the latency objective is waited for an idempotent answer before
@@ -82,7 +83,7 @@
 	c.request.Servers = append(c.request.Servers, lease.Server.ID)
 	c.sent++
 	c.flying++
-	go func() { c.results <- c.exchange(ctx, lease) }()
+	rescue.Go(c.relay.options.Logger, "exchange with a server", func() { c.results <- c.exchange(ctx, lease) })
 	return nil
 }
 
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -20,6 +20,8 @@
 type frame struct {
 	raw []byte
 	id  string
+	// comment means that it has no field at all, such as ": wait".
+	comment bool
 }
 
 // readEvent reads up to and with the next blank line. An event that is cut off
@@ -43,11 +45,20 @@
 			return frame{}, errors.Errorf("event has more than %d bytes", maxEvent)
 		}
 		if len(bytes.TrimRight(line, "\r\n")) == 0 {
-			return frame{raw: raw.Bytes(), id: eventID(raw.Bytes())}, nil
+			return frame{raw: raw.Bytes(), id: eventID(raw.Bytes()), comment: isComment(raw.Bytes())}, nil
 		}
 	}
 }
 
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 func eventID(raw []byte) string {
 	for _, line := range strings.Split(string(raw), "\n") {
 		if value, found := strings.CutPrefix(line, "id:"); found {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -63,6 +63,7 @@
 	// copyFaults is how many of these are refused, and renews whether servers can copy.
 	copyFaults int
 	renews     bool
+	paused     atomic.Int64 // Nanoseconds for which this VM was paused.
 	// moveFaults is how many moves are refused for lack of room.
 	moveFaults int
 	ended      []relay.EarlyEnd
@@ -109,7 +110,7 @@
 		Servers:     servers,
 		Connections: connections,
 		Logger:      hclog.NewNullLogger(),
-		Now:         time.Now,
+		Now:         func() time.Time { return time.Now().Add(time.Duration(g.paused.Load())) },
 		Encode:      encode,
 		Decode:      decode,
 		IDHeader:    headerID,
--- /dev/null
+++ b/internal/request/relay/slow_test.go
@@ -0,0 +1,107 @@
+package relay_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+)
+
+// slowly sends events up to a number with a pause before each.
+func slowly(to int, pause time.Duration) script {
+	return func(w http.ResponseWriter, r *http.Request) {
+		last, _ := strconv.Atoi(r.Header.Get(headerLast)) // "" is 0: from the start.
+		w.Header().Set(headerSigned, "1")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := last + 1; i <= to; i++ {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(pause):
+			}
+			fmt.Fprintf(w, "id: %d\ndata: word%d\n\n", i, i)
+			w.(http.Flusher).Flush()
+		}
+	}
+}
+
+// TestSlowButSoundStreamIsNotCut: each server pauses a little less than the gap objective,
+// which is longer than the time after which a silent one is doubted.
+func TestSlowButSoundStreamIsNotCut(t *testing.T) {
+	const pause = 270 * time.Millisecond // Of 400 ms; doubted after 200 ms.
+	run := slowly(12, pause)
+	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run})
+	c := &caller{}
+	r := request(routing.KindStreaming)
+	r.Deadline = r.Received.Add(20 * time.Second)
+	qt.Assert(t, g.relay.Stream(context.Background(), r, c.sink()), qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+	qt.Assert(t, len(g.seen()) <= 2, qt.IsTrue, qt.Commentf("%d runs", len(g.seen())))
+}
+
+// TestStreamOfCommentsIsNoProgress: a server that has stalled and sends a comment now and
+// then is left for another one.
+func TestStreamOfCommentsIsNoProgress(t *testing.T) {
+	stalled := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerLast) != "" {
+			events(12, complete)(w, r)
+			return
+		}
+		events(5, complete)(w, r)
+		for r.Context().Err() == nil {
+			fmt.Fprint(w, ": wait\n\n")
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	g := newRig(t, map[string]script{"a1": stalled, "b1": stalled})
+	c := &caller{}
+	began := time.Now()
+	qt.Assert(t, g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink()), qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+	qt.Assert(t, time.Since(began) < 2*time.Second, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
+
+// TestBytesWithoutAnEventAreNoProgress: the same with one event that never ends.
+func TestBytesWithoutAnEventAreNoProgress(t *testing.T) {
+	stalled := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerLast) != "" {
+			events(12, complete)(w, r)
+			return
+		}
+		events(5, complete)(w, r)
+		fmt.Fprint(w, "id: 6\ndata: ")
+		for r.Context().Err() == nil {
+			fmt.Fprint(w, "a")
+			w.(http.Flusher).Flush()
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	g := newRig(t, map[string]script{"a1": stalled, "b1": stalled})
+	c := &caller{}
+	qt.Assert(t, g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink()), qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(12))
+}
+
+// TestPauseOfThisVMEndsNoRun: this VM is paused for some seconds while its server goes on.
+// When it wakes up, the time for the next event has passed, and the event is about to be
+// read.
+func TestPauseOfThisVMEndsNoRun(t *testing.T) {
+	run := slowly(6, 350*time.Millisecond)
+	g := newRig(t, map[string]script{"a1": run, "b1": run})
+	c := &caller{}
+	r := request(routing.KindStreaming)
+	r.Route.GapObjective = 600 * time.Millisecond // Doubted after 300 ms.
+	paused := time.AfterFunc(400*time.Millisecond, func() { g.paused.Add(int64(4 * time.Second)) })
+	defer paused.Stop()
+	r.Deadline = r.Received.Add(20 * time.Second)
+	qt.Assert(t, g.relay.Stream(context.Background(), r, c.sink()), qt.IsNil)
+	qt.Assert(t, c.words(), qt.Equals, wordsTo(6))
+	qt.Assert(t, len(g.seen()) <= 2, qt.IsTrue, qt.Commentf("%d runs", len(g.seen())))
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -22,6 +22,11 @@
 	// resumePart of the gap objective may pass until the first event of a run that
 	// goes on from a copy.
 	resumePart = 0.8
+	// longestSilence is the longest time for an event in gap objectives. Callers give a
+	// stream up after eight.
+	longestSilence = 4
+	// pausedFor is how late a timer fires that this VM was paused for.
+	pausedFor = 100 * time.Millisecond
 	// quietLimit is how long a server that reads a prompt may be silent to this VM
 	// until it is checked.
 	quietLimit = 400 * time.Millisecond
@@ -44,6 +49,7 @@
 	events       int
 	sends        int // Sends that may have run.
 	refused      int // Sends that no server ran.
+	silences     int // Runs that were ended because nothing came for too long.
 	repeats      int // Sends that were paid from the budget.
 	tried        map[string]bool
 	copied       Copy
@@ -64,7 +70,8 @@
 	notSent  bool
 	notRun   bool
 	replaced bool
-	silent   bool
+	silent   bool // It was ended here, for silence or since the server is down.
+	overdue  bool // Of these, an event was overdue.
 	moved    bool // Its memory was moved, and it goes on elsewhere.
 	err      error
 	caller   error // The caller is gone.
@@ -111,6 +118,9 @@
 		s.repeats++
 		return nil // Paid when the move began.
 	}
+	if end.overdue {
+		s.silences++
+	}
 	if end.notSent || end.notRun {
 		s.sends--
 		s.refused++
@@ -315,7 +325,7 @@
 
 func (s *stream) relayEvents(response *http1.Response, verdict Verdict, lease *pool.Lease, dispatch Dispatch, watch *watch) (end runEnd) {
 	reader := bufio.NewReader(response.Body)
-	for first := true; ; first = false {
+	for first := true; ; {
 		e, err := readEvent(reader)
 		if err == io.EOF && (!first || s.hadAll(response)) {
 			s.begin(verdict)
@@ -323,13 +333,21 @@
 			return runEnd{done: true}
 		}
 		if err != nil {
-			return runEnd{silent: watch.fired(), err: errors.Annotate(http1.ErrBroken, err.Error())}
+			return runEnd{silent: watch.fired(), overdue: watch.fired() && !watch.down.Load(), err: errors.Annotate(http1.ErrBroken, err.Error())}
+		}
+		if e.comment {
+			s.begin(verdict)
+			if err = s.sink.Event(e.raw); err != nil {
+				return runEnd{caller: err}
+			}
+			continue // It is no progress.
 		}
 		watch.pause()
 		lease.Heard()
 		if first {
 			s.started(lease, dispatch, watch)
 		}
+		first = false
 		s.begin(verdict)
 		if err = s.sink.Event(e.raw); err != nil {
 			return runEnd{caller: err}
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 )
 
 // watch ends a run whose server is silent or down. While the prompt is read no
@@ -13,8 +15,11 @@
 // of it.
 type watch struct {
 	cancel  func()
+	now     func() time.Time
 	limit   time.Duration
+	dueAt   atomic.Int64 // When the next event is overdue, in Unix nanoseconds.
 	silent  atomic.Bool
+	down    atomic.Bool // The server was found down.
 	timer   *time.Timer
 	stopped chan struct{}
 	begun   atomic.Bool   // The run's first event has arrived.
@@ -25,24 +30,35 @@
 }
 
 func (s *stream) watch(ctx context.Context, cancel func(), lease *pool.Lease, resumed bool) *watch {
-	gap := s.request.Route.GapObjective
 	w := &watch{
 		cancel:  cancel,
-		limit:   time.Duration(silencePart * float64(gap)),
+		now:     s.relay.options.Now,
+		limit:   s.silenceLimit(silencePart),
 		stopped: make(chan struct{}),
 		ended:   make(chan struct{}),
 	}
-	w.timer = time.AfterFunc(time.Hour, w.expire)
+	w.timer = time.AfterFunc(time.Hour, w.overdue)
 	w.timer.Stop()
-	if gap > 0 && resumed {
-		w.timer.Reset(time.Duration(resumePart * float64(gap)))
+	if resumed {
+		w.await(s.silenceLimit(resumePart))
 	}
 	renewing, endRenewal := context.WithCancel(ctx)
 	w.endRenewal = endRenewal
-	go s.follow(ctx, renewing, w, lease)
+	rescue.Go(s.relay.options.Logger, "watch of a run", func() { s.follow(ctx, renewing, w, lease) })
 	return w
 }
 
+// silenceLimit is how long a run may be silent. A server that is slow and sound is left for
+// another one a few times at most: the limit doubles with each run that was ended for it,
+// and the last one that the stream may have gets longestSilence.
+func (s *stream) silenceLimit(part float64) time.Duration {
+	gap := float64(s.request.Route.GapObjective)
+	if s.sends >= s.request.Route.MaxAttempts {
+		return time.Duration(longestSilence * gap)
+	}
+	return time.Duration(min(part*math.Pow(2, float64(s.silences)), longestSilence) * gap)
+}
+
 // follow ends the run when the server is found down, has it checked when it is quiet, and
 // sees to it that there is a copy. Renewing ends with the run, and ctx later, so that a
 // move that stopped the run can be finished.
@@ -78,6 +94,7 @@
 		case <-w.stopped:
 			return
 		case <-lease.Down:
+			w.down.Store(true)
 			w.expire()
 			return
 		case <-copyLost:
@@ -96,10 +113,25 @@
 	w.cancel()
 }
 
+// overdue ends a run whose next event is overdue, unless this VM was paused meanwhile: the
+// event may have arrived and be about to be read.
+func (w *watch) overdue() {
+	if late := w.now().Sub(time.Unix(0, w.dueAt.Load())); late > pausedFor {
+		w.await(w.limit)
+		return
+	}
+	w.expire()
+}
+
 // heard starts the time for the next event.
 func (w *watch) heard() {
-	if w.limit > 0 {
-		w.timer.Reset(w.limit)
+	w.await(w.limit)
+}
+
+func (w *watch) await(limit time.Duration) {
+	if limit > 0 {
+		w.dueAt.Store(w.now().Add(limit).UnixNano())
+		w.timer.Reset(limit)
 	}
 }
 
