--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -419,3 +419,51 @@
 		}
 	})
 }
+
+// TestCopyIsFoundFromAnotherCell: places of copies are told in the cell, and a VM of another
+// one asks the keepers.
+func TestCopyIsFoundFromAnotherCell(t *testing.T) {
+	vms := fleet(t, newNetwork(), 64)
+	var far *vm
+	mates := []*vm{}
+	for _, v := range vms[1:] {
+		if v.Snapshot().Cell == vms[0].Snapshot().Cell {
+			mates = append(mates, v)
+		} else {
+			far = v
+		}
+	}
+	vms[0].TellCopy(spread.CopyNote{CopyKey: "k", ServerID: "s"})
+	within(t, time.Second, "the cell knows", func() bool {
+		for _, v := range mates {
+			if _, known := v.copies.Load("k"); !known {
+				return false
+			}
+		}
+		return true
+	})
+	_, known := far.copies.Load("k")
+	qt.Assert(t, known, qt.IsFalse)
+	note, found := far.AskCopy(context.Background(), "k")
+	qt.Assert(t, found, qt.IsTrue)
+	qt.Assert(t, note.CopyKey, qt.Equals, "k")
+	_, found = far.AskCopy(context.Background(), "another")
+	qt.Assert(t, found, qt.IsFalse)
+}
+
+// controlBytes is what a VM may send for control in a second, by the users' plan.
+const controlBytes = 14_000
+
+// TestStartOfManyVMsSendsFewBytes: all of 100 VMs start together, and hear of the others in
+// many messages. With a whole list in each answer to a VM that knows others, they sent
+// 18 KB/s each here, and megabytes on slow VMs.
+func TestStartOfManyVMsSendsFewBytes(t *testing.T) {
+	n := newNetwork()
+	began := time.Now()
+	fleet(t, n, 100)
+	time.Sleep(time.Second)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	sent := float64(n.bytes) / 100 / time.Since(began).Seconds()
+	qt.Assert(t, sent < controlBytes, qt.IsTrue, qt.Commentf("%.0f bytes a second and VM", sent))
+}
