Take in entries of members that a peer sends on its own

Cause, found by reading: a peer that found this VM to lack entries, and lacked none itself, sent them in a message without a question, and OnMessage dropped messages without one. The entries came by later exchanges. TestEntriesThatAPeerLacksAreTakenIn failed before.

--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -155,7 +155,7 @@
 		found := message{From: s.options.Self.ID, Copies: s.options.FindCopies(told.WantCopies)}
 		return found.encode()
 	}
-	if told.Summary == nil && told.Want == nil && told.WantMembers == nil {
+	if told.Summary == nil && told.Want == nil && told.WantMembers == nil && len(told.Members) == 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
@@ -227,8 +227,9 @@
 		return
 	}
 	m := message{From: st.members.self.ID, Members: lacking, WantMembers: wanted}
+	m.NoAnswer = len(wanted) == 0
 	body := m.encode()
-	if len(wanted) == 0 {
+	if m.NoAnswer {
 		s.options.Post(told.From, told.Address, body)
 		return
 	}
--- a/internal/peer/spread/topology_test.go
+++ b/internal/peer/spread/topology_test.go
@@ -1,14 +1,18 @@
 package spread
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 	"pgregory.net/rapid"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/lab/property"
 )
 
@@ -132,3 +136,24 @@
 		}
 	})
 }
+
+// TestEntriesThatAPeerLacksAreTakenIn: a peer that found this VM to lack entries sends just
+// those.
+func TestEntriesThatAPeerLacksAreTakenIn(t *testing.T) {
+	all := membersOf(3)
+	s := New(Options{Self: all[0], Now: time.Now, Logger: hclog.NewNullLogger(), Post: func(string, string, []byte) {},
+		Call: func(context.Context, string, string, []byte) ([]byte, error) {
+			return nil, errors.New("nobody is there")
+		},
+		Drop: func(string) {}, Copies: func() []CopyNote { return nil }, Departures: func() []pool.Departure { return nil },
+		Loads: func() []pool.Load { return nil }, Uses: func() []ServiceUse { return nil }})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = s.Serve(ctx) }()
+	lacking := message{From: all[1].ID, Members: all[1:], NoAnswer: true}
+	qt.Assert(t, s.OnMessage(lacking.encode()), qt.HasLen, 0)
+	for end := time.Now().Add(2 * time.Second); len(s.Snapshot().Live) < 3 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	qt.Assert(t, s.Snapshot().Live, qt.HasLen, 3)
+}
