--- a/internal/peer/spread/topology_test.go
+++ b/internal/peer/spread/topology_test.go
@@ -157,3 +157,18 @@
 	}
 	qt.Assert(t, s.Snapshot().Live, qt.HasLen, 3)
 }
+
+// BenchmarkArrange works out cell, neighbours and leads after a change of membership.
+func BenchmarkArrange(b *testing.B) {
+	for _, vms := range []int{100, 300, 1500} {
+		b.Run(fmt.Sprint(vms, " VMs"), func(b *testing.B) {
+			all := membersOf(vms)
+			ms := newMembers(all[0])
+			ms.hear(all[1:], time0)
+			for b.Loop() {
+				ms.touch(all[0].ID)
+				ms.up()
+			}
+		})
+	}
+}
