--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -12,7 +12,8 @@
 //
 // A server whose connection broke is checked by opening a new one. If that
 // fails, the server is down: every lease on it is told, and it is avoided until
-// a later check succeeds.
+// a later check succeeds; loss.go tells who checks what in a large fleet. What a
+// server says of itself goes before all that; see word.go.
 package pool
 
 import (
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -11,8 +11,8 @@
 //	snapshot := s.Snapshot()                 // immutable, for any goroutine
 //	reply := s.OnMessage(body)               // a peer's message
 //
-// Each tick a VM asks a few random peers for a summary (anti-entropy, Demers et
-// al. 1987). A peer that doesn't answer twice is told to the others as down, and
+// Each tick a VM asks a few of the peers near it for a summary (anti-entropy, Demers et
+// al. 1987); topology.go tells who is near, and who hears of what else. A peer that doesn't answer twice is told to the others as down, and
 // refutes that if it lives (SWIM, Das et al. 2002). A VM that learns something
 // new hints it to a few peers, who fetch it from there if they lack it, each
 // content once. Versions only grow within one process.
