Spread: cells and neighbours are worked out only when members come, go or move

Change: an entry keeps its place on the hash ring and its sum. Who deals with whom is kept until the set, an address or a failure domain changes; other changes only copy the entries. One sort serves ring, cells and keepers; a VM's cell is a rule of placement, used by both. Test: whatever is heard, lost and looked at between, the arrangement is that of a VM that learns all at once (rapid); it fails if a change of failure domain is left out.

--- a/internal/backend/placement/cells.go
+++ b/internal/backend/placement/cells.go
@@ -34,17 +34,26 @@
 	})
 	cells := make(map[string]int, len(ranked))
 	for rank, member := range ranked {
-		cells[member] = rank * count / len(ranked)
+		cells[member] = CellOf(rank, len(ranked), count)
 	}
 	return cells
 }
 
+// CellOf is the cell of the member with this rank among the members of a group.
+func CellOf(rank, members, count int) int {
+	return rank * count / members
+}
+
 // Hash is the same on all VMs and processes.
 func Hash(text string) uint64 {
 	hash := fnv.New64a()
 	_, _ = hash.Write([]byte(text)) // A hash never fails to write.
 	// The last bytes of addresses differ most and FNV mixes them least.
-	sum := hash.Sum64()
+	return Mix(hash.Sum64())
+}
+
+// Mix spreads a number over all bits (the finalizer of MurmurHash3 without its last step).
+func Mix(sum uint64) uint64 {
 	sum ^= sum >> 33
 	sum *= 0xff51afd7ed558ccd
 	return sum ^ sum>>33
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -27,7 +27,7 @@
 	case len(peers) == 0 || st.ticks%seedTicks == 0:
 		s.askSeeds(ctx, st, len(st.seeds))
 	}
-	if down, found := st.members.oneDown(); found && (st.members.cells <= 1 || st.ticks%downTicks == 0) {
+	if down, found := st.members.oneDown(); found && (!st.members.isSplit() || st.ticks%downTicks == 0) {
 		s.exchange(ctx, st, down.ID, down.PeerAddress, 0) // It may only have been cut off.
 	}
 	s.publish(st)
@@ -67,7 +67,7 @@
 // peer is asked again before it is taken as down.
 func (s *Spread) exchange(ctx context.Context, st *state, peer, address string, retries int) {
 	m := s.introduce(st)
-	m.Members = []Member{st.members.self}
+	m.Members = []Member{st.members.self.Member}
 	if known := st.members.others[peer]; known != nil && known.Down {
 		m.Members = append(m.Members, known.Member) // So that it can refute it.
 	}
@@ -112,7 +112,7 @@
 // this VM may be the one that is cut off.
 func (s *Spread) lost(st *state, peer string) {
 	isolated := s.options.Now().Sub(s.PeerHeardAt()) > isolatedAfter
-	if isolated && len(st.members.peers()) > 1 {
+	if isolated && len(st.members.up()) > 2 {
 		return
 	}
 	if !st.members.lost(peer, s.options.Now()) {
@@ -135,7 +135,7 @@
 	m.Members = st.members.takeChanged()
 	body := m.encode()
 	fanout := hintFanout
-	if !news && st.members.cells > 1 {
+	if !news && st.members.isSplit() {
 		fanout = membersFanout
 	}
 	for _, peer := range some(slices.Clone(st.members.neighbours()), fanout) {
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -1,11 +1,7 @@
 package spread
 
 import (
-	"encoding/binary"
-	"hash/fnv"
-	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
@@ -14,50 +10,100 @@
 // forgetAfter is how long a member that is down is remembered and tried again.
 const forgetAfter = 30 * time.Second
 
-// member is what this VM knows of another.
+// member is what this VM knows of another, or of itself.
 type member struct {
 	Member
+	at     uint64 // Its place on the hash ring.
+	sum    uint64 // Of its ID and version.
+	cell   int
 	downAt time.Time // Since when it is down; zero if it is not.
 }
 
+// set takes over an entry.
+func (m *member) set(entry Member) {
+	if m.PeerAddress != entry.PeerAddress || m.at == 0 {
+		m.at = placement.Hash(entry.PeerAddress)
+	}
+	m.Member, m.sum = entry, entry.sum()
+}
+
+// sum tells entries of different IDs or versions apart.
+func (m Member) sum() uint64 {
+	return placement.Mix(placement.Hash(m.ID) + m.Version)
+}
+
 // members is the membership as this VM knows it. It is owned by the loop.
 type members struct {
-	self    Member
+	self    member
 	others  map[string]*member
 	changed map[string]bool // IDs that others have not been told of yet.
 	joined  []Member        // Heard of for the first time since takeJoined.
-	// What is derived from the entries, kept until one changes: each message needs it.
-	upNow   []Member
-	hashNow uint64
-	cell    int      // This VM's; see placement.Cells.
-	cells   int      // How many there are.
-	mates   []Member // See topology.go, as are the next ones.
-	near    []Member
-	leads   []Member
-	keepers []Member
-	gone    []string // Went down, or were replaced, since takeGone.
+	gone    []string        // Went down, or were replaced, since takeGone.
+	// What is derived from the entries is kept until one changes: each message needs it.
+	// A change of who is up, or where, needs more work than others: 300 VMs that restart
+	// within 30 s change some 50 entries a second.
+	isMoved bool
+	isStale bool
+	circle  circle
+	now     arrangement
+}
+
+// circle is whom this VM deals with; see topology.go. It changes with the members that are
+// up, their addresses and failure domains.
+type circle struct {
+	ring                        []*member // All that are up, by place.
+	cells                       int       // How many cells there are; see placement.Cells.
+	mates, near, leads, keepers []*member
+}
+
+// arrangement is the same as entries, which are shared and must not be changed.
+type arrangement struct {
+	up                          []Member // By place on the hash ring.
+	hash                        uint64
+	mates, near, leads, keepers []Member
 }
 
 func newMembers(self Member) *members {
-	return &members{self: self, others: map[string]*member{}, changed: map[string]bool{self.ID: true}}
+	ms := &members{others: map[string]*member{}, changed: map[string]bool{self.ID: true}, isMoved: true}
+	ms.self.set(self)
+	return ms
+}
+
+// add takes in a member that this VM knew of before.
+func (ms *members) add(known Member) {
+	m := &member{}
+	m.set(known)
+	ms.others[known.ID] = m
+	ms.isMoved = true
 }
 
 // setSelf changes this VM's own entry.
 func (ms *members) setSelf(change func(self *Member)) (changed bool) {
-	before := ms.self
-	change(&ms.self)
-	if ms.self == before {
+	own := ms.self.Member
+	change(&own)
+	if own == ms.self.Member {
 		return false
 	}
-	ms.self.Version++
-	ms.touch(ms.self.ID)
+	own.Version++
+	ms.setOwn(own)
 	return true
 }
 
+func (ms *members) setOwn(own Member) {
+	ms.isMoved = ms.isMoved || own.isMoved(ms.self.Member)
+	ms.self.set(own)
+	ms.touch(own.ID)
+}
+
+// isMoved reports whether an entry differs from the one before in what a circle depends on.
+func (m Member) isMoved(before Member) bool {
+	return m.Down != before.Down || m.PeerAddress != before.PeerAddress || m.FailureDomain != before.FailureDomain
+}
+
 // touch notes that an entry changed.
 func (ms *members) touch(id string) {
 	ms.changed[id] = true
-	ms.upNow = nil
+	ms.isStale = true
 }
 
 // hear takes in entries that another VM told. A higher version wins; at the same
@@ -78,8 +124,9 @@
 	if !told.Down || told.Version < ms.self.Version {
 		return false
 	}
-	ms.self.Version = told.Version + 1
-	ms.touch(ms.self.ID)
+	own := ms.self.Member
+	own.Version = told.Version + 1
+	ms.setOwn(own)
 	return true
 }
 
@@ -91,15 +138,18 @@
 	if known != nil && (told.Version < known.Version || told.Version == known.Version && (known.Down || !told.Down)) {
 		return false
 	}
-	entry := &member{Member: told}
-	if told.Down {
-		entry.downAt = now
-		ms.gone = append(ms.gone, told.ID)
-	}
 	if known == nil {
+		ms.add(told)
 		ms.joined = append(ms.joined, told)
+	} else {
+		ms.isMoved = ms.isMoved || told.isMoved(known.Member)
+		known.set(told)
+		known.downAt = time.Time{}
+	}
+	if told.Down {
+		known.downAt = now
+		ms.gone = append(ms.gone, told.ID)
 	}
-	ms.others[told.ID] = entry
 	ms.touch(told.ID)
 	ms.supersede(told)
 	return true
@@ -114,6 +164,7 @@
 		if id != newest.ID && other.PeerAddress == newest.PeerAddress {
 			delete(ms.others, id)
 			ms.gone = append(ms.gone, id)
+			ms.isMoved = true
 		}
 	}
 }
@@ -126,6 +177,7 @@
 	}
 	known.Down, known.downAt = true, now
 	ms.gone = append(ms.gone, id)
+	ms.isMoved = true
 	ms.touch(id)
 	return true
 }
@@ -139,70 +191,88 @@
 	}
 }
 
-// up lists this VM and the others that are not down, by ID. The list is shared
-// and must not be changed.
+// up lists this VM and the others that are not down. The list is shared and must not be
+// changed.
 func (ms *members) up() []Member {
-	if ms.upNow == nil {
-		ms.upNow = ms.listUp()
-		ms.hashNow = hashOf(ms.upNow)
-		ms.arrange()
-	}
-	return ms.upNow
+	return ms.arranged().up
 }
 
-// arrange finds this VM's cell among those that are up, and whom it talks to.
-func (ms *members) arrange() {
-	ms.cells = placement.CellCount(len(ms.upNow))
-	byDomain := map[string][]string{}
-	for _, m := range ms.upNow {
-		byDomain[m.FailureDomain] = append(byDomain[m.FailureDomain], m.PeerAddress)
+// arranged gives what is derived from the entries as they are now.
+func (ms *members) arranged() *arrangement {
+	if ms.isMoved {
+		ms.circle = ms.newCircle()
 	}
-	cellOf := map[string]int{}
-	for _, addresses := range byDomain {
-		maps.Copy(cellOf, placement.Cells(addresses, ms.cells))
+	if ms.isMoved || ms.isStale {
+		ms.now = ms.circle.arrange()
+		ms.isMoved, ms.isStale = false, false
 	}
-	ms.cell = cellOf[ms.self.PeerAddress]
-	cells := make([][]Member, ms.cells)
-	ms.mates = nil
-	for _, m := range ms.upNow {
-		cell := cellOf[m.PeerAddress]
-		cells[cell] = append(cells[cell], m)
-		if cell == ms.cell && m.ID != ms.self.ID {
-			ms.mates = append(ms.mates, m)
+	return &ms.now
+}
+
+// newCircle finds out which cell each member is in, and whom this VM talks to.
+func (ms *members) newCircle() circle {
+	ring := ms.ring()
+	c := circle{ring: ring, cells: placement.CellCount(len(ring))}
+	cells := assignCells(ring, c.cells)
+	c.mates = slices.DeleteFunc(slices.Clone(cells[ms.self.cell]), func(m *member) bool { return m == &ms.self })
+	c.near = nearOf(&ms.self, ring)
+	c.leads = leadsOf(&ms.self, cells)
+	c.keepers = keepersOf(cells)
+	return c
+}
+
+// ring lists those that are up by their place on the hash ring.
+func (ms *members) ring() []*member {
+	ring := make([]*member, 0, len(ms.others)+1)
+	ring = append(ring, &ms.self)
+	for _, m := range ms.others {
+		if !m.Down {
+			ring = append(ring, m)
 		}
 	}
-	ms.near = nearOf(ms.self, ringOf(ms.upNow))
-	ms.leads = leadsOf(ms.self, cells, ms.cell)
-	ms.keepers = keepersOf(cells)
+	sortRing(ring)
+	return ring
+}
+
+func (c *circle) arrange() arrangement {
+	hash := uint64(0)
+	for _, m := range c.ring {
+		hash += m.sum
+	}
+	return arrangement{
+		up:      entriesOf(c.ring),
+		hash:    hash,
+		mates:   entriesOf(c.mates),
+		near:    entriesOf(c.near),
+		leads:   entriesOf(c.leads),
+		keepers: entriesOf(c.keepers),
+	}
+}
+
+func entriesOf(members []*member) []Member {
+	entries := make([]Member, len(members))
+	for i, m := range members {
+		entries[i] = m.Member
+	}
+	return entries
 }
 
 // neighbours lists the VMs that are near. The list is shared and must not be changed.
 func (ms *members) neighbours() []Member {
-	ms.up()
-	return ms.near
+	return ms.arranged().near
 }
 
 // inCell lists the others of this VM's cell, and the leads of the other cells. The lists
 // are shared and must not be changed.
 func (ms *members) inCell() (mates, leads []Member) {
-	ms.up()
-	return ms.mates, ms.leads
+	now := ms.arranged()
+	return now.mates, now.leads
 }
 
-func (ms *members) listUp() []Member {
-	up := []Member{ms.self}
-	for _, m := range ms.others {
-		if !m.Down {
-			up = append(up, m.Member)
-		}
-	}
-	slices.SortFunc(up, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
-	return up
-}
-
-// peers lists the others that are not down, by ID.
-func (ms *members) peers() []Member {
-	return slices.DeleteFunc(slices.Clone(ms.up()), func(m Member) bool { return m.ID == ms.self.ID })
+// isSplit reports whether there are several cells.
+func (ms *members) isSplit() bool {
+	ms.arranged()
+	return ms.circle.cells > 1
 }
 
 // oneDown gives a member that is down, if there is any.
@@ -217,17 +287,7 @@
 
 // hash is the same on two VMs that know the same of those that are up.
 func (ms *members) hash() uint64 {
-	ms.up()
-	return ms.hashNow
-}
-
-func hashOf(up []Member) uint64 {
-	sum := fnv.New64a()
-	for _, m := range up {
-		_, _ = sum.Write([]byte(m.ID)) // A hash never fails to write.
-		_, _ = sum.Write(binary.LittleEndian.AppendUint64(nil, m.Version))
-	}
-	return sum.Sum64()
+	return ms.arranged().hash
 }
 
 // takeJoined gives the members that were heard of for the first time since the last call.
@@ -249,7 +309,7 @@
 	changed := []Member{}
 	for id := range ms.changed {
 		if id == ms.self.ID {
-			changed = append(changed, ms.self)
+			changed = append(changed, ms.self.Member)
 		} else if m := ms.others[id]; m != nil {
 			changed = append(changed, m.Member)
 		}
--- a/internal/peer/spread/notes.go
+++ b/internal/peer/spread/notes.go
@@ -61,7 +61,7 @@
 // peers forget it after a while. In a fleet of several cells a VM without any is silent.
 func (s *Spread) isWorkDue(st *state) bool {
 	since := s.options.Now().Sub(st.workToldAt)
-	if st.members.cells <= 1 {
+	if !st.members.isSplit() {
 		return since >= pool.LoadsEvery
 	}
 	if since < pool.LoadsSeldom {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -87,7 +87,7 @@
 	// Fetching means that a peer that has newer content is being asked for it.
 	Fetching bool
 	Self     Member
-	Live     []Member // With this VM, by ID.
+	Live     []Member // With this VM, in an order that all VMs agree on.
 	// Cell is this VM's of Cells; see placement.Cells.
 	Cell  int
 	Cells int
@@ -273,7 +273,7 @@
 	st.config = before.Configuration
 	for _, m := range before.Live {
 		if m.ID != before.Self.ID {
-			st.members.others[m.ID] = &member{Member: m}
+			st.members.add(m)
 		}
 	}
 	return st
@@ -295,7 +295,7 @@
 
 func (s *Spread) publish(st *state) {
 	before := s.Snapshot()
-	live := st.members.up()
+	arranged := st.members.arranged()
 	now := &Snapshot{
 		Configuration:   st.config,
 		ConfigurationAt: st.configAt,
@@ -304,12 +304,12 @@
 		ServersVersion:  st.servers.version,
 		ServersAt:       st.servers.currentAt,
 		Fetching:        !st.configFetch.IsZero() || !st.serversFetch.IsZero(),
-		Self:            st.members.self,
-		Live:            live,
-		Cell:            st.members.cell,
-		Cells:           st.members.cells,
-		Mates:           st.members.mates,
-		Keepers:         st.members.keepers,
+		Self:            st.members.self.Member,
+		Live:            arranged.up,
+		Cell:            st.members.self.cell,
+		Cells:           st.members.circle.cells,
+		Mates:           arranged.mates,
+		Keepers:         arranged.keepers,
 	}
 	s.snapshot.Store(now)
 	if gone := st.members.takeGone(); len(gone) > 0 {
--- a/internal/peer/spread/topology.go
+++ b/internal/peer/spread/topology.go
@@ -2,7 +2,7 @@
 
 import (
 	"cmp"
-	"hash/fnv"
+	"encoding/binary"
 	"slices"
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
@@ -35,73 +35,70 @@
 	keepersOfCell = 2
 )
 
-// place is a member on the hash ring.
-type place struct {
-	Member
-	at uint64
+// sortRing orders members by their place on the hash ring.
+func sortRing(members []*member) {
+	slices.SortFunc(members, func(a, b *member) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID)) })
 }
 
-// ringOf orders members by their place on the ring.
-func ringOf(members []Member) []place {
-	ring := make([]place, len(members))
-	for i, m := range members {
-		ring[i] = place{Member: m, at: placement.Hash(m.PeerAddress)}
-	}
-	slices.SortFunc(ring, func(a, b place) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID)) })
-	return ring
+// assignCells spreads the members of each failure domain evenly over the cells, in the
+// order of the ring. VMs with the same ring agree.
+func assignCells(ring []*member, count int) (cells [][]*member) {
+	sizes := map[string]int{}
+	for _, m := range ring {
+		sizes[m.FailureDomain]++
+	}
+	cells = make([][]*member, count)
+	ranks := map[string]int{}
+	for _, m := range ring {
+		m.cell = placement.CellOf(ranks[m.FailureDomain], sizes[m.FailureDomain], count)
+		ranks[m.FailureDomain]++
+		cells[m.cell] = append(cells[m.cell], m)
+	}
+	return cells
 }
 
 // nearOf gives the VMs that a VM exchanges with. With 300 VMs these are 9 fingers and the
 // next successors.
-func nearOf(self Member, ring []place) []Member {
-	near := []Member{}
-	seen := map[string]bool{self.ID: true}
-	add := func(m Member) {
-		if !seen[m.ID] {
-			seen[m.ID] = true
-			near = append(near, m)
-		}
-	}
+func nearOf(self *member, ring []*member) []*member {
 	if len(ring) <= allNear+1 {
-		for _, p := range ring {
-			add(p.Member)
+		return slices.DeleteFunc(slices.Clone(ring), func(m *member) bool { return m == self })
+	}
+	near := []*member{}
+	add := func(m *member) {
+		if m != self && !slices.Contains(near, m) {
+			near = append(near, m)
 		}
-		return near
 	}
-	own := placement.Hash(self.PeerAddress)
 	for span, left := uint64(1)<<63, len(ring); left > 1; span, left = span/2, left/2 {
-		at, _ := slices.BinarySearchFunc(ring, own+span, func(p place, at uint64) int { return cmp.Compare(p.at, at) })
-		add(ring[at%len(ring)].Member)
+		at, _ := slices.BinarySearchFunc(ring, self.at+span, func(m *member, at uint64) int { return cmp.Compare(m.at, at) })
+		add(ring[at%len(ring)])
 	}
-	at := slices.IndexFunc(ring, func(p place) bool { return p.ID == self.ID })
+	at := slices.Index(ring, self)
 	for i := range nextSuccessors {
-		add(ring[(at+1+i)%len(ring)].Member)
+		add(ring[(at+1+i)%len(ring)])
 	}
 	return near
 }
 
-// leadsOf gives one VM of each cell but this VM's. Two VMs seldom choose the same.
-func leadsOf(self Member, cells [][]Member, own int) []Member {
-	leads := []Member{}
+// leadsOf gives one VM of each cell but a VM's own. Two VMs seldom choose the same.
+func leadsOf(self *member, cells [][]*member) []*member {
+	leads := []*member{}
 	for cell, members := range cells {
-		if cell == own || len(members) == 0 {
+		if cell == self.cell || len(members) == 0 {
 			continue
 		}
-		leads = append(leads, slices.MinFunc(members, func(a, b Member) int {
-			return cmp.Compare(placement.Hash(self.PeerAddress+a.PeerAddress), placement.Hash(self.PeerAddress+b.PeerAddress))
+		leads = append(leads, slices.MinFunc(members, func(a, b *member) int {
+			return cmp.Compare(placement.Mix(self.at^a.at), placement.Mix(self.at^b.at))
 		}))
 	}
 	return leads
 }
 
 // keepersOf gives the keepers of each cell.
-func keepersOf(cells [][]Member) []Member {
-	keepers := []Member{}
+func keepersOf(cells [][]*member) []*member {
+	keepers := []*member{}
 	for _, members := range cells {
-		ranked := ringOf(members)
-		for _, p := range ranked[:min(keepersOfCell, len(ranked))] {
-			keepers = append(keepers, p.Member)
-		}
+		keepers = append(keepers, members[:min(keepersOfCell, len(members))]...)
 	}
 	return keepers
 }
@@ -110,21 +107,25 @@
 // Ravishankar 1998) and gives the first, those in other failure domains than the ones
 // before them first.
 func watchersOf(group string, live []Member) []Member {
-	ranked := slices.Clone(live)
-	rank := make(map[string]uint64, len(live))
-	for _, m := range live {
-		rank[m.ID] = placement.Hash(group + "|" + m.PeerAddress)
+	type place struct {
+		rank uint64
+		*Member
+	}
+	ranked := make([]place, len(live))
+	of := placement.Hash(group)
+	for i := range live {
+		ranked[i] = place{rank: placement.Mix(of ^ placement.Hash(live[i].PeerAddress)), Member: &live[i]}
 	}
-	slices.SortFunc(ranked, func(a, b Member) int { return cmp.Compare(rank[a.ID], rank[b.ID]) })
+	slices.SortFunc(ranked, func(a, b place) int { return cmp.Compare(a.rank, b.rank) })
 	watchers, rest := []Member{}, []Member{}
 	domains := map[string]bool{}
 	for _, m := range ranked {
 		if m.Leaving || domains[m.FailureDomain] {
-			rest = append(rest, m)
+			rest = append(rest, *m.Member)
 			continue
 		}
 		domains[m.FailureDomain] = true
-		watchers = append(watchers, m)
+		watchers = append(watchers, *m.Member)
 	}
 	watchers = append(watchers, rest...)
 	return watchers[:min(watchersOfGroup, len(watchers))]
@@ -168,18 +169,18 @@
 // digestSize is the size of one digest in bytes.
 const digestSize = 4
 
-// digest names an entry of a member that is up.
-func (m Member) digest() [digestSize]byte {
-	sum := fnv.New32a()
-	_, _ = sum.Write([]byte(m.ID)) // A hash never fails to write.
-	_, _ = sum.Write([]byte{byte(m.Version), byte(m.Version >> 8), byte(m.Version >> 16), byte(m.Version >> 24)})
-	return [digestSize]byte(sum.Sum(nil))
+// digest names an entry.
+func (m *member) digest() [digestSize]byte {
+	digest := [digestSize]byte{}
+	binary.LittleEndian.PutUint32(digest[:], uint32(m.sum))
+	return digest
 }
 
 // digests lists those of the members that are up.
 func (ms *members) digests() []byte {
-	told := []byte{}
-	for _, m := range ms.up() {
+	ms.arranged()
+	told := make([]byte, 0, digestSize*len(ms.circle.ring))
+	for _, m := range ms.circle.ring {
 		d := m.digest()
 		told = append(told, d[:]...)
 	}
@@ -189,36 +190,38 @@
 // compare gives the entries that a peer with these digests lacks, down ones included, and
 // the digests of those that this VM lacks.
 func (ms *members) compare(digests []byte) (lacking []Member, wanted []byte) {
+	ms.arranged()
 	theirs := setOf(digests)
-	ours := map[[digestSize]byte]bool{}
-	for _, m := range ms.up() {
+	for _, m := range ms.circle.ring {
 		d := m.digest()
-		ours[d] = true
 		if !theirs[d] {
-			lacking = append(lacking, m)
+			lacking = append(lacking, m.Member)
 		}
+		delete(theirs, d)
 	}
 	for _, m := range ms.others {
-		if m.Down && theirs[m.digest()] {
+		if d := m.digest(); m.Down && theirs[d] {
 			lacking = append(lacking, m.Member)
-			ours[m.digest()] = true
+			delete(theirs, d)
 		}
 	}
 	for d := range theirs {
-		if !ours[d] {
-			wanted = append(wanted, d[:]...)
-		}
+		wanted = append(wanted, d[:]...)
 	}
 	return lacking, wanted
 }
 
 // named gives the entries of digests.
 func (ms *members) named(digests []byte) []Member {
+	if len(digests) == 0 {
+		return nil
+	}
+	ms.arranged()
 	wanted := setOf(digests)
 	entries := []Member{}
-	for _, m := range ms.up() {
+	for _, m := range ms.circle.ring {
 		if wanted[m.digest()] {
-			entries = append(entries, m)
+			entries = append(entries, m.Member)
 		}
 	}
 	return entries
