Unexpected errors end only their part in connections to peers, frees and questions for copies

Cause: three kinds of work ran on bare goroutines, where a panic ends the process. A copy holder's room is given back in one place. Loads and uses of budgets are listed in an order, so that the same work has the same bytes.

--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -73,10 +73,7 @@
 	if l.ended {
 		return nil, nil
 	}
-	if l.backup != nil {
-		l.backup.copies -= l.need.Tokens()
-		l.backup = nil
-	}
+	l.leaveHolder()
 	chosen := p.chooseForCopy(Ask{Service: l.Server.Service, Need: l.need}, l.server, p.options.Now())
 	if chosen == nil {
 		return nil, nil
@@ -123,8 +120,14 @@
 	if !l.stream {
 		l.server.calls--
 	}
+	l.leaveHolder()
+}
+
+// leaveHolder gives the room of the copy's holder back. Called with the lock held.
+func (l *Lease) leaveHolder() {
 	if l.backup != nil {
 		l.backup.copies -= l.need.Tokens()
+		l.backup = nil
 	}
 }
 
--- a/internal/backend/pool/loads.go
+++ b/internal/backend/pool/loads.go
@@ -1,6 +1,8 @@
 package pool
 
 import (
+	"slices"
+	"strings"
 	"time"
 )
 
@@ -76,7 +78,7 @@
 	}
 }
 
-// Loads lists the stream work of this VM.
+// Loads lists the stream work of this VM, by the servers' IDs.
 func (p *Pool) Loads() []Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -88,6 +90,7 @@
 			loads = append(loads, load)
 		}
 	}
+	slices.SortFunc(loads, func(a, b Load) int { return strings.Compare(a.ServerID, b.ServerID) })
 	return loads
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -150,6 +151,7 @@
 		Self:   options.Settings.Name,
 		OnAcks: func(string, []wire.Ack) {},
 		OnDown: func(string) {},
+		Go:     func(do func()) { rescue.Go(v.logger, "connection to a peer", do) },
 	})
 	v.copies = copies.New(copies.Options{Now: v.Now})
 	v.crashes = crash.New(crash.Options{Now: v.Now, Tell: v.tellCrash})
@@ -467,6 +469,7 @@
 	for service, known := range v.budgets {
 		uses = append(uses, spread.ServiceUse{Service: service, Usage: known.Usage()})
 	}
+	slices.SortFunc(uses, func(a, b spread.ServiceUse) int { return strings.Compare(a.Service, b.Service) })
 	return uses
 }
 
--- a/internal/peer/spread/notes.go
+++ b/internal/peer/spread/notes.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 )
 
 // What VMs tell each other once: their work on servers, where copies are, and losses,
@@ -179,7 +180,7 @@
 	keepers := slices.DeleteFunc(slices.Clone(s.Snapshot().Keepers), func(k Member) bool { return k.ID == s.options.Self.ID })
 	answers := make(chan []CopyNote, len(keepers))
 	for _, keeper := range keepers {
-		go func() {
+		rescue.Go(s.options.Logger, "question for a copy", func() {
 			reply, err := s.options.Call(ctx, keeper.ID, keeper.PeerAddress, body)
 			if err != nil {
 				answers <- nil // The others are asked too.
@@ -190,11 +191,16 @@
 				s.options.Logger.Warn("a peer's answer could not be read", "peer", keeper.ID, "error", err)
 			}
 			answers <- told.Copies
-		}()
+		})
 	}
 	for range keepers {
-		if notes := <-answers; len(notes) > 0 {
-			return notes[0], true
+		select {
+		case notes := <-answers:
+			if len(notes) > 0 {
+				return notes[0], true
+			}
+		case <-ctx.Done():
+			return CopyNote{}, false
 		}
 	}
 	return CopyNote{}, false
--- a/internal/peer/wire/pool.go
+++ b/internal/peer/wire/pool.go
@@ -36,6 +36,8 @@
 	HTTP     *http.Client
 	OnAcks   func(peer string, acks []Ack)
 	OnDown   func(peer string)
+	// Go runs a connection's work beside its caller; nil for a plain goroutine.
+	Go func(do func())
 }
 
 // Pool holds at most one outgoing connection to each peer.
@@ -58,6 +60,9 @@
 	if options.HTTP == nil {
 		options.HTTP = &http.Client{}
 	}
+	if options.Go == nil {
+		options.Go = func(do func()) { go do() }
+	}
 	return &Pool{options: options, links: map[string]*link{}, refused: map[string]time.Time{}}
 }
 
@@ -75,7 +80,7 @@
 		l.offer(entry)
 		return
 	}
-	go p.options.OnDown(peer)
+	p.options.Go(func() { p.options.OnDown(peer) })
 }
 
 // Call sends a frame and waits for its answer.
@@ -141,7 +146,7 @@
 		waiting: map[uint64]chan Frame{},
 	}
 	p.links[peer] = l
-	go l.run()
+	p.options.Go(l.run)
 	return l
 }
 
@@ -198,7 +203,7 @@
 	}
 	defer connection.CloseNow()
 	connection.SetReadLimit(MaxFrameBytes)
-	go l.read(connection)
+	l.pool.options.Go(func() { l.read(connection) })
 	l.write(connection)
 }
 
--- a/internal/request/relay/renew.go
+++ b/internal/request/relay/renew.go
@@ -6,6 +6,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 )
 
 // A stream whose copy was lost gets another while it runs on. Unlike a move this costs its
@@ -91,12 +92,12 @@
 	if copied == (Copy{}) || s.relay.options.Renewals.Free == nil {
 		return
 	}
-	go func() {
+	rescue.Go(s.relay.options.Logger, "freeing of a copy", func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeLimit)
 		defer cancel()
 		if err := s.relay.options.Renewals.Free(ctx, copied, from); err != nil {
 			// The holder drops it by itself after some seconds.
 			s.relay.options.Logger.Debug("a copy could not be freed", "request", s.request.ID, "error", err)
 		}
-	}()
+	})
 }
