Spread: processes at one address are ordered by incarnations

Cause: a VM that starts again before any other has seen its old process down is told of under two IDs. While the old entry stands, the VM counts as leaving and is named to no caller. Ruled out: the time of day as an order, which steps. Change: a process that hears of another one at its own address takes the next incarnation; the highest at an address replaces the others, and lower ones are not taken in again. Test: TestProcessThatStartsAtOnceReplacesTheOneBefore (rapid, any order of messages) failed before: both processes stayed.

--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -114,6 +114,10 @@
 			changed = ms.refute(t) || changed
 			continue
 		}
+		if t.PeerAddress == ms.self.PeerAddress {
+			changed = ms.outlive(t) || changed
+			continue
+		}
 		changed = ms.hearOne(t, now) || changed
 	}
 	return changed
@@ -130,9 +134,23 @@
 	return true
 }
 
+// outlive takes the next incarnation after that of a process that had this VM's address
+// before. Without it VMs that are told of both again and again, in different orders, would
+// never agree which one is there.
+func (ms *members) outlive(told Member) (changed bool) {
+	if told.Incarnation < ms.self.Incarnation {
+		return false
+	}
+	own := ms.self.Member
+	own.Incarnation = told.Incarnation + 1
+	own.Version++
+	ms.setOwn(own)
+	return true
+}
+
 func (ms *members) hearOne(told Member, now time.Time) (changed bool) {
 	known := ms.others[told.ID]
-	if known == nil && told.Down {
+	if known == nil && told.Down || !told.Down && ms.isReplaced(told) {
 		return false
 	}
 	if known != nil && (told.Version < known.Version || told.Version == known.Version && (known.Down || !told.Down)) {
@@ -155,13 +173,23 @@
 	return true
 }
 
+// isReplaced reports whether a later process is known at a process's address.
+func (ms *members) isReplaced(told Member) bool {
+	for _, other := range ms.others {
+		if other.PeerAddress == told.PeerAddress && other.Incarnation > told.Incarnation {
+			return true
+		}
+	}
+	return false
+}
+
 // supersede drops earlier processes at the address of a new one.
 func (ms *members) supersede(newest Member) {
 	if newest.Down {
 		return
 	}
 	for id, other := range ms.others {
-		if id != newest.ID && other.PeerAddress == newest.PeerAddress {
+		if id != newest.ID && other.PeerAddress == newest.PeerAddress && other.Incarnation <= newest.Incarnation {
 			delete(ms.others, id)
 			ms.gone = append(ms.gone, id)
 			ms.isMoved = true
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -27,6 +27,9 @@
 	StoreLost bool `cbor:"8,keyasint,omitempty"`
 	// Down is told by others. The VM refutes it with a higher version.
 	Down bool `cbor:"9,keyasint,omitempty"`
+	// Incarnation orders the processes at an address: the highest replaces the others. A
+	// process that hears of one before it takes the next number.
+	Incarnation uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // ServerRow is one listed backend server, or the mark of one that is gone.
--- a/internal/peer/spread/topology_test.go
+++ b/internal/peer/spread/topology_test.go
@@ -160,6 +160,47 @@
 	qt.Assert(t, s.Snapshot().Live, qt.HasLen, 3)
 }
 
+// TestProcessThatStartsAtOnceReplacesTheOneBefore: nobody has seen the old process down, and
+// what others tell of it arrives before and after the new one's own word, in any order. Once
+// the new process has heard of the old one, all settle on it for good.
+func TestProcessThatStartsAtOnceReplacesTheOneBefore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := membersOf(4)
+		before := all[3]
+		before.Version = 2 // It told that it is leaving.
+		again := Member{ID: "vm-3-again", PeerAddress: before.PeerAddress, FailureDomain: before.FailureDomain, Version: 1}
+		fleet := []*members{newMembers(all[0]), newMembers(all[1]), newMembers(all[2]), newMembers(again)}
+		for i, ms := range fleet[:3] {
+			ms.hear(all[:3], time0)
+			if i < 2 {
+				ms.hear([]Member{before}, time0)
+			}
+		}
+		tell := func(from, to *members) { to.hear(from.up(), time0) }
+		tell(fleet[0], fleet[3])
+		for range rapid.IntRange(0, 30).Draw(t, "messages") {
+			tell(fleet[rapid.IntRange(0, 3).Draw(t, "from")], fleet[rapid.IntRange(0, 3).Draw(t, "to")])
+		}
+		for _, ms := range fleet {
+			tell(fleet[3], ms)
+		}
+		for _, from := range fleet {
+			for _, to := range fleet {
+				tell(from, to)
+			}
+		}
+		for _, ms := range fleet {
+			ids := []string{}
+			for _, m := range ms.up() {
+				ids = append(ids, m.ID)
+			}
+			slices.Sort(ids)
+			property.Assert(t, ids, qt.DeepEquals, []string{"vm-0", "vm-1", "vm-2", "vm-3-again"})
+			property.Assert(t, ms.hash(), qt.Equals, fleet[0].hash())
+		}
+	})
+}
+
 // TestArrangementIsThatOfTheEntries: whatever is heard, lost and looked at in between, whom
 // a VM deals with is the same as for a VM that learns all entries at once, with the entries
 // as they are now.
