Spread: seeds look for each other while they are new

Cause: each VM that starts asks one of the seeds, and a seed that has been asked asks none itself until 5 s after its start. Change: a VM that is one of the seeds asks those it doesn't know each tick, for 5 s. These are three VMs; the others ask as before. Test: TestVMsThatStartTogetherAreOneFleetSoon failed before (not within 1.5 s).

--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -24,7 +24,7 @@
 	switch {
 	case st.ticks == 1:
 		s.askSeeds(ctx, st, 1) // Many VMs may start together and have the same three.
-	case len(peers) == 0 || st.ticks%seedTicks == 0:
+	case len(peers) == 0 || st.ticks%seedTicks == 0 || (st.ticks < seedTicks && st.isSeed()):
 		s.askSeeds(ctx, st, len(st.seeds))
 	}
 	if down, found := st.members.oneDown(); found && (!st.members.isSplit() || st.ticks%downTicks == 0) {
@@ -33,6 +33,12 @@
 	s.publish(st)
 }
 
+// isSeed reports whether this VM is one of the seeds. When many VMs start together each asks
+// one seed, and the seeds have to find each other, or as many fleets as seeds begin.
+func (st *state) isSeed() bool {
+	return slices.Contains(st.seeds, st.members.self.PeerAddress)
+}
+
 // askSeeds asks up to so many seeds that are not known as members.
 func (s *Spread) askSeeds(ctx context.Context, st *state, most int) {
 	known := map[string]bool{}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -26,6 +26,8 @@
 	vms   map[string]*vm // By address.
 	cut   map[string]bool
 	bytes int
+	// refuses has connections to VMs that have not started fail at once.
+	refuses bool
 }
 
 type vm struct {
@@ -65,6 +67,9 @@
 		reached := to != nil && !n.cut[from] && !n.cut[address]
 		n.bytes += len(body)
 		n.mu.Unlock()
+		if to == nil && n.refuses {
+			return nil, errors.New("connection refused")
+		}
 		if !reached {
 			<-ctx.Done()
 			return nil, errors.Trace(ctx.Err())
@@ -353,6 +358,21 @@
 	within(t, configBound, "version 7 everywhere", inForce(vms, 7))
 }
 
+// TestVMsThatStartTogetherAreOneFleetSoon: each asks one of the seeds, drawn here by hand, and
+// the first seed has asked the second before that was there. Each seed has a fleet around it
+// then, and would ask the other again after 5 s only.
+func TestVMsThatStartTogetherAreOneFleetSoon(t *testing.T) {
+	n := newNetwork()
+	n.refuses = true
+	vms := []*vm{n.start(t, "a0", "a0:1", "b1:1")}
+	vms = append(vms, n.start(t, "a2", "a0:1"))
+	within(t, time.Second, "the first seed has a fleet", func() bool { return len(vms[0].Snapshot().Live) == 2 })
+	vms = append(vms, n.start(t, "b1", "b1:1"), n.start(t, "b3", "b1:1"))
+	within(t, 1500*time.Millisecond, "all know all", func() bool {
+		return !slices.ContainsFunc(vms, func(v *vm) bool { return len(v.Snapshot().Live) != len(vms) })
+	})
+}
+
 func TestNewProcessAtAnAddressSupersedesTheOld(t *testing.T) {
 	n := newNetwork()
 	vms := fleet(t, n, 3)
