--- a/internal/lab/command/command.go
+++ b/internal/lab/command/command.go
@@ -25,6 +25,7 @@
 	"github.com/endivespoke/endivespoke/internal/lab/platformfake"
 	"github.com/endivespoke/endivespoke/internal/lab/servicefake"
 	"github.com/endivespoke/endivespoke/internal/lab/simulation"
+	"github.com/endivespoke/endivespoke/internal/lab/traffic"
 	"github.com/endivespoke/endivespoke/platform"
 )
 
@@ -37,6 +38,7 @@
 	// In simulated time.
 	Experiment experimentCommand `cmd:"" help:"Play a load and faults in simulated time and compare policies."`
 	Compare    compareCommand    `cmd:"" help:"Compare two runs of the platform's bench, day by day."`
+	Traffic    trafficCommand    `cmd:"" help:"Count what the VMs of fleets of several sizes tell each other."`
 }
 
 // lab is what commands write to.
@@ -177,6 +179,32 @@
 	return errors.Trace(simulation.WriteReport(c.Report, scenario, results))
 }
 
+type trafficCommand struct {
+	VMs     []int         `name:"vms" help:"Sizes of the fleets." default:"6,30,100,300,430"`
+	Servers float64       `help:"Backend servers for each VM; 10 at least in all." default:"0.87"`
+	Phase   time.Duration `help:"Length of each phase after the start." default:"4s"`
+	Seed    uint64        `help:"Of the times at which VMs and streams start." default:"1"`
+	Report  string        `help:"HTML file to write the table and a plot to."`
+}
+
+// Run plays each fleet after the other.
+func (c *trafficCommand) Run(l *lab) error {
+	results := []traffic.Result{}
+	for _, vms := range c.VMs {
+		result, err := traffic.Run(context.Background(), traffic.Options{
+			VMs: vms, Servers: max(10, int(c.Servers*float64(vms))), PhaseLength: c.Phase, Seed: c.Seed,
+		})
+		if err != nil {
+			return errors.Annotatef(err, "%d VMs", vms)
+		}
+		results = append(results, result)
+	}
+	if err := traffic.WriteTable(l.out, results); err != nil || c.Report == "" {
+		return errors.Trace(err)
+	}
+	return errors.Trace(traffic.WriteReport(c.Report, results))
+}
+
 type compareCommand struct {
 	Before string `arg:"" help:"Journal entry of the first run."`
 	After  string `arg:"" help:"Journal entry of the second run, of the same site."`
--- a/internal/lab/simulation/report.go
+++ b/internal/lab/simulation/report.go
@@ -13,9 +13,8 @@
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-	"gonum.org/v1/plot/vg/draw"
-	"gonum.org/v1/plot/vg/vgsvg"
+
+	"github.com/endivespoke/endivespoke/internal/lab/measurement"
 )
 
 // columns are the table's, for the terminal and the report.
@@ -85,7 +84,7 @@
 		if err != nil {
 			return errors.Trace(err)
 		}
-		picture, err := render(drawn)
+		picture, err := measurement.Picture(drawn)
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -105,18 +104,6 @@
 	return errors.Annotate(os.WriteFile(path, text.Bytes(), 0o644), "writing the report")
 }
 
-// render gives a plot as part of a page.
-func render(drawn *plot.Plot) (template.HTML, error) {
-	canvas := vgsvg.New(24*vg.Centimeter, 10*vg.Centimeter)
-	drawn.Draw(draw.New(canvas))
-	text := bytes.Buffer{}
-	if _, err := canvas.WriteTo(&text); err != nil {
-		return "", errors.Trace(err)
-	}
-	_, svg, _ := bytes.Cut(text.Bytes(), []byte("<svg"))
-	return template.HTML("<p><svg" + string(svg) + "</p>"), nil //nolint:gosec // It was drawn here.
-}
-
 // worthPlot shows what streams were worth by the second in which they were asked for.
 func worthPlot(scenario *Scenario, results []Results) (*plot.Plot, error) {
 	return linePlot("What streams were worth", "asked for, s", "worth", results, func(r Results) plotter.XYs {
--- /dev/null
+++ b/internal/peer/spread/kind.go
@@ -0,0 +1,28 @@
+package spread
+
+// KindOf names what a message is about, by its largest part, for counting.
+func KindOf(body []byte) string {
+	m, err := decode(body)
+	switch {
+	case err != nil:
+		return "unreadable"
+	case m.HasLoads:
+		return "work"
+	case len(m.Losses)+len(m.Departures)+len(m.Crashes) > 0:
+		return "losses and departures"
+	case len(m.Copies) > 0 || len(m.WantCopies) > 0:
+		return "places of copies"
+	case len(m.Config) > 0:
+		return "configurations"
+	case m.Servers != nil:
+		return "lists of servers"
+	case m.Want != nil:
+		return "fetches"
+	case len(m.Digests)+len(m.WantMembers) > 0 || len(m.Members) > 1:
+		return "members"
+	case m.NoAnswer:
+		return "hints"
+	default:
+		return "summaries"
+	}
+}
