--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"slices"
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
@@ -40,27 +39,12 @@
 	joined  []Member        // Heard of for the first time since takeJoined.
 	gone    []string        // Went down, or were replaced, since takeGone.
 	// What is derived from the entries is kept until one changes: each message needs it.
-	// A change of who is up, or where, needs more work than others: 300 VMs that restart
-	// within 30 s change some 50 entries a second.
-	isMoved bool
-	isStale bool
-	circle  circle
-	now     arrangement
-}
-
-// circle is whom this VM deals with; see topology.go. It changes with the members that are
-// up, their addresses and failure domains.
-type circle struct {
-	ring                        []*member // All that are up, by place.
-	cells                       int       // How many cells there are; see placement.Cells.
-	mates, near, leads, keepers []*member
-}
-
-// arrangement is the same as entries, which are shared and must not be changed.
-type arrangement struct {
-	up                          []Member // By place on the hash ring.
-	hash                        uint64
-	mates, near, leads, keepers []Member
+	// isStale is set by any change. isMoved is set by one of who is up, or where, which
+	// needs more work; most changes are of readiness or of the store's answers.
+	isStale  bool
+	isMoved  bool
+	topology topology
+	now      arrangement
 }
 
 func newMembers(self Member) *members {
@@ -95,7 +79,8 @@
 	ms.touch(own.ID)
 }
 
-// isMoved reports whether an entry differs from the one before in what a circle depends on.
+// isMoved reports whether an entry differs from the one before in what the topology depends
+// on.
 func (m Member) isMoved(before Member) bool {
 	return m.Down != before.Down || m.PeerAddress != before.PeerAddress || m.FailureDomain != before.FailureDomain
 }
@@ -228,27 +213,15 @@
 // arranged gives what is derived from the entries as they are now.
 func (ms *members) arranged() *arrangement {
 	if ms.isMoved {
-		ms.circle = ms.newCircle()
+		ms.topology = ms.newTopology()
 	}
 	if ms.isMoved || ms.isStale {
-		ms.now = ms.circle.arrange()
+		ms.now = ms.topology.arrange()
 		ms.isMoved, ms.isStale = false, false
 	}
 	return &ms.now
 }
 
-// newCircle finds out which cell each member is in, and whom this VM talks to.
-func (ms *members) newCircle() circle {
-	ring := ms.ring()
-	c := circle{ring: ring, cells: placement.CellCount(len(ring))}
-	cells := assignCells(ring, c.cells)
-	c.mates = slices.DeleteFunc(slices.Clone(cells[ms.self.cell]), func(m *member) bool { return m == &ms.self })
-	c.near = nearOf(&ms.self, ring)
-	c.leads = leadsOf(&ms.self, cells)
-	c.keepers = keepersOf(cells)
-	return c
-}
-
 // ring lists those that are up by their place on the hash ring.
 func (ms *members) ring() []*member {
 	ring := make([]*member, 0, len(ms.others)+1)
@@ -262,29 +235,6 @@
 	return ring
 }
 
-func (c *circle) arrange() arrangement {
-	hash := uint64(0)
-	for _, m := range c.ring {
-		hash += m.sum
-	}
-	return arrangement{
-		up:      entriesOf(c.ring),
-		hash:    hash,
-		mates:   entriesOf(c.mates),
-		near:    entriesOf(c.near),
-		leads:   entriesOf(c.leads),
-		keepers: entriesOf(c.keepers),
-	}
-}
-
-func entriesOf(members []*member) []Member {
-	entries := make([]Member, len(members))
-	for i, m := range members {
-		entries[i] = m.Member
-	}
-	return entries
-}
-
 // neighbours lists the VMs that are near. The list is shared and must not be changed.
 func (ms *members) neighbours() []Member {
 	return ms.arranged().near
@@ -300,7 +250,7 @@
 // isSplit reports whether there are several cells.
 func (ms *members) isSplit() bool {
 	ms.arranged()
-	return ms.circle.cells > 1
+	return ms.topology.cells > 1
 }
 
 // oneDown gives a member that is down, if there is any.
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -307,7 +307,7 @@
 		Self:            st.members.self.Member,
 		Live:            arranged.up,
 		Cell:            st.members.self.cell,
-		Cells:           st.members.circle.cells,
+		Cells:           st.members.topology.cells,
 		Mates:           arranged.mates,
 		Keepers:         arranged.keepers,
 	}
--- a/internal/peer/spread/topology.go
+++ b/internal/peer/spread/topology.go
@@ -35,6 +35,56 @@
 	keepersOfCell = 2
 )
 
+// topology is whom this VM deals with. It depends on who is up, and on their addresses and failure domains.
+type topology struct {
+	ring                        []*member // All that are up, by place.
+	cells                       int       // How many cells there are; see placement.Cells.
+	mates, near, leads, keepers []*member
+}
+
+// arrangement is the same as entries, which are shared and must not be changed.
+type arrangement struct {
+	up                          []Member // By place on the hash ring.
+	hash                        uint64
+	mates, near, leads, keepers []Member
+}
+
+// newTopology finds out which cell each member is in, and whom this VM talks to.
+func (ms *members) newTopology() topology {
+	ring := ms.ring()
+	t := topology{ring: ring, cells: placement.CellCount(len(ring))}
+	cells := assignCells(ring, t.cells)
+	t.mates = slices.DeleteFunc(slices.Clone(cells[ms.self.cell]), func(m *member) bool { return m == &ms.self })
+	t.near = nearOf(&ms.self, ring)
+	t.leads = leadsOf(&ms.self, cells)
+	t.keepers = keepersOf(cells)
+	return t
+}
+
+// arrange gives the entries as they are now.
+func (t *topology) arrange() arrangement {
+	hash := uint64(0)
+	for _, m := range t.ring {
+		hash += m.sum
+	}
+	return arrangement{
+		up:      entriesOf(t.ring),
+		hash:    hash,
+		mates:   entriesOf(t.mates),
+		near:    entriesOf(t.near),
+		leads:   entriesOf(t.leads),
+		keepers: entriesOf(t.keepers),
+	}
+}
+
+func entriesOf(members []*member) []Member {
+	entries := make([]Member, len(members))
+	for i, m := range members {
+		entries[i] = m.Member
+	}
+	return entries
+}
+
 // sortRing orders members by their place on the hash ring.
 func sortRing(members []*member) {
 	slices.SortFunc(members, func(a, b *member) int { return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.ID, b.ID)) })
@@ -179,8 +229,8 @@
 // digests lists those of the members that are up.
 func (ms *members) digests() []byte {
 	ms.arranged()
-	told := make([]byte, 0, digestSize*len(ms.circle.ring))
-	for _, m := range ms.circle.ring {
+	told := make([]byte, 0, digestSize*len(ms.topology.ring))
+	for _, m := range ms.topology.ring {
 		d := m.digest()
 		told = append(told, d[:]...)
 	}
@@ -192,7 +242,7 @@
 func (ms *members) compare(digests []byte) (lacking []Member, wanted []byte) {
 	ms.arranged()
 	theirs := setOf(digests)
-	for _, m := range ms.circle.ring {
+	for _, m := range ms.topology.ring {
 		d := m.digest()
 		if !theirs[d] {
 			lacking = append(lacking, m.Member)
@@ -219,7 +269,7 @@
 	ms.arranged()
 	wanted := setOf(digests)
 	entries := []Member{}
-	for _, m := range ms.circle.ring {
+	for _, m := range ms.topology.ring {
 		if wanted[m.digest()] {
 			entries = append(entries, m.Member)
 		}
