Spread: VMs that come into a cell are told where copies are

Cause: places of copies are told to the cell, and once more to VMs that were just heard of for the first time. When others join or are lost the fleet is split anew, and VMs that were known all along come into the cell without them; as keepers they answer then that there is no copy, and prompts are read again. Change: the VMs that are new among the mates are told, whatever the reason. Test: TestVMsThatComeIntoTheCellAreToldOfCopies failed before (64 VMs, half lost).

--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -126,6 +126,7 @@
 	}
 	event.PeerDown.Warn(s.options.Logger, "peer", peer, "up", len(st.members.up()))
 	st.hintDue = true
+	s.tellNewMates(st)
 	s.publish(st)
 }
 
@@ -205,7 +206,7 @@
 	now := s.options.Now()
 	if st.members.hear(told.Members, now) {
 		st.membersDue = true
-		s.tellJoined(st)
+		s.tellNewMates(st)
 	}
 	if told.Digests != nil {
 		s.reconcile(ctx, st, told)
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -36,7 +36,6 @@
 	self    member
 	others  map[string]*member
 	changed map[string]bool // IDs that others have not been told of yet.
-	joined  []Member        // Heard of for the first time since takeJoined.
 	gone    []string        // Went down, or were replaced, since takeGone.
 	// What is derived from the entries is kept until one changes: each message needs it.
 	// isStale is set by any change. isMoved is set by one of who is up, or where, which
@@ -143,7 +142,6 @@
 	}
 	if known == nil {
 		ms.add(told)
-		ms.joined = append(ms.joined, told)
 	} else {
 		ms.isMoved = ms.isMoved || told.isMoved(known.Member)
 		known.set(told)
@@ -268,13 +266,6 @@
 	return ms.arranged().hash
 }
 
-// takeJoined gives the members that were heard of for the first time since the last call.
-func (ms *members) takeJoined() []Member {
-	joined := ms.joined
-	ms.joined = nil
-	return joined
-}
-
 // takeGone gives the members that went down, or were replaced, since the last call.
 func (ms *members) takeGone() []string {
 	gone := ms.gone
--- a/internal/peer/spread/notes.go
+++ b/internal/peer/spread/notes.go
@@ -154,20 +154,26 @@
 	s.post(s.Snapshot().Mates, &told)
 }
 
-// tellJoined tells VMs that have just joined this VM's cell where the copies of its streams
-// are, and which servers said they are leaving: they were not there when that was told.
-func (s *Spread) tellJoined(st *state) {
-	joined := st.members.takeJoined()
-	if len(joined) == 0 {
+// tellNewMates tells VMs that are new in this VM's cell where the copies of its streams are,
+// and which servers said they are leaving: they were not in the cell when that was told.
+// They have joined, or the fleet has been split anew since others joined or were lost.
+func (s *Spread) tellNewMates(st *state) {
+	mates, _ := st.members.inCell()
+	known := make(map[string]bool, len(mates))
+	newMates := []Member{}
+	for _, mate := range mates {
+		known[mate.ID] = true
+		if !st.matesKnown[mate.ID] {
+			newMates = append(newMates, mate)
+		}
+	}
+	st.matesKnown = known
+	if len(newMates) == 0 {
 		return
 	}
-	mates, _ := st.members.inCell()
-	joined = slices.DeleteFunc(joined, func(j Member) bool {
-		return !slices.ContainsFunc(mates, func(mate Member) bool { return mate.ID == j.ID })
-	})
 	m := message{From: st.members.self.ID, Copies: s.options.Copies(), Departures: s.options.Departures()}
-	if len(joined) > 0 && m.hasNotes() {
-		s.post(joined, &m)
+	if m.hasNotes() {
+		s.post(newMates, &m)
 	}
 }
 
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -162,10 +162,11 @@
 	// Until when a fetch may take; zero if none runs.
 	configFetch  time.Time
 	serversFetch time.Time
-	workToldAt   time.Time // When peers were last told of this VM's work.
-	workTold     []byte    // What they were told.
-	hintDue      bool      // News of the store or of this VM itself wait.
-	membersDue   bool      // News of other VMs wait.
+	workToldAt   time.Time       // When peers were last told of this VM's work.
+	workTold     []byte          // What they were told.
+	matesKnown   map[string]bool // The cell's VMs when they were last told of copies, by ID.
+	hintDue      bool            // News of the store or of this VM itself wait.
+	membersDue   bool            // News of other VMs wait.
 	ticks        int
 }
 
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -41,7 +41,8 @@
 	// lossesHeard counts the notes of losses, and loadsFrom holds who told its work.
 	lossesHeard atomic.Int64
 	loadsFrom   sync.Map
-	copies      sync.Map // Keys of the copies that it was told of.
+	copies      sync.Map                        // Keys of the copies that it was told of.
+	copied      atomic.Pointer[spread.CopyNote] // Of the one stream that runs here.
 }
 
 // findCopies gives the copies that the VM knows.
@@ -133,7 +134,12 @@
 		OnServers: func([]pool.Server) {},
 		Loads:     func() []pool.Load { return nil },
 		OnLoads:   func(peer string, _ []pool.Load) { v.loadsHeard.Add(1); v.loadsFrom.Store(peer, true) },
-		Copies:    func() []spread.CopyNote { return nil },
+		Copies: func() []spread.CopyNote {
+			if note := v.copied.Load(); note != nil {
+				return []spread.CopyNote{*note}
+			}
+			return nil
+		},
 		OnCopies: func(notes []spread.CopyNote) {
 			for _, note := range notes {
 				v.copies.Store(note.CopyKey, true)
@@ -299,6 +305,25 @@
 	qt.Assert(t, told(), qt.Equals, mates)
 }
 
+// TestVMsThatComeIntoTheCellAreToldOfCopies: of 64 VMs in two cells half are lost, and the
+// others are one cell. Those that were in the other one may have to answer for copies now.
+func TestVMsThatComeIntoTheCellAreToldOfCopies(t *testing.T) {
+	n := newNetwork()
+	vms := fleet(t, n, 64)
+	runs := vms[0]
+	runs.copied.Store(&spread.CopyNote{CopyKey: "k", ServerID: "s"})
+	runs.TellCopy(*runs.copied.Load())
+	for _, v := range vms[32:] {
+		n.setCut(v.address, true)
+	}
+	within(t, 8*time.Second, "the others are one cell", func() bool {
+		return !slices.ContainsFunc(vms[:32], func(v *vm) bool { return len(v.Snapshot().Live) != 32 })
+	})
+	within(t, time.Second, "all of them know of the copy", func() bool {
+		return !slices.ContainsFunc(vms[1:32], func(v *vm) bool { return len(v.findCopies([]string{"k"})) == 0 })
+	})
+}
+
 // configBound is within what the platform's smallest bound of 2 s leaves after a
 // reader has seen a version.
 const configBound = 1500 * time.Millisecond
