Pool: streams of a server that was replaced at its address are told at once

Cause: a server whose machine loses power leaves silent connections. If another process has its address before this VM checks it, checks succeed from then on; a stream whose prompt is read waits for its first event, which is not due at any time, and its copies' holder counts as there. Change: when the list, an answer or a successor shows that another process has the address, the work there is told that it is down, and copies there that they are lost; also if the process came back under the same id. Test: TestStreamOfAReplacedServerIsTold failed before.

--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -170,7 +170,7 @@
 func (l *Lease) Replaced() {
 	l.pool.mu.Lock()
 	known := l.server.replaced
-	l.server.replaced = true
+	l.pool.replace(l.server)
 	l.pool.startIdentify(l.server)
 	l.pool.mu.Unlock()
 	if !known {
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -160,6 +160,9 @@
 	for _, entry := range listed {
 		known := p.servers[entry.ID]
 		if known == nil || known.Address != entry.Address || known.Service != entry.Service || (known.Started != entry.Started && !known.isUnlisted()) {
+			if known != nil {
+				p.replace(known)
+			}
 			known = &server{leases: map[*Lease]bool{}}
 			p.servers[entry.ID] = known
 		}
@@ -207,11 +210,24 @@
 	}
 	for _, s := range p.servers {
 		if other := newest[s.Address]; other != nil && other.Started > s.Started {
-			s.replaced = true
+			p.replace(s)
 		}
 	}
 }
 
+// replace notes that another process has a server's address. Work on it has ended, even if
+// its connection is only silent, and the copies it held are gone. Called with the lock held.
+func (p *Pool) replace(s *server) {
+	if s.replaced {
+		return
+	}
+	s.replaced = true
+	for lease := range s.leases {
+		lease.tellDown()
+	}
+	p.copiesLost(s)
+}
+
 // Room is what each server of a service offers to streams: its memory in tokens,
 // whether it holds copies of other servers' runs, and whether it moves runs.
 type Room struct {
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -50,6 +50,39 @@
 	return g
 }
 
+// TestStreamOfAReplacedServerIsTold: the server's machine lost power, so that the connection
+// is silent, and before any check another process has the address. Checks succeed from then
+// on, and a stream whose prompt is read has no event that could be overdue.
+func TestStreamOfAReplacedServerIsTold(t *testing.T) {
+	old := pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Started: 1}
+	other := pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "y", Started: 1}
+	g := newRig(old, other)
+	onOld, _, err := g.Stream(pool.Ask{Service: "s", On: "a"})
+	qt.Assert(t, err, qt.IsNil)
+	withCopy, holder, err := g.Stream(pool.Ask{Service: "s", On: "b"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, holder.ID, qt.Equals, "a")
+	successor := old
+	successor.ID, successor.Started = "c", 2
+	g.Update([]pool.Server{old, other, successor})
+	qt.Check(t, isClosed(onOld.Down), qt.IsTrue)
+	qt.Check(t, isClosed(withCopy.CopyLost), qt.IsTrue, qt.Commentf("its memory is gone with the process"))
+	qt.Check(t, isClosed(withCopy.Down), qt.IsFalse)
+	again := other
+	again.Started = 3 // Another process under the same ID.
+	g.Update([]pool.Server{successor, again})
+	qt.Check(t, isClosed(withCopy.Down), qt.IsTrue)
+}
+
+func isClosed(told chan struct{}) bool {
+	select {
+	case <-told:
+		return true
+	default:
+		return false
+	}
+}
+
 func (g *rig) check(_ context.Context, address string) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -116,7 +116,7 @@
 	if id == "" || p.servers[id] != nil {
 		return nil
 	}
-	s.replaced = true
+	p.replace(s)
 	found := &server{Server: s.Server, listed: true, foundAt: now, heardAt: now, leases: map[*Lease]bool{}}
 	found.ID = id
 	found.Started++ // It started later, which is all that is known.
