--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -12,10 +12,11 @@
 //	reply := s.OnMessage(body)               // a peer's message
 //
 // Each tick a VM asks a few of the peers near it for a summary (anti-entropy, Demers et
-// al. 1987); topology.go tells who is near, and who hears of what else. A peer that doesn't answer twice is told to the others as down, and
-// refutes that if it lives (SWIM, Das et al. 2002). A VM that learns something
-// new hints it to a few peers, who fetch it from there if they lack it, each
-// content once. Versions only grow within one process.
+// al. 1987); topology.go tells who is near, and who hears of what else. A peer that doesn't
+// answer twice is told to the others as down, and refutes that if it lives (SWIM, Das et al.
+// 2002). A VM that learns something new hints it to a few peers, who fetch it from there if
+// they lack it, each content once. Versions only grow within one process; a process that
+// starts at the address of another one has the higher incarnation.
 package spread
 
 import (
