One piece instead of two: groups of servers, losses, ends of work, calls that serve no caller

Their assertions are as they were. Left: watchers in the simulation rank by the same hash but know no failure domains of VMs, and its golden table depends on it; members and servers are grouped for cells by two loops that share the rule (placement.CellOf).

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -146,7 +146,7 @@
 // isDoubtful reports whether another server of the failure domain was lost a
 // moment ago and nothing was heard of this one since.
 func (p *Pool) isDoubtful(s *server, now time.Time) bool {
-	lossAt := p.lossAt[s.group()]
+	lossAt := p.lossAt[s.group]
 	return now.Sub(lossAt) < doubtLife && s.heardAt.Before(lossAt)
 }
 
@@ -181,10 +181,10 @@
 // assignCells assigns all servers, those of each service and failure domain for
 // themselves. Called with the lock held.
 func (p *Pool) assignCells() {
-	groups := map[group][]string{}
+	groups := map[string][]string{}
 	for _, s := range p.servers {
 		if s.listed {
-			groups[s.group()] = append(groups[s.group()], s.Address)
+			groups[s.group] = append(groups[s.group], s.Address)
 		}
 	}
 	p.cellOf = map[string]int{}
--- a/internal/backend/pool/loss.go
+++ b/internal/backend/pool/loss.go
@@ -108,7 +108,7 @@
 
 // watches reports whether this VM checks the server for others. Called with the lock held.
 func (p *Pool) watches(s *server) bool {
-	return p.cells <= 1 || p.options.Watches(s.Service, s.FailureDomain)
+	return p.cells <= 1 || p.options.Watches(s.group)
 }
 
 // recheckPause is the pause until a server that is down is checked again. Those who don't
@@ -123,15 +123,21 @@
 // lost tells the leases of a server, and has others of its failure domain checked: they
 // often fail together. Called with the lock held.
 func (p *Pool) lost(s *server, now time.Time) {
+	p.endWork(s)
+	if now.Sub(p.lossAt[s.group]) < doubtLife {
+		return // They are being checked already.
+	}
+	p.lossAt[s.group] = now
+	p.checkGroup(s, now.Sub(s.toldAt) < tellPause)
+}
+
+// endWork tells the work on a server that it is down, and the streams whose copies it held.
+// Called with the lock held.
+func (p *Pool) endWork(s *server) {
 	for lease := range s.leases {
 		lease.tellDown()
 	}
 	p.copiesLost(s)
-	if now.Sub(p.lossAt[s.group()]) < doubtLife {
-		return // They are being checked already.
-	}
-	p.lossAt[s.group()] = now
-	p.checkGroup(s, now.Sub(s.toldAt) < tellPause)
 }
 
 // checkGroup has the servers checked that may have been lost with one. A VM checks those on
@@ -142,7 +148,7 @@
 func (p *Pool) checkGroup(s *server, wasTold bool) {
 	all := p.watches(s) && (p.cells > 1 || !wasTold)
 	for _, other := range p.ordered() {
-		if other.group() == s.group() && other.takesWork() && !other.down && (all || len(other.leases) > 0) {
+		if other.group == s.group && other.takesWork() && !other.down && (all || len(other.leases) > 0) {
 			p.startCheck(other)
 		}
 	}
@@ -171,14 +177,14 @@
 	}
 	now := p.options.Now()
 	watched := p.cells > 1 && p.watches(s)
-	first := watched && now.Sub(p.lossAt[s.group()]) >= doubtLife
+	first := watched && now.Sub(p.lossAt[s.group]) >= doubtLife
 	s.toldAt = now
 	if ended {
 		s.endedAt = now
 		p.copiesLost(s)
 	}
 	if ended || first {
-		p.lossAt[s.group()] = now
+		p.lossAt[s.group] = now
 	}
 	switch {
 	case first:
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -57,7 +57,7 @@
 	// TellUp has the others told that a server accepts connections.
 	Tell    func(server Server, ended bool)
 	TellUp  func(server Server)
-	Watches func(service, failureDomain string) bool
+	Watches func(group string) bool
 	// OnDeparture is told of a server that told this VM that it is leaving.
 	OnDeparture func(server Server)
 	// Go runs a check beside the caller; nil for a goroutine. Simulations run it as an
@@ -75,9 +75,9 @@
 	mu         sync.Mutex
 	servers    map[string]*server
 	peers      map[string]peerLoads
-	others     map[string]Load // The peers' work by server, summed.
-	rooms      map[string]Room // By service.
-	lossAt     map[group]time.Time
+	others     map[string]Load      // The peers' work by server, summed.
+	rooms      map[string]Room      // By service.
+	lossAt     map[string]time.Time // By group.
 	departures map[string]departure // By server ID.
 	cell       int                  // This VM's.
 	cells      int                  // 0 and 1 for a fleet that is not split.
@@ -87,18 +87,14 @@
 	pausedAt    time.Time // When this process last went on after a pause.
 }
 
-// group is the servers that are likely to fail together.
-type group struct {
-	service       string
-	failureDomain string
-}
-
-func (s *server) group() group {
-	return group{service: s.Service, failureDomain: s.FailureDomain}
+// Group names the servers that are likely to fail together.
+func (s Server) Group() string {
+	return s.Service + "/" + s.FailureDomain
 }
 
 type server struct {
 	Server
+	group       string // Server.Group, which each choice needs of each server.
 	listed      bool
 	replaced    bool      // Another instance has the address.
 	saidLeaving bool      // It told this VM or a peer that it is leaving.
@@ -133,7 +129,7 @@
 		options.TellUp = func(Server) {}
 	}
 	if options.Watches == nil {
-		options.Watches = func(string, string) bool { return true }
+		options.Watches = func(string) bool { return true }
 	}
 	if options.Go == nil {
 		options.Go = func(do func()) { go do() }
@@ -147,7 +143,7 @@
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, others: map[string]Load{}, lossAt: map[group]time.Time{}, departures: map[string]departure{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, others: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}}
 }
 
 // Update replaces the list of servers. What is known of those that stay is kept.
@@ -166,7 +162,7 @@
 			known = &server{leases: map[*Lease]bool{}}
 			p.servers[entry.ID] = known
 		}
-		known.Server = entry
+		known.Server, known.group = entry, entry.Group()
 		known.listed = true
 		known.foundAt = time.Time{}
 		p.recallDeparture(known)
@@ -222,10 +218,7 @@
 		return
 	}
 	s.replaced = true
-	for lease := range s.leases {
-		lease.tellDown()
-	}
-	p.copiesLost(s)
+	p.endWork(s)
 }
 
 // Room is what each server of a service offers to streams: its memory in tokens,
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -117,7 +117,7 @@
 		return nil
 	}
 	p.replace(s)
-	found := &server{Server: s.Server, listed: true, foundAt: now, heardAt: now, leases: map[*Lease]bool{}}
+	found := &server{Server: s.Server, group: s.group, listed: true, foundAt: now, heardAt: now, leases: map[*Lease]bool{}}
 	found.ID = id
 	found.Started++ // It started later, which is all that is known.
 	p.servers[id] = found
--- a/internal/backend/pool/watch_test.go
+++ b/internal/backend/pool/watch_test.go
@@ -34,7 +34,7 @@
 			Now:     func() time.Time { g.mu.Lock(); defer g.mu.Unlock(); return g.now },
 			Draw:    func() float64 { return 0 },
 			Go:      func(do func()) { go do() },
-			Watches: func(string, string) bool { return i < watchers },
+			Watches: func(string) bool { return i < watchers },
 			Check: func(_ context.Context, address string) error {
 				g.mu.Lock()
 				defer g.mu.Unlock()
--- a/internal/lab/simulation/vm.go
+++ b/internal/lab/simulation/vm.go
@@ -54,7 +54,7 @@
 			TellUp: func(server pool.Server) {
 				v.tell(server, func(other *vm) { other.servers.PeerFoundUp(server.ID) })
 			},
-			Watches: func(service, failureDomain string) bool { return v.watches(service + "/" + failureDomain) },
+			Watches: v.watches,
 		})
 		v.servers.SetRooms(map[string]pool.Room{serviceName: {
 			CacheTokens: w.scenario.Engines.MemoryTokens,
@@ -154,7 +154,7 @@
 
 // tell has all VMs hear of an engine if this VM watches it, and else its watchers.
 func (v *vm) tell(server pool.Server, hear func(other *vm)) {
-	group := server.Service + "/" + server.FailureDomain
+	group := server.Group()
 	receivers := v.world.watchers(group)
 	if v.watches(group) {
 		receivers = v.world.vms
--- a/internal/lab/traffic/fleet.go
+++ b/internal/lab/traffic/fleet.go
@@ -101,10 +101,10 @@
 			OnFound:  func(pool.Server, pool.Server, time.Duration) {},
 		},
 		Tell: func(s pool.Server, ended bool) {
-			v.TellLoss(groupOf(s), spread.LossNote{ServerID: s.ID, Ended: ended})
+			v.TellLoss(s.Group(), spread.LossNote{ServerID: s.ID, Ended: ended})
 		},
-		TellUp:  func(s pool.Server) { v.TellLoss(groupOf(s), spread.LossNote{ServerID: s.ID, Up: true}) },
-		Watches: func(service, domain string) bool { return v.Watches(service + "/" + domain) },
+		TellUp:  func(s pool.Server) { v.TellLoss(s.Group(), spread.LossNote{ServerID: s.ID, Up: true}) },
+		Watches: func(group string) bool { return v.Watches(group) },
 	})
 	v.Spread = spread.New(f.spreadOptions(v, i))
 	v.servers.SetRooms(map[string]pool.Room{service: {CacheTokens: 55_000, Copies: true, Moves: true}})
@@ -116,10 +116,6 @@
 	return v
 }
 
-func groupOf(s pool.Server) string {
-	return s.Service + "/" + s.FailureDomain
-}
-
 func (f *fleet) spreadOptions(v *vm, i int) spread.Options {
 	seeds := []string{}
 	for seed := range min(seedCount, f.options.VMs) {
@@ -147,7 +143,7 @@
 		Copies:          func() []spread.CopyNote { return nil },
 		OnCopies:        func([]spread.CopyNote) {},
 		OnCrashes:       func([]spread.CrashNote) {},
-		OnLosses:        v.heardLosses,
+		OnLosses:        func(notes []spread.LossNote) { spread.TakeLosses(v.servers, notes) },
 		OnGone:          v.servers.ForgetPeers,
 		FindCopies:      func([]string) []spread.CopyNote { return nil },
 		Departures:      v.servers.Departures,
@@ -158,16 +154,6 @@
 	}
 }
 
-func (v *vm) heardLosses(notes []spread.LossNote) {
-	for _, note := range notes {
-		if note.Up {
-			v.servers.PeerFoundUp(note.ServerID)
-		} else {
-			v.servers.PeerLost(note.ServerID, note.Ended)
-		}
-	}
-}
-
 func (v *vm) recheck(ctx context.Context) {
 	ticker := time.NewTicker(recheckEvery)
 	defer ticker.Stop()
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -140,12 +140,12 @@
 			OnFound:     v.successorFound,
 		},
 		Tell: func(server pool.Server, ended bool) {
-			v.spread.TellLoss(groupOf(server.Service, server.FailureDomain), spread.LossNote{ServerID: server.ID, Ended: ended})
+			v.spread.TellLoss(server.Group(), spread.LossNote{ServerID: server.ID, Ended: ended})
 		},
 		TellUp: func(server pool.Server) {
-			v.spread.TellLoss(groupOf(server.Service, server.FailureDomain), spread.LossNote{ServerID: server.ID, Up: true})
+			v.spread.TellLoss(server.Group(), spread.LossNote{ServerID: server.ID, Up: true})
 		},
-		Watches: func(service, failureDomain string) bool { return v.spread.Watches(groupOf(service, failureDomain)) },
+		Watches: func(group string) bool { return v.spread.Watches(group) },
 	})
 	v.peers = wire.NewPool(wire.PoolOptions{
 		Self:   options.Settings.Name,
@@ -209,7 +209,7 @@
 		Copies:              v.copiesOfRunning,
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.heardCrashes,
-		OnLosses:            v.heardLosses,
+		OnLosses:            func(notes []spread.LossNote) { spread.TakeLosses(v.servers, notes) },
 		OnGone:              v.servers.ForgetPeers,
 		FindCopies:          v.knownCopies,
 		Departures:          v.servers.Departures,
@@ -268,7 +268,7 @@
 func (v *VM) serverSaidLeaving(server pool.Server) {
 	event.ServerSaidLeaving.Info(v.logger, "server", server.ID, "address", server.Address, "listedAsLeaving", server.Leaving,
 		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
-	v.spread.TellDeparture(groupOf(server.Service, server.FailureDomain), pool.Departure{ServerID: server.ID, Started: server.Started})
+	v.spread.TellDeparture(server.Group(), pool.Departure{ServerID: server.ID, Started: server.Started})
 }
 
 // noteOf is how VMs tell each other of a copy, and copyOf the reverse.
@@ -339,24 +339,6 @@
 	}
 }
 
-func (v *VM) heardLosses(notes []spread.LossNote) {
-	for _, note := range notes {
-		switch {
-		case note.SuccessorID != "":
-			v.servers.PeerFound(note.ServerID, note.SuccessorID)
-		case note.Up:
-			v.servers.PeerFoundUp(note.ServerID)
-		default:
-			v.servers.PeerLost(note.ServerID, note.Ended)
-		}
-	}
-}
-
-// groupOf names the servers of a service in a failure domain to those who watch them.
-func groupOf(service, failureDomain string) string {
-	return service + "/" + failureDomain
-}
-
 // budgetOf gives the service's budget for repeats, which all VMs share.
 func (v *VM) budgetOf(service string) *budget.Shared {
 	v.mu.Lock()
@@ -402,35 +384,38 @@
 
 // freeCopy asks the source of a copy to drop it.
 func (v *VM) freeCopy(ctx context.Context, copied relay.Copy, from pool.Server) error {
-	response, err := v.connections.Send(ctx, http1.Request{Address: from.Address, HTTP: v.options.EncodeFree(copied.RunID)})
-	if err != nil {
-		return errors.Trace(err)
-	}
-	defer response.Close()
-	v.servers.TakeWord(from, v.options.DecodeWord(response.Response))
-	_, err = response.ReadAll(moveAnswerLimit) // The connection is kept if all was read.
-	return errors.Trace(err)
+	_, _, err := v.askServer(ctx, from, v.options.EncodeFree(copied.RunID), nil)
+	return err
 }
 
 // transfer sends a server the request to move or copy a run's memory.
 func (v *VM) transfer(ctx context.Context, request *http.Request, body []byte, from, to pool.Server) (relay.Copy, error) {
-	response, err := v.connections.Send(ctx, http1.Request{Address: from.Address, HTTP: request, Body: body})
+	status, answer, err := v.askServer(ctx, from, request, body)
 	if err != nil {
-		return relay.Copy{}, errors.Trace(err)
-	}
-	defer response.Close()
-	v.servers.TakeWord(from, v.options.DecodeWord(response.Response))
-	var answer []byte
-	if answer, err = response.ReadAll(moveAnswerLimit); err != nil {
-		return relay.Copy{}, errors.Trace(err)
+		return relay.Copy{}, err
 	}
 	var handle string
-	if handle, err = v.options.DecodeMove(response.StatusCode, answer); err != nil {
+	if handle, err = v.options.DecodeMove(status, answer); err != nil {
 		return relay.Copy{}, errors.Trace(err)
 	}
 	return relay.Copy{RunID: handle, ServerID: to.ID, Address: from.Address}, nil
 }
 
+// askServer sends a server a request that is no caller's, and reads the whole answer, so
+// that the connection is kept.
+func (v *VM) askServer(ctx context.Context, server pool.Server, request *http.Request, body []byte) (status int, answer []byte, err error) {
+	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: request, Body: body})
+	if err != nil {
+		return 0, nil, errors.Trace(err)
+	}
+	defer response.Close()
+	v.servers.TakeWord(server, v.options.DecodeWord(response.Response))
+	if answer, err = response.ReadAll(moveAnswerLimit); err != nil {
+		return 0, nil, errors.Trace(err)
+	}
+	return response.StatusCode, answer, nil
+}
+
 // moveAnswerLimit bounds a server's answer to a move, in bytes.
 const moveAnswerLimit = 64 << 10
 
@@ -456,7 +441,7 @@
 }
 
 func (v *VM) successorFound(old, successor pool.Server, heardAgo time.Duration) {
-	v.spread.TellLoss(groupOf(old.Service, old.FailureDomain), spread.LossNote{ServerID: old.ID, Ended: true, SuccessorID: successor.ID})
+	v.spread.TellLoss(old.Group(), spread.LossNote{ServerID: old.ID, Ended: true, SuccessorID: successor.ID})
 	event.SuccessorFound.Info(v.logger, "server", old.ID, "successor", successor.ID, "address", successor.Address, "heardAgoMillis", heardAgo.Milliseconds(),
 		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
 }
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -174,7 +174,7 @@
 func (v *VM) rank(snapshot *spread.Snapshot) int {
 	v.ranked.mu.Lock()
 	defer v.ranked.mu.Unlock()
-	if len(v.ranked.live) != len(snapshot.Live) || &v.ranked.live[0] != &snapshot.Live[0] {
+	if !snapshot.HasLive(v.ranked.live) {
 		v.ranked.live = snapshot.Live
 		v.ranked.rank = rankOf(snapshot.Self, snapshot.Live)
 	}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -14,7 +14,7 @@
 func (s *Spread) tick(ctx context.Context, st *state) {
 	st.members.forget(s.options.Now())
 	st.ticks++
-	peers := slices.Clone(st.members.neighbours())
+	peers := st.members.neighbours()
 	for _, peer := range some(peers, exchangesPerTick) {
 		s.exchange(ctx, st, peer.ID, peer.PeerAddress, 1)
 	}
@@ -145,7 +145,7 @@
 	if !news && st.members.isSplit() {
 		fanout = membersFanout
 	}
-	for _, peer := range some(slices.Clone(st.members.neighbours()), fanout) {
+	for _, peer := range some(st.members.neighbours(), fanout) {
 		s.options.Post(peer.ID, peer.PeerAddress, body)
 	}
 }
--- a/internal/peer/spread/members.go
+++ b/internal/peer/spread/members.go
@@ -52,7 +52,7 @@
 	return ms
 }
 
-// add takes in a member that this VM knew of before.
+// add takes in a member that is not among the others yet.
 func (ms *members) add(known Member) {
 	m := &member{}
 	m.set(known)
--- a/internal/peer/spread/notes.go
+++ b/internal/peer/spread/notes.go
@@ -53,6 +53,20 @@
 	s.tell(note{lost: &lost, group: group})
 }
 
+// TakeLosses takes in what peers told of servers.
+func TakeLosses(servers *pool.Pool, notes []LossNote) {
+	for _, note := range notes {
+		switch {
+		case note.SuccessorID != "":
+			servers.PeerFound(note.ServerID, note.SuccessorID)
+		case note.Up:
+			servers.PeerFoundUp(note.ServerID)
+		default:
+			servers.PeerLost(note.ServerID, note.Ended)
+		}
+	}
+}
+
 // TellDeparture tells in the same way of a server that said it is leaving.
 func (s *Spread) TellDeparture(group string, left pool.Departure) {
 	s.tell(note{left: &left, group: group})
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -22,6 +22,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,12 @@
 	Keepers []Member
 }
 
+// HasLive reports whether a list is this picture's of the live VMs, and not only one that is
+// equal. What is derived from it is kept until there is another.
+func (s *Snapshot) HasLive(live []Member) bool {
+	return len(live) == len(s.Live) && &live[0] == &s.Live[0]
+}
+
 // Options shapes a Spread. Call sends a message to a peer and returns its
 // answer, Post sends one without an answer, and Drop ends the connection. The On
 // functions run on the loop's goroutine and must not block.
@@ -424,6 +431,7 @@
 
 // some gives up to count of the members, chosen at random.
 func some(members []Member, count int) []Member {
+	members = slices.Clone(members)
 	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	return members[:min(count, len(members))]
 }
--- a/internal/peer/spread/topology.go
+++ b/internal/peer/spread/topology.go
@@ -189,15 +189,15 @@
 
 // Watchers gives the VMs that watch a group of servers.
 func (s *Spread) Watchers(group string) []Member {
-	live := s.Snapshot().Live
+	snapshot := s.Snapshot()
 	s.watchMu.Lock()
 	defer s.watchMu.Unlock()
-	if len(s.watched.live) != len(live) || &s.watched.live[0] != &live[0] {
-		s.watched = watchList{live: live, watchers: map[string][]Member{}}
+	if !snapshot.HasLive(s.watched.live) {
+		s.watched = watchList{live: snapshot.Live, watchers: map[string][]Member{}}
 	}
 	known, found := s.watched.watchers[group]
 	if !found {
-		known = watchersOf(group, live)
+		known = watchersOf(group, snapshot.Live)
 		s.watched.watchers[group] = known
 	}
 	return known
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -642,15 +642,7 @@
 // run on the first server waits to be moved.
 func newLonelyRig(t *testing.T, othersAfter time.Duration) *rig {
 	stop := make(chan struct{})
-	run := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerCopy) != "" {
-			events(30, complete)(w, r)
-			return
-		}
-		events(10, complete)(w, r)
-		<-stop
-		abort()
-	}
+	run := untilStopped(stop, abort)
 	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run})
 	g.stopRun = map[string]chan struct{}{"a1": stop}
 	all := g.listed
--- a/internal/request/relay/renew_test.go
+++ b/internal/request/relay/renew_test.go
@@ -13,10 +13,10 @@
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 )
 
-// newRenewingRig has servers whose first run goes on until stop is closed and then ends
-// as end says. Runs that go on from a copy complete.
-func newRenewingRig(t *testing.T, stop chan struct{}, end func()) *rig {
-	run := func(w http.ResponseWriter, r *http.Request) {
+// untilStopped sends 10 events, goes on until stop is closed, and ends. A run that goes on
+// from a copy completes.
+func untilStopped(stop chan struct{}, end func()) script {
+	return func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerCopy) != "" {
 			events(30, complete)(w, r)
 			return
@@ -25,6 +25,12 @@
 		<-stop
 		end()
 	}
+}
+
+// newRenewingRig has servers whose first run goes on until stop is closed and then ends
+// as end says. Runs that go on from a copy complete.
+func newRenewingRig(t *testing.T, stop chan struct{}, end func()) *rig {
+	run := untilStopped(stop, end)
 	g := newRig(t, map[string]script{"a1": run, "b1": run, "c1": run, "d1": run})
 	g.renews = true
 	g.relay = g.vm(g.servers)
--- a/internal/request/relay/slow_test.go
+++ b/internal/request/relay/slow_test.go
@@ -45,21 +45,28 @@
 	qt.Assert(t, len(g.seen()) <= 2, qt.IsTrue, qt.Commentf("%d runs", len(g.seen())))
 }
 
-// TestStreamOfCommentsIsNoProgress: a server that has stalled and sends a comment now and
-// then is left for another one.
-func TestStreamOfCommentsIsNoProgress(t *testing.T) {
-	stalled := func(w http.ResponseWriter, r *http.Request) {
+// stalling sends 5 events, a beginning and then a piece again and again. A run that goes on
+// after an event completes.
+func stalling(beginning, piece string) script {
+	return func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerLast) != "" {
 			events(12, complete)(w, r)
 			return
 		}
 		events(5, complete)(w, r)
+		fmt.Fprint(w, beginning)
 		for r.Context().Err() == nil {
-			fmt.Fprint(w, ": wait\n\n")
+			fmt.Fprint(w, piece)
 			w.(http.Flusher).Flush()
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+}
+
+// TestStreamOfCommentsIsNoProgress: a server that has stalled and sends a comment now and
+// then is left for another one.
+func TestStreamOfCommentsIsNoProgress(t *testing.T) {
+	stalled := stalling("", ": wait\n\n")
 	g := newRig(t, map[string]script{"a1": stalled, "b1": stalled})
 	c := &caller{}
 	began := time.Now()
@@ -70,19 +77,7 @@
 
 // TestBytesWithoutAnEventAreNoProgress: the same with one event that never ends.
 func TestBytesWithoutAnEventAreNoProgress(t *testing.T) {
-	stalled := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerLast) != "" {
-			events(12, complete)(w, r)
-			return
-		}
-		events(5, complete)(w, r)
-		fmt.Fprint(w, "id: 6\ndata: ")
-		for r.Context().Err() == nil {
-			fmt.Fprint(w, "a")
-			w.(http.Flusher).Flush()
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
+	stalled := stalling("id: 6\ndata: ", "a")
 	g := newRig(t, map[string]script{"a1": stalled, "b1": stalled})
 	c := &caller{}
 	qt.Assert(t, g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink()), qt.IsNil)
