Log: runs that were cut with what was made of it, contents that are refused

The hypotheses of the incident can't be told apart by the logs: no line says whether a server's end was held against a request, or why not, and none says when a VM began to refuse one. The end of a request (701) has its content. What is counted and refused is as before.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -154,7 +154,9 @@
 		Go:     func(do func()) { rescue.Go(v.logger, "connection to a peer", do) },
 	})
 	v.copies = copies.New(copies.Options{Now: v.Now})
-	v.crashes = crash.New(crash.Options{Now: v.Now, Tell: v.tellCrash})
+	v.crashes = crash.New(crash.Options{Now: v.Now, Tell: v.tellCrash, OnCondemned: func(content string, count int) {
+		event.ContentRefused.Warn(v.logger, "content", content, "servers", count)
+	}})
 	v.spread = spread.New(v.spreadOptions())
 	v.relay = relay.New(relay.Options{
 		Servers:     v.servers,
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -166,7 +166,7 @@
 	v.counters.refused(err)
 	pairs := []any{"request", id, "outcome", outcome, "millis", took.Milliseconds(), "status", status}
 	if request != nil {
-		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service, "servers", request.Servers)
+		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service, "servers", request.Servers, "content", request.Content)
 	}
 	if err != nil {
 		snapshot := v.spread.Snapshot()
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -24,10 +24,12 @@
 	maxContents = 10_000
 )
 
-// Options shapes a Counts. Tell passes this VM's counts on to others.
+// Options shapes a Counts. Tell passes this VM's counts on to others, and OnCondemned is
+// told of a content that is refused from now on.
 type Options struct {
-	Now  func() time.Time
-	Tell func(content string, count int)
+	Now         func() time.Time
+	Tell        func(content string, count int)
+	OnCondemned func(content string, count int)
 }
 
 // Counts is safe for concurrent use.
@@ -45,6 +47,9 @@
 
 // New makes an empty Counts.
 func New(options Options) *Counts {
+	if options.OnCondemned == nil {
+		options.OnCondemned = func(string, int) {}
+	}
 	return &Counts{options: options, contents: map[string]entry{}}
 }
 
@@ -70,7 +75,11 @@
 	if now.After(known.until) {
 		known = entry{}
 	}
+	before := known.count
 	known.count = max(known.count, atLeast) + more
+	if before < limit && known.count >= limit {
+		c.options.OnCondemned(content, known.count)
+	}
 	known.until = now.Add(remembered)
 	c.contents[content] = known
 	return known.count
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -263,15 +263,23 @@
 	case end.notSent:
 		lease.Unreachable(end.err)
 	case barren && !end.silent:
-		if !lease.Verify(ctx) {
+		up := lease.Verify(ctx)
+		if !up {
 			s.relay.options.Crashes.Note(s.request.Content)
 		}
+		s.logCrash(lease, !up, fmt.Sprintf("the server was up: %t", up))
 	default:
 		lease.Broke()
+		s.logCrash(lease, false, fmt.Sprintf("it had events: %t, it was ended here: %t", !barren, end.silent))
 	}
 	s.tried[lease.Server.ID] = true
 }
 
+func (s *stream) logCrash(lease *pool.Lease, counted bool, reason string) {
+	event.RunCrashed.Info(s.relay.options.Logger, "request", s.request.ID, "kind", s.request.Route.Kind.String(), "content", s.request.Content,
+		"server", lease.Server.ID, "events", s.events, "counted", counted, "reason", reason)
+}
+
 // exchange is one run: send, await the head, relay the events.
 func (s *stream) exchange(ctx context.Context, lease *pool.Lease, dispatch Dispatch, resumed bool) (end runEnd) {
 	ctx, cancel := context.WithCancel(ctx)
