Crashes: the processes that ended under a content are a set, not a number

Callers saw a request that had crashed three servers sent on. Each VM told how many crashes it had counted, and took the larger of what it heard and had: VMs that each see one server die at the same moment all stay at one, and one server that dies under three runs of a content counts three.

VMs now hold and tell which processes ended under a content, merged by union, and which of them are cleared because the content has run to its end since. Notes may come late, twice and in any order (TestNotesInAnyOrderGiveTheSame, rapid).

A refusal now tells its caller until when it holds, one minute at first, and twice as long if the content crashes one more server after that.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -92,6 +93,11 @@
 	return s.Service + "/" + s.FailureDomain
 }
 
+// Process names the server's process: one that starts again under the same ID has another.
+func (s Server) Process() string {
+	return fmt.Sprintf("%s/%d", s.ID, s.Started)
+}
+
 type server struct {
 	Server
 	group       string // Server.Group, which each choice needs of each server.
--- a/internal/lab/traffic/fleet.go
+++ b/internal/lab/traffic/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 const (
@@ -142,7 +143,7 @@
 		OnLoads:         v.servers.PeerLoads,
 		Copies:          func() []spread.CopyNote { return nil },
 		OnCopies:        func([]spread.CopyNote) {},
-		OnCrashes:       func([]spread.CrashNote) {},
+		OnCrashes:       func([]crash.Note) {},
 		OnLosses:        func(notes []spread.LossNote) { spread.TakeLosses(v.servers, notes) },
 		OnGone:          v.servers.ForgetPeers,
 		FindCopies:      func([]string) []spread.CopyNote { return nil },
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -86,7 +86,7 @@
 	connections *http1.Pool
 	relay       *relay.Relay
 	copies      *copies.Copies
-	crashes     *crash.Counts
+	crashes     *crash.Record
 	counters    *counters
 	bodies      *caller.Bodies
 	callers     *caller.Connections
@@ -154,9 +154,13 @@
 		Go:     func(do func()) { rescue.Go(v.logger, "connection to a peer", do) },
 	})
 	v.copies = copies.New(copies.Options{Now: v.Now})
-	v.crashes = crash.New(crash.Options{Now: v.Now, Tell: v.tellCrash, OnCondemned: func(content string, count int) {
-		event.ContentRefused.Warn(v.logger, "content", content, "servers", count)
-	}})
+	v.crashes = crash.New(crash.Options{
+		Now:  v.Now,
+		Tell: func(note crash.Note) { v.spread.TellCrash(note) },
+		OnRefused: func(content string, ends int) {
+			event.ContentRefused.Warn(v.logger, "content", content, "servers", ends)
+		},
+	})
 	v.spread = spread.New(v.spreadOptions())
 	v.relay = relay.New(relay.Options{
 		Servers:     v.servers,
@@ -172,10 +176,14 @@
 		SpendSpare:  v.spendSpare,
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.findCopy},
-		Crashes:     relay.Crashes{Note: v.crashes.Note, Condemned: v.crashes.Condemned},
-		Counts:      relay.Counts{EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
-		LoadAdded:   v.spread.WorkChanged,
-		LoadEased:   v.spread.WorkEased,
+		Crashes: relay.Crashes{
+			Ended:        func(content string, server pool.Server) { v.crashes.Ended(content, server.Process()) },
+			Survived:     v.crashes.Survived,
+			RefusedUntil: v.crashes.RefusedUntil,
+		},
+		Counts:    relay.Counts{EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
+		LoadAdded: v.spread.WorkChanged,
+		LoadEased: v.spread.WorkEased,
 	})
 	return v
 }
@@ -210,7 +218,7 @@
 		OnLoads:             v.servers.PeerLoads,
 		Copies:              v.copiesOfRunning,
 		OnCopies:            v.heardCopies,
-		OnCrashes:           v.heardCrashes,
+		OnCrashes:           v.crashes.Heard,
 		OnLosses:            func(notes []spread.LossNote) { spread.TakeLosses(v.servers, notes) },
 		OnGone:              v.servers.ForgetPeers,
 		FindCopies:          v.knownCopies,
@@ -331,16 +339,6 @@
 	return notes
 }
 
-func (v *VM) tellCrash(content string, count int) {
-	v.spread.TellCrash(spread.CrashNote{Content: content, Count: count})
-}
-
-func (v *VM) heardCrashes(notes []spread.CrashNote) {
-	for _, note := range notes {
-		v.crashes.Heard(note.Content, note.Count)
-	}
-}
-
 // budgetOf gives the service's budget for repeats, which all VMs share.
 func (v *VM) budgetOf(service string) *budget.Shared {
 	v.mu.Lock()
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 // Member is one VM as VMs tell each other. ID is new with each start of a
@@ -60,12 +61,6 @@
 	Address  string `cbor:"4,keyasint"`
 }
 
-// CrashNote counts the servers that died while they ran a content.
-type CrashNote struct {
-	Content string `cbor:"1,keyasint"`
-	Count   int    `cbor:"2,keyasint"`
-}
-
 // LossNote tells of a server that is down. Ended means that its process is gone,
 // and SuccessorID names the one that started in its place, if that is known.
 //
@@ -115,7 +110,7 @@
 	Loads    []pool.Load    `cbor:"8,keyasint,omitempty"`
 	HasLoads bool           `cbor:"9,keyasint,omitempty"`
 	Copies   []CopyNote     `cbor:"10,keyasint,omitempty"`
-	Crashes  []CrashNote    `cbor:"11,keyasint,omitempty"`
+	Crashes  []crash.Note   `cbor:"11,keyasint,omitempty"`
 	Losses   []LossNote     `cbor:"12,keyasint,omitempty"`
 	Uses     []ServiceUse   `cbor:"13,keyasint,omitempty"`
 	// NoAnswer tells that nobody waits for one.
--- a/internal/peer/spread/notes.go
+++ b/internal/peer/spread/notes.go
@@ -7,6 +7,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/rescue"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 // What VMs tell each other once: their work on servers, where copies are, and losses,
@@ -17,7 +18,7 @@
 // it is about: only their watchers tell all.
 type note struct {
 	copied  *CopyNote
-	crashed *CrashNote
+	crashed *crash.Note
 	lost    *LossNote
 	left    *pool.Departure
 	group   string
@@ -42,8 +43,8 @@
 	s.tell(note{copied: &copied})
 }
 
-// TellCrash tells all of a server that died with a content.
-func (s *Spread) TellCrash(crashed CrashNote) {
+// TellCrash tells all of servers that ended under a content.
+func (s *Spread) TellCrash(crashed crash.Note) {
 	s.tell(note{crashed: &crashed})
 }
 
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -32,6 +32,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 const (
@@ -128,7 +129,7 @@
 	// Copies are those of the streams that run here. A VM that joins is told of them.
 	Copies    func() []CopyNote
 	OnCopies  func(notes []CopyNote)
-	OnCrashes func(notes []CrashNote)
+	OnCrashes func(notes []crash.Note)
 	OnLosses  func(notes []LossNote)
 	// FindCopies gives those of the copies that this VM knows.
 	FindCopies func(keys []string) []CopyNote
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -18,6 +18,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 // network connects the VMs of a test. A VM that is cut reaches nobody.
@@ -145,7 +146,7 @@
 				v.copies.Store(note.CopyKey, true)
 			}
 		},
-		OnCrashes:    func([]spread.CrashNote) {},
+		OnCrashes:    func([]crash.Note) {},
 		OnLosses:     func([]spread.LossNote) { v.lossesHeard.Add(1) },
 		Uses:         func() []spread.ServiceUse { return nil },
 		Departures:   func() []pool.Departure { return nil },
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -1,94 +1,250 @@
-// Package crash counts the backend servers that died when they began to run a
-// content, so that a request which crashes servers is not sent to ever more.
+// Package crash holds under which requests backend servers ended, so that a request that
+// crashes each server that runs it is not sent to ever more.
+//
+// Requests are alike if their content is: the caller's account, the path and the body. A
+// content is refused once limit processes have ended under it since it last ran to its end.
 //
 // # Usage
 //
-//	counts := crash.New(crash.Options{Now: time.Now, Tell: spread.TellCrash})
-//	counts.Note(content)
-//	if counts.Condemned(content) { ... } // Refuse it, whatever VM saw the crashes.
+//	record := crash.New(crash.Options{Now: time.Now, Tell: spread.TellCrash})
+//	record.Ended(content, process)                      // A server's process ended under it.
+//	record.Survived(content)                            // It has run to its end.
+//	if until, refused := record.RefusedUntil(content); refused { ... }
+//	record.Heard(notes)                                 // What other VMs tell.
+//
+// What VMs tell each other may be late, come twice and in any order. A content's entry is
+// therefore a set of processes that only grows, each of which may be cleared once and for all
+// (an observed-remove set, Shapiro et al. 2011): who hears the same notes holds the same.
 package crash
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// limit is how many servers may die with a content. The contract allows three
-	// retries beyond the third crash, for VMs that have not heard of it.
+	// limit is how many processes may end under a content. The contract allows three
+	// sends beyond the third crash, for VMs that have not heard of it.
 	limit = 3
-	// remembered is how long a content's crashes count. Callers send such requests
-	// again within seconds.
-	remembered = time.Minute
+	// firstRefusal is for how long a content is refused after its last crash. Then it may
+	// run again, and one more crash refuses it for twice as long, up to keptFor.
+	firstRefusal = time.Minute
+	// keptFor is how long the end of a process is remembered.
+	keptFor = 10 * time.Minute
+	// maxDoublings bounds how often the refusal gets longer: 16 minutes are over keptFor.
+	maxDoublings = 4
 	// maxContents bounds the contents that are remembered.
 	maxContents = 10_000
+	// maxEnds bounds the processes that are remembered for one content.
+	maxEnds = 32
 )
 
-// Options shapes a Counts. Tell passes this VM's counts on to others, and OnCondemned is
-// told of a content that is refused from now on.
+// Options shapes a Record. Tell passes on what is new here, and OnRefused is told of a content
+// that is refused from now on, and under how many processes' ends.
 type Options struct {
-	Now         func() time.Time
-	Tell        func(content string, count int)
-	OnCondemned func(content string, count int)
+	Now       func() time.Time
+	Tell      func(note Note)
+	OnRefused func(content string, ends int)
 }
 
-// Counts is safe for concurrent use.
-type Counts struct {
+// Note is what VMs tell each other of a content.
+type Note struct {
+	Content string `cbor:"1,keyasint"`
+	Ends    []End  `cbor:"3,keyasint"`
+}
+
+// End is a server's process that ended under a content, so many milliseconds ago. A cleared
+// one counts no more: the content has run to its end since.
+type End struct {
+	Process string `cbor:"1,keyasint"`
+	Age     int64  `cbor:"2,keyasint,omitempty"`
+	Cleared bool   `cbor:"3,keyasint,omitempty"`
+}
+
+// Record is safe for concurrent use.
+type Record struct {
 	options Options
 
 	mu       sync.Mutex
 	contents map[string]entry
 }
 
-type entry struct {
-	count int
-	until time.Time
+// entry is the ends under one content, by process.
+type entry map[string]end
+
+type end struct {
+	at      time.Time
+	cleared bool
+}
+
+// New makes an empty Record.
+func New(options Options) *Record {
+	if options.OnRefused == nil {
+		options.OnRefused = func(string, int) {}
+	}
+	return &Record{options: options, contents: map[string]entry{}}
+}
+
+// Ended notes that a process ended under the content.
+func (r *Record) Ended(content, process string) {
+	r.mu.Lock()
+	refused := r.merge(content, map[string]end{process: {at: r.options.Now()}})
+	note := r.note(content)
+	r.mu.Unlock()
+	r.options.Tell(note)
+	if refused > 0 {
+		r.options.OnRefused(content, refused)
+	}
+}
+
+// Survived notes that the content has run to its end at a server: it doesn't crash each.
+func (r *Record) Survived(content string) {
+	r.mu.Lock()
+	known := r.contents[content]
+	if known.counted() == 0 {
+		r.mu.Unlock()
+		return
+	}
+	for process, e := range known {
+		e.cleared = true
+		known[process] = e
+	}
+	note := r.note(content)
+	r.mu.Unlock()
+	r.options.Tell(note)
+}
+
+// Heard takes in what another VM told.
+func (r *Record) Heard(notes []Note) {
+	now := r.options.Now()
+	for _, note := range notes {
+		told := map[string]end{}
+		for _, e := range note.Ends {
+			age := min(max(e.Age, 0), keptFor.Milliseconds())
+			told[e.Process] = end{at: now.Add(-time.Duration(age) * time.Millisecond), cleared: e.Cleared}
+		}
+		r.mu.Lock()
+		refused := r.merge(note.Content, told)
+		r.mu.Unlock()
+		if refused > 0 {
+			r.options.OnRefused(note.Content, refused)
+		}
+	}
+}
+
+// RefusedUntil reports whether the content may not be sent to a server, and until when.
+func (r *Record) RefusedUntil(content string) (until time.Time, refused bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.contents[content].refusedUntil(r.options.Now())
+}
+
+// merge takes in ends. It gives how many count if the content is refused by that and was not
+// before. Called with the lock held.
+func (r *Record) merge(content string, told map[string]end) (refused int) {
+	now := r.options.Now()
+	known := r.contents[content]
+	_, was := known.refusedUntil(now)
+	merged := entry{}
+	maps.Copy(merged, known)
+	for process, e := range told {
+		before, found := merged[process]
+		if found {
+			// The earlier time is nearer to the truth: each VM that tells it adds the way.
+			e = end{at: minTime(before.at, e.at), cleared: before.cleared || e.cleared}
+		}
+		merged[process] = e
+	}
+	merged.forget(now)
+	if len(merged) == 0 {
+		delete(r.contents, content)
+		return 0
+	}
+	if r.contents[content] == nil && len(r.contents) >= maxContents {
+		r.contents = map[string]entry{} // Only lets a few more servers die.
+	}
+	r.contents[content] = merged
+	if _, is := merged.refusedUntil(now); is && !was {
+		return merged.counted()
+	}
+	return 0
+}
+
+// note is what is told of a content. Called with the lock held.
+func (r *Record) note(content string) Note {
+	now := r.options.Now()
+	note := Note{Content: content}
+	for process, e := range r.contents[content] {
+		note.Ends = append(note.Ends, End{Process: process, Age: max(now.Sub(e.at).Milliseconds(), 0), Cleared: e.cleared})
+	}
+	slices.SortFunc(note.Ends, func(a, b End) int { return cmp.Compare(a.Process, b.Process) })
+	return note
 }
 
-// New makes an empty Counts.
-func New(options Options) *Counts {
-	if options.OnCondemned == nil {
-		options.OnCondemned = func(string, int) {}
+// counted is how many ends are not cleared.
+func (e entry) counted() int {
+	count := 0
+	for _, known := range e {
+		if !known.cleared {
+			count++
+		}
 	}
-	return &Counts{options: options, contents: map[string]entry{}}
+	return count
 }
 
-// Note counts one more server that died with the content.
-func (c *Counts) Note(content string) {
-	c.options.Tell(content, c.raise(content, 0, 1))
+// last is when the newest end was that counts; zero if none does.
+func (e entry) last() time.Time {
+	last := time.Time{}
+	for _, known := range e {
+		if !known.cleared && known.at.After(last) {
+			last = known.at
+		}
+	}
+	return last
 }
 
-// Heard takes in what another VM has counted.
-func (c *Counts) Heard(content string, count int) {
-	c.raise(content, count, 0)
+func (e entry) refusedUntil(now time.Time) (until time.Time, refused bool) {
+	count := e.counted()
+	if count < limit {
+		return time.Time{}, false
+	}
+	refusal := min(firstRefusal<<min(count-limit, maxDoublings), keptFor)
+	until = e.last().Add(refusal)
+	return until, now.Before(until)
 }
 
-// raise sets the count to at least the given one and adds to it.
-func (c *Counts) raise(content string, atLeast, more int) int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.options.Now()
-	if len(c.contents) >= maxContents {
-		c.contents = map[string]entry{} // Only lets a few more servers die.
+// forget drops ends that are old, and those beyond maxEnds: cleared ones first, and the same
+// on all VMs.
+func (e entry) forget(now time.Time) {
+	maps.DeleteFunc(e, func(_ string, known end) bool { return now.Sub(known.at) >= keptFor })
+	if len(e) <= maxEnds {
+		return
 	}
-	known := c.contents[content]
-	if now.After(known.until) {
-		known = entry{}
+	processes := slices.SortedFunc(maps.Keys(e), func(a, b string) int {
+		if e[a].cleared != e[b].cleared {
+			return cmp.Compare(rank(e[a].cleared), rank(e[b].cleared))
+		}
+		return cmp.Compare(a, b)
+	})
+	for _, process := range processes[maxEnds:] {
+		delete(e, process)
 	}
-	before := known.count
-	known.count = max(known.count, atLeast) + more
-	if before < limit && known.count >= limit {
-		c.options.OnCondemned(content, known.count)
+}
+
+// rank orders ends that count before cleared ones.
+func rank(cleared bool) int {
+	if cleared {
+		return 1
 	}
-	known.until = now.Add(remembered)
-	c.contents[content] = known
-	return known.count
+	return 0
 }
 
-// Condemned reports whether the content may not be sent to a server any more.
-func (c *Counts) Condemned(content string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	known := c.contents[content]
-	return known.count >= limit && c.options.Now().Before(known.until)
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
--- a/internal/request/crash/crash_test.go
+++ b/internal/request/crash/crash_test.go
@@ -2,82 +2,198 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
+// fleet is some VMs that tell each other of crashes when deliver is called.
+type fleet struct {
+	now     time.Time
+	vms     []*crash.Record
+	waiting []crash.Note
+}
+
+func newFleet(count int) *fleet {
+	f := &fleet{now: time.Unix(0, 0)}
+	for range count {
+		f.vms = append(f.vms, crash.New(crash.Options{
+			Now:  func() time.Time { return f.now },
+			Tell: func(note crash.Note) { f.waiting = append(f.waiting, note) },
+		}))
+	}
+	return f
+}
+
+func (f *fleet) deliver() {
+	for _, vm := range f.vms {
+		vm.Heard(f.waiting)
+	}
+	f.waiting = nil
+}
+
+func refuses(vm *crash.Record, content string) bool {
+	_, refused := vm.RefusedUntil(content)
+	return refused
+}
+
 // TestCrashesCountOverVMs has each of three VMs see one server die.
 func TestCrashesCountOverVMs(t *testing.T) {
-	now := time.Unix(0, 0)
-	vms := make([]*crash.Counts, 3)
-	for i := range vms {
-		vms[i] = crash.New(crash.Options{
-			Now: func() time.Time { return now },
-			Tell: func(content string, count int) {
-				for j, other := range vms {
-					if j != i {
-						other.Heard(content, count)
-					}
-				}
-			},
-		})
-	}
-	for _, vm := range vms {
-		for _, other := range vms {
-			qt.Assert(t, other.Condemned("c"), qt.IsFalse)
+	f := newFleet(3)
+	for i, vm := range f.vms {
+		for _, other := range f.vms {
+			qt.Assert(t, refuses(other, "c"), qt.IsFalse)
 		}
-		vm.Note("c")
+		vm.Ended("c", fmt.Sprint("server ", i))
+		f.deliver()
 	}
-	for _, vm := range vms {
-		qt.Assert(t, vm.Condemned("c"), qt.IsTrue)
-		qt.Assert(t, vm.Condemned("other"), qt.IsFalse)
+	for _, vm := range f.vms {
+		qt.Assert(t, refuses(vm, "c"), qt.IsTrue)
+		qt.Assert(t, refuses(vm, "other"), qt.IsFalse)
 	}
-	now = now.Add(2 * time.Minute)
-	qt.Assert(t, vms[0].Condemned("c"), qt.IsFalse)
+	f.now = f.now.Add(2 * time.Minute)
+	qt.Assert(t, refuses(f.vms[0], "c"), qt.IsFalse)
 }
 
 // TestCrashesSeenAtOnceAddUp has three VMs see one server each die before they hear of the
 // others.
 func TestCrashesSeenAtOnceAddUp(t *testing.T) {
-	now := time.Unix(0, 0)
-	vms := make([]*crash.Counts, 3)
-	waiting := []func(){}
-	for i := range vms {
-		vms[i] = crash.New(crash.Options{
-			Now: func() time.Time { return now },
-			Tell: func(content string, count int) {
-				waiting = append(waiting, func() {
-					for _, other := range vms {
-						other.Heard(content, count)
-					}
-				})
-			},
-		})
+	f := newFleet(3)
+	for i, vm := range f.vms {
+		vm.Ended("c", fmt.Sprint("server ", i))
 	}
-	for _, vm := range vms {
-		vm.Note("c")
+	f.deliver()
+	for _, vm := range f.vms {
+		qt.Check(t, refuses(vm, "c"), qt.IsTrue)
 	}
-	for _, deliver := range waiting {
-		deliver()
+}
+
+// TestOneServerUnderManyRunsCountsOnce has one server die under runs of the same content at
+// several VMs.
+func TestOneServerUnderManyRunsCountsOnce(t *testing.T) {
+	f := newFleet(3)
+	for _, vm := range f.vms {
+		vm.Ended("c", "server")
+		vm.Ended("c", "server")
 	}
-	for _, vm := range vms {
-		qt.Check(t, vm.Condemned("c"), qt.IsTrue)
+	f.deliver()
+	for _, vm := range f.vms {
+		qt.Check(t, refuses(vm, "c"), qt.IsFalse)
 	}
 }
 
+// TestContentThatRanToItsEndIsInnocent has a content meet two crashes, run well, and meet two
+// more.
+func TestContentThatRanToItsEndIsInnocent(t *testing.T) {
+	f := newFleet(2)
+	for round := range 2 {
+		for i := range 2 {
+			f.vms[i].Ended("c", fmt.Sprint("server ", round, i))
+		}
+		f.deliver()
+		qt.Check(t, refuses(f.vms[0], "c"), qt.IsFalse)
+		f.vms[1].Survived("c")
+		f.deliver()
+	}
+}
+
+// TestContentMayRunAgainOnceAndIsRefusedForLonger has a content crash a fourth server after
+// its refusal.
+func TestContentMayRunAgainOnceAndIsRefusedForLonger(t *testing.T) {
+	f := newFleet(1)
+	vm := f.vms[0]
+	for i := range 3 {
+		vm.Ended("c", fmt.Sprint("server ", i))
+	}
+	first, refused := vm.RefusedUntil("c")
+	qt.Assert(t, refused, qt.IsTrue)
+	began := f.now
+	f.now = first
+	qt.Assert(t, refuses(vm, "c"), qt.IsFalse)
+	vm.Ended("c", "server 3")
+	second, refused := vm.RefusedUntil("c")
+	qt.Assert(t, refused, qt.IsTrue)
+	qt.Assert(t, second.Sub(first), qt.Equals, 2*first.Sub(began))
+}
+
 // TestManyContentsDropNoCondemnedOne has one server die under more contents than are kept.
 func TestManyContentsDropNoCondemnedOne(t *testing.T) {
-	now := time.Unix(0, 0)
-	vm := crash.New(crash.Options{Now: func() time.Time { return now }, Tell: func(string, int) {}})
-	for range 3 {
-		vm.Note("c")
+	f := newFleet(1)
+	vm := f.vms[0]
+	for i := range 3 {
+		vm.Ended("c", fmt.Sprint("server ", i))
 	}
 	for i := range 20_000 {
-		vm.Note(fmt.Sprint("other ", i))
+		vm.Ended(fmt.Sprint("other ", i), "server")
+	}
+	qt.Check(t, refuses(vm, "c"), qt.IsTrue)
+}
+
+// TestNotesInAnyOrderGiveTheSame has VMs see ends and survivals, and hear of them late, twice
+// and in any order. Then each holds the same, and refuses the contents under which three
+// processes ended that no survival cleared.
+func TestNotesInAnyOrderGiveTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 4).Draw(t, "VMs"))
+		notes := []crash.Note{}
+		ended, cleared := map[string]bool{}, map[string]bool{}
+		seen := make([]map[string]bool, len(f.vms)) // What each VM knows of.
+		for i := range seen {
+			seen[i] = map[string]bool{}
+		}
+		hear := func(vm int, note crash.Note) {
+			f.vms[vm].Heard([]crash.Note{note})
+			for _, e := range note.Ends {
+				seen[vm][e.Process] = true
+			}
+		}
+		for range rapid.IntRange(0, 30).Draw(t, "steps") {
+			vm := rapid.IntRange(0, len(f.vms)-1).Draw(t, "VM")
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "millis")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				process := fmt.Sprint(rapid.IntRange(0, 7).Draw(t, "process"))
+				f.vms[vm].Ended("c", process)
+				ended[process], seen[vm][process] = true, true
+			case 2:
+				f.vms[vm].Survived("c")
+				maps.Copy(cleared, seen[vm])
+			default:
+				if len(notes) > 0 {
+					hear(vm, notes[rapid.IntRange(0, len(notes)-1).Draw(t, "note")])
+				}
+			}
+			notes = append(notes, f.waiting...)
+			f.waiting = nil
+		}
+		for i := range f.vms {
+			for _, at := range rapid.Permutation(indices(len(notes))).Draw(t, "order") {
+				hear(i, notes[at])
+			}
+		}
+		count := 0
+		for process := range ended {
+			if !cleared[process] {
+				count++
+			}
+		}
+		for _, vm := range f.vms {
+			if refuses(vm, "c") != (count >= 3) {
+				t.Fatalf("%d ends count, refused: %t", count, refuses(vm, "c"))
+			}
+		}
+	})
+}
+
+func indices(count int) []int {
+	all := make([]int, count)
+	for i := range all {
+		all[i] = i
 	}
-	qt.Check(t, vm.Condemned("c"), qt.IsTrue)
+	return all
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -188,10 +188,11 @@
 	Find func(ctx context.Context, copyKey string) (copied Copy, found bool)
 }
 
-// Crashes counts the servers that died while they ran a content.
+// Crashes remembers under which contents servers ended; see package crash.
 type Crashes struct {
-	Note      func(content string)
-	Condemned func(content string) bool
+	Ended        func(content string, server pool.Server)
+	Survived     func(content string)
+	RefusedUntil func(content string) (until time.Time, refused bool)
 }
 
 // Relay is safe for concurrent use.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -49,7 +49,7 @@
 	t         *testing.T
 	relay     *relay.Relay
 	servers   *pool.Pool
-	crashes   *crash.Counts
+	crashes   *crash.Record
 	mu        sync.Mutex
 	arrivals  []arrival
 	addresses map[string]string
@@ -99,7 +99,7 @@
 func (g *rig) vm(servers *pool.Pool) *relay.Relay {
 	connections := http1.New(http1.Options{})
 	repeats := budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
-	g.crashes = crash.New(crash.Options{Now: time.Now, Tell: func(string, int) {}})
+	g.crashes = crash.New(crash.Options{Now: time.Now, Tell: func(crash.Note) {}})
 	renewals := relay.Renewals{}
 	if g.renews {
 		renewals = relay.Renewals{Copy: g.copyRun, Free: g.freeCopy}
@@ -131,7 +131,11 @@
 			Put:  func(key string, copied relay.Copy) { g.copies.Store(key, copied) },
 			Find: g.findCopy,
 		},
-		Crashes: relay.Crashes{Note: g.crashes.Note, Condemned: g.crashes.Condemned},
+		Crashes: relay.Crashes{
+			Ended:        func(content string, server pool.Server) { g.crashes.Ended(content, server.Process()) },
+			Survived:     g.crashes.Survived,
+			RefusedUntil: g.crashes.RefusedUntil,
+		},
 	})
 }
 
@@ -537,8 +541,8 @@
 
 func TestCondemnedContentIsRefusedAtOnce(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": events(3, complete)})
-	for range 3 {
-		g.crashes.Note("content")
+	for i := range 3 {
+		g.crashes.Ended("content", fmt.Sprint("server ", i))
 	}
 	c := &caller{}
 	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -88,11 +88,12 @@
 		s.copied, _ = r.options.Copies.Find(ctx, request.CopyKey)
 	}
 	for {
-		if request.Content != "" && r.options.Crashes.Condemned(request.Content) {
-			return s.giveUp(RefusalCrashes, "it crashes the servers that run it")
+		if until, refused := r.options.Crashes.RefusedUntil(request.Content); refused {
+			return s.giveUp(RefusalCrashes, "it crashes the servers that run it", until)
 		}
 		end := s.run(ctx)
 		if end.done {
+			r.options.Crashes.Survived(request.Content)
 			return nil
 		}
 		if end.answer != nil {
@@ -110,6 +111,7 @@
 // next decides after a run that did not finish: nil means that the stream goes on.
 func (s *stream) next(end runEnd) error {
 	now := s.relay.options.Now()
+	soon := now.Add(retryPause)
 	if s.lostAt.IsZero() && s.begun {
 		s.lostAt = now
 	}
@@ -133,29 +135,30 @@
 	case end.noServer && !s.begun && s.sends == 0:
 		return end.err // It tells when there may be a server.
 	case end.noServer:
-		return s.giveUp(RefusalNoServer, s.reason)
+		return s.giveUp(RefusalNoServer, s.reason, soon)
 	case s.refused > maxSends:
-		return s.giveUp(RefusalByServers, "servers refused it: "+s.reason)
+		return s.giveUp(RefusalByServers, "servers refused it: "+s.reason, soon)
 	case s.sends > 0 && !s.request.Route.Repeatable():
-		return s.giveUp(RefusalByServers, s.reason)
+		return s.giveUp(RefusalByServers, s.reason, soon)
 	case s.sends >= s.request.Route.MaxAttempts:
-		return s.giveUp(RefusalByServers, "all attempts are used: "+s.reason)
+		return s.giveUp(RefusalByServers, "all attempts are used: "+s.reason, soon)
 	case !s.relay.options.Spend(s.request.Service):
-		return s.giveUp(RefusalBudget, "the retry budget of the service is spent")
+		return s.giveUp(RefusalBudget, "the retry budget of the service is spent", soon)
 	}
 	s.repeats++
 	return nil
 }
 
-// giveUp gives the outcome of a stream that does not go on.
-func (s *stream) giveUp(kind Refusal, reason string) error {
+// giveUp gives the outcome of a stream that does not go on. Its caller may come back at the
+// given time.
+func (s *stream) giveUp(kind Refusal, reason string, retryAt time.Time) error {
 	switch {
 	case s.begun:
 		return &Cut{Reason: reason}
 	case s.sends > 0:
 		return &Unknown{Reason: reason}
 	default:
-		return &NotRun{Kind: kind, Reason: reason, RetryAt: s.relay.options.Now().Add(retryPause)}
+		return &NotRun{Kind: kind, Reason: reason, RetryAt: retryAt}
 	}
 }
 
@@ -265,7 +268,7 @@
 	case barren && !end.silent:
 		up := lease.Verify(ctx)
 		if !up {
-			s.relay.options.Crashes.Note(s.request.Content)
+			s.relay.options.Crashes.Ended(s.request.Content, lease.Server)
 		}
 		s.logCrash(lease, !up, fmt.Sprintf("the server was up: %t", up))
 	default:
