Crashes: many contents make room by those that matter least

The table of crashes was dropped when 10,000 contents were in it, which the loss of a few servers with ordinary traffic may fill, and requests that crash servers were sent on. Contents under which the fewest processes ended go now, the oldest of them first, a tenth at a time.

--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -36,8 +36,10 @@
 	keptFor = 10 * time.Minute
 	// maxDoublings bounds how often the refusal gets longer: 16 minutes are over keptFor.
 	maxDoublings = 4
-	// maxContents bounds the contents that are remembered.
+	// maxContents bounds the contents that are remembered, and evictedPart of them makes
+	// room for others at a time.
 	maxContents = 10_000
+	evictedPart = 0.1
 	// maxEnds bounds the processes that are remembered for one content.
 	maxEnds = 32
 )
@@ -164,7 +166,7 @@
 		return 0
 	}
 	if r.contents[content] == nil && len(r.contents) >= maxContents {
-		r.contents = map[string]entry{} // Only lets a few more servers die.
+		r.evict()
 	}
 	r.contents[content] = merged
 	if _, is := merged.refusedUntil(now); is && !was {
@@ -173,6 +175,26 @@
 	return 0
 }
 
+// evict makes room: contents under which the fewest processes ended go first, the oldest of
+// them before others. Called with the lock held.
+func (r *Record) evict() {
+	type place struct {
+		content string
+		counted int
+		last    time.Time
+	}
+	places := make([]place, 0, len(r.contents))
+	for content, known := range r.contents {
+		places = append(places, place{content: content, counted: known.counted(), last: known.last()})
+	}
+	slices.SortFunc(places, func(a, b place) int {
+		return cmp.Or(cmp.Compare(a.counted, b.counted), a.last.Compare(b.last))
+	})
+	for _, p := range places[:int(evictedPart*float64(len(places)))] {
+		delete(r.contents, p.content)
+	}
+}
+
 // note is what is told of a content. Called with the lock held.
 func (r *Record) note(content string) Note {
 	now := r.options.Now()
