Crashes: a server's end is recognized whenever it becomes known

Requests that crash servers were sent on if the server had sent an event before it died, was back before it was checked, had been found down by another run or VM first, or if the caller's time ran out. An end was noted only if a check right after the run failed, and nothing else had noticed it.

A run that was cut before it ran for a second is now noted, and held against its content as soon as the server's process is found to have ended: by a check, a peer, a process of another id or start at its address. A server that is heard of after the cut has not ended by it.

--- /dev/null
+++ b/internal/backend/pool/fate_test.go
@@ -0,0 +1,80 @@
+package pool_test
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// TestEndIsRecognizedHoweverItIsLearned cuts a run at a server, and has this VM learn of the
+// server's end, or of its being well, in each way and order.
+func TestEndIsRecognizedHoweverItIsLearned(t *testing.T) {
+	server := pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Started: 1}
+	other := pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "y", Started: 1}
+	successor := server
+	successor.ID, successor.Started = "a2", 2
+	sameID := server
+	sameID.Started = 2
+	wait := func(g *rig, pause time.Duration) { g.mu.Lock(); defer g.mu.Unlock(); g.now = g.now.Add(pause) }
+	check := func(g *rig, lease *pool.Lease, failure error) {
+		g.mu.Lock()
+		g.fails[server.Address] = failure
+		g.mu.Unlock()
+		lease.Verify(context.Background())
+	}
+	cases := []struct {
+		name  string
+		ended bool
+		after func(g *rig, lease *pool.Lease)
+	}{
+		{"nothing is known", false, func(*rig, *pool.Lease) {}},
+		{"a check finds it down", true, func(g *rig, l *pool.Lease) { check(g, l, syscall.ECONNREFUSED) }},
+		{"a check times out", true, func(g *rig, l *pool.Lease) { check(g, l, context.DeadlineExceeded) }},
+		{"a check finds it up", false, func(g *rig, l *pool.Lease) { check(g, l, nil) }},
+		{"it is well first, and down later", false, func(g *rig, l *pool.Lease) {
+			check(g, l, nil)
+			wait(g, time.Second)
+			check(g, l, syscall.ECONNREFUSED)
+		}},
+		{"a peer tells of its end", true, func(g *rig, l *pool.Lease) {
+			l.Release()
+			g.PeerLost("a", true)
+		}},
+		{"it is back at once, and listed later", true, func(g *rig, l *pool.Lease) {
+			check(g, l, nil)
+			wait(g, time.Second)
+			g.Update([]pool.Server{server, successor, other})
+		}},
+		{"it is back at once under the same id", true, func(g *rig, l *pool.Lease) {
+			check(g, l, nil)
+			wait(g, time.Second)
+			g.Update([]pool.Server{sameID, other})
+		}},
+		{"a request finds another process there", true, func(g *rig, l *pool.Lease) {
+			check(g, l, nil)
+			l.Replaced()
+		}},
+		{"it answers others, and is replaced later", false, func(g *rig, l *pool.Lease) {
+			wait(g, time.Second)
+			l.Answered(time.Millisecond, false)
+			g.Update([]pool.Server{server, successor, other})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := newRig(server, other)
+			lease, _, err := g.Stream(pool.Ask{Service: "s", On: "a"})
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, lease.Server.ID, qt.Equals, "a")
+			cutAt := g.now
+			wait(g, time.Millisecond)
+			c.after(g, lease)
+			qt.Assert(t, g.HasEnded(server, cutAt), qt.Equals, c.ended)
+		})
+	}
+}
--- a/internal/backend/pool/loss.go
+++ b/internal/backend/pool/loss.go
@@ -68,7 +68,7 @@
 	s.down = failure != nil
 	ended := errors.Is(failure, syscall.ECONNREFUSED)
 	if failure == nil {
-		s.heardAt = now
+		s.heardAt, s.upAt = now, now
 		s.avoidUntil = time.Time{}
 	}
 	if ended {
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -114,6 +114,7 @@
 	recheckAt   time.Time
 	heardAt     time.Time // From its address: also when a check succeeded.
 	answeredAt  time.Time // From its process.
+	upAt        time.Time // When a check succeeded last.
 	identifying bool      // Its address is being asked for the id of the process there.
 	identified  bool      // The process there has told its id.
 	foundAt     time.Time // When it was found without the list; zero if it is listed.
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -155,8 +155,12 @@
 	})
 	v.copies = copies.New(copies.Options{Now: v.Now})
 	v.crashes = crash.New(crash.Options{
-		Now:  v.Now,
-		Tell: func(note crash.Note) { v.spread.TellCrash(note) },
+		Now:      v.Now,
+		Tell:     func(note crash.Note) { v.spread.TellCrash(note) },
+		HasEnded: v.servers.HasEnded,
+		OnEnded: func(content string, server pool.Server, after time.Duration) {
+			event.EndHeldAgainst.Info(v.logger, "content", content, "server", server.ID, "afterMillis", after.Milliseconds())
+		},
 		OnRefused: func(content string, ends int) {
 			event.ContentRefused.Warn(v.logger, "content", content, "servers", ends)
 		},
@@ -177,7 +181,7 @@
 		Refund:      func(service string) { v.budgetOf(service).Refund() },
 		Copies:      relay.Copies{Put: v.putCopy, Find: v.findCopy},
 		Crashes: relay.Crashes{
-			Ended:        func(content string, server pool.Server) { v.crashes.Ended(content, server.Process()) },
+			Cut:          v.crashes.Cut,
 			Survived:     v.crashes.Survived,
 			RefusedUntil: v.crashes.RefusedUntil,
 		},
@@ -526,6 +530,12 @@
 	}
 }
 
+// recheck looks at servers that are down, and at runs that were cut.
+func (v *VM) recheck(ctx context.Context) {
+	v.servers.Recheck(ctx)
+	v.crashes.Look()
+}
+
 // picture is the configuration that requests are accepted under.
 func (v *VM) picture() accept.Picture {
 	snapshot := v.spread.Snapshot()
@@ -553,7 +563,7 @@
 	})
 	supervisor.Add(&discovery{vm: v})
 	supervisor.Add(&keeper{vm: v})
-	supervisor.Add(periodic.New("checks", checksEvery, v.servers.Recheck))
+	supervisor.Add(periodic.New("checks", checksEvery, v.recheck))
 	supervisor.Add(periodic.New("idle connections", idleEvery, func(context.Context) { v.connections.Sweep() }))
 	supervisor.Add(periodic.New("callers' connections", idleEvery, v.closeIdleCallers))
 	supervisor.Add(&readiness{vm: v})
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -6,8 +6,9 @@
 //
 // # Usage
 //
-//	record := crash.New(crash.Options{Now: time.Now, Tell: spread.TellCrash})
-//	record.Ended(content, process)                      // A server's process ended under it.
+//	record := crash.New(crash.Options{Now: time.Now, Tell: spread.TellCrash, HasEnded: servers.HasEnded})
+//	record.Cut(content, server, time.Now())             // A run of it was cut at a server.
+//	record.Look()                                       // Call it often.
 //	record.Survived(content)                            // It has run to its end.
 //	if until, refused := record.RefusedUntil(content); refused { ... }
 //	record.Heard(notes)                                 // What other VMs tell.
@@ -23,6 +24,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
 
 const (
@@ -40,15 +43,24 @@
 	// room for others at a time.
 	maxContents = 10_000
 	evictedPart = 0.1
+	// knownAfter is how long after a run was cut it may be found that its server has ended: a
+	// server that is silent is back within seconds, as another process.
+	knownAfter = 6 * time.Second
+	// maxCuts bounds the cuts that wait for that.
+	maxCuts = 4096
 	// maxEnds bounds the processes that are remembered for one content.
 	maxEnds = 32
 )
 
-// Options shapes a Record. Tell passes on what is new here, and OnRefused is told of a content
-// that is refused from now on, and under how many processes' ends.
+// Options shapes a Record. Tell passes on what is new here, and HasEnded reports whether the
+// process of a server is gone at which a run was cut. OnEnded is told of each end that is held
+// against a content, and OnRefused of a content that is refused from now on, and under how
+// many processes' ends.
 type Options struct {
 	Now       func() time.Time
 	Tell      func(note Note)
+	HasEnded  func(server pool.Server, cutAt time.Time) bool
+	OnEnded   func(content string, server pool.Server, after time.Duration)
 	OnRefused func(content string, ends int)
 }
 
@@ -72,6 +84,14 @@
 
 	mu       sync.Mutex
 	contents map[string]entry
+	cuts     []cut // In the order of their time.
+}
+
+// cut is a run that was cut at a server of which it isn't known yet whether it has ended.
+type cut struct {
+	content string
+	server  pool.Server
+	at      time.Time
 }
 
 // entry is the ends under one content, by process.
@@ -84,12 +104,54 @@
 
 // New makes an empty Record.
 func New(options Options) *Record {
+	if options.OnEnded == nil {
+		options.OnEnded = func(string, pool.Server, time.Duration) {}
+	}
 	if options.OnRefused == nil {
 		options.OnRefused = func(string, int) {}
 	}
 	return &Record{options: options, contents: map[string]entry{}}
 }
 
+// Cut notes that a run of the content was cut at a server at a moment, before it had run for
+// long. If the server's process has ended, or is found to have within knownAfter, that is held
+// against the content.
+func (r *Record) Cut(content string, server pool.Server, at time.Time) {
+	c := cut{content: content, server: server, at: at}
+	if r.decide(c) {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.cuts) >= maxCuts {
+		r.cuts = r.cuts[1:]
+	}
+	r.cuts = append(r.cuts, c)
+}
+
+// Look holds cuts against their contents whose servers were found to have ended meanwhile.
+func (r *Record) Look() {
+	r.mu.Lock()
+	cuts := r.cuts
+	r.cuts = nil
+	r.mu.Unlock()
+	now := r.options.Now()
+	left := slices.DeleteFunc(cuts, func(c cut) bool { return r.decide(c) || now.Sub(c.at) > knownAfter })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cuts = append(left, r.cuts...)
+}
+
+// decide reports whether the server has ended by now.
+func (r *Record) decide(c cut) bool {
+	if !r.options.HasEnded(c.server, c.at) {
+		return false
+	}
+	r.options.OnEnded(c.content, c.server, r.options.Now().Sub(c.at))
+	r.Ended(c.content, c.server.Process())
+	return true
+}
+
 // Ended notes that a process ended under the content.
 func (r *Record) Ended(content, process string) {
 	r.mu.Lock()
--- a/internal/request/crash/crash_test.go
+++ b/internal/request/crash/crash_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -197,3 +198,35 @@
 	}
 	return all
 }
+
+// TestCutCountsOnceItsServerIsFoundToHaveEnded has that known at once, later, too late, and
+// never.
+func TestCutCountsOnceItsServerIsFoundToHaveEnded(t *testing.T) {
+	now := time.Unix(0, 0)
+	ended := map[string]bool{"at once": true}
+	vm := crash.New(crash.Options{
+		Now:      func() time.Time { return now },
+		Tell:     func(crash.Note) {},
+		HasEnded: func(server pool.Server, _ time.Time) bool { return ended[server.ID] },
+	})
+	counted := func() (count int) { // Up to the limit, by what it takes to have it refused.
+		for i := range 3 {
+			if refuses(vm, "c") {
+				return 3 - i
+			}
+			vm.Ended("c", fmt.Sprint("other ", i))
+		}
+		return 0
+	}
+	for _, id := range []string{"at once", "later", "too late", "never"} {
+		vm.Cut("c", pool.Server{ID: id}, now)
+	}
+	now = now.Add(5 * time.Second)
+	ended["later"] = true
+	vm.Look()
+	now = now.Add(5 * time.Second)
+	vm.Look()
+	ended["too late"] = true
+	vm.Look()
+	qt.Assert(t, counted(), qt.Equals, 2)
+}
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -147,8 +147,6 @@
 		lease.Unreachable(result.err)
 	case result.err != nil:
 		lease.Broke()
-		event.RunCrashed.Info(c.relay.options.Logger, "request", c.request.ID, "kind", c.request.Route.Kind.String(), "content", c.request.Content,
-			"server", lease.Server.ID, "counted", false, "reason", "calls are not counted")
 	case result.verdict.Replaced:
 		lease.Replaced()
 	default:
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -29,6 +29,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
 // Request is one attempt of a caller. Header and Target are passed on as they
@@ -190,7 +191,7 @@
 
 // Crashes remembers under which contents servers ended; see package crash.
 type Crashes struct {
-	Ended        func(content string, server pool.Server)
+	Cut          func(content string, server pool.Server, at time.Time)
 	Survived     func(content string)
 	RefusedUntil func(content string) (until time.Time, refused bool)
 }
@@ -232,6 +233,15 @@
 	return response, verdict, nil
 }
 
+// cut notes a run of a request that was cut at a server.
+func (r *Relay) cut(request *Request, server pool.Server, at time.Time, justBegun bool) {
+	event.RunCrashed.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content,
+		"server", server.ID, "justBegun", justBegun)
+	if justBegun {
+		r.options.Crashes.Cut(request.Content, server, at)
+	}
+}
+
 // noServer is the refusal when no server may take the request. If all servers rest,
 // callers come back once the first wants requests again, and not all at the same moment.
 func (r *Relay) noServer(request *Request) error {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -35,6 +35,9 @@
 	// mostCopyFailures is how often a run from one copy is tried again after a failure of
 	// its server. Each takes some 5 ms, and the last attempt is left for the prompt.
 	mostCopyFailures = 2
+	// begunLimit is how long after its first event a run has just begun. Only such a run may
+	// be what ended its server.
+	begunLimit = time.Second
 	// quietEvery is how often that is looked at.
 	quietEvery = 100 * time.Millisecond
 )
@@ -47,10 +50,11 @@
 	begun        bool
 	last         string // Id of the last event that the caller has.
 	events       int
-	sends        int // Sends that may have run.
-	refused      int // Sends that no server ran.
-	silences     int // Runs that were ended because nothing came for too long.
-	repeats      int // Sends that were paid from the budget.
+	begunAt      time.Time // When the first event of the present run came; zero before.
+	sends        int       // Sends that may have run.
+	refused      int       // Sends that no server ran.
+	silences     int       // Runs that were ended because nothing came for too long.
+	repeats      int       // Sends that were paid from the budget.
 	tried        map[string]bool
 	copied       Copy
 	copyFailures int // Runs from its copy that failed at the server, which kept the copy.
@@ -229,17 +233,17 @@
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
 	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.last, "promptTokens", s.request.Need.PromptTokens, "load", lease.Load)
-	before := s.events
+	s.begunAt = time.Time{}
 	s.relay.options.LoadAdded()
 	defer s.relay.options.LoadEased()
 	end = s.exchange(ctx, lease, dispatch, resumed)
-	s.settle(ctx, lease, end, resumed, s.events == before)
+	s.settle(ctx, lease, end, resumed)
 	switch {
 	case s.renewed != Copy{} && (end.done || end.caller != nil || ctx.Err() != nil || end.moved):
 		s.free(ctx, s.renewed, lease.Server)
 	case s.renewed != Copy{}:
 		s.copied = s.renewed
-	case backup != nil && s.events > before:
+	case backup != nil && !s.begunAt.IsZero():
 		s.copied = Copy{RunID: s.request.ID, ServerID: backup.ID, Address: backup.Address}
 	case resumed && end.failure && s.copyFailures < mostCopyFailures:
 		s.copyFailures++
@@ -249,9 +253,14 @@
 }
 
 // settle tells the pool how the server did, and remembers where not to go again.
-// A run that broke without an event while its server died may be what killed it.
-func (s *stream) settle(ctx context.Context, lease *pool.Lease, end runEnd, resumed, barren bool) {
-	if end.done || end.moved || end.caller != nil || ctx.Err() != nil {
+func (s *stream) settle(ctx context.Context, lease *pool.Lease, end runEnd, resumed bool) {
+	if end.done || end.moved {
+		return
+	}
+	now := s.relay.options.Now()
+	justBegun := s.begunAt.IsZero() || now.Sub(s.begunAt) <= begunLimit
+	if end.caller != nil || ctx.Err() != nil {
+		s.cut(lease, end, now, justBegun)
 		return
 	}
 	s.relay.options.Counts.EndedEarly(end.earlyEnd())
@@ -265,22 +274,21 @@
 	case end.notRun || end.answer != nil:
 	case end.notSent:
 		lease.Unreachable(end.err)
-	case barren && !end.silent:
-		up := lease.Verify(ctx)
-		if !up {
-			s.relay.options.Crashes.Ended(s.request.Content, lease.Server)
-		}
-		s.logCrash(lease, !up, fmt.Sprintf("the server was up: %t", up))
+	case justBegun && !end.silent:
+		lease.Verify(ctx)
 	default:
 		lease.Broke()
-		s.logCrash(lease, false, fmt.Sprintf("it had events: %t, it was ended here: %t", !barren, end.silent))
 	}
+	s.cut(lease, end, now, justBegun)
 	s.tried[lease.Server.ID] = true
 }
 
-func (s *stream) logCrash(lease *pool.Lease, counted bool, reason string) {
-	event.RunCrashed.Info(s.relay.options.Logger, "request", s.request.ID, "kind", s.request.Route.Kind.String(), "content", s.request.Content,
-		"server", lease.Server.ID, "events", s.events, "counted", counted, "reason", reason)
+// cut notes a run that may be what ended its server.
+func (s *stream) cut(lease *pool.Lease, end runEnd, at time.Time, justBegun bool) {
+	if end.notSent || end.notRun || end.failure || end.answer != nil {
+		return
+	}
+	s.relay.cut(s.request, lease.Server, at, justBegun)
 }
 
 // exchange is one run: send, await the head, relay the events.
@@ -327,6 +335,7 @@
 // started notes a run's first event.
 func (s *stream) started(lease *pool.Lease, dispatch Dispatch, watch *watch) {
 	lease.Started()
+	s.begunAt = s.relay.options.Now()
 	s.relay.options.LoadEased()
 	watch.begun.Store(true)
 	if dispatch.Backup != "" && s.request.CopyKey != "" {
