--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -68,7 +68,7 @@
 	StreamNotMoved       = define(706, "a stream without a copy could not be moved")
 	CopyRenewed          = define(707, "a stream that lost its copy has another")
 	CopyNotRenewed       = define(708, "a stream without a copy got none yet")
-	RunCrashed           = define(709, "a run was cut by its server or its connection")
+	RunCut               = define(709, "a run was cut by its server or its connection")
 	ContentRefused       = define(710, "a request that crashes servers is refused from now on")
 	EndHeldAgainst       = define(711, "a server's end is held against the request that ran there")
 	StoreLost            = define(801, "the platform's store does not answer")
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -125,11 +125,9 @@
 	if account.HasPriority {
 		request.Priority = account.Priority
 	}
-	if route.Kind == routing.KindStreaming {
-		request.Content = contentHash(account.Name, in)
-		if in.PromptKey != "" { // Else other requests may have the same content.
-			request.CopyKey = request.Content
-		}
+	request.Content = contentHash(account.Name, in)
+	if route.Kind == routing.KindStreaming && in.PromptKey != "" { // Else other requests may have the same content.
+		request.CopyKey = request.Content
 	}
 	return request, nil
 }
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -71,6 +71,9 @@
 	if len(c.tried) >= maxSends {
 		return c.relay.noServer(c.request)
 	}
+	if until, refused := c.relay.options.Crashes.RefusedUntil(c.request.Content); refused {
+		return &NotRun{Kind: RefusalCrashes, Reason: reasonCrashes, RetryAt: until}
+	}
 	lease, err := c.relay.options.Servers.Call(c.request.Service, c.tried)
 	if err != nil {
 		return c.relay.noServer(c.request)
@@ -136,7 +139,11 @@
 
 // note tells the pool how the server did.
 func (c *call) note(ctx context.Context, lease *pool.Lease, result callResult, began time.Time) {
-	took := c.relay.options.Now().Sub(began)
+	now := c.relay.options.Now()
+	took := now.Sub(began)
+	if result.err != nil && !errors.Is(result.err, http1.ErrNotSent) {
+		c.relay.cut(ctx, c.request, lease.Server, now, true)
+	}
 	switch {
 	case result.err != nil && ctx.Err() != nil:
 		// The caller left, another server was sooner, or time is up.
@@ -152,6 +159,9 @@
 	default:
 		lease.Answered(took, result.verdict.Status >= http.StatusInternalServerError)
 	}
+	if result.err == nil && result.verdict.Success && result.verdict.Signed {
+		c.relay.options.Crashes.Survived(c.request.Content)
+	}
 }
 
 // judge decides what a result means: an answer, an error, or neither when the
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -207,6 +207,8 @@
 }
 
 const (
+	// reasonCrashes is why a content is refused under which servers ended.
+	reasonCrashes = "it crashes the servers that run it"
 	// retryPause is when a caller may come back if no server is up. A server that
 	// restarts needs about a second.
 	retryPause = 500 * time.Millisecond
@@ -233,10 +235,13 @@
 	return response, verdict, nil
 }
 
-// cut notes a run of a request that was cut at a server.
-func (r *Relay) cut(request *Request, server pool.Server, at time.Time, justBegun bool) {
-	event.RunCrashed.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content,
-		"server", server.ID, "justBegun", justBegun)
+// cut notes a run of a request that was cut at a server. One that ended because its caller
+// left or its time is up may be what ended the server too.
+func (r *Relay) cut(ctx context.Context, request *Request, server pool.Server, at time.Time, justBegun bool) {
+	if ctx.Err() == nil {
+		event.RunCut.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content,
+			"server", server.ID, "justBegun", justBegun)
+	}
 	if justBegun {
 		r.options.Crashes.Cut(request.Content, server, at)
 	}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -93,7 +93,7 @@
 	}
 	for {
 		if until, refused := r.options.Crashes.RefusedUntil(request.Content); refused {
-			return s.giveUp(RefusalCrashes, "it crashes the servers that run it", until)
+			return s.giveUp(RefusalCrashes, reasonCrashes, until)
 		}
 		end := s.run(ctx)
 		if end.done {
@@ -260,7 +260,7 @@
 	now := s.relay.options.Now()
 	justBegun := s.begunAt.IsZero() || now.Sub(s.begunAt) <= begunLimit
 	if end.caller != nil || ctx.Err() != nil {
-		s.cut(lease, end, now, justBegun)
+		s.cut(ctx, lease, end, now, justBegun)
 		return
 	}
 	s.relay.options.Counts.EndedEarly(end.earlyEnd())
@@ -279,16 +279,16 @@
 	default:
 		lease.Broke()
 	}
-	s.cut(lease, end, now, justBegun)
+	s.cut(ctx, lease, end, now, justBegun)
 	s.tried[lease.Server.ID] = true
 }
 
 // cut notes a run that may be what ended its server.
-func (s *stream) cut(lease *pool.Lease, end runEnd, at time.Time, justBegun bool) {
+func (s *stream) cut(ctx context.Context, lease *pool.Lease, end runEnd, at time.Time, justBegun bool) {
 	if end.notSent || end.notRun || end.failure || end.answer != nil {
 		return
 	}
-	s.relay.cut(s.request, lease.Server, at, justBegun)
+	s.relay.cut(ctx, s.request, lease.Server, at, justBegun)
 }
 
 // exchange is one run: send, await the head, relay the events.
