Crashes: a request that crashes servers is known by path, caller and body alone

The hash under which crashes are counted had the last part of the prompt in it. The hash for crashes leaves the prompt out; that for copies of memory keeps it.

--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -125,9 +125,9 @@
 	if account.HasPriority {
 		request.Priority = account.Priority
 	}
-	request.Content = contentHash(account.Name, in)
-	if route.Kind == routing.KindStreaming && in.PromptKey != "" { // Else other requests may have the same content.
-		request.CopyKey = request.Content
+	request.Content = hash(account.Name, in)
+	if route.Kind == routing.KindStreaming && in.PromptKey != "" { // Else other requests may have the same key.
+		request.CopyKey = hash(account.Name, in, in.PromptKey)
 	}
 	return request, nil
 }
@@ -162,10 +162,11 @@
 	return end
 }
 
-// contentHash is the same for each attempt of a request, at any VM.
-func contentHash(account string, in Incoming) string {
+// hash is the same for each attempt of a request, at any VM. What is not in it, such as the
+// prompt's parts, may differ between requests that are alike.
+func hash(account string, in Incoming, more ...string) string {
 	sum := sha256.New()
-	for _, part := range []string{account, in.Method, in.Target, in.PromptKey} {
+	for _, part := range append([]string{account, in.Method, in.Target}, more...) {
 		sum.Write([]byte(part)) // A hash never fails to write.
 		sum.Write([]byte{0})
 	}
--- a/internal/request/accept/accept_test.go
+++ b/internal/request/accept/accept_test.go
@@ -100,19 +100,23 @@
 		Name: "s", Host: "h", Prefix: "/", Kind: routing.KindStreaming, Public: true, Shares: []routing.Share{{Service: "m", Weight: 1}},
 	}}})
 	now := time.Unix(1000, 0)
-	key := func(change func(*accept.Incoming)) string {
+	accepted := func(change func(*accept.Incoming)) *relay.Request {
 		in := accept.Incoming{ID: "r1", Method: "POST", Host: "h", Path: "/a", Target: "/a", PromptKey: "session-1", Body: []byte("first question")}
 		change(&in)
 		request, err := accept.Accept(accept.Picture{Configuration: configuration, CurrentAt: now, StaleAfter: time.Second}, in, now, 0)
 		qt.Assert(t, err, qt.IsNil)
-		return request.CopyKey
+		return request
 	}
+	key := func(change func(*accept.Incoming)) string { return accepted(change).CopyKey }
 	first := key(func(*accept.Incoming) {})
 	again := key(func(in *accept.Incoming) { in.ID, in.LastEventID = "r2", "7" })
 	qt.Check(t, again, qt.Equals, first)
 	qt.Check(t, first, qt.Not(qt.Equals), "")
 	qt.Check(t, key(func(in *accept.Incoming) { in.Body = []byte("second question") }), qt.Not(qt.Equals), first)
 	qt.Check(t, key(func(in *accept.Incoming) { in.PromptKey = "" }), qt.Equals, "")
+	otherPrompt := func(in *accept.Incoming) { in.PromptKey = "session-2" }
+	qt.Check(t, key(otherPrompt), qt.Not(qt.Equals), first)
+	qt.Check(t, accepted(otherPrompt).Content, qt.Equals, accepted(func(*accept.Incoming) {}).Content)
 }
 
 // TestCallersReturnOnceTheStoreIsBack plays the loss of all VMs 2 s before an outage of the
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -51,7 +51,7 @@
 	LastEventID string
 	Need        placement.Need
 	CopyKey     string // The same for each attempt, and of no other request; "" if unknown.
-	Content     string // Hash of account, path and body.
+	Content     string // Hash of account, path and body, which requests that are alike share.
 	// Servers are those that it was sent to, in order, for the log. Only the
 	// goroutine that relays the request touches it.
 	Servers []string
