Crashes: VMs compare what they know of them

A crash was told once, to the VMs that were known at that moment. A VM that started later, or was paused or cut off, sent the request on; with three such VMs six servers more were crashed. The summary that VMs exchange every 250 ms has a sum of the contents under which two or more servers ended, and a VM with another sum gets them. Contents with one end are left out: a loss of servers leaves many, and the VM that sees the next end tells both.

TestVMThatWasCutOffHearsOfCrashes (50 VMs in two cells) fails without the comparison.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -223,6 +223,8 @@
 		Copies:              v.copiesOfRunning,
 		OnCopies:            v.heardCopies,
 		OnCrashes:           v.crashes.Heard,
+		CrashesSum:          v.crashes.Sum,
+		Crashes:             v.crashes.Serious,
 		OnLosses:            func(notes []spread.LossNote) { spread.TakeLosses(v.servers, notes) },
 		OnGone:              v.servers.ForgetPeers,
 		FindCopies:          v.knownCopies,
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -52,7 +52,8 @@
 	}
 }
 
-func (st *state) summary(now time.Time) *summary {
+func (s *Spread) summary(st *state) *summary {
+	now := s.options.Now()
 	return &summary{
 		ConfigVersion:  st.configVersion(),
 		ConfigAge:      ageOf(st.configAt, now),
@@ -60,13 +61,14 @@
 		ServersAge:     ageOf(st.servers.currentAt, now),
 		MembersHash:    st.members.hash(),
 		ServersSum:     st.servers.sum,
+		CrashesSum:     s.options.CrashesSum(),
 	}
 }
 
 // introduce begins a message with who this VM is and what it has.
 func (s *Spread) introduce(st *state) message {
 	self := st.members.self
-	return message{From: self.ID, Address: self.PeerAddress, Summary: st.summary(s.options.Now())}
+	return message{From: self.ID, Address: self.PeerAddress, Summary: s.summary(st)}
 }
 
 // exchange sends a summary and takes in the answer later. Retries is how often a
@@ -110,6 +112,9 @@
 		s.options.Logger.Warn("a peer's answer could not be read", "peer", peer, "error", err)
 		return false
 	}
+	if len(told.Crashes) > 0 {
+		s.options.OnCrashes(told.Crashes)
+	}
 	s.do(ctx, func(st *state) { s.learn(ctx, st, told) })
 	return true
 }
@@ -188,6 +193,9 @@
 	if told.Summary != nil && told.Summary.MembersHash != m.Summary.MembersHash {
 		m.Digests = st.members.digests()
 	}
+	if told.Summary != nil && told.Summary.CrashesSum != m.Summary.CrashesSum {
+		m.Crashes = s.options.Crashes()
+	}
 	m.Members = st.members.named(told.WantMembers)
 	if known := st.members.others[told.From]; known != nil && known.Down {
 		m.Members = append(slices.Clone(m.Members), known.Member) // So that it can refute it.
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -88,6 +88,7 @@
 	ServersAge     int64  `cbor:"4,keyasint,omitempty"`
 	MembersHash    uint64 `cbor:"5,keyasint,omitempty"`
 	ServersSum     uint64 `cbor:"6,keyasint,omitempty"` // Of the list at ServersVersion.
+	CrashesSum     uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // want asks for what is newer than these versions.
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -130,7 +130,11 @@
 	Copies    func() []CopyNote
 	OnCopies  func(notes []CopyNote)
 	OnCrashes func(notes []crash.Note)
-	OnLosses  func(notes []LossNote)
+	// CrashesSum is the same for VMs that know of the same crashes, and Crashes are those to
+	// tell a VM that has another one. Notes are told once, and may be missed.
+	CrashesSum func() uint64
+	Crashes    func() []crash.Note
+	OnLosses   func(notes []LossNote)
 	// FindCopies gives those of the copies that this VM knows.
 	FindCopies func(keys []string) []CopyNote
 	// OnGone is told of VMs that went down or were replaced by another process.
@@ -184,6 +188,9 @@
 	if options.OnGone == nil {
 		options.OnGone = func([]string) {}
 	}
+	if options.CrashesSum == nil {
+		options.CrashesSum = func() uint64 { return 0 }
+	}
 	if options.OnCell == nil {
 		options.OnCell = func(int, int) {}
 	}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -44,6 +44,7 @@
 	loadsFrom   sync.Map
 	copies      sync.Map                        // Keys of the copies that it was told of.
 	copied      atomic.Pointer[spread.CopyNote] // Of the one stream that runs here.
+	crashes     *crash.Record
 }
 
 // findCopies gives the copies that the VM knows.
@@ -103,6 +104,7 @@
 func (n *network) start(t *testing.T, name string, seeds ...string) *vm {
 	v := &vm{address: name + ":1"}
 	call := n.call(v.address)
+	v.crashes = crash.New(crash.Options{Now: time.Now, Tell: func(note crash.Note) { v.TellCrash(note) }})
 	v.Spread = spread.New(spread.Options{
 		Self:   spread.Member{ID: name, PeerAddress: v.address, FailureDomain: name[:1], Version: 1},
 		Seeds:  seeds,
@@ -146,7 +148,9 @@
 				v.copies.Store(note.CopyKey, true)
 			}
 		},
-		OnCrashes:    func([]crash.Note) {},
+		OnCrashes:    v.crashes.Heard,
+		CrashesSum:   v.crashes.Sum,
+		Crashes:      v.crashes.Serious,
 		OnLosses:     func([]spread.LossNote) { v.lossesHeard.Add(1) },
 		Uses:         func() []spread.ServiceUse { return nil },
 		Departures:   func() []pool.Departure { return nil },
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -12,6 +12,7 @@
 //	record.Survived(content)                            // It has run to its end.
 //	if until, refused := record.RefusedUntil(content); refused { ... }
 //	record.Heard(notes)                                 // What other VMs tell.
+//	if peerSum != record.Sum() { tell(record.Serious()) } // A peer has missed some of it.
 //
 // What VMs tell each other may be late, come twice and in any order. A content's entry is
 // therefore a set of processes that only grows, each of which may be cleared once and for all
@@ -20,6 +21,8 @@
 
 import (
 	"cmp"
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
@@ -48,6 +51,12 @@
 	knownAfter = 6 * time.Second
 	// maxCuts bounds the cuts that wait for that.
 	maxCuts = 4096
+	// forgetEvery is how often what is old is dropped.
+	forgetEvery = 10 * time.Second
+	// seriousFrom is from how many ends on VMs compare what they hold of a content, and
+	// mostSerious bounds the contents that one tells another then.
+	seriousFrom = 2
+	mostSerious = 256
 	// maxEnds bounds the processes that are remembered for one content.
 	maxEnds = 32
 )
@@ -84,6 +93,8 @@
 
 	mu       sync.Mutex
 	contents map[string]entry
+	sum      uint64 // Of the serious entries.
+	forgetAt time.Time
 	cuts     []cut // In the order of their time.
 }
 
@@ -136,6 +147,7 @@
 	r.cuts = nil
 	r.mu.Unlock()
 	now := r.options.Now()
+	r.forget(now)
 	left := slices.DeleteFunc(cuts, func(c cut) bool { return r.decide(c) || now.Sub(c.at) > knownAfter })
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -172,10 +184,12 @@
 		r.mu.Unlock()
 		return
 	}
+	cleared := map[string]end{}
 	for process, e := range known {
 		e.cleared = true
-		known[process] = e
+		cleared[process] = e
 	}
+	r.merge(content, cleared)
 	note := r.note(content)
 	r.mu.Unlock()
 	r.options.Tell(note)
@@ -223,20 +237,25 @@
 		merged[process] = e
 	}
 	merged.forget(now)
-	if len(merged) == 0 {
-		delete(r.contents, content)
-		return 0
-	}
 	if r.contents[content] == nil && len(r.contents) >= maxContents {
 		r.evict()
 	}
-	r.contents[content] = merged
+	r.set(content, merged)
 	if _, is := merged.refusedUntil(now); is && !was {
 		return merged.counted()
 	}
 	return 0
 }
 
+// set replaces a content's entry. Called with the lock held.
+func (r *Record) set(content string, known entry) {
+	r.sum += known.sum(content) - r.contents[content].sum(content)
+	r.contents[content] = known
+	if len(known) == 0 {
+		delete(r.contents, content)
+	}
+}
+
 // evict makes room: contents under which the fewest processes ended go first, the oldest of
 // them before others. Called with the lock held.
 func (r *Record) evict() {
@@ -253,7 +272,7 @@
 		return cmp.Or(cmp.Compare(a.counted, b.counted), a.last.Compare(b.last))
 	})
 	for _, p := range places[:int(evictedPart*float64(len(places)))] {
-		delete(r.contents, p.content)
+		r.set(p.content, nil)
 	}
 }
 
@@ -268,6 +287,65 @@
 	return note
 }
 
+// Sum is the same for VMs that hold the same of all contents under which several processes
+// ended. Those under which one did are many in a loss of servers, and each VM that sees the
+// next end tells what it knows of the one before.
+func (r *Record) Sum() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sum
+}
+
+// Serious lists what Sum is of, for a VM that has another one; mostSerious at most.
+func (r *Record) Serious() []Note {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	notes := []Note{}
+	for content, known := range r.contents {
+		if known.isSerious() {
+			notes = append(notes, r.note(content))
+		}
+	}
+	slices.SortFunc(notes, func(a, b Note) int {
+		return cmp.Or(cmp.Compare(len(b.Ends), len(a.Ends)), cmp.Compare(a.Content, b.Content))
+	})
+	return notes[:min(len(notes), mostSerious)]
+}
+
+// forget drops what is old. Called by Look every forgetEvery.
+func (r *Record) forget(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Before(r.forgetAt) {
+		return
+	}
+	r.forgetAt = now.Add(forgetEvery)
+	for content, known := range r.contents {
+		left := maps.Clone(known)
+		left.forget(now)
+		if len(left) < len(known) {
+			r.set(content, left)
+		}
+	}
+}
+
+func (e entry) isSerious() bool {
+	return len(e) >= seriousFrom
+}
+
+// sum is 0 for an entry that is not serious.
+func (e entry) sum(content string) (sum uint64) {
+	if !e.isSerious() {
+		return 0
+	}
+	for process, known := range e {
+		hash := fnv.New64a()
+		fmt.Fprintf(hash, "%s\x00%s\x00%t", content, process, known.cleared) // A hash never fails to write.
+		sum += hash.Sum64()
+	}
+	return sum
+}
+
 // counted is how many ends are not cleared.
 func (e entry) counted() int {
 	count := 0
