Crashes: contents that are refused outlive all VMs

After a loss or a restart of all VMs nothing was known of requests that crash servers, and each time they crashed three more. The VM that writes the places of copies also writes the contents that are refused, when these change, into a row of the same table: VMs that start read it with the call that they make anyway.

--- a/internal/node/entry/keeper.go
+++ b/internal/node/entry/keeper.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 const (
@@ -31,15 +32,19 @@
 	// keptKey is the row, of the first cell in a fleet of several: "running-3" is that of
 	// the fourth.
 	keptKey = "running"
+	// crashesKey is the row with the contents that are refused, of all cells: all VMs know of
+	// them.
+	crashesKey = "crashes"
 )
 
 // keeper keeps in the store where the copies of running streams are, for the case
 // that all VMs are lost together: servers keep copies for some seconds, and callers
 // come back as soon as VMs are there. The VMs of a cell tell each other of all copies, so
-// one of each cell writes for it.
+// one of each cell writes for it. The first cell's also writes which requests crash servers.
 type keeper struct {
-	vm      *VM
-	written int // How often copies had changed when they were last written.
+	vm         *VM
+	written    int    // How often copies had changed when they were last written.
+	crashesSum uint64 // Of the contents that were refused when they were last written.
 }
 
 // String names the service in the supervisor's messages.
@@ -58,8 +63,12 @@
 		snapshot := k.vm.spread.Snapshot()
 		// With several cells there are as many writers, and each writes less often.
 		pause(ctx, time.Duration(math.Sqrt(float64(snapshot.Cells))*float64(keepEvery)))
-		if snapshot = k.vm.spread.Snapshot(); k.writes(snapshot) {
-			k.write(ctx, keyOf(snapshot))
+		if snapshot = k.vm.spread.Snapshot(); !k.writes(snapshot) {
+			continue
+		}
+		k.write(ctx, keyOf(snapshot))
+		if snapshot.Cell == 0 {
+			k.writeCrashes(ctx)
 		}
 	}
 	return ctx.Err()
@@ -101,6 +110,10 @@
 		return
 	}
 	for _, row := range rows.Rows {
+		if row.Key == crashesKey {
+			k.readCrashes(row)
+			continue
+		}
 		notes := []spread.CopyNote{}
 		if err = cbor.Unmarshal(row.Value, &notes); err != nil {
 			event.CopiesUnread.Info(k.vm.logger, "row", row.Key, "error", err)
@@ -112,6 +125,34 @@
 	}
 }
 
+// readCrashes takes their ages as they were when the row was written: how long ago that was
+// isn't known, and a content is refused for a minute longer at most.
+func (k *keeper) readCrashes(row Row) {
+	notes := []crash.Note{}
+	if err := cbor.Unmarshal(row.Value, &notes); err != nil {
+		event.CopiesUnread.Info(k.vm.logger, "row", row.Key, "error", err)
+		return
+	}
+	k.vm.crashes.Heard(notes)
+	_, k.crashesSum = k.vm.crashes.Refused()
+}
+
+func (k *keeper) writeCrashes(ctx context.Context) {
+	notes, sum := k.vm.crashes.Refused()
+	if sum == k.crashesSum {
+		return
+	}
+	value, err := cbor.Marshal(notes)
+	if err != nil {
+		panic(err) // Texts and numbers always have CBOR.
+	}
+	if err = k.vm.options.Copies.Put(ctx, crashesKey, value); err != nil {
+		k.vm.logger.Debug("the requests that crash servers could not be written", "error", err)
+		return // The next turn tries again.
+	}
+	k.crashesSum = sum
+}
+
 func (k *keeper) write(ctx context.Context, key string) {
 	known, changes := k.vm.copies.Newest(keptFor, keptMost)
 	if changes == k.written {
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -312,6 +312,21 @@
 	return notes[:min(len(notes), mostSerious)]
 }
 
+// Refused lists the contents that are refused, mostSerious at most, and gives a sum that is
+// another one if they are others.
+func (r *Record) Refused() (notes []Note, sum uint64) {
+	now := r.options.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for content, known := range r.contents {
+		if _, refused := known.refusedUntil(now); refused && len(notes) < mostSerious {
+			notes = append(notes, r.note(content))
+			sum += known.sum(content)
+		}
+	}
+	return notes, sum
+}
+
 // forget drops what is old. Called by Look every forgetEvery.
 func (r *Record) forget(now time.Time) {
 	r.mu.Lock()
