Crashes: a run that was sent to a server which had ended is not held for its end

A run counts now only if it began before the first one was cut that ended with the process, as this VM or a peer knows. And where several contents were at an end, the one that was at more ends explains it.

--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -3,7 +3,8 @@
 //
 // Requests are alike if their content is: the caller's account, the path and the body. A
 // content is refused once limit processes have ended under it since it last ran to its end.
-// Processes end for other reasons too. Not held against a content is the end of a server that
+// Of several that were there, the one that was there most often is held for it. Processes end
+// for other reasons too. Not held against a content is the end of a server that
 // said it would leave, of one that was lost with most of its failure domain, unless the content
 // ran on most of those, and any if the content ran to its end at this VM a moment before.
 //
@@ -110,7 +111,9 @@
 
 	mu       sync.Mutex
 	contents map[string]entry
-	sum      uint64 // Of the serious entries.
+	sum      uint64               // Of the serious entries.
+	suspects map[string]bool      // The contents under which limit processes ended.
+	endedAt  map[string]time.Time // When the first run was cut that ended with a process.
 	forgetAt time.Time
 	cuts     []cut // In the order of their time.
 	ended    []cut // Those whose servers have ended, until togetherAfter.
@@ -127,6 +130,7 @@
 type cut struct {
 	content string
 	server  pool.Server
+	began   time.Time
 	at      time.Time
 }
 
@@ -153,17 +157,17 @@
 	if options.OnRefused == nil {
 		options.OnRefused = func(string, int) {}
 	}
-	return &Record{options: options, contents: map[string]entry{}}
+	return &Record{options: options, contents: map[string]entry{}, suspects: map[string]bool{}, endedAt: map[string]time.Time{}}
 }
 
 // Cut notes that a run of the content was cut at a server at a moment, before it had run for
 // long. If the server's process has ended, or is found to have within knownAfter, that is held
-// against the content.
-func (r *Record) Cut(content string, server pool.Server, at time.Time) {
+// against the content, unless the run began after another one was cut by that.
+func (r *Record) Cut(content string, server pool.Server, began, at time.Time) {
 	r.mu.Lock()
 	isSound := r.recent.has(content, r.options.Now())
 	r.mu.Unlock()
-	c := cut{content: content, server: server, at: at}
+	c := cut{content: content, server: server, began: began, at: at}
 	if isSound || r.decide(c) {
 		return
 	}
@@ -200,12 +204,19 @@
 	if !r.options.HasEnded(c.server, c.at) {
 		return false
 	}
+	r.mu.Lock()
+	endedAt, found := r.endedAt[c.server.Process()]
+	r.mu.Unlock()
+	if found && c.began.After(endedAt) {
+		return true // The process had ended before.
+	}
 	now := r.options.Now()
 	r.options.OnEnded(c.content, c.server, now.Sub(c.at))
-	r.Ended(c.content, c.server)
+	r.Ended(c.content, c.server, c.at)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ended = appendBounded(r.ended, cut{content: c.content, server: c.server, at: now})
+	c.at = now
+	r.ended = appendBounded(r.ended, c)
 	return true
 }
 
@@ -235,10 +246,10 @@
 	return append(cuts, c)
 }
 
-// Ended notes that a server's process ended under the content.
-func (r *Record) Ended(content string, server pool.Server) {
+// Ended notes that a server's process ended under the content at a moment.
+func (r *Record) Ended(content string, server pool.Server, at time.Time) {
 	r.mu.Lock()
-	refused := r.merge(content, map[string]end{server.Process(): {at: r.options.Now(), group: server.Group()}})
+	refused := r.merge(content, map[string]end{server.Process(): {at: at, group: server.Group()}})
 	note := r.note(content)
 	r.mu.Unlock()
 	r.options.Tell(note)
@@ -313,7 +324,38 @@
 func (r *Record) RefusedUntil(content string) (until time.Time, refused bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.contents[content].refusedUntil(r.options.Now())
+	return r.refusedUntil(content, r.options.Now())
+}
+
+// refusedUntil is RefusedUntil with the lock held.
+func (r *Record) refusedUntil(content string, now time.Time) (until time.Time, refused bool) {
+	if !r.suspects[content] || r.counted(content) < limit {
+		return time.Time{}, false
+	}
+	return r.contents[content].refusedUntil(now)
+}
+
+// counted is how many processes ended under a content, without those that also ended under
+// one that has been there more often: that explains them. Called with the lock held.
+func (r *Record) counted(content string) (count int) {
+	known := r.contents[content]
+	all := known.counted()
+	for process, e := range known {
+		if !e.cleared && !r.isExplained(process, all) {
+			count++
+		}
+	}
+	return count
+}
+
+func (r *Record) isExplained(process string, all int) bool {
+	for suspect := range r.suspects {
+		other := r.contents[suspect]
+		if e, found := other[process]; found && !e.cleared && other.counted() > all {
+			return true
+		}
+	}
+	return false
 }
 
 // merge takes in ends. It gives how many count if the content is refused by that and was not
@@ -321,7 +363,7 @@
 func (r *Record) merge(content string, told map[string]end) (refused int) {
 	now := r.options.Now()
 	known := r.contents[content]
-	_, was := known.refusedUntil(now)
+	_, was := r.refusedUntil(content, now)
 	merged := entry{}
 	maps.Copy(merged, known)
 	for process, e := range told {
@@ -331,22 +373,38 @@
 			e = end{at: minTime(before.at, e.at), group: before.group, cleared: before.cleared || e.cleared}
 		}
 		merged[process] = e
+		r.noteEnd(process, e.at)
 	}
 	merged.forget(now)
 	if r.contents[content] == nil && len(r.contents) >= maxContents {
 		r.evict()
 	}
 	r.set(content, merged)
-	if _, is := merged.refusedUntil(now); is && !was {
+	if _, is := r.refusedUntil(content, now); is && !was {
 		return merged.counted()
 	}
 	return 0
 }
 
+// noteEnd keeps the first of the moments. Called with the lock held.
+func (r *Record) noteEnd(process string, at time.Time) {
+	if before, found := r.endedAt[process]; found && !at.Before(before) {
+		return
+	}
+	if len(r.endedAt) >= maxContents {
+		r.endedAt = map[string]time.Time{} // Only has a few more ends held against contents.
+	}
+	r.endedAt[process] = at
+}
+
 // set replaces a content's entry. Called with the lock held.
 func (r *Record) set(content string, known entry) {
 	r.sum += known.sum(content) - r.contents[content].sum(content)
 	r.contents[content] = known
+	r.suspects[content] = known.counted() >= limit
+	if !r.suspects[content] {
+		delete(r.suspects, content)
+	}
 	if len(known) == 0 {
 		delete(r.contents, content)
 	}
@@ -414,10 +472,10 @@
 	now := r.options.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for content, known := range r.contents {
-		if _, refused := known.refusedUntil(now); refused && len(notes) < mostSerious {
+	for content := range r.suspects {
+		if _, refused := r.refusedUntil(content, now); refused && len(notes) < mostSerious {
 			notes = append(notes, r.note(content))
-			sum += known.sum(content)
+			sum += r.contents[content].sum(content)
 		}
 	}
 	return notes, sum
@@ -431,6 +489,7 @@
 		return
 	}
 	r.forgetAt = now.Add(forgetEvery)
+	maps.DeleteFunc(r.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= keptFor })
 	for content, known := range r.contents {
 		left := maps.Clone(known)
 		left.forget(now)
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -142,7 +142,7 @@
 	now := c.relay.options.Now()
 	took := now.Sub(began)
 	if result.err != nil && !errors.Is(result.err, http1.ErrNotSent) {
-		c.relay.cut(ctx, c.request, lease, now, true)
+		c.relay.cut(ctx, c.request, lease, began, now, true)
 	}
 	switch {
 	case result.err != nil && ctx.Err() != nil:
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -191,7 +191,7 @@
 
 // Crashes remembers under which contents servers ended; see package crash.
 type Crashes struct {
-	Cut          func(content string, server pool.Server, at time.Time)
+	Cut          func(content string, server pool.Server, began, at time.Time)
 	Survived     func(content string)
 	RefusedUntil func(content string) (until time.Time, refused bool)
 }
@@ -237,14 +237,14 @@
 
 // cut notes a run of a request that was cut at a server. One that ended because its caller
 // left or its time is up may be what ended the server too; a server that leaves ends anyway.
-func (r *Relay) cut(ctx context.Context, request *Request, lease *pool.Lease, at time.Time, justBegun bool) {
+func (r *Relay) cut(ctx context.Context, request *Request, lease *pool.Lease, began, at time.Time, justBegun bool) {
 	leaving := lease.IsLeaving()
 	if ctx.Err() == nil {
 		event.RunCut.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content,
 			"server", lease.Server.ID, "justBegun", justBegun, "leaving", leaving)
 	}
 	if justBegun && !leaving {
-		r.options.Crashes.Cut(request.Content, lease.Server, at)
+		r.options.Crashes.Cut(request.Content, lease.Server, began, at)
 	}
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -53,6 +53,7 @@
 	begun        bool
 	last         string // Id of the last event that the caller has.
 	events       int
+	sentAt       time.Time // When the present run was sent.
 	begunAt      time.Time // When the first event of the present run came; zero before.
 	sends        int       // Sends that may have run.
 	crashed      int       // Of these, their server was found down at once, just after they had begun.
@@ -237,7 +238,7 @@
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
 	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.last, "promptTokens", s.request.Need.PromptTokens, "load", lease.Load)
-	s.begunAt = time.Time{}
+	s.sentAt, s.begunAt = s.relay.options.Now(), time.Time{}
 	s.relay.options.LoadAdded()
 	defer s.relay.options.LoadEased()
 	end = s.exchange(ctx, lease, dispatch, resumed)
@@ -294,7 +295,7 @@
 	if end.notSent || end.notRun || end.failure || end.answer != nil {
 		return
 	}
-	s.relay.cut(ctx, s.request, lease, at, justBegun)
+	s.relay.cut(ctx, s.request, lease, s.sentAt, at, justBegun)
 }
 
 // exchange is one run: send, await the head, relay the events.
