http1: interim and stale answers without end end the exchange

A server that sends 100 Continue without end, or an answer to another request without end, was read until the caller's time was over: 120 to 134 MB in the tests, at the processor's full speed. The bound for a head now holds for the interim answers before it together, and an answer that is read past has one of 1 MB. TestBytesWithoutEndEndTheExchange plays 14 parts of an answer; four failed before. TestBytesThatNobodyAskedForAreNotRead passed before.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -72,8 +72,10 @@
 	keepAliveCount = 2
 	// maxStale bounds the answers to other requests that are read past.
 	maxStale = 3
-	// maxHead bounds the head of a response, in bytes.
+	// maxHead bounds the head of a response with the interim responses before it, in bytes.
 	maxHead = 64 << 10
+	// maxStaleBody bounds the body of an answer to another request, in bytes.
+	maxStaleBody = 1 << 20
 	// readBuffer holds a whole answer of a plain service.
 	readBuffer = 4 << 10
 	// inlineBody is the largest body that is written before the answer is awaited.
@@ -111,16 +113,16 @@
 type connection struct {
 	net.Conn
 	reader     *bufio.Reader
-	left       int64 // Bytes that may be read until the head of a response has ended.
+	left       int64 // Bytes that may be read until the part of a response that is bounded has ended.
 	idleUntil  time.Time
 	used       bool // It has carried a request.
 	unreusable bool
 }
 
-// Read reads from the connection, within the bound for a head while one is read.
+// Read reads from the connection, within the bound for a head or a stale body while one is read.
 func (c *connection) Read(to []byte) (n int, err error) {
 	if c.left <= 0 {
-		return 0, errors.Errorf("head of a response has more than %d bytes", maxHead)
+		return 0, errors.New("a head or the answer to another request is too long")
 	}
 	n, err = c.Conn.Read(to[:min(int64(len(to)), c.left)])
 	c.left -= int64(n)
@@ -342,10 +344,10 @@
 // readHead reads past interim responses, and past answers to other requests
 // that arrive where this one's is expected.
 func (c *connection) readHead(request Request) (*http.Response, error) {
+	defer func() { c.left = math.MaxInt64 }()
+	c.left = maxHead
 	for stale := 0; ; {
-		c.left = maxHead
 		head, err := http.ReadResponse(c.reader, request.HTTP)
-		c.left = math.MaxInt64
 		if err != nil {
 			return nil, err
 		}
@@ -363,9 +365,11 @@
 			return nil, errors.New("only answers to other requests arrive")
 		}
 		c.unreusable = true
+		c.left = maxStaleBody
 		if _, err = io.Copy(io.Discard, head.Body); err != nil {
 			return nil, err
 		}
+		c.left = maxHead
 	}
 }
 
