Relay: plain answers that are read share a fifth of the VM's memory

A server that answers without end to many calls at once had up to 8 MB read for each of them, which is more than a VM of 134 MB has. Answers count while they are read, as callers' bodies do, and one that finds no room is broken: an idempotent request goes to another server.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -89,6 +89,7 @@
 	crashes     *crash.Record
 	counters    *counters
 	bodies      *caller.Bodies
+	answers     *caller.Bodies // Of plain requests, while they are read.
 	callers     *caller.Connections
 	tablesLost  atomic.Int64
 	storeLost   atomic.Bool
@@ -123,6 +124,7 @@
 	v.settings.Store(&options.Settings)
 	v.cutting, v.cut = context.WithCancelCause(context.Background())
 	v.bodies = caller.NewBodies(int64(bodiesPart * float64(options.Settings.MemoryBytes)))
+	v.answers = caller.NewBodies(int64(answersPart * float64(options.Settings.MemoryBytes)))
 	v.callers = caller.NewConnections(v.Now)
 	v.connections = http1.New(http1.Options{OnOpen: func(string) { v.counters.connections.Inc() }})
 	v.servers = pool.New(pool.Options{
@@ -178,6 +180,7 @@
 		Encode:      options.Encode,
 		Decode:      options.Decode,
 		IDHeader:    options.IDHeader,
+		ReadAnswer:  v.answers.Read,
 		Move:        v.move,
 		Renewals:    relay.Renewals{Copy: v.copyRun, Free: v.freeCopy},
 		Spend:       v.spend,
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -26,6 +26,9 @@
 const (
 	// bodiesPart of the VM's memory at most holds bodies of requests that run.
 	bodiesPart = 0.2
+	// answersPart of it at most holds answers of servers that are being read. A server that
+	// sends one without end may do so to many requests at once.
+	answersPart = 0.2
 	// defaultBodyLimit bounds a body while no configuration is known, in bytes.
 	defaultBodyLimit = 4 << 20
 	// bodiesPause is when a caller may come back if bodies take all the room. Those
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -120,7 +120,7 @@
 	if result.err == nil {
 		defer response.Close()
 		result.answer = &Answer{Status: result.verdict.Status, Header: result.verdict.Header}
-		result.answer.Body, result.err = response.ReadAll(answerLimit)
+		result.answer.Body, result.err = c.relay.readAnswer(response)
 	}
 	c.note(ctx, lease, result, began)
 	c.log(ctx, result)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -19,11 +19,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
@@ -156,6 +158,9 @@
 	// from the copy that is returned; nil if servers can't.
 	Move     func(ctx context.Context, runID string, from, to pool.Server) (Copy, error)
 	Renewals Renewals
+	// ReadAnswer reads a whole answer of up to a size, within the room that all answers share
+	// while they are read. Release gives the room back.
+	ReadAnswer func(body io.Reader, limit int64) (answer []byte, release func(), err error)
 	// IDHeader is the header in which servers echo the request's id.
 	IDHeader string
 	// Spend takes one repeat of the service's shared budget. Refund gives it back
@@ -235,6 +240,17 @@
 	return response, verdict, nil
 }
 
+// readAnswer reads a server's whole answer.
+func (r *Relay) readAnswer(response *http1.Response) (body []byte, err error) {
+	body, release, err := r.options.ReadAnswer(response.Body, answerLimit)
+	release()
+	if err != nil {
+		return nil, errors.Annotate(http1.ErrBroken, err.Error())
+	}
+	response.Finished()
+	return body, nil
+}
+
 // cut notes a run of a request that was cut at a server. One that ended because its caller
 // left or its time is up may be what ended the server too; a server that leaves ends anyway.
 func (r *Relay) cut(ctx context.Context, request *Request, lease *pool.Lease, began, at time.Time, justBegun bool) {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -21,6 +21,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	nodecaller "github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
@@ -50,6 +51,7 @@
 	relay     *relay.Relay
 	servers   *pool.Pool
 	crashes   *crash.Record
+	answers   *nodecaller.Bodies
 	mu        sync.Mutex
 	arrivals  []arrival
 	addresses map[string]string
@@ -73,7 +75,7 @@
 
 // newRig starts one server for each script; "a1" is server 1 of failure domain a.
 func newRig(t *testing.T, scripts map[string]script) *rig {
-	g := &rig{t: t, addresses: map[string]string{}}
+	g := &rig{t: t, addresses: map[string]string{}, answers: nodecaller.NewBodies(64 << 20)}
 	connections := http1.New(http1.Options{})
 	g.servers = pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }, Check: connections.Check})
 	for id, run := range scripts {
@@ -113,6 +115,7 @@
 		Encode:      encode,
 		Decode:      decode,
 		IDHeader:    headerID,
+		ReadAnswer:  g.answers.Read,
 		Spend:       func(string) bool { return repeats.Spend() },
 		SpendSpare:  func(string) bool { return repeats.SpendSpare() },
 		Refund:      func(string) { repeats.Refund() },
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -328,7 +328,7 @@
 
 // failed reads a server's own failure.
 func (s *stream) failed(response *http1.Response, verdict Verdict) runEnd {
-	body, err := response.ReadAll(answerLimit)
+	body, err := s.relay.readAnswer(response)
 	if err != nil {
 		return runEnd{err: err}
 	}
