Relay: a stream leaves a server that sends comments without end

Before a stream's first event nothing is due, and a server that sent comment or blank lines at full speed kept it until its caller's deadline, all of them passed on; after an event the caller got 310 KB of them until the silence showed. A run with more than 64 KB between two events has broken.

--- a/internal/request/relay/endless_test.go
+++ b/internal/request/relay/endless_test.go
@@ -32,6 +32,52 @@
 	}
 }
 
+// TestStreamLeavesAServerThatSendsNoEventsWithoutEnd has a server send what is no event until
+// its connection is closed, before its first event and after one.
+func TestStreamLeavesAServerThatSendsNoEventsWithoutEnd(t *testing.T) {
+	for name, again := range map[string]string{
+		"comments":    ": wait\n\n",
+		"blank lines": "\n",
+		"one event":   "data: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa\n",
+		"one line":    "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa",
+	} {
+		for _, first := range []string{"", "id: 1\ndata: word1\n\n"} {
+			t.Run(fmt.Sprintf("%s after %q", name, first), func(t *testing.T) {
+				sent := atomic.Int64{}
+				runs := atomic.Int32{}
+				run := func(w http.ResponseWriter, r *http.Request) {
+					if runs.Add(1) == 1 {
+						endless(first, again, &sent)(w, r)
+					}
+					events(12, complete)(w, r)
+				}
+				g := newRig(t, map[string]script{"a1": run, "b1": run})
+				c := &sinkCounter{}
+				ctx := context.Background()
+				r := request(routing.KindStreaming)
+				qt.Assert(t, g.relay.Stream(ctx, r, c.sink()), qt.IsNil)
+				qt.Check(t, c.other < 256<<10, qt.IsTrue, qt.Commentf("the caller got %d bytes beside the events", c.other))
+				qt.Check(t, r.Servers, qt.HasLen, 2)
+			})
+		}
+	}
+}
+
+// sinkCounter counts the bytes that a caller got and that are of no event.
+type sinkCounter struct{ other int }
+
+func (c *sinkCounter) sink() relay.Sink {
+	return relay.Sink{
+		Begin: func(int, http.Header) {},
+		Event: func(event []byte) error {
+			if len(event) < 4 || string(event[:4]) != "id: " {
+				c.other += len(event)
+			}
+			return nil
+		},
+	}
+}
+
 // TestAnswersThatAreReadShareTheirRoom has servers answer without end to many calls at once.
 func TestAnswersThatAreReadShareTheirRoom(t *testing.T) {
 	sent := atomic.Int64{}
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -9,8 +9,13 @@
 	"github.com/juju/errors"
 )
 
-// maxEvent bounds one event, in bytes.
-const maxEvent = 1 << 20
+const (
+	// maxEvent bounds one event, in bytes.
+	maxEvent = 1 << 20
+	// maxComments bounds what a server may send between two events, in bytes: some thousand
+	// comment lines that keep a connection open.
+	maxComments = 64 << 10
+)
 
 // frame is one whole event of a stream: its bytes with the closing blank line,
 // and its id, "" if it has none.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -352,6 +352,7 @@
 
 func (s *stream) relayEvents(response *http1.Response, verdict Verdict, lease *pool.Lease, dispatch Dispatch, watch *watch) (end runEnd) {
 	reader := bufio.NewReader(response.Body)
+	comments := 0 // Bytes since the last event.
 	for first := true; ; {
 		e, err := readEvent(reader)
 		if err == io.EOF && (!first || s.hadAll(response)) {
@@ -363,12 +364,16 @@
 			return runEnd{silent: watch.fired(), overdue: watch.fired() && !watch.down.Load(), err: errors.Annotate(http1.ErrBroken, err.Error())}
 		}
 		if e.comment {
+			if comments += len(e.raw); comments > maxComments {
+				return runEnd{err: errors.Annotatef(http1.ErrBroken, "more than %d bytes without an event", maxComments)}
+			}
 			s.begin(verdict)
 			if err = s.sink.Event(e.raw); err != nil {
 				return runEnd{caller: err}
 			}
 			continue // It is no progress.
 		}
+		comments = 0
 		watch.pause()
 		lease.Heard()
 		if first {
