Reports and lists that are JSON are read up to a limit

An engine's load and models, the platform's list of VMs and a VM's entries were decoded from their connections without a bound: a server that sends bytes without end filled memory, or kept the decoder busy, until the caller's time was over (2 GB in 20 s in three of the tests' cases).

--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -53,6 +53,9 @@
 // maxEventBytes bounds one line of an event stream.
 const maxEventBytes = 4 << 20
 
+// maxReportBytes bounds an engine's report of its load or models.
+const maxReportBytes = 1 << 20
+
 // readBufferBytes is the buffer of one open stream.
 const readBufferBytes = 4 << 10
 
@@ -339,7 +342,7 @@
 	if response.StatusCode != http.StatusOK {
 		return Load{}, errors.Annotatef(ErrBusy, "%s", response.Status)
 	}
-	if err = json.NewDecoder(response.Body).Decode(&load); err != nil {
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&load); err != nil {
 		return Load{}, errors.Annotate(err, "load report is not JSON")
 	}
 	return load, nil
--- a/internal/backend/engine/order.go
+++ b/internal/backend/engine/order.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -61,7 +62,7 @@
 	var list struct {
 		Data []LoadedModel `json:"data"`
 	}
-	if err = json.NewDecoder(response.Body).Decode(&list); err != nil {
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxReportBytes)).Decode(&list); err != nil {
 		return nil, errors.Annotate(err, "list of models is not JSON")
 	}
 	return list.Data, nil
--- a/internal/caller/locate/locate.go
+++ b/internal/caller/locate/locate.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -74,6 +75,9 @@
 	return entries[:min(len(entries), maxEntries)]
 }
 
+// maxAnswerBytes bounds a VM's answer.
+const maxAnswerBytes = 1 << 20
+
 // Ask asks one VM, as a caller does.
 func Ask(ctx context.Context, client *http.Client, base string) (answer Answer, err error) {
 	var request *http.Request
@@ -88,7 +92,7 @@
 	if response.StatusCode != http.StatusOK {
 		return Answer{}, errors.Errorf("%s answered %s", base, response.Status)
 	}
-	if err = json.NewDecoder(response.Body).Decode(&answer); err != nil {
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&answer); err != nil {
 		return Answer{}, errors.Annotate(err, "decoding the entries")
 	}
 	return answer, nil
--- a/internal/platform/vmlist/vmlist.go
+++ b/internal/platform/vmlist/vmlist.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/juju/errors"
@@ -45,6 +46,9 @@
 	return &Client{BaseURL: baseURL, HTTP: httpClient}
 }
 
+// maxListBytes bounds the list: some hundred bytes for each of 10,000 VMs.
+const maxListBytes = 4 << 20
+
 // List gives every listed VM.
 func (c *Client) List(ctx context.Context) (vms []VM, err error) {
 	var request *http.Request
@@ -59,7 +63,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("reading the VM list: %s", response.Status)
 	}
-	if err = json.NewDecoder(response.Body).Decode(&vms); err != nil {
+	if err = json.NewDecoder(io.LimitReader(response.Body, maxListBytes)).Decode(&vms); err != nil {
 		return nil, errors.Annotate(err, "decoding the VM list")
 	}
 	return vms, nil
