Explain: what is held against a refused request's content, by any VM

The line of a request that is refused since it crashes servers named no cause: the ends that it goes by were noted by other VMs, seconds before. explain prints all lines of the request's content.

--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -110,11 +110,14 @@
 }
 
 // beside picks what the request's VMs noted of its servers, of the store and of
-// themselves.
+// themselves, and what any VM at any time held against requests with the same content.
 func (e *Explanation) beside(others []Line) []Line {
-	vms, servers := map[string]bool{}, map[string]bool{}
+	vms, servers, contents := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, line := range e.Lines {
 		vms[line.VM] = true
+		if content, found := line.Fields["content"].(string); found {
+			contents[content] = true
+		}
 		for _, server := range line.servers() {
 			servers[server] = true
 		}
@@ -123,6 +126,12 @@
 	to := e.Lines[len(e.Lines)-1].At.Add(around)
 	picked := []Line{}
 	for _, line := range others {
+		if content, found := line.Fields["content"].(string); found {
+			if contents[content] {
+				picked = append(picked, line)
+			}
+			continue
+		}
 		server, _ := line.Fields["server"].(string)
 		about := servers[server] || (server == "" && line.Event != event.ServersChanged.Number)
 		if vms[line.VM] && line.At.After(from) && line.At.Before(to) && about {
--- /dev/null
+++ b/internal/operator/explain/explain_test.go
@@ -0,0 +1,28 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/operator/explain"
+)
+
+// TestRefusedRequestShowsWhatIsHeldAgainstItsContent has ends noted by another VM some seconds
+// before, and others that are of another content.
+func TestRefusedRequestShowsWhatIsHeldAgainstItsContent(t *testing.T) {
+	const logs = `{"@timestamp":"2026-12-04T12:00:01Z","@message":"held","vm":"vm-1","event":711,"content":"c","server":"s1"}
+{"@timestamp":"2026-12-04T12:00:02Z","@message":"held","vm":"vm-2","event":711,"content":"other","server":"s1"}
+{"@timestamp":"2026-12-04T12:00:03Z","@message":"refused","vm":"vm-2","event":710,"content":"c","servers":3}
+{"@timestamp":"2026-12-04T12:00:09Z","@message":"ended","vm":"vm-3","event":701,"request":"r1","content":"c","outcome":"notRun","reason":"not run: it crashes the servers that run it","millis":1}
+`
+	found, err := explain.Read(strings.NewReader(logs), "r1")
+	qt.Assert(t, err, qt.IsNil)
+	beside := []string{}
+	for _, line := range found.Beside {
+		beside = append(beside, line.VM+" "+line.Text)
+	}
+	qt.Check(t, beside, qt.DeepEquals, []string{"vm-1 held", "vm-2 refused"})
+	qt.Check(t, found.Cause, qt.Contains, "crashes the servers")
+}
