Relay: a server that wants no requests is not asked to free a copy

Found by the table of protections against kinds of request (docs/PROOFS.md): moves, copies and questions for an id heed a server's Retry-After, the call that frees a copy did not. The holder drops the copy by itself. TestServerThatRestsIsNotAskedToFreeACopy failed before.

--- a/internal/request/relay/renew.go
+++ b/internal/request/relay/renew.go
@@ -89,8 +89,8 @@
 
 // free drops a renewed copy that is not needed any more.
 func (s *stream) free(ctx context.Context, copied Copy, from pool.Server) {
-	if copied == (Copy{}) || s.relay.options.Renewals.Free == nil {
-		return
+	if copied == (Copy{}) || s.relay.options.Renewals.Free == nil || !s.relay.options.Servers.MayAsk(from) {
+		return // The holder drops it by itself after some seconds.
 	}
 	rescue.Go(s.relay.options.Logger, "freeing of a copy", func() {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), freeLimit)
--- a/internal/request/relay/renew_test.go
+++ b/internal/request/relay/renew_test.go
@@ -10,6 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 )
 
@@ -93,3 +94,22 @@
 	qt.Assert(t, g.seen(), qt.HasLen, 1)
 	qt.Assert(t, g.servers.Loads(), qt.HasLen, 0)
 }
+
+// TestServerThatRestsIsNotAskedToFreeACopy: it wants no requests at all.
+func TestServerThatRestsIsNotAskedToFreeACopy(t *testing.T) {
+	stop := make(chan struct{})
+	g := newRenewingRig(t, stop, complete)
+	time.AfterFunc(100*time.Millisecond, func() { g.servers.PeerLost(g.seen()[0].backup, true) })
+	time.AfterFunc(500*time.Millisecond, func() {
+		for _, s := range g.listed {
+			g.servers.TakeWord(s, pool.Word{RestUntil: time.Now().Add(time.Minute)})
+		}
+		close(stop)
+	})
+	r := request(routing.KindStreaming)
+	r.Route.GapObjective = patient()
+	qt.Assert(t, g.relay.Stream(context.Background(), r, (&caller{}).sink()), qt.IsNil)
+	time.Sleep(300 * time.Millisecond)
+	calls := g.copyCalls()
+	qt.Assert(t, calls, qt.HasLen, 1, qt.Commentf("%v", calls))
+}
