--- a/internal/request/budget/shared_test.go
+++ b/internal/request/budget/shared_test.go
@@ -130,3 +130,33 @@
 	bound := 0.8*cells*requests + 150
 	qt.Assert(t, float64(spent) <= bound && float64(spent) > bound/2, qt.IsTrue, qt.Commentf("%d of %v", spent, bound))
 }
+
+// TestBoundHoldsOverALossOfAllVMs has six VMs spend all that they may, and be replaced by VMs
+// that know nothing of it. RULES.md counts the repeats of both in one window.
+func TestBoundHoldsOverALossOfAllVMs(t *testing.T) {
+	now := time.Unix(0, 0)
+	spent := 0
+	for range 2 {
+		vms := []*budget.Shared{}
+		for range 6 {
+			vms = append(vms, shared(&now))
+		}
+		for more := true; more; {
+			more = false
+			for i, vm := range vms {
+				if !vm.Spend() {
+					continue
+				}
+				more = true
+				spent++
+				for j, other := range vms {
+					if j != i {
+						other.Heard(string(rune('a'+i)), vm.Usage())
+					}
+				}
+			}
+		}
+		now = now.Add(2 * time.Second) // All are lost, and others start.
+	}
+	qt.Assert(t, spent <= 150, qt.IsTrue, qt.Commentf("%d repeats without a request", spent))
+}
