--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -10,12 +10,12 @@
 //
 // # Usage
 //
-//	record := crash.New(crash.Options{Now: time.Now, Tell: spread.TellCrash, HasEnded: servers.HasEnded, ...})
-//	record.Cut(content, server, time.Now())             // A run of it was cut at a server.
-//	record.Look()                                       // Call it often.
-//	record.Survived(content)                            // It has run to its end.
-//	if until, refused := record.RefusedUntil(content); refused { ... }
-//	record.Heard(notes)                                 // What other VMs tell.
+//	record := crash.New(crash.Options{Now: time.Now, Tell: spread.TellCrash, HasEnded: servers.HasEnded})
+//	record.Cut(content, server, began, time.Now())        // A run of it was cut at a server.
+//	record.Look()                                         // Call it often.
+//	record.Survived(content)                              // It has run to its end.
+//	until, refused := record.RefusedUntil(content)        // Before each send.
+//	record.Heard(notes)                                   // What other VMs tell.
 //	if peerSum != record.Sum() { tell(record.Serious()) } // A peer has missed some of it.
 //
 // What VMs tell each other may be late, come twice and in any order. A content's entry is
@@ -25,8 +25,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"hash/fnv"
 	"maps"
 	"slices"
 	"sync"
@@ -120,29 +118,6 @@
 	recent   generations
 }
 
-// generations are contents that ran to their end within recentFor or twice that.
-type generations struct {
-	newest, before map[string]bool
-	turnAt         time.Time
-}
-
-// cut is a run that was cut at a server of which it isn't known yet whether it has ended.
-type cut struct {
-	content string
-	server  pool.Server
-	began   time.Time
-	at      time.Time
-}
-
-// entry is the ends under one content, by process.
-type entry map[string]end
-
-type end struct {
-	at      time.Time
-	group   string
-	cleared bool
-}
-
 // New makes an empty Record.
 func New(options Options) *Record {
 	if options.LostWith == nil {
@@ -160,92 +135,6 @@
 	return &Record{options: options, contents: map[string]entry{}, suspects: map[string]bool{}, endedAt: map[string]time.Time{}}
 }
 
-// Cut notes that a run of the content was cut at a server at a moment, before it had run for
-// long. If the server's process has ended, or is found to have within knownAfter, that is held
-// against the content, unless the run began after another one was cut by that.
-func (r *Record) Cut(content string, server pool.Server, began, at time.Time) {
-	r.mu.Lock()
-	isSound := r.recent.has(content, r.options.Now())
-	r.mu.Unlock()
-	c := cut{content: content, server: server, began: began, at: at}
-	if isSound || r.decide(c) {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cuts = appendBounded(r.cuts, c)
-}
-
-// Look decides on cuts whose servers were found to have ended meanwhile, and on ends that may
-// be of a whole failure domain.
-func (r *Record) Look() {
-	r.mu.Lock()
-	cuts, ended := r.cuts, r.ended
-	r.cuts, r.ended = nil, nil
-	r.mu.Unlock()
-	now := r.options.Now()
-	r.forget(now)
-	cuts = slices.DeleteFunc(cuts, func(c cut) bool { return r.decide(c) || now.Sub(c.at) > knownAfter })
-	ended = slices.DeleteFunc(ended, func(c cut) bool {
-		if now.Sub(c.at) < togetherAfter {
-			return false
-		}
-		r.clearIfLostTogether(c)
-		return true
-	})
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.cuts = append(cuts, r.cuts...)
-	r.ended = append(ended, r.ended...)
-}
-
-// decide reports whether the server has ended by now.
-func (r *Record) decide(c cut) bool {
-	if !r.options.HasEnded(c.server, c.at) {
-		return false
-	}
-	r.mu.Lock()
-	endedAt, found := r.endedAt[c.server.Process()]
-	r.mu.Unlock()
-	if found && c.began.After(endedAt) {
-		return true // The process had ended before.
-	}
-	now := r.options.Now()
-	r.options.OnEnded(c.content, c.server, now.Sub(c.at))
-	r.Ended(c.content, c.server, c.at)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	c.at = now
-	r.ended = appendBounded(r.ended, c)
-	return true
-}
-
-// clearIfLostTogether clears the end of a server that was lost with most of its failure
-// domain, if the content didn't run on most of those.
-func (r *Record) clearIfLostTogether(c cut) {
-	lost := r.options.LostWith(c.server)
-	r.mu.Lock()
-	own, found := r.contents[c.content][c.server.Process()]
-	if lost == 0 || !found || own.cleared || 2*r.contents[c.content].endedWith(own) > lost {
-		r.mu.Unlock()
-		return
-	}
-	own.cleared = true
-	r.merge(c.content, map[string]end{c.server.Process(): own})
-	note := r.note(c.content)
-	r.mu.Unlock()
-	r.options.Tell(note)
-	r.options.OnCleared(c.content, "server "+c.server.ID+" was lost with its failure domain")
-}
-
-// appendBounded drops the oldest if there are too many.
-func appendBounded(cuts []cut, c cut) []cut {
-	if len(cuts) >= maxCuts {
-		cuts = cuts[1:]
-	}
-	return append(cuts, c)
-}
-
 // Ended notes that a server's process ended under the content at a moment.
 func (r *Record) Ended(content string, server pool.Server, at time.Time) {
 	r.mu.Lock()
@@ -279,29 +168,6 @@
 	r.options.OnCleared(content, "it has run to its end")
 }
 
-func (g *generations) add(content string, now time.Time) {
-	g.turn(now, len(g.newest) >= maxRecent)
-	g.newest[content] = true
-}
-
-func (g *generations) has(content string, now time.Time) bool {
-	g.turn(now, false)
-	return g.newest[content] || g.before[content]
-}
-
-// turn begins a new generation if it is time or the present one is full.
-func (g *generations) turn(now time.Time, full bool) {
-	if !full && now.Before(g.turnAt) {
-		return
-	}
-	g.before = g.newest
-	if now.Sub(g.turnAt) > recentFor {
-		g.before = nil
-	}
-	g.newest = map[string]bool{}
-	g.turnAt = now.Add(recentFor)
-}
-
 // Heard takes in what another VM told.
 func (r *Record) Heard(notes []Note) {
 	now := r.options.Now()
@@ -491,102 +357,10 @@
 	r.forgetAt = now.Add(forgetEvery)
 	maps.DeleteFunc(r.endedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= keptFor })
 	for content, known := range r.contents {
-		left := maps.Clone(known)
-		left.forget(now)
-		if len(left) < len(known) {
+		if known.hasOld(now) {
+			left := maps.Clone(known)
+			left.forget(now)
 			r.set(content, left)
 		}
 	}
 }
-
-func (e entry) isSerious() bool {
-	return len(e) >= seriousFrom
-}
-
-// sum is 0 for an entry that is not serious.
-func (e entry) sum(content string) (sum uint64) {
-	if !e.isSerious() {
-		return 0
-	}
-	for process, known := range e {
-		hash := fnv.New64a()
-		fmt.Fprintf(hash, "%s\x00%s\x00%t", content, process, known.cleared) // A hash never fails to write.
-		sum += hash.Sum64()
-	}
-	return sum
-}
-
-// counted is how many ends are not cleared.
-func (e entry) counted() int {
-	count := 0
-	for _, known := range e {
-		if !known.cleared {
-			count++
-		}
-	}
-	return count
-}
-
-// endedWith is how many processes ended together with one, itself included.
-func (e entry) endedWith(one end) (count int) {
-	for _, other := range e {
-		if other.group == one.group && other.at.Sub(one.at).Abs() <= togetherSpan {
-			count++
-		}
-	}
-	return count
-}
-
-// last is when the newest end was that counts; zero if none does.
-func (e entry) last() time.Time {
-	last := time.Time{}
-	for _, known := range e {
-		if !known.cleared && known.at.After(last) {
-			last = known.at
-		}
-	}
-	return last
-}
-
-func (e entry) refusedUntil(now time.Time) (until time.Time, refused bool) {
-	count := e.counted()
-	if count < limit {
-		return time.Time{}, false
-	}
-	refusal := min(firstRefusal<<min(count-limit, maxDoublings), keptFor)
-	until = e.last().Add(refusal)
-	return until, now.Before(until)
-}
-
-// forget drops ends that are old, and those beyond maxEnds: cleared ones first, and the same
-// on all VMs.
-func (e entry) forget(now time.Time) {
-	maps.DeleteFunc(e, func(_ string, known end) bool { return now.Sub(known.at) >= keptFor })
-	if len(e) <= maxEnds {
-		return
-	}
-	processes := slices.SortedFunc(maps.Keys(e), func(a, b string) int {
-		if e[a].cleared != e[b].cleared {
-			return cmp.Compare(rank(e[a].cleared), rank(e[b].cleared))
-		}
-		return cmp.Compare(a, b)
-	})
-	for _, process := range processes[maxEnds:] {
-		delete(e, process)
-	}
-}
-
-// rank orders ends that count before cleared ones.
-func rank(cleared bool) int {
-	if cleared {
-		return 1
-	}
-	return 0
-}
-
-func minTime(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
