--- a/internal/request/relay/kinds_test.go
+++ b/internal/request/relay/kinds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
@@ -81,3 +83,45 @@
 		})
 	}
 }
+
+func TestCondemnedContentIsRefusedAtOnce(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	for i := range 3 {
+		g.crashes.Ended("content", pool.Server{ID: fmt.Sprint("server ", i), FailureDomain: fmt.Sprint(i)}, time.Now())
+	}
+	c := &caller{}
+	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
+	var notRun *relay.NotRun
+	qt.Assert(t, errors.As(err, &notRun), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 0)
+}
+
+func TestActionThatHangsTimesOut(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": hang, "b1": hang})
+	r := request(routing.KindNonIdempotent)
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	_, err := g.relay.Call(context.Background(), r)
+	var timedOut *relay.TimedOut
+	qt.Assert(t, errors.As(err, &timedOut), qt.IsTrue)
+	qt.Assert(t, g.seen(), qt.HasLen, 1)
+}
+
+func TestStreamEndsWhenItsCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	g := newRig(t, map[string]script{"a1": func(w http.ResponseWriter, r *http.Request) {
+		events(3, complete)(w, r)
+		hang(w, r)
+		close(ended)
+	}})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	c := &caller{}
+	err := g.relay.Stream(ctx, request(routing.KindStreaming), c.sink())
+	var cut *relay.Cut
+	qt.Assert(t, errors.As(err, &cut), qt.IsTrue)
+	select {
+	case <-ended:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the server still works for a caller that has left")
+	}
+}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -367,16 +367,6 @@
 	qt.Assert(t, notRun.RetryAt.IsZero(), qt.IsFalse)
 }
 
-func TestActionThatHangsTimesOut(t *testing.T) {
-	g := newRig(t, map[string]script{"a1": hang, "b1": hang})
-	r := request(routing.KindNonIdempotent)
-	r.Deadline = time.Now().Add(100 * time.Millisecond)
-	_, err := g.relay.Call(context.Background(), r)
-	var timedOut *relay.TimedOut
-	qt.Assert(t, errors.As(err, &timedOut), qt.IsTrue)
-	qt.Assert(t, g.seen(), qt.HasLen, 1)
-}
-
 func TestUnsignedSuccessIsNoAnswer(t *testing.T) {
 	unsigned := func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "whose?") }
 	g := newRig(t, map[string]script{"a1": unsigned})
@@ -542,18 +532,6 @@
 	qt.Assert(t, g.seen(), qt.HasLen, 3)
 }
 
-func TestCondemnedContentIsRefusedAtOnce(t *testing.T) {
-	g := newRig(t, map[string]script{"a1": events(3, complete)})
-	for i := range 3 {
-		g.crashes.Ended("content", pool.Server{ID: fmt.Sprint("server ", i), FailureDomain: fmt.Sprint(i)}, time.Now())
-	}
-	c := &caller{}
-	err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
-	var notRun *relay.NotRun
-	qt.Assert(t, errors.As(err, &notRun), qt.IsTrue)
-	qt.Assert(t, g.seen(), qt.HasLen, 0)
-}
-
 func TestServersOwnFailureIsPassedOn(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": say(400, "no such model")})
 	c := &caller{}
@@ -563,26 +541,6 @@
 	qt.Assert(t, c.body.String(), qt.Equals, "no such model")
 }
 
-func TestStreamEndsWhenItsCallerLeaves(t *testing.T) {
-	ended := make(chan struct{})
-	g := newRig(t, map[string]script{"a1": func(w http.ResponseWriter, r *http.Request) {
-		events(3, complete)(w, r)
-		hang(w, r)
-		close(ended)
-	}})
-	ctx, cancel := context.WithCancel(context.Background())
-	time.AfterFunc(50*time.Millisecond, cancel)
-	c := &caller{}
-	err := g.relay.Stream(ctx, request(routing.KindStreaming), c.sink())
-	var cut *relay.Cut
-	qt.Assert(t, errors.As(err, &cut), qt.IsTrue)
-	select {
-	case <-ended:
-	case <-time.After(500 * time.Millisecond):
-		t.Fatal("the server still works for a caller that has left")
-	}
-}
-
 // TestStreamThatLostItsCopyIsMoved has the holder of the copy die, before and
 // after the first event. The stream goes on at a third server, with a new copy.
 func TestStreamThatLostItsCopyIsMoved(t *testing.T) {
