--- a/internal/node/entry/keeper.go
+++ b/internal/node/entry/keeper.go
@@ -125,8 +125,8 @@
 	}
 }
 
-// readCrashes takes their ages as they were when the row was written: how long ago that was
-// isn't known, and a content is refused for a minute longer at most.
+// readCrashes takes their ages as they were when the row was written. How long ago that was
+// isn't known, so a content is refused for what was left of its refusal then.
 func (k *keeper) readCrashes(row Row) {
 	notes := []crash.Note{}
 	if err := cbor.Unmarshal(row.Value, &notes); err != nil {
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -95,7 +95,8 @@
 }
 
 // End is a server's process that ended under a content, so many milliseconds ago. A cleared
-// one counts no more: the content has run to its end since.
+// one counts no more: the content has run to its end since, or the server was lost with most of
+// its failure domain.
 type End struct {
 	Process string `cbor:"1,keyasint"`
 	Age     int64  `cbor:"2,keyasint,omitempty"`
