Logs and metrics tell of servers' limits and of what is sent for which purpose

Server-Limit is decoded from every answer of a server; nothing is decided by it yet. Events 610 and 611 tell which answer named or ended a limit, event 612 what each VM sent to a server with one, by purpose, and endivespoke_server_requests_total counts requests to servers by purpose.

--- a/internal/backend/pool/loss.go
+++ b/internal/backend/pool/loss.go
@@ -242,6 +242,7 @@
 // checked only while the list may lack the new one, and after it has stayed listed for
 // longer than terminationTTL.
 func (p *Pool) Recheck(context.Context) {
+	p.reportSent()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
--- a/internal/backend/pool/notice.go
+++ b/internal/backend/pool/notice.go
@@ -29,6 +29,10 @@
 	// BackoffUntil is the time until which it asks for no requests from this VM; zero if
 	// it asks for none such.
 	BackoffUntil time.Time
+	// Limited means that it names a limit: Limit is the number of requests a second that
+	// it takes from all VMs together.
+	Limited bool
+	Limit   float64
 }
 
 // Departure identifies a process of a server that reported that it is leaving.
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -66,6 +66,10 @@
 	// Go runs a check concurrently with the caller; nil starts a goroutine. Simulations
 	// run it as an event of simulated time.
 	Go func(do func())
+	// OnLimit is called when the limit that a server names changes, and OnSent at most once
+	// a second for each server with a limit, with the requests that this VM sent to it since.
+	OnLimit func(change LimitChange)
+	OnSent  func(server Server, limit float64, sent map[Purpose]int)
 	// HasIdle reports whether an idle connection to an address is open.
 	HasIdle    func(address string) bool
 	Successors Successors
@@ -86,8 +90,9 @@
 	cells      int                  // 0 and 1 for a fleet that is not split.
 	cellOf     map[string]int       // The cells of the servers, by address; nil until needed.
 
-	recheckedAt time.Time
-	pausedAt    time.Time // When this process last resumed after a pause.
+	recheckedAt    time.Time
+	sentReportedAt time.Time
+	pausedAt       time.Time // When this process last resumed after a pause.
 }
 
 // Group identifies the servers that are likely to fail together.
@@ -108,10 +113,14 @@
 	replaced        bool      // Another process has the address.
 	reportedLeaving bool      // It reported to this VM or a peer that it is leaving.
 	backoffUntil    time.Time // It asked for no requests from this VM until then.
-	terminatedAt    time.Time // When its process was found terminated; zero if it was not.
-	peerLossAt      time.Time // When a peer last reported it down.
-	avoidUntil      time.Time // A peer reported it down, and this VM has not checked it.
-	announcedAt     time.Time // When this VM, as a watcher, last announced that it is down.
+	limited         bool      // It names a limit on the requests of all VMs.
+	limit           float64   // Requests a second, if limited.
+	limitLoggedAt   time.Time
+	sent            map[Purpose]int // Requests that this VM sent to it while it was limited, since the last report.
+	terminatedAt    time.Time       // When its process was found terminated; zero if it was not.
+	peerLossAt      time.Time       // When a peer last reported it down.
+	avoidUntil      time.Time       // A peer reported it down, and this VM has not checked it.
+	announcedAt     time.Time       // When this VM, as a watcher, last announced that it is down.
 	down            bool
 	checking        bool
 	recheckAt       time.Time
@@ -151,6 +160,12 @@
 	if options.OnDeparture == nil {
 		options.OnDeparture = func(Server) {}
 	}
+	if options.OnLimit == nil {
+		options.OnLimit = func(LimitChange) {}
+	}
+	if options.OnSent == nil {
+		options.OnSent = func(Server, float64, map[Purpose]int) {}
+	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
@@ -67,6 +68,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_runs_ended_early_total{how=%q}`, how)).Inc()
 }
 
+// sent counts a request that is sent to a server.
+func (c *counters) sent(purpose pool.Purpose) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_server_requests_total{purpose=%q}`, purpose)).Inc()
+}
+
 // resumed records the pause of a stream that was resumed on another server.
 func (c *counters) resumed(fromCopy bool, pause time.Duration) {
 	from := "prompt"
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -135,6 +135,10 @@
 		Go:          func(do func()) { rescue.Go(v.logger, "check of a server", do) },
 		OnDeparture: v.serverLeaving,
 		OnChange:    v.serverChanged,
+		OnLimit:     v.serverLimitChanged,
+		OnSent: func(server pool.Server, limit float64, sent map[pool.Purpose]int) {
+			event.LimitedSent.Info(v.logger, "server", server.ID, "limit", limit, "sent", sent)
+		},
 		Successors: pool.Successors{
 			Identify:          v.identify,
 			ListedAt:          func() time.Time { return v.spread.Snapshot().ServersAt },
@@ -192,7 +196,7 @@
 			Completed:    v.crashes.Completed,
 			BlockedUntil: v.crashes.BlockedUntil,
 		},
-		Counts:      relay.Counts{EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
+		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
 	})
@@ -288,6 +292,16 @@
 	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
 }
 
+func (v *VM) serverLimitChanged(change pool.LimitChange) {
+	pairs := []any{"server", change.Server.ID, "limit", change.Limit, "before", change.Before,
+		"answerTo", change.Reply.Purpose, "status", change.Reply.Status, "refused", change.Reply.Refused}
+	if change.Limited {
+		event.ServerLimitNamed.Info(v.logger, pairs...)
+		return
+	}
+	event.ServerLimitEnded.Info(v.logger, pairs...)
+}
+
 func (v *VM) serverLeaving(server pool.Server) {
 	event.ServerSaidLeaving.Info(v.logger, "server", server.ID, "address", server.Address, "listedAsLeaving", server.Leaving,
 		"serversAgeMillis", v.Now().Sub(v.spread.Snapshot().ServersAt).Milliseconds())
@@ -387,24 +401,24 @@
 // move asks a server to move a run's memory.
 func (v *VM) move(ctx context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
 	request, body := v.options.EncodeMove(runID, to)
-	return v.transfer(ctx, request, body, from, to)
+	return v.transfer(ctx, pool.PurposeMove, request, body, from, to)
 }
 
 // copyRun asks a server to copy the memory of a run that continues.
 func (v *VM) copyRun(ctx context.Context, runID string, from, to pool.Server) (relay.Copy, error) {
 	request, body := v.options.EncodeCopy(runID, to)
-	return v.transfer(ctx, request, body, from, to)
+	return v.transfer(ctx, pool.PurposeCopy, request, body, from, to)
 }
 
 // freeCopy asks the source of a copy to drop it.
 func (v *VM) freeCopy(ctx context.Context, copied relay.Copy, from pool.Server) error {
-	_, _, err := v.sendToServer(ctx, from, v.options.EncodeFree(copied.RunID), nil)
+	_, _, err := v.sendToServer(ctx, pool.PurposeFree, from, v.options.EncodeFree(copied.RunID), nil)
 	return err
 }
 
 // transfer sends a server the request to move or copy a run's memory.
-func (v *VM) transfer(ctx context.Context, request *http.Request, body []byte, from, to pool.Server) (relay.Copy, error) {
-	status, answer, err := v.sendToServer(ctx, from, request, body)
+func (v *VM) transfer(ctx context.Context, purpose pool.Purpose, request *http.Request, body []byte, from, to pool.Server) (relay.Copy, error) {
+	status, answer, err := v.sendToServer(ctx, purpose, from, request, body)
 	if err != nil {
 		return relay.Copy{}, err
 	}
@@ -417,13 +431,17 @@
 
 // sendToServer sends a server a request of the VM's own, and reads the whole response so
 // that the connection can be reused.
-func (v *VM) sendToServer(ctx context.Context, server pool.Server, request *http.Request, body []byte) (status int, answer []byte, err error) {
+func (v *VM) sendToServer(ctx context.Context, purpose pool.Purpose, server pool.Server, request *http.Request, body []byte) (status int, answer []byte, err error) {
+	v.servers.RecordSent(server, purpose)
+	v.counters.sent(purpose)
 	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: request, Body: body})
 	if err != nil {
 		return 0, nil, errors.Trace(err)
 	}
 	defer response.Close()
-	v.servers.ApplyNotice(server, v.options.DecodeNotice(response.Response))
+	notice := v.options.DecodeNotice(response.Response)
+	v.servers.ApplyNotice(server, notice)
+	v.servers.ApplyLimit(server, pool.Reply{Purpose: purpose, Status: response.StatusCode}, notice)
 	if answer, err = response.ReadAll(maxMoveAnswerBytes); err != nil {
 		return 0, nil, errors.Trace(err)
 	}
@@ -443,6 +461,8 @@
 	if !found || service.HealthPath == "" {
 		return "", errors.Errorf("service %s has no health path", server.Service)
 	}
+	v.servers.RecordSent(server, pool.PurposeIdentify)
+	v.counters.sent(pool.PurposeIdentify)
 	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: v.options.EncodeIdentify(service.HealthPath)})
 	if err != nil {
 		return "", errors.Trace(err)
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -43,7 +43,7 @@
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
 	c := &call{relay: r, request: request, tried: map[string]bool{}, results: make(chan callResult, maxSends)}
-	if err = c.start(ctx); err != nil {
+	if err = c.start(ctx, pool.PurposeCall); err != nil {
 		return nil, err
 	}
 	hedge := time.NewTimer(time.Duration(hedgeFraction * float64(request.Route.LatencyObjective)))
@@ -67,7 +67,7 @@
 const maxSends = 8
 
 // start sends the request to one more server.
-func (c *call) start(ctx context.Context) error {
+func (c *call) start(ctx context.Context, purpose pool.Purpose) error {
 	if len(c.tried) >= maxSends {
 		return c.relay.noServer(c.request)
 	}
@@ -86,7 +86,7 @@
 	c.request.Servers = append(c.request.Servers, lease.Server.ID)
 	c.sent++
 	c.inFlight++
-	rescue.Go(c.relay.options.Logger, "exchange with a server", func() { c.results <- c.exchange(ctx, lease) })
+	rescue.Go(c.relay.options.Logger, "exchange with a server", func() { c.results <- c.exchange(ctx, lease, purpose) })
 	return nil
 }
 
@@ -95,7 +95,7 @@
 	if !c.mayRetry() || c.inFlight != 1 {
 		return
 	}
-	if err := c.start(ctx); err == nil {
+	if err := c.start(ctx, pool.PurposeHedge); err == nil {
 		event.SecondServerAsked.Info(c.relay.options.Logger, "request", c.request.ID, "servers", c.request.Servers,
 			"waitedMillis", c.relay.options.Now().Sub(c.request.Received).Milliseconds())
 	}
@@ -106,7 +106,7 @@
 }
 
 // exchange sends the request once and reads the complete answer.
-func (c *call) exchange(ctx context.Context, lease *pool.Lease) callResult {
+func (c *call) exchange(ctx context.Context, lease *pool.Lease, purpose pool.Purpose) callResult {
 	defer lease.Release()
 	result := callResult{server: lease.Server}
 	startedAt := c.relay.options.Now()
@@ -116,6 +116,7 @@
 		Server:      lease.Server,
 		Deadline:    c.request.Deadline,
 		LastEventID: c.request.LastEventID,
+		Purpose:     purpose,
 	})
 	if result.err == nil {
 		defer response.Close()
@@ -203,7 +204,7 @@
 // retry sends the request once more, or returns the final outcome.
 func (c *call) retry(ctx context.Context) (answer *Answer, err error) {
 	if c.sent == 0 || c.mayRetry() {
-		if err = c.start(ctx); err == nil {
+		if err = c.start(ctx, pool.PurposeRetry); err == nil {
 			return nil, nil
 		}
 	}
--- a/internal/request/relay/counts.go
+++ b/internal/request/relay/counts.go
@@ -6,6 +6,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
 
 // EarlyEnd is how a run at a server ended before its answer was complete, for counters.
@@ -23,6 +24,8 @@
 
 // Counts is called for decisions of the relay, for metrics.
 type Counts struct {
+	// Sent is called for each request before it is sent to a server.
+	Sent       func(purpose pool.Purpose)
 	EndedEarly func(how EarlyEnd)
 	// Resumed is called with the time from a stream's interruption to its next event.
 	Resumed func(fromCopy bool, pause time.Duration)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -73,6 +73,7 @@
 	// which this run continues.
 	CopyAddress string
 	CopyRunID   string
+	Purpose     pool.Purpose
 }
 
 // Verdict is what the head of a server's response tells of the request.
@@ -209,6 +210,9 @@
 
 // New returns a Relay.
 func New(options Options) *Relay {
+	if options.Counts.Sent == nil {
+		options.Counts.Sent = func(pool.Purpose) {}
+	}
 	return &Relay{options: options}
 }
 
@@ -224,6 +228,8 @@
 
 // send sends a dispatch and decodes the head of the response. The caller closes the response.
 func (r *Relay) send(ctx context.Context, dispatch Dispatch) (response *http1.Response, verdict Verdict, err error) {
+	r.options.Servers.RecordSent(dispatch.Server, dispatch.Purpose)
+	r.options.Counts.Sent(dispatch.Purpose)
 	response, err = r.options.Connections.Send(ctx, http1.Request{
 		Address:  dispatch.Server.Address,
 		HTTP:     r.options.Encode(dispatch),
@@ -237,6 +243,7 @@
 	verdict = r.options.Decode(response.Response)
 	if !verdict.Replaced { // Otherwise the notice is that of another process.
 		r.options.Servers.ApplyNotice(dispatch.Server, verdict.Notice)
+		r.options.Servers.ApplyLimit(dispatch.Server, pool.Reply{Purpose: dispatch.Purpose, Status: verdict.Status, Refused: verdict.NotRun}, verdict.Notice)
 	}
 	return response, verdict, nil
 }
