A server's limit is kept by all VMs together

Cause: no VM read the field. A bound that each VM keeps by itself would not have helped: none sent more than 3.5 a second.

Each request to a server with a limit now needs a permit from one token bucket, which the VM that rendezvous hashing ranks first for the server keeps for the fleet (package permit). Calls, retries, hedged calls, streams and resumes take it where their server is chosen, moves, copies, frees and identifications where they are sent; a server without permits is no candidate until there are some. Refused callers are spread over the permits to come. Two answers to permitted requests in a row that name no limit end it.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/juju/errors"
-
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
@@ -23,50 +21,58 @@
 
 // AcquireForCall chooses a server for a short call, none of those tried.
 func (p *Pool) AcquireForCall(service string, tried map[string]bool) (lease *Lease, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	usable, candidates := p.usableServers(service, tried, p.options.Now())
-	at, found := placement.ChooseForCall(candidates, p.options.Draw)
-	if !found {
-		return nil, errors.Trace(ErrNone)
-	}
-	usable[at].calls++
-	return p.newLease(usable[at], &Lease{}), nil
+	return p.acquire(func(now time.Time) *server {
+		usable, candidates := p.usableServers(service, tried, now)
+		at, found := placement.ChooseForCall(candidates, p.options.Draw)
+		if !found {
+			return nil
+		}
+		return usable[at]
+	}, func(chosen *server, _ time.Time) *Lease {
+		chosen.calls++
+		return p.newLease(chosen, &Lease{})
+	})
 }
 
 // AcquireForStream chooses a server for a stream, and one in another failure domain for
 // the copy of its memory; copyHolder is nil if no such server has capacity.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.options.Now()
-	chosen := p.requestedServer(criteria, now)
-	if chosen == nil {
-		if chosen = p.chooseForStream(criteria, now); chosen == nil {
-			return nil, nil, errors.Trace(ErrNone)
+	lease, err = p.acquire(func(now time.Time) *server {
+		if chosen := p.requestedServer(criteria, now); chosen != nil {
+			return chosen
 		}
-	}
+		return p.chooseForStream(criteria, now)
+	}, func(chosen *server, now time.Time) (lease *Lease) {
+		lease, copyHolder = p.leaseForStream(criteria, chosen, now)
+		return lease
+	})
+	return lease, copyHolder, err
+}
+
+// leaseForStream places a stream on a server, and its copy on another one. Called with the
+// lock held.
+func (p *Pool) leaseForStream(criteria Criteria, chosen *server, now time.Time) (lease *Lease, copyHolder *Server) {
 	lease = p.newLease(chosen, &Lease{stream: true, demand: criteria.Demand, started: criteria.ServerID != "" || criteria.Prefilled, Load: p.candidate(chosen, now)})
 	capacity := p.capacities[criteria.Service]
 	lease.CanMove = capacity.SupportsMoves && capacity.SupportsCopies
 	if !capacity.SupportsCopies {
-		return lease, nil, nil
+		return lease, nil
 	}
 	lease.copyHolder = p.chooseForCopy(criteria, chosen, now)
 	if lease.copyHolder == nil {
 		lease.signalCopyLost()
-		return lease, nil, nil
+		return lease, nil
 	}
 	lease.copyHolder.copyTokens += criteria.Demand.Tokens()
 	copied := lease.copyHolder.Server
-	return lease, &copied, nil
+	return lease, &copied
 }
 
 // requestedServer returns the server that the criteria name, or nil if it may not take
 // work or is down.
 func (p *Pool) requestedServer(criteria Criteria, now time.Time) *server {
 	s := p.servers[criteria.ServerID]
-	if s == nil || s.down || !s.terminatedAt.IsZero() || !s.acceptsWork() || s.inBackoff(now) {
+	if s == nil || s.down || !s.terminatedAt.IsZero() || !s.acceptsWork() || s.inBackoff(now) || s.isDenied(now) {
 		return nil
 	}
 	return s
@@ -90,6 +96,10 @@
 // has capacity. Called with the lock held.
 func (p *Pool) chooseForCopy(criteria Criteria, chosen *server, now time.Time) *server {
 	usable, candidates := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, now)
+	for i, s := range usable {
+		// The stream could not continue there once the limit is reached.
+		candidates[i].Avoided = candidates[i].Avoided || s.limited
+	}
 	cellServers, cellCandidates := p.inCell(usable, candidates)
 	if at, found := placement.ChooseCopyHolder(cellCandidates, chosen.FailureDomain, criteria.Demand); found && !cellCandidates[at].Avoided {
 		return cellServers[at]
@@ -107,7 +117,7 @@
 	p.forgetExpiredPeers(now)
 	usable := []*server{}
 	for _, s := range p.servers {
-		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !tried[s.ID] {
+		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] {
 			usable = append(usable, s)
 		}
 	}
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -26,6 +26,8 @@
 	CopyLost chan struct{}
 	Load     placement.Candidate
 	CanMove  bool
+	// Permit is the serial of the permit for the request, 0 if the server names no limit.
+	Permit uint64
 
 	pool       *Pool
 	server     *server
--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -2,9 +2,26 @@
 
 import (
 	"maps"
+	"math/rand/v2"
 	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 )
 
+// A server may name a limit: the number of requests a second that it takes from all VMs together.
+// Each request to such a server, whatever it is for, needs a permit from the server's bucket,
+// which one VM keeps for all; see package permit. Calls and streams take theirs in acquire, all
+// other requests in TakePermit. A server that has no permit left is not chosen until it has:
+//
+//	limit named      permit denied      wait is over     2 answers name no limit
+//	|----------------|------------------|----------------|
+//	permits needed   not a candidate    asked again      no permits needed
+
+// ErrNoPermit means that a server takes no more requests at present.
+const ErrNoPermit = errors.ConstError("the server's limit permits no request now")
+
 // Purpose is why a request is sent to a server.
 type Purpose string
 
@@ -21,8 +38,34 @@
 	PurposeIdentify Purpose = "identify"
 )
 
-// LimitChange is a change of the limit that a server names. Reply is what the answer that
-// showed it replied to.
+// isPreventive reports whether a request serves no caller yet.
+func (p Purpose) isPreventive() bool {
+	return p == PurposeMove || p == PurposeCopy || p == PurposeFree
+}
+
+// Reply describes the answer of a server. Permit is that of the request, 0 if it had none.
+type Reply struct {
+	Purpose Purpose
+	Status  int
+	Refused bool // The server did not run the request.
+	Permit  uint64
+}
+
+// kind distinguishes answers that may differ in what they report: of runs, of refusals, and of
+// requests that run nothing.
+func (r Reply) kind() string {
+	switch {
+	case r.Purpose.isPreventive() || r.Purpose == PurposeIdentify:
+		return "order"
+	case r.Refused:
+		return "refusal"
+	default:
+		return "run"
+	}
+}
+
+// LimitChange is a change of the limit of a server. Reply is the answer that named it; it is
+// zero if a peer reported the change.
 type LimitChange struct {
 	Server        Server
 	Limited       bool
@@ -30,25 +73,135 @@
 	Reply         Reply
 }
 
-// Reply describes the answer of a server.
-type Reply struct {
-	Purpose Purpose
-	Status  int
-	Refused bool // The server did not run the request.
+// ServerLimit is the limit of a server, as VMs announce it.
+type ServerLimit struct {
+	ServerID string  `cbor:"1,keyasint"`
+	Started  int64   `cbor:"2,keyasint,omitempty"` // See Server.Started.
+	Limit    float64 `cbor:"3,keyasint,omitempty"`
 }
 
 const (
+	// maxPermitRequests bounds the servers whose permits are requested for one request: each
+	// takes the latency between two VMs.
+	maxPermitRequests = 8
+	// minPermitWait is the shortest time for which a server is not chosen after a denial.
+	minPermitWait = time.Millisecond
+	// maxReturnDelay bounds the time after which a refused caller is asked to return.
+	maxReturnDelay = 10 * time.Second
 	// limitLogInterval is the shortest time between two reports of a server's changing limit.
 	limitLogInterval = time.Second
 	// sentLogInterval is the time between two reports of the requests to limited servers.
 	sentLogInterval = time.Second
 )
 
+// limitState is what this VM knows of a server's limit.
+type limitState struct {
+	limited     bool
+	limit       float64         // Requests a second.
+	deniedUntil time.Time       // No permit is available until then.
+	interval    time.Duration   // Between two permits for this VM, while all VMs that asked lately go on.
+	loggedAt    time.Time       // When a change was last reported.
+	sent        map[Purpose]int // Requests that this VM sent since the last report.
+}
+
+// isDenied reports whether the server's limit permits no request now.
+func (l *limitState) isDenied(now time.Time) bool {
+	return l.limited && now.Before(l.deniedUntil)
+}
+
+// acquire takes a lease on the server that choose returns, once there is a permit for it. Both
+// functions are called with the lock held. A server that is denied is no candidate the next time.
+func (p *Pool) acquire(choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+	for range maxPermitRequests {
+		if lease, err = p.acquireOnce(choose, begin); !errors.Is(err, ErrNoPermit) {
+			return lease, err
+		}
+	}
+	return nil, errors.Trace(ErrNone)
+}
+
+func (p *Pool) acquireOnce(choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	chosen := choose(now)
+	if chosen == nil {
+		return nil, errors.Trace(ErrNone)
+	}
+	serial := uint64(0)
+	if chosen.limited {
+		request := chosen.permitRequest(p.options.Self, false)
+		p.mu.Unlock()
+		reply := p.options.TakePermit(request)
+		p.mu.Lock()
+		now = p.options.Now()
+		if serial, err = p.applyPermit(chosen, request, reply); err != nil {
+			return nil, err
+		}
+		if p.servers[chosen.ID] != chosen || !chosen.acceptsWork() || chosen.down || chosen.inBackoff(now) {
+			return nil, errors.Trace(ErrNoPermit) // It changed meanwhile. The permit is lost.
+		}
+	}
+	lease = begin(chosen, now)
+	lease.Permit = serial
+	return lease, nil
+}
+
+// permitRequest returns the request for a permit. Called with the lock held.
+func (s *server) permitRequest(vm string, preventive bool) permit.Request {
+	return permit.Request{Key: permitKey(s.Server), Rate: s.limit, VM: vm, Preventive: preventive}
+}
+
+func permitKey(s Server) string {
+	return "server/" + s.Process()
+}
+
+// applyPermit applies the reply to a request for a permit. Called with the lock held.
+func (p *Pool) applyPermit(s *server, request permit.Request, reply permit.Reply) (serial uint64, err error) {
+	now := p.options.Now()
+	switch {
+	case reply.Unbounded:
+		change := LimitChange{Server: s.Server, Before: s.limit}
+		s.limitState = limitState{}
+		p.options.Go(func() { p.options.OnLimit(change) })
+		return 0, nil
+	case reply.Granted:
+		s.interval = permitInterval(s.limit, reply.Askers)
+		return reply.Serial, nil
+	case !request.Preventive:
+		s.interval = permitInterval(s.limit, reply.Askers)
+		s.deniedUntil = now.Add(max(reply.Wait, minPermitWait))
+	}
+	return 0, errors.Trace(ErrNoPermit)
+}
+
+// permitInterval returns the time between two permits for one of the VMs that ask for them.
+func permitInterval(limit float64, askers int) time.Duration {
+	seconds := float64(max(askers, 1)) / max(limit, 1/maxReturnDelay.Seconds())
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// TakePermit takes the permit for a request that needs no lease. Serial is 0 if the server names
+// no limit. The error is ErrNoPermit if the request must not be sent now.
+func (p *Pool) TakePermit(to Server, purpose Purpose) (serial uint64, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[to.ID]
+	if s == nil || !s.limited {
+		return 0, nil
+	}
+	request := s.permitRequest(p.options.Self, purpose.isPreventive())
+	p.mu.Unlock()
+	reply := p.options.TakePermit(request)
+	p.mu.Lock()
+	return p.applyPermit(s, request, reply)
+}
+
 // RecordSent counts a request that is about to be sent to a server.
-func (p *Pool) RecordSent(server Server, purpose Purpose) {
+func (p *Pool) RecordSent(to Server, purpose Purpose) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := p.servers[server.ID]
+	known := p.servers[to.ID]
 	if known == nil || !known.limited {
 		return
 	}
@@ -58,27 +211,112 @@
 	known.sent[purpose]++
 }
 
-// ApplyLimit applies the limit that a server's answer names.
+// ApplyLimit applies the limit that a server's answer names. That an answer names none is for the
+// issuer of the permits to evaluate: the answer may be older than the limit.
 func (p *Pool) ApplyLimit(from Server, reply Reply, notice ServerNotice) {
 	p.mu.Lock()
 	known := p.servers[from.ID]
-	if known == nil || !known.isSameProcess(from) || (known.limited == notice.Limited && known.limit == notice.Limit) {
+	if known == nil || !known.isSameProcess(from) {
 		p.mu.Unlock()
 		return
 	}
+	observation := permit.Observation{Key: permitKey(known.Server), Serial: reply.Permit, Kind: reply.kind(), Bounded: notice.Limited, Rate: notice.Limit}
+	change := LimitChange{Server: known.Server, Limited: true, Limit: notice.Limit, Before: known.limit, Reply: reply}
+	isNew := notice.Limited && !known.limited
+	hasChanged := isNew || (notice.Limited && known.limit != notice.Limit)
 	now := p.options.Now()
-	isDue := known.limited != notice.Limited || now.Sub(known.limitLoggedAt) >= limitLogInterval
-	if isDue {
-		known.limitLoggedAt = now
+	isLogged := isNew || (hasChanged && now.Sub(known.loggedAt) >= limitLogInterval)
+	if isLogged {
+		known.loggedAt = now
+	}
+	if notice.Limited {
+		known.limited, known.limit = true, notice.Limit
 	}
-	change := LimitChange{Server: known.Server, Limited: notice.Limited, Limit: notice.Limit, Before: known.limit, Reply: reply}
-	known.limited, known.limit = notice.Limited, notice.Limit
 	p.mu.Unlock()
-	if isDue {
+	if hasChanged || reply.Permit > 0 {
+		p.options.ObservePermit(observation)
+	}
+	if isLogged {
 		p.options.OnLimit(change)
 	}
+	if isNew {
+		p.options.AnnounceLimit(change.Server, limitOf(change.Server, notice.Limit))
+	}
 }
 
+func limitOf(s Server, limit float64) ServerLimit {
+	return ServerLimit{ServerID: s.ID, Started: s.Started, Limit: limit}
+}
+
+// ApplyPeerLimits applies the limits that a peer reported. In a fleet of several cells the
+// watchers of a server forward them.
+func (p *Pool) ApplyPeerLimits(reported []ServerLimit) {
+	changes := []LimitChange{}
+	forward := []Server{}
+	p.mu.Lock()
+	for _, l := range reported {
+		known := p.servers[l.ServerID]
+		if known == nil || known.limited || !known.isProcess(l.Started) {
+			continue
+		}
+		known.limited, known.limit = true, l.Limit
+		changes = append(changes, LimitChange{Server: known.Server, Limited: true, Limit: l.Limit})
+		if p.cells > 1 && p.watches(known) {
+			forward = append(forward, known.Server)
+		}
+	}
+	p.mu.Unlock()
+	for _, change := range changes {
+		p.options.OnLimit(change)
+	}
+	for i, s := range forward {
+		p.options.AnnounceLimit(s, limitOf(s, changes[i].Limit))
+	}
+}
+
+// Limits lists the limits that servers name, for VMs that join.
+func (p *Pool) Limits() []ServerLimit {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limits := []ServerLimit{}
+	for _, s := range p.servers {
+		if s.limited && s.listed {
+			limits = append(limits, limitOf(s.Server, s.limit))
+		}
+	}
+	return limits
+}
+
+// ReturnAt returns when the next refused caller of a service is to return, if all servers that
+// are up are in backoff or have no permit left. Callers are spread over the permits to come.
+func (p *Pool) ReturnAt(service string, earliest time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	perSecond := 0.0 // Permits of this VM.
+	for _, s := range p.servers {
+		if s.Service == service && s.acceptsWork() && !s.down && s.limited && s.interval > 0 {
+			perSecond += 1 / s.interval.Seconds()
+		}
+	}
+	if perSecond == 0 {
+		return earliest.Add(rand.N(returnSpread))
+	}
+	gap := min(time.Duration(float64(time.Second)/perSecond), maxReturnDelay)
+	at := earliest
+	if next := p.returnAt[service].Add(gap); next.After(at) {
+		at = next
+	}
+	if latest := now.Add(maxReturnDelay); at.After(latest) {
+		at = latest
+	}
+	p.returnAt[service] = at
+	return at.Add(rand.N(gap))
+}
+
+// returnSpread is the time over which callers return when servers end their backoff.
+const returnSpread = 500 * time.Millisecond
+
 // reportSent reports the requests that were sent to servers with a limit, once in
 // sentLogInterval.
 func (p *Pool) reportSent() {
--- a/internal/backend/pool/notice.go
+++ b/internal/backend/pool/notice.go
@@ -128,10 +128,15 @@
 	}
 }
 
-// matches reports whether the departure is of the process that an entry names. Two
-// processes with the same id are distinguished only if both start times are known.
+// matches reports whether the departure is of the process that an entry names.
 func (d Departure) matches(s *server) bool {
-	return d.Started == s.Started || d.Started == 0 || s.Started == 0 || s.isUnlisted()
+	return s.isProcess(d.Started)
+}
+
+// isProcess reports whether an entry names the process that started at a time. Two
+// processes with the same id are distinguished only if both start times are known.
+func (s *server) isProcess(started int64) bool {
+	return started == s.Started || started == 0 || s.Started == 0 || s.isUnlisted()
 }
 
 // isSameProcess reports whether the server still has the process that it had when it was
@@ -151,12 +156,13 @@
 	return now.Before(s.backoffUntil)
 }
 
-// Availability counts the servers of a service by state. BackoffUntil is the earliest end
-// of a backoff if all servers that are up are in backoff; zero otherwise.
+// Availability counts the servers of a service by state. BackoffUntil is the earliest time
+// at which a server takes requests again if all that are up take none now: they are in
+// backoff, or their limits permit no more. It is zero otherwise.
 type Availability struct {
 	Listed       int // They may take work.
 	Up           int // Those of Listed that are not down.
-	BackingOff   int // Those of Up that ask for no requests now.
+	BackingOff   int // Those of Up that take no requests now.
 	BackoffUntil time.Time
 }
 
@@ -175,12 +181,16 @@
 			continue
 		}
 		availability.Up++
-		if !s.inBackoff(now) {
+		if !s.inBackoff(now) && !s.isDenied(now) {
 			continue
 		}
 		availability.BackingOff++
-		if availability.BackoffUntil.IsZero() || s.backoffUntil.Before(availability.BackoffUntil) {
-			availability.BackoffUntil = s.backoffUntil
+		until := s.backoffUntil
+		if s.isDenied(now) && s.deniedUntil.After(until) {
+			until = s.deniedUntil
+		}
+		if availability.BackoffUntil.IsZero() || until.Before(availability.BackoffUntil) {
+			availability.BackoffUntil = until
 		}
 	}
 	if availability.BackingOff < availability.Up {
@@ -190,10 +200,14 @@
 }
 
 // AcceptsRequests reports whether a server takes requests that serve no caller, such as
-// moves: it is not in backoff.
+// moves: it is not in backoff, and its limit permits them.
 func (p *Pool) AcceptsRequests(server Server) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.servers[server.ID]
-	return known == nil || !known.inBackoff(p.options.Now())
+	if known == nil {
+		return true
+	}
+	now := p.options.Now()
+	return !known.inBackoff(now) && !known.isDenied(now)
 }
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -26,6 +26,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 )
 
 // ErrNone means that no server may take the work.
@@ -66,8 +68,15 @@
 	// Go runs a check concurrently with the caller; nil starts a goroutine. Simulations
 	// run it as an event of simulated time.
 	Go func(do func())
-	// OnLimit is called when the limit that a server names changes, and OnSent at most once
-	// a second for each server with a limit, with the requests that this VM sent to it since.
+	// Self is the name under which this VM asks for permits. TakePermit asks for the permit of
+	// a request, and ObservePermit reports what its answer says of the limit; nil for a fleet
+	// of one VM. AnnounceLimit sends the limit that a server named to the peers.
+	Self          string
+	TakePermit    func(request permit.Request) permit.Reply
+	ObservePermit func(observation permit.Observation)
+	AnnounceLimit func(server Server, limit ServerLimit)
+	// OnLimit is called when the limit of a server changes, and OnSent at most once a second
+	// for each server with a limit, with the requests that this VM sent to it since.
 	OnLimit func(change LimitChange)
 	OnSent  func(server Server, limit float64, sent map[Purpose]int)
 	// HasIdle reports whether an idle connection to an address is open.
@@ -86,6 +95,7 @@
 	capacities map[string]Capacity  // By service.
 	lossAt     map[string]time.Time // By group.
 	departures map[string]departure // By server ID.
+	returnAt   map[string]time.Time // When the last refused caller of a service is to return.
 	cell       int                  // The cell of this VM.
 	cells      int                  // 0 and 1 for a fleet that is not split.
 	cellOf     map[string]int       // The cells of the servers, by address; nil until needed.
@@ -108,19 +118,16 @@
 
 type server struct {
 	Server
+	limitState
 	group           string // Server.Group, cached because each choice reads it for each server.
 	listed          bool
 	replaced        bool      // Another process has the address.
 	reportedLeaving bool      // It reported to this VM or a peer that it is leaving.
 	backoffUntil    time.Time // It asked for no requests from this VM until then.
-	limited         bool      // It names a limit on the requests of all VMs.
-	limit           float64   // Requests a second, if limited.
-	limitLoggedAt   time.Time
-	sent            map[Purpose]int // Requests that this VM sent to it while it was limited, since the last report.
-	terminatedAt    time.Time       // When its process was found terminated; zero if it was not.
-	peerLossAt      time.Time       // When a peer last reported it down.
-	avoidUntil      time.Time       // A peer reported it down, and this VM has not checked it.
-	announcedAt     time.Time       // When this VM, as a watcher, last announced that it is down.
+	terminatedAt    time.Time // When its process was found terminated; zero if it was not.
+	peerLossAt      time.Time // When a peer last reported it down.
+	avoidUntil      time.Time // A peer reported it down, and this VM has not checked it.
+	announcedAt     time.Time // When this VM, as a watcher, last announced that it is down.
 	down            bool
 	checking        bool
 	recheckAt       time.Time
@@ -160,6 +167,13 @@
 	if options.OnDeparture == nil {
 		options.OnDeparture = func(Server) {}
 	}
+	if options.TakePermit == nil {
+		issuer := permit.NewIssuer(options.Now)
+		options.TakePermit, options.ObservePermit = issuer.Take, issuer.Observe
+	}
+	if options.AnnounceLimit == nil {
+		options.AnnounceLimit = func(Server, ServerLimit) {}
+	}
 	if options.OnLimit == nil {
 		options.OnLimit = func(LimitChange) {}
 	}
@@ -169,7 +183,7 @@
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}}
 }
 
 // Update replaces the list of servers. The state of servers that stay in the list is
--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -12,6 +12,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
@@ -73,6 +74,20 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_server_requests_total{purpose=%q}`, purpose)).Inc()
 }
 
+// permit counts a request for a permit by its reply.
+func (c *counters) permit(reply permit.Reply, err error) {
+	result := "denied"
+	switch {
+	case err != nil:
+		result = "noReply"
+	case reply.Granted:
+		result = "granted"
+	case reply.Unbounded:
+		result = "unbounded"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_permits_total{reply=%q}`, result)).Inc()
+}
+
 // resumed records the pause of a stream that was resumed on another server.
 func (c *counters) resumed(fromCopy bool, pause time.Duration) {
 	from := "prompt"
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -34,6 +34,7 @@
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/periodic"
 	"github.com/endivespoke/endivespoke/internal/node/rescue"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
@@ -128,14 +129,18 @@
 	v.callers = caller.NewConnections(v.Now)
 	v.connections = http1.New(http1.Options{OnOpen: func(string) { v.counters.connections.Inc() }})
 	v.servers = pool.New(pool.Options{
-		Now:         v.Now,
-		Draw:        rand.Float64,
-		Check:       v.connections.Check,
-		HasIdle:     v.connections.HasIdle,
-		Go:          func(do func()) { rescue.Go(v.logger, "check of a server", do) },
-		OnDeparture: v.serverLeaving,
-		OnChange:    v.serverChanged,
-		OnLimit:     v.serverLimitChanged,
+		Now:           v.Now,
+		Draw:          rand.Float64,
+		Check:         v.connections.Check,
+		HasIdle:       v.connections.HasIdle,
+		Go:            func(do func()) { rescue.Go(v.logger, "check of a server", do) },
+		OnDeparture:   v.serverLeaving,
+		OnChange:      v.serverChanged,
+		Self:          options.Settings.Name,
+		TakePermit:    v.takePermit,
+		ObservePermit: func(observation permit.Observation) { v.spread.ObservePermit(observation) },
+		AnnounceLimit: func(server pool.Server, limit pool.ServerLimit) { v.spread.AnnounceLimit(server.Group(), limit) },
+		OnLimit:       v.serverLimitChanged,
 		OnSent: func(server pool.Server, limit float64, sent map[pool.Purpose]int) {
 			event.LimitedSent.Info(v.logger, "server", server.ID, "limit", limit, "sent", sent)
 		},
@@ -241,6 +246,8 @@
 		FindCopies:          v.findCopyLocations,
 		Departures:          v.servers.Departures,
 		OnDepartures:        v.servers.ApplyPeerDepartures,
+		Limits:              v.servers.Limits,
+		OnLimits:            v.servers.ApplyPeerLimits,
 		ServiceUsage:        v.serviceUsage,
 		OnServiceUsage:      v.applyServiceUsage,
 		OnCell:              v.cellChanged,
@@ -292,6 +299,16 @@
 	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
 }
 
+// takePermit asks for the permit of a request to a server with a limit.
+func (v *VM) takePermit(request permit.Request) permit.Reply {
+	reply, err := v.spread.TakePermit(request)
+	v.counters.permit(reply, err)
+	if err != nil {
+		v.logger.Debug("no reply from the issuer of a permit", "key", request.Key, "error", err)
+	}
+	return reply
+}
+
 func (v *VM) serverLimitChanged(change pool.LimitChange) {
 	pairs := []any{"server", change.Server.ID, "limit", change.Limit, "before", change.Before,
 		"answerTo", change.Reply.Purpose, "status", change.Reply.Status, "refused", change.Reply.Refused}
@@ -432,6 +449,10 @@
 // sendToServer sends a server a request of the VM's own, and reads the whole response so
 // that the connection can be reused.
 func (v *VM) sendToServer(ctx context.Context, purpose pool.Purpose, server pool.Server, request *http.Request, body []byte) (status int, answer []byte, err error) {
+	serial, err := v.servers.TakePermit(server, purpose)
+	if err != nil {
+		return 0, nil, err
+	}
 	v.servers.RecordSent(server, purpose)
 	v.counters.sent(purpose)
 	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: request, Body: body})
@@ -441,7 +462,7 @@
 	defer response.Close()
 	notice := v.options.DecodeNotice(response.Response)
 	v.servers.ApplyNotice(server, notice)
-	v.servers.ApplyLimit(server, pool.Reply{Purpose: purpose, Status: response.StatusCode}, notice)
+	v.servers.ApplyLimit(server, pool.Reply{Purpose: purpose, Status: response.StatusCode, Permit: serial}, notice)
 	if answer, err = response.ReadAll(maxMoveAnswerBytes); err != nil {
 		return 0, nil, errors.Trace(err)
 	}
@@ -461,6 +482,9 @@
 	if !found || service.HealthPath == "" {
 		return "", errors.Errorf("service %s has no health path", server.Service)
 	}
+	if _, err = v.servers.TakePermit(server, pool.PurposeIdentify); err != nil {
+		return "", err
+	}
 	v.servers.RecordSent(server, pool.PurposeIdentify)
 	v.counters.sent(pool.PurposeIdentify)
 	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: v.options.EncodeIdentify(service.HealthPath)})
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -11,7 +11,7 @@
 )
 
 // VMs announce once, without acknowledgement: their loads on servers, the locations of copies,
-// and losses, crashes and departures of servers. An announcement is an optimisation: a VM that
+// and losses, crashes, departures and limits of servers. An announcement is an optimisation: a VM that
 // misses one finds out by itself, so announcements may be lost.
 
 // announcement is one item to send once. Exactly one of the pointers is set. Group is the group
@@ -21,6 +21,7 @@
 	crashReport  *crash.Report
 	loss         *LossReport
 	departure    *pool.Departure
+	limit        *pool.ServerLimit
 	group        string
 }
 
@@ -73,6 +74,11 @@
 	s.enqueue(announcement{departure: &departure, group: group})
 }
 
+// AnnounceLimit reports the limit that a server named, to the same VMs as AnnounceLoss.
+func (s *Spread) AnnounceLimit(group string, limit pool.ServerLimit) {
+	s.enqueue(announcement{limit: &limit, group: group})
+}
+
 // areLoadsDue reports whether this VM's loads have to be sent again although nothing changed,
 // since they expire at the peers. In a fleet of several cells a VM without loads sends none.
 func (s *Spread) areLoadsDue(st *state) bool {
@@ -117,7 +123,7 @@
 			}
 		}
 	}
-	loads.Crashes, loads.Losses, loads.Departures = toAll.Crashes, toAll.Losses, toAll.Departures
+	loads.Crashes, loads.Losses, loads.Departures, loads.Limits = toAll.Crashes, toAll.Losses, toAll.Departures, toAll.Limits
 	cellPeers, forwarders := st.members.cellAndForwarders()
 	s.post(cellPeers, &loads)
 	if toAll.hasAnnouncements() {
@@ -140,6 +146,8 @@
 		m.Losses = append(m.Losses, *a.loss)
 	case a.departure != nil:
 		m.Departures = append(m.Departures, *a.departure)
+	case a.limit != nil:
+		m.Limits = append(m.Limits, *a.limit)
 	}
 }
 
@@ -170,7 +178,7 @@
 }
 
 // announceToNewCellPeers sends VMs that are new in this VM's cell the locations of its streams'
-// copies and the departures of servers, which were announced before they were in the cell. They
+// copies and the departures and limits of servers, which were announced before they were in the cell. They
 // have joined, or cells were reassigned after other VMs joined or were lost.
 func (s *Spread) announceToNewCellPeers(st *state) {
 	cellPeers, _ := st.members.cellAndForwarders()
@@ -186,7 +194,7 @@
 	if len(newPeers) == 0 {
 		return
 	}
-	m := message{From: st.members.self.ID, Copies: s.options.Copies(), Departures: s.options.Departures()}
+	m := message{From: st.members.self.ID, Copies: s.options.Copies(), Departures: s.options.Departures(), Limits: s.options.Limits()}
 	if m.hasAnnouncements() {
 		s.post(newPeers, &m)
 	}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -163,6 +163,11 @@
 		return nil
 	}
 	s.applyAnnouncements(received)
+	if received.Permit != nil {
+		reply := s.issuePermit(*received.Permit)
+		answer := message{From: s.options.Self.ID, PermitReply: &reply}
+		return answer.encode()
+	}
 	if len(received.WantCopies) > 0 {
 		found := message{From: s.options.Self.ID, Copies: s.options.FindCopies(received.WantCopies)}
 		return found.encode()
@@ -352,4 +357,10 @@
 	if len(received.Losses) > 0 {
 		s.options.OnLosses(received.Losses)
 	}
+	if len(received.Limits) > 0 {
+		s.options.OnLimits(received.Limits)
+	}
+	if received.Observation != nil {
+		s.permits.Observe(*received.Observation)
+	}
 }
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
@@ -124,10 +125,17 @@
 	WantCopies []string `cbor:"18,keyasint,omitempty"`
 	// Departures are of servers that reported that they are leaving.
 	Departures []pool.Departure `cbor:"14,keyasint,omitempty"`
+	// Limits are of servers that named one.
+	Limits []pool.ServerLimit `cbor:"20,keyasint,omitempty"`
+	// Permit requests a permit from the issuer of its key, PermitReply is the reply, and
+	// Observation reports the answer to a request that had a permit.
+	Permit      *permit.Request     `cbor:"21,keyasint,omitempty"`
+	PermitReply *permit.Reply       `cbor:"22,keyasint,omitempty"`
+	Observation *permit.Observation `cbor:"23,keyasint,omitempty"`
 }
 
 func (m *message) hasAnnouncements() bool {
-	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures) > 0
+	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures)+len(m.Limits) > 0
 }
 
 func (m *message) encode() []byte {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -32,6 +32,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -143,8 +144,11 @@
 	OnMembersLost func(peers []string)
 	// Departures returns those of the listed servers that reported that they are leaving. They
 	// are sent to VMs that join the cell.
-	Departures     func() []pool.Departure
-	OnDepartures   func(departures []pool.Departure)
+	Departures   func() []pool.Departure
+	OnDepartures func(departures []pool.Departure)
+	// Limits returns those that servers named, for VMs that join the cell.
+	Limits         func() []pool.ServerLimit
+	OnLimits       func(limits []pool.ServerLimit)
 	ServiceUsage   func() []ServiceUsage
 	OnServiceUsage func(peer string, usage []ServiceUsage)
 	// OnCell is called when this VM's cell or the number of cells changes.
@@ -164,6 +168,11 @@
 
 	watchersMu   sync.Mutex
 	watcherCache watcherCache
+
+	permits *permit.Issuer
+	// unansweredSince is, by issuer, since when it has not replied to requests for permits.
+	permitsMu       sync.Mutex
+	unansweredSince map[string]time.Time
 }
 
 // state is owned by the event loop's goroutine.
@@ -193,6 +202,12 @@
 	if options.CrashesHash == nil {
 		options.CrashesHash = func() uint64 { return 0 }
 	}
+	if options.Limits == nil {
+		options.Limits = func() []pool.ServerLimit { return nil }
+	}
+	if options.OnLimits == nil {
+		options.OnLimits = func([]pool.ServerLimit) {}
+	}
 	if options.OnCell == nil {
 		options.OnCell = func(int, int) {}
 	}
@@ -202,6 +217,9 @@
 		loads:         make(chan struct{}, 1),
 		loadsLater:    make(chan struct{}, 1),
 		announcements: make(chan announcement, inboxSize),
+
+		permits:         permit.NewIssuer(options.Now),
+		unansweredSince: map[string]time.Time{},
 	}
 	s.snapshot.Store(&Snapshot{Self: options.Self, Live: []Member{options.Self}, Cells: 1})
 	return s
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -117,6 +117,7 @@
 		Deadline:    c.request.Deadline,
 		LastEventID: c.request.LastEventID,
 		Purpose:     purpose,
+		Permit:      lease.Permit,
 	})
 	if result.err == nil {
 		defer response.Close()
--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 )
@@ -56,6 +58,9 @@
 	if err != nil {
 		target.Release()
 		s.relay.options.Refund(s.request.Service)
+		if errors.Is(err, pool.ErrNoPermit) {
+			return false
+		}
 		s.moveFailures++
 		event.StreamNotMoved.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "to", target.Server.ID, "reason", err.Error())
 		return s.moveFailures >= maxMoveFailures
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -20,7 +20,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -74,6 +73,7 @@
 	CopyAddress string
 	CopyRunID   string
 	Purpose     pool.Purpose
+	Permit      uint64 // See pool.Lease.
 }
 
 // Verdict is what the head of a server's response tells of the request.
@@ -243,7 +243,7 @@
 	verdict = r.options.Decode(response.Response)
 	if !verdict.Replaced { // Otherwise the notice is that of another process.
 		r.options.Servers.ApplyNotice(dispatch.Server, verdict.Notice)
-		r.options.Servers.ApplyLimit(dispatch.Server, pool.Reply{Purpose: dispatch.Purpose, Status: verdict.Status, Refused: verdict.NotRun}, verdict.Notice)
+		r.options.Servers.ApplyLimit(dispatch.Server, pool.Reply{Purpose: dispatch.Purpose, Status: verdict.Status, Refused: verdict.NotRun, Permit: dispatch.Permit}, verdict.Notice)
 	}
 	return response, verdict, nil
 }
@@ -274,14 +274,15 @@
 }
 
 // noServer returns the refusal for a request that no server may take. If all servers are in
-// backoff, callers are asked to retry when the first backoff ends, with jitter.
+// backoff or at their limits, callers are asked to return when one takes requests again, spread
+// over time.
 func (r *Relay) noServer(request *Request) error {
 	availability := r.options.Servers.Availability(request.Service)
 	refusal := &NotRun{Kind: RefusalNoServer, RetryAt: r.options.Now().Add(retryDelay)}
 	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting", request.Service, availability.Listed, availability.Up, availability.BackingOff)
 	if !availability.BackoffUntil.IsZero() {
 		refusal.Kind = RefusalBackoff
-		refusal.RetryAt = availability.BackoffUntil.Add(rand.N(retryDelay))
+		refusal.RetryAt = r.options.Servers.ReturnAt(request.Service, availability.BackoffUntil)
 	}
 	return refusal
 }
--- a/internal/request/relay/renew.go
+++ b/internal/request/relay/renew.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/rescue"
@@ -71,6 +73,9 @@
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	copied, err := s.relay.options.Renewals.Copy(ctx, s.request.ID, lease.Server, *r.holder)
+	if errors.Is(err, pool.ErrNoPermit) {
+		return copyLost
+	}
 	if err != nil {
 		event.CopyNotRenewed.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "holder", r.holder.ID, "reason", err.Error())
 		r.holder = nil // Another holder may have capacity.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -230,7 +230,7 @@
 		return runResult{noServer: true, err: s.relay.noServer(s.request)}
 	}
 	defer lease.Release()
-	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream}
+	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream, Permit: lease.Permit}
 	if s.sends > 0 || s.lastEventID != "" {
 		dispatch.Purpose = pool.PurposeResume
 	}
