A blocked request is tried by one VM, not by each

A request that crashed three servers is blocked for a minute, and may then run again. Each VM decided that for itself: callers that sent it to six VMs after a quiet minute had it crash six servers more, where the platform allows three. After a block, all VMs together now send a content once in 10 s, with a permit from the bucket that they share, until it has run to completion or is blocked again.

--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -130,7 +130,7 @@
 	}
 	serial := uint64(0)
 	if chosen.limited {
-		request := chosen.permitRequest(p.options.Self, false)
+		request := chosen.permitRequest(false)
 		p.mu.Unlock()
 		reply := p.options.TakePermit(request)
 		p.mu.Lock()
@@ -148,8 +148,8 @@
 }
 
 // permitRequest returns the request for a permit. Called with the lock held.
-func (s *server) permitRequest(vm string, preventive bool) permit.Request {
-	return permit.Request{Key: permitKey(s.Server), Rate: s.limit, VM: vm, Preventive: preventive}
+func (s *server) permitRequest(preventive bool) permit.Request {
+	return permit.Request{Key: permitKey(s.Server), Rate: s.limit, Preventive: preventive}
 }
 
 func permitKey(s Server) string {
@@ -190,7 +190,7 @@
 	if s == nil || !s.limited {
 		return 0, nil
 	}
-	request := s.permitRequest(p.options.Self, purpose.isPreventive())
+	request := s.permitRequest(purpose.isPreventive())
 	p.mu.Unlock()
 	reply := p.options.TakePermit(request)
 	p.mu.Lock()
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -68,10 +68,9 @@
 	// Go runs a check concurrently with the caller; nil starts a goroutine. Simulations
 	// run it as an event of simulated time.
 	Go func(do func())
-	// Self is the name under which this VM asks for permits. TakePermit asks for the permit of
-	// a request, and ObservePermit reports what its answer says of the limit; nil for a fleet
-	// of one VM. AnnounceLimit sends the limit that a server named to the peers.
-	Self          string
+	// TakePermit asks for the permit of a request, and ObservePermit reports what its answer
+	// says of the limit; nil for a fleet of one VM. AnnounceLimit sends the limit that a server
+	// named to the peers.
 	TakePermit    func(request permit.Request) permit.Reply
 	ObservePermit func(observation permit.Observation)
 	AnnounceLimit func(server Server, limit ServerLimit)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -136,7 +136,6 @@
 		Go:            func(do func()) { rescue.Go(v.logger, "check of a server", do) },
 		OnDeparture:   v.serverLeaving,
 		OnChange:      v.serverChanged,
-		Self:          options.Settings.Name,
 		TakePermit:    v.takePermit,
 		ObservePermit: func(observation permit.Observation) { v.spread.ObservePermit(observation) },
 		AnnounceLimit: func(server pool.Server, limit pool.ServerLimit) { v.spread.AnnounceLimit(server.Group(), limit) },
@@ -159,7 +158,6 @@
 		Watches: func(group string) bool { return v.spread.Watches(group) },
 	})
 	v.peers = wire.NewPool(wire.PoolOptions{
-		Self:   options.Settings.Name,
 		OnAcks: func(string, []wire.Ack) {},
 		OnDown: func(string) {},
 		Go:     func(do func()) { rescue.Go(v.logger, "connection to a peer", do) },
@@ -168,6 +166,7 @@
 	v.crashes = crash.New(crash.Options{
 		Now:              v.Now,
 		Announce:         func(report crash.Report) { v.spread.AnnounceCrash(report) },
+		TakePermit:       v.takePermit,
 		HasTerminated:    v.servers.HasTerminated,
 		CorrelatedLosses: v.servers.CorrelatedLosses,
 		OnTerminated: func(content string, server pool.Server, after time.Duration) {
@@ -299,8 +298,9 @@
 	event.ServerUp.Info(v.logger, "server", server.ID, "address", server.Address)
 }
 
-// takePermit asks for the permit of a request to a server with a limit.
+// takePermit asks for the permit of something that is bounded for all VMs together.
 func (v *VM) takePermit(request permit.Request) permit.Reply {
+	request.VM = v.options.Settings.Name
 	reply, err := v.spread.TakePermit(request)
 	v.counters.permit(reply, err)
 	if err != nil {
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -36,6 +36,7 @@
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 )
 
 const (
@@ -46,6 +47,9 @@
 	// initialBlock is how long a content is blocked after its last crash. Then it may run
 	// again, and each further crash blocks it for twice as long, up to retention.
 	initialBlock = time.Minute
+	// trialInterval is the shortest time between two runs, at all VMs together, of a content
+	// whose block has ended. It covers detectionTimeout and the report to the other VMs.
+	trialInterval = 10 * time.Second
 	// correlationWindow is the time within which the losses of a correlated failure are
 	// detected, and correlationDelay the time after which all of them are: a check takes up
 	// to 200 ms.
@@ -82,6 +86,9 @@
 type Options struct {
 	Now      func() time.Time
 	Announce func(report Report)
+	// TakePermit takes the permit that a content needs to run after its block has ended, from
+	// the bucket that all VMs share; nil for a fleet of one VM, which needs none.
+	TakePermit func(request permit.Request) permit.Reply
 	// HasTerminated reports whether the server process at which a run was interrupted has
 	// terminated. CorrelatedLosses returns how many servers were lost together with one,
 	// itself included, if they are most of its failure domain, and 0 otherwise.
@@ -196,11 +203,22 @@
 	}
 }
 
-// BlockedUntil reports whether the content may not be sent to any server, and until when.
+// BlockedUntil reports whether the content may not be sent to any server, and until when. After
+// a block all VMs together may send it once in trialInterval, until a run of it has completed.
 func (r *Record) BlockedUntil(content string) (until time.Time, blocked bool) {
+	now := r.options.Now()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.blockedUntil(content, r.options.Now())
+	until, blocked = r.blockedUntil(content, now)
+	needsPermit := !blocked && r.suspects[content] && r.attributed(content) >= terminationLimit
+	r.mu.Unlock()
+	if !needsPermit || r.options.TakePermit == nil {
+		return until, blocked
+	}
+	reply := r.options.TakePermit(permit.Request{Key: "content/" + content, Rate: 1 / trialInterval.Seconds()})
+	if reply.Granted {
+		return time.Time{}, false
+	}
+	return now.Add(reply.Wait), true
 }
 
 // blockedUntil is BlockedUntil with the lock held.
