Retry budget: two bursts less than a window apart share the bound

The history of a budget covered 20 buckets of half a second, the newest of which is seldom full: a burst was forgotten up to half a second before its window was over, and 224 retries were possible in 10 s where 150 are allowed. One bucket more is kept. TestBurstsLessThanAWindowApartShareTheBound fails without it (224).

--- a/internal/request/budget/shared.go
+++ b/internal/request/budget/shared.go
@@ -6,12 +6,13 @@
 )
 
 const (
-	// buckets is the number of buckets in the window of a Shared. The window slides
-	// by one bucket at a time.
-	buckets = 20
+	// windowBuckets is the number of buckets in the window of a Shared. The window slides
+	// by one bucket at a time, and one more is kept for windows that do not start at a
+	// bucket.
+	windowBuckets = 20
+	buckets       = windowBuckets + 1
 	// usableFraction is the fraction of the bound that is used. The rest covers
-	// retries of other VMs whose usage has not arrived yet, and windows that do
-	// not start at a bucket.
+	// retries of other VMs whose usage has not arrived yet.
 	usableFraction = 0.75
 	// preventiveFraction is the fraction of the usable bound that preventive
 	// retries may fill. The rest stays free for retries that a request needs now.
@@ -153,7 +154,7 @@
 // slide empties the buckets that have left the window.
 func (s *Shared) slide() {
 	now := s.options.Now()
-	width := s.options.Window / buckets
+	width := s.options.Window / windowBuckets
 	for steps := 0; now.Sub(s.newest) >= width && steps < buckets; steps++ {
 		s.newest = s.newest.Add(width)
 		s.current = (s.current + 1) % buckets
--- a/internal/request/budget/shared_test.go
+++ b/internal/request/budget/shared_test.go
@@ -110,6 +110,20 @@
 	})
 }
 
+func TestBurstsLessThanAWindowApartShareTheBound(t *testing.T) {
+	now := time.Unix(0, 0)
+	s := shared(&now)
+	now = now.Add(200 * time.Millisecond) // Not at the start of a bucket.
+	withdrawn := 0
+	for range 2 {
+		for s.Withdraw() {
+			withdrawn++
+		}
+		now = now.Add(window - 100*time.Millisecond)
+	}
+	qt.Assert(t, withdrawn <= 150, qt.IsTrue, qt.Commentf("%d retries in a window without a request", withdrawn))
+}
+
 // TestCellsShareTheAllowance checks that cells, which do not exchange usage, together
 // stay within the bound.
 func TestCellsShareTheAllowance(t *testing.T) {
