Retry budget: the bound holds over losses of all VMs

A VM that starts now learns from its peers what all VMs used, those that were lost too. If no peer knows the whole last window, all were lost: the VMs then have a fifth of the allowance, growing with their age over one window, beside what their requests deposit. With the three quarters that VMs use otherwise this stays below the bound, however often all are lost.

It built the VMs that start without saying that they do; it now says so, and has the first six use their whole budget as before. New: TestBoundHoldsOverRepeatedLossesOfAllVMs, TestVMThatStartsLearnsTheUsageOfLostVMs, TestVMThatStartsBesideAnOlderOneHasTheWholeAllowance.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -397,6 +397,8 @@
 			Window:    settings.RetryWindow,
 			Cells:     func() int { return v.spread.Snapshot().Cells },
 			Now:       v.Now,
+
+			KnownSince: v.started,
 		})
 		v.budgets[service] = known
 	}
--- a/internal/request/budget/shared.go
+++ b/internal/request/budget/shared.go
@@ -12,8 +12,12 @@
 	windowBuckets = 20
 	buckets       = windowBuckets + 1
 	// usableFraction is the fraction of the bound that is used. The rest covers
-	// retries of other VMs whose usage has not arrived yet.
+	// retries of other VMs whose usage has not arrived yet, and startFraction.
 	usableFraction = 0.75
+	// startFraction is the fraction of the allowance that VMs may use in the window after a loss
+	// of all VMs, growing from 0 with their age: they cannot know what the VMs before them used.
+	// With usableFraction it stays below 1, however often all VMs are lost.
+	startFraction = 0.2
 	// preventiveFraction is the fraction of the usable bound that preventive
 	// retries may fill. The rest stays free for retries that a request needs now.
 	preventiveFraction = 0.7
@@ -31,18 +35,29 @@
 	Window    time.Duration
 	Cells     func() int
 	Now       func() time.Time
+	// KnownSince is when this VM started: it cannot know the retries before, unless a peer does.
+	// Zero means that there were none.
+	KnownSince time.Time
 }
 
 // Usage counts the requests and retries of one VM in the last window.
 type Usage struct {
 	Requests int `cbor:"1,keyasint"`
 	Retries  int `cbor:"2,keyasint"`
+	// FleetRequests and FleetRetries are those of all VMs in its view, also of VMs that were
+	// lost since. KnowsWindow means that they cover the whole window.
+	FleetRequests int  `cbor:"3,keyasint,omitempty"`
+	FleetRetries  int  `cbor:"4,keyasint,omitempty"`
+	KnowsWindow   bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Shared is a retry budget that all VMs share. Each VM announces its Usage to the
 // others, so that one VM can use what the others leave. It is safe for concurrent
 // use.
 //
+// A VM that starts receives the usage of VMs that were lost from its peers. If all VMs were
+// lost nobody has it, and the VMs that replace them have a smaller allowance for one window.
+//
 //	retries := budget.NewShared(budget.SharedOptions{Ratio: 0.8, Allowance: 150, Window: 10 * time.Second, Now: time.Now})
 //	retries.Deposit()              // for each request
 //	if retries.Withdraw() { ... }  // before each retry
@@ -93,8 +108,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := s.total()
-	allowance := s.options.Allowance / float64(max(s.options.Cells(), 1))
-	if float64(total.Retries+1) > fraction*usableFraction*(s.options.Ratio*float64(total.Requests)+allowance) {
+	allowance := usableFraction * s.options.Allowance / float64(max(s.options.Cells(), 1))
+	if age := s.options.Now().Sub(s.options.KnownSince); !s.knowsWindow() {
+		allowance *= startFraction / usableFraction * float64(age) / float64(s.options.Window)
+	}
+	if float64(total.Retries+1) > fraction*(usableFraction*s.options.Ratio*float64(total.Requests)+allowance) {
 		return false
 	}
 	s.history[s.current].Retries++
@@ -122,8 +140,29 @@
 func (s *Shared) Usage() Usage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.slide()
-	return s.own()
+	total := s.total()
+	usage := s.own()
+	usage.FleetRequests, usage.FleetRetries, usage.KnowsWindow = total.Requests, total.Retries, s.knowsWindow()
+	return usage
+}
+
+// hasRunForWindow reports whether this VM has received all usage of the last window itself.
+func (s *Shared) hasRunForWindow() bool {
+	return s.options.KnownSince.IsZero() || s.options.Now().Sub(s.options.KnownSince) >= s.options.Window
+}
+
+// knowsWindow reports whether this VM or a peer has received all usage of the last window.
+// Called with the lock held, after total.
+func (s *Shared) knowsWindow() bool {
+	if s.hasRunForWindow() {
+		return true
+	}
+	for _, peer := range s.peers {
+		if peer.KnowsWindow {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *Shared) own() Usage {
@@ -148,6 +187,13 @@
 		sum.Requests += peer.Requests
 		sum.Retries += peer.Retries
 	}
+	if s.hasRunForWindow() {
+		return sum
+	}
+	for _, peer := range s.peers {
+		sum.Requests = max(sum.Requests, peer.FleetRequests)
+		sum.Retries = max(sum.Retries, peer.FleetRetries)
+	}
 	return sum
 }
 
--- a/internal/request/budget/shared_test.go
+++ b/internal/request/budget/shared_test.go
@@ -1,12 +1,14 @@
 package budget_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
 
+	"github.com/endivespoke/endivespoke/internal/lab/property"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 )
 
@@ -150,27 +152,91 @@
 func TestBoundHoldsOverALossOfAllVMs(t *testing.T) {
 	now := time.Unix(0, 0)
 	withdrawn := 0
+	vms := newVMs(6, &now, time.Time{})
 	for range 2 {
-		vms := []*budget.Shared{}
-		for range 6 {
-			vms = append(vms, shared(&now))
+		withdrawn += withdrawAll(vms)
+		now = now.Add(2 * time.Second) // All VMs are lost, and others start.
+		vms = newVMs(6, &now, now)
+	}
+	qt.Assert(t, withdrawn <= 150, qt.IsTrue, qt.Commentf("%d retries without a request", withdrawn))
+}
+
+// newVMs returns the budgets of VMs that started at a time; the zero time stands for long ago.
+func newVMs(count int, now *time.Time, started time.Time) []*budget.Shared {
+	vms := []*budget.Shared{}
+	for range count {
+		vms = append(vms, budget.NewShared(budget.SharedOptions{
+			Ratio: 0.8, Allowance: 150, Window: window, Now: func() time.Time { return *now }, KnownSince: started,
+		}))
+	}
+	return vms
+}
+
+// withdrawAll has VMs retry in turn for as long as any may, and returns how often.
+func withdrawAll(vms []*budget.Shared) (withdrawn int) {
+	for more := true; more; {
+		more = false
+		for i, vm := range vms {
+			if !vm.Withdraw() {
+				continue
+			}
+			more = true
+			withdrawn++
+			announce(vms, i)
 		}
-		for more := true; more; {
-			more = false
-			for i, vm := range vms {
-				if !vm.Withdraw() {
-					continue
-				}
-				more = true
-				withdrawn++
-				for j, other := range vms {
-					if j != i {
-						other.ApplyUsage(string(rune('a'+i)), vm.Usage())
-					}
+	}
+	return withdrawn
+}
+
+func announce(vms []*budget.Shared, from int) {
+	for j, other := range vms {
+		if j != from {
+			other.ApplyUsage(fmt.Sprint("vm-", from), vms[from].Usage())
+		}
+	}
+}
+
+// TestBoundHoldsOverRepeatedLossesOfAllVMs has VMs that retry whenever they may be lost together
+// again and again, at any age.
+func TestBoundHoldsOverRepeatedLossesOfAllVMs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const step = 200 * time.Millisecond
+		now := time.Unix(1000, 0)
+		vms := newVMs(6, &now, time.Time{})
+		retries := []int{} // By step.
+		for _, age := range rapid.SliceOfN(rapid.IntRange(1, 70), 1, 6).Draw(t, "steps between losses") {
+			for range age {
+				now = now.Add(step)
+				retries = append(retries, withdrawAll(vms))
+				sum := 0
+				for _, count := range retries[max(0, len(retries)-int(window/step)):] {
+					sum += count
 				}
+				property.Assert(t, sum <= 150, qt.IsTrue, qt.Commentf("%d retries in a window without a request", sum))
 			}
+			vms = newVMs(6, &now, now)
 		}
-		now = now.Add(2 * time.Second) // All VMs are lost, and others start.
-	}
-	qt.Assert(t, withdrawn <= 150, qt.IsTrue, qt.Commentf("%d retries without a request", withdrawn))
+	})
+}
+
+func TestVMThatStartsLearnsTheUsageOfLostVMs(t *testing.T) {
+	now := time.Unix(1000, 0)
+	vms := newVMs(3, &now, time.Time{})
+	qt.Check(t, withdrawAll(vms[:2]) > 100, qt.IsTrue)
+	announce(vms, 0)
+	announce(vms, 1)
+	now = now.Add(time.Second)
+	vms = append(vms[2:], newVMs(2, &now, now)...) // Two are lost, and others start.
+	announce(vms, 0)
+	qt.Check(t, withdrawAll(vms), qt.Equals, 0)
+	now = now.Add(window + time.Second)
+	qt.Check(t, withdrawAll(vms) > 100, qt.IsTrue)
+}
+
+func TestVMThatStartsBesideAnOlderOneHasTheWholeAllowance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	vms := append(newVMs(1, &now, time.Time{}), newVMs(1, &now, now)...)
+	qt.Check(t, vms[1].Withdraw(), qt.IsFalse)
+	announce(vms, 0)
+	qt.Check(t, withdrawAll(vms[1:]) > 100, qt.IsTrue)
 }
