Tests of permits in the pool and between VMs; returns of refused callers reach a minute ahead

The test of returns found that callers piled up at the bound of 10 s on their delay (24 in a second for 10 permits); it is a minute now.

--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -87,7 +87,7 @@
 	// minPermitWait is the shortest time for which a server is not chosen after a denial.
 	minPermitWait = time.Millisecond
 	// maxReturnDelay bounds the time after which a refused caller is asked to return.
-	maxReturnDelay = 10 * time.Second
+	maxReturnDelay = time.Minute
 	// limitLogInterval is the shortest time between two reports of a server's changing limit.
 	limitLogInterval = time.Second
 	// sentLogInterval is the time between two reports of the requests to limited servers.
--- /dev/null
+++ b/internal/backend/pool/limit_test.go
@@ -0,0 +1,196 @@
+package pool_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
+)
+
+// limitFleet is a fleet of VMs with a clock that the test controls and one issuer of permits.
+type limitFleet struct {
+	mu     sync.Mutex
+	now    time.Time
+	issuer *permit.Issuer
+	vms    []*pool.Pool
+	asked  int
+}
+
+func (f *limitFleet) clock() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *limitFleet) pass(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+}
+
+func newLimitFleet(vms int, servers ...pool.Server) *limitFleet {
+	f := &limitFleet{now: time.Unix(1000, 0)}
+	f.issuer = permit.NewIssuer(f.clock)
+	for range vms {
+		f.addVM(servers)
+	}
+	return f
+}
+
+func (f *limitFleet) addVM(servers []pool.Server) *pool.Pool {
+	name := fmt.Sprint("vm-", len(f.vms))
+	p := pool.New(pool.Options{
+		Now: f.clock, Draw: func() float64 { return 0 },
+		TakePermit: func(request permit.Request) permit.Reply {
+			f.asked++
+			request.VM = name
+			return f.issuer.Take(request)
+		},
+		ObservePermit: f.issuer.Observe,
+	})
+	p.SetCapacities(map[string]pool.Capacity{"s": {CacheTokens: 1_000_000, SupportsCopies: true, SupportsMoves: true}})
+	p.Update(servers)
+	f.vms = append(f.vms, p)
+	return p
+}
+
+var named = pool.ServerNotice{Limited: true, Limit: 2}
+
+func TestEveryKindOfRequestNeedsAPermit(t *testing.T) {
+	limited := server("a1", "a")
+	demand := placement.Demand{PromptTokens: 100}
+	kinds := map[string]func(p *pool.Pool) error{
+		"call": func(p *pool.Pool) error { _, err := p.AcquireForCall("s", nil); return err },
+		"retry": func(p *pool.Pool) error {
+			_, err := p.AcquireForCall("s", map[string]bool{"other": true})
+			return err
+		},
+		"stream": func(p *pool.Pool) error {
+			_, _, err := p.AcquireForStream(pool.Criteria{Service: "s", Demand: demand})
+			return err
+		},
+		"resume": func(p *pool.Pool) error {
+			_, _, err := p.AcquireForStream(pool.Criteria{Service: "s", Demand: demand, ServerID: limited.ID})
+			return err
+		},
+		"move":     func(p *pool.Pool) error { _, err := p.TakePermit(limited, pool.PurposeMove); return err },
+		"copy":     func(p *pool.Pool) error { _, err := p.TakePermit(limited, pool.PurposeCopy); return err },
+		"free":     func(p *pool.Pool) error { _, err := p.TakePermit(limited, pool.PurposeFree); return err },
+		"identify": func(p *pool.Pool) error { _, err := p.TakePermit(limited, pool.PurposeIdentify); return err },
+	}
+	for name, send := range kinds {
+		f := newLimitFleet(1, limited)
+		qt.Check(t, send(f.vms[0]), qt.IsNil, qt.Commentf("%s without a limit", name))
+		qt.Check(t, f.asked, qt.Equals, 0)
+		f.vms[0].ApplyLimit(limited, pool.Reply{Purpose: pool.PurposeCall, Status: 200}, named)
+		sent := 0
+		for range 4000 { // 40 s at up to 100 a second.
+			f.pass(10 * time.Millisecond)
+			if err := send(f.vms[0]); err == nil {
+				sent++
+			}
+		}
+		qt.Check(t, sent > 2 && sent <= 82, qt.IsTrue, qt.Commentf("%s: %d in 40 s at 2 a second", name, sent))
+	}
+}
+
+func TestOtherServersTakeTheLoad(t *testing.T) {
+	f := newLimitFleet(6, server("a1", "a"), server("b1", "b"), server("c1", "c"))
+	for _, vm := range f.vms {
+		vm.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: 1}, {ServerID: "b1", Limit: 1}})
+	}
+	sent := map[string]int{}
+	for i := range 1000 {
+		f.pass(10 * time.Millisecond)
+		lease, err := f.vms[i%len(f.vms)].AcquireForCall("s", nil)
+		qt.Assert(t, err, qt.IsNil)
+		sent[lease.Server.ID]++
+		lease.Release()
+	}
+	qt.Check(t, sent["a1"] <= 12 && sent["b1"] <= 12, qt.IsTrue, qt.Commentf("%v in 10 s", sent))
+}
+
+func TestCopiesAreNotPlacedOnServersWithALimit(t *testing.T) {
+	f := newLimitFleet(1, server("a1", "a"), server("b1", "b"), server("c1", "c"))
+	f.vms[0].ApplyPeerLimits([]pool.ServerLimit{{ServerID: "b1", Limit: 1}})
+	for range 20 {
+		lease, holder, err := f.vms[0].AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 10}, ServerID: "a1"})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, holder, qt.IsNotNil)
+		qt.Check(t, holder.ID, qt.Equals, "c1")
+		lease.Release()
+	}
+}
+
+// TestRefusedCallersReturnAtTheRateOfThePermits has six VMs refuse callers at once, and checks how
+// many of them are told to return in a second.
+func TestRefusedCallersReturnAtTheRateOfThePermits(t *testing.T) {
+	f := newLimitFleet(6, server("a1", "a"), server("b1", "b"))
+	const limit = 5.0
+	for _, vm := range f.vms {
+		vm.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: limit}, {ServerID: "b1", Limit: limit}})
+	}
+	returns := map[int64]int{} // By second.
+	refused := 0
+	for i := range 600 { // 200 requests a second for 3 s.
+		f.pass(5 * time.Millisecond)
+		vm := f.vms[i%len(f.vms)]
+		lease, err := vm.AcquireForCall("s", nil)
+		if err == nil {
+			lease.Release()
+			continue
+		}
+		refused++
+		availability := vm.Availability("s")
+		if availability.BackoffUntil.IsZero() {
+			continue // A permit may be available.
+		}
+		at := vm.ReturnAt("s", availability.BackoffUntil)
+		qt.Assert(t, at.After(f.now), qt.IsTrue)
+		returns[at.Unix()]++
+	}
+	qt.Check(t, refused > 500, qt.IsTrue)
+	for second, count := range returns {
+		qt.Check(t, float64(count) <= 2*2*limit, qt.IsTrue, qt.Commentf("%d callers return in second %d, for %v permits", count, second, 2*limit))
+	}
+}
+
+// TestLimitIsOfOneProcess has servers restart under one id, with and without a limit.
+func TestLimitIsOfOneProcess(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entry := server("a1", "a")
+		f := newLimitFleet(1, entry)
+		p := f.vms[0]
+		limited := map[int64]bool{}
+		for range rapid.IntRange(1, 20).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"restart", "name", "peer", "late"}).Draw(t, "step") {
+			case "restart":
+				entry.Started++
+				p.Update([]pool.Server{entry})
+			case "name":
+				p.ApplyLimit(entry, pool.Reply{}, named)
+				limited[entry.Started] = true
+			case "peer":
+				p.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Started: entry.Started, Limit: 2}})
+				limited[entry.Started] = true
+			case "late":
+				before := entry
+				before.Started--
+				p.ApplyLimit(before, pool.Reply{}, named) // An answer of the process before.
+			}
+			asked := f.asked
+			_, err := p.TakePermit(entry, pool.PurposeCall)
+			property.Assert(t, f.asked > asked, qt.Equals, limited[entry.Started])
+			property.Assert(t, err == nil || errors.Is(err, pool.ErrNoPermit), qt.IsTrue)
+		}
+	})
+}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -45,6 +45,7 @@
 	copies         sync.Map                            // Keys of the copies whose locations it has received.
 	copied         atomic.Pointer[spread.CopyLocation] // Of the one stream that runs here.
 	crashes        *crash.Record
+	limits         sync.Map // IDs of the servers whose limits it has received.
 }
 
 // findCopies returns the copies whose locations the VM has received.
@@ -148,13 +149,18 @@
 				v.copies.Store(location.CopyKey, true)
 			}
 		},
-		OnCrashes:      v.crashes.Merge,
-		CrashesHash:    v.crashes.Digest,
-		Crashes:        v.crashes.Recurring,
-		OnLosses:       func([]spread.LossReport) { v.lossesReceived.Add(1) },
-		ServiceUsage:   func() []spread.ServiceUsage { return nil },
-		Departures:     func() []pool.Departure { return nil },
-		OnDepartures:   func([]pool.Departure) {},
+		OnCrashes:    v.crashes.Merge,
+		CrashesHash:  v.crashes.Digest,
+		Crashes:      v.crashes.Recurring,
+		OnLosses:     func([]spread.LossReport) { v.lossesReceived.Add(1) },
+		ServiceUsage: func() []spread.ServiceUsage { return nil },
+		Departures:   func() []pool.Departure { return nil },
+		OnDepartures: func([]pool.Departure) {},
+		OnLimits: func(limits []pool.ServerLimit) {
+			for _, limit := range limits {
+				v.limits.Store(limit.ServerID, true)
+			}
+		},
 		FindCopies:     v.findCopies,
 		OnServiceUsage: func(string, []spread.ServiceUsage) {},
 	})
