Interrupted streams continue where all servers are at their limits

A stream whose server was lost found no server that permitted a request and was cut, though one had room 200 ms later. A resume now takes its permit in advance (a bucket goes into debt by little more than one), and waits up to four gap objectives for a server that takes requests. Requests that have not run are refused at once as before.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -19,9 +19,14 @@
 	Prefilled bool // Its prompt need not be processed again.
 }
 
+// continues reports whether the stream has run before.
+func (c *Criteria) continues() bool {
+	return c.ServerID != "" || (c.Demand.AfterLoss && !c.Prefilled)
+}
+
 // AcquireForCall chooses a server for a short call, none of those tried.
 func (p *Pool) AcquireForCall(service string, tried map[string]bool) (lease *Lease, err error) {
-	return p.acquire(func(now time.Time) *server {
+	return p.acquire(false, func(now time.Time) *server {
 		usable, candidates := p.usableServers(service, tried, now)
 		at, found := placement.ChooseForCall(candidates, p.options.Draw)
 		if !found {
@@ -37,7 +42,7 @@
 // AcquireForStream chooses a server for a stream, and one in another failure domain for
 // the copy of its memory; copyHolder is nil if no such server has capacity.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
-	lease, err = p.acquire(func(now time.Time) *server {
+	lease, err = p.acquire(criteria.continues(), func(now time.Time) *server {
 		if chosen := p.requestedServer(criteria, now); chosen != nil {
 			return chosen
 		}
--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -81,9 +81,10 @@
 }
 
 const (
-	// maxPermitRequests bounds the servers whose permits are requested for one request: each
+	// maxPermitRequests and permitTimeout bound the requests for permits for one request: each
 	// takes the latency between two VMs.
 	maxPermitRequests = 8
+	permitTimeout     = 100 * time.Millisecond
 	// minPermitWait is the shortest time for which a server is not chosen after a denial.
 	minPermitWait = time.Millisecond
 	// maxReturnDelay bounds the time after which a refused caller is asked to return.
@@ -111,16 +112,20 @@
 
 // acquire takes a lease on the server that choose returns, once there is a permit for it. Both
 // functions are called with the lock held. A server that is denied is no candidate the next time.
-func (p *Pool) acquire(choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquire(urgent bool, choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+	until := p.options.Now().Add(permitTimeout)
 	for range maxPermitRequests {
-		if lease, err = p.acquireOnce(choose, begin); !errors.Is(err, ErrNoPermit) {
+		if lease, err = p.acquireOnce(urgent, choose, begin); !errors.Is(err, ErrNoPermit) {
 			return lease, err
 		}
+		if p.options.Now().After(until) {
+			break
+		}
 	}
 	return nil, errors.Trace(ErrNone)
 }
 
-func (p *Pool) acquireOnce(choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquireOnce(urgent bool, choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
@@ -130,7 +135,8 @@
 	}
 	serial := uint64(0)
 	if chosen.limited {
-		request := chosen.permitRequest(false)
+		request := chosen.permitRequest()
+		request.Urgent = urgent
 		p.mu.Unlock()
 		reply := p.options.TakePermit(request)
 		p.mu.Lock()
@@ -148,8 +154,8 @@
 }
 
 // permitRequest returns the request for a permit. Called with the lock held.
-func (s *server) permitRequest(preventive bool) permit.Request {
-	return permit.Request{Key: permitKey(s.Server), Rate: s.limit, Preventive: preventive}
+func (s *server) permitRequest() permit.Request {
+	return permit.Request{Key: permitKey(s.Server), Rate: s.limit}
 }
 
 func permitKey(s Server) string {
@@ -190,7 +196,8 @@
 	if s == nil || !s.limited {
 		return 0, nil
 	}
-	request := s.permitRequest(purpose.isPreventive())
+	request := s.permitRequest()
+	request.Preventive = purpose.isPreventive()
 	p.mu.Unlock()
 	reply := p.options.TakePermit(request)
 	p.mu.Lock()
--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -36,6 +36,9 @@
 	// minRate, in permits a second, replaces lower rates, also 0: what a server that takes no
 	// requests answers to one is the only sign that it takes some again.
 	minRate = 0.05
+	// debtTime is how many permits beyond one an urgent request may take in advance, as the time
+	// in which they are added.
+	debtTime = 250 * time.Millisecond
 	// maxQueueWait bounds the wait that is added for VMs that were denied before, so that a VM
 	// with much load asks again soon.
 	maxQueueWait = 500 * time.Millisecond
@@ -54,12 +57,14 @@
 )
 
 // Request asks for one permit. Rate is the rate that the requester knows of, in permits a second.
-// A preventive request serves no caller yet and gets a permit only if others leave it.
+// An urgent request continues a stream, and may take a permit in advance. A preventive request
+// serves no caller yet and gets a permit only if others leave it.
 type Request struct {
 	Key        string  `cbor:"1,keyasint"`
 	Rate       float64 `cbor:"2,keyasint"`
 	VM         string  `cbor:"3,keyasint"`
 	Preventive bool    `cbor:"4,keyasint,omitempty"`
+	Urgent     bool    `cbor:"5,keyasint,omitempty"`
 }
 
 // Reply answers a Request. Serial numbers the permits of a key, from 1. Askers is the number of
@@ -122,9 +127,13 @@
 	}
 	b.refill(now)
 	mayTake := b.tokens >= 1
-	if request.Preventive {
+	switch {
+	case request.Preventive:
 		mayTake = b.tokens >= b.capacity() && now.Sub(b.denied) > preventiveAfter
-	} else {
+	case request.Urgent:
+		mayTake = b.tokens >= 1-b.debt()
+	}
+	if !request.Preventive {
 		b.askedAt[request.VM] = now
 	}
 	reply := Reply{Askers: b.askers(now)}
@@ -190,6 +199,10 @@
 	return 1 + b.rate*burstTime.Seconds()
 }
 
+func (b *bucket) debt() float64 {
+	return 1 + b.rate*debtTime.Seconds()
+}
+
 func (b *bucket) refill(now time.Time) {
 	b.tokens = min(b.capacity(), b.tokens+b.rate*max(now.Sub(b.updatedAt), 0).Seconds())
 	b.updatedAt = now
--- a/internal/peer/permit/permit_test.go
+++ b/internal/peer/permit/permit_test.go
@@ -32,6 +32,7 @@
 	rate     float64
 	sent     []time.Time
 	requests int
+	urgent   bool // The requests continue streams.
 }
 
 func newFleet(vms int, rate float64) *fleet {
@@ -51,7 +52,7 @@
 	if f.now.Before(f.askAt[vm]) {
 		return reply
 	}
-	reply = f.issuers[f.view[vm]].Take(permit.Request{Key: "k", Rate: f.rate, VM: fmt.Sprint(vm)})
+	reply = f.issuers[f.view[vm]].Take(permit.Request{Key: "k", Rate: f.rate, VM: fmt.Sprint(vm), Urgent: f.urgent})
 	if reply.Granted {
 		f.sent = append(f.sent, f.now)
 	} else {
@@ -87,6 +88,7 @@
 		f := newFleet(vms, rate)
 		changes := rapid.SliceOfN(rapid.IntRange(0, 2000), 0, 2).Draw(t, "steps of changes")
 		overlap := rapid.IntRange(0, 100).Draw(t, "steps until all VMs have the new view")
+		urgent := rapid.SampledFrom([]int{0, 10, 100}).Draw(t, "urgent requests in 100")
 		random := rapid.Uint64().Draw(t, "seed")
 		next := func(n int) int {
 			random = random*6364136223846793005 + 1442695040888963407
@@ -108,6 +110,7 @@
 				}
 			}
 			for due += perStep; due >= 1; due-- {
+				f.urgent = next(100) < urgent
 				f.request(next(loaded))
 			}
 		}
@@ -194,3 +197,22 @@
 	lower := run(10 * time.Second)
 	qt.Check(t, lower >= 8 && lower <= 12, qt.IsTrue, qt.Commentf("%d", lower))
 }
+
+func TestUrgentRequestsTakePermitsInAdvance(t *testing.T) {
+	f := newFleet(2, 4)
+	granted := 0
+	for i := range 1000 {
+		f.now = f.now.Add(step)
+		f.request(0) // 100 requests a second.
+		if i%100 == 50 {
+			f.askAt[1] = time.Time{}
+			f.urgent = true
+			if f.request(1).Granted {
+				granted++
+			}
+			f.urgent = false
+		}
+	}
+	qt.Check(t, granted, qt.Equals, 10)
+	qt.Check(t, len(f.sent) <= 44, qt.IsTrue, qt.Commentf("%d sent in 10 s", len(f.sent)))
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -67,6 +67,7 @@
 	moves          chan movedRun // The completed move of the current run, if any.
 	renewedCopy    Copy          // Renewed copy of the run that ended last, if any.
 	interruptedAt  time.Time
+	waitedSince    time.Time // When it first found no server that takes requests, since its last run.
 	reason         string
 }
 
@@ -111,7 +112,7 @@
 		if end.callerErr != nil || ctx.Err() != nil {
 			return s.contextError(ctx, end)
 		}
-		if final := s.decide(end); final != nil {
+		if final := s.decide(ctx, end); final != nil {
 			return final
 		}
 	}
@@ -119,7 +120,7 @@
 
 // decide returns the final error after a run that did not complete, or nil if the stream is
 // to continue.
-func (s *stream) decide(end runResult) error {
+func (s *stream) decide(ctx context.Context, end runResult) error {
 	now := s.relay.options.Now()
 	soon := now.Add(retryDelay)
 	if s.interruptedAt.IsZero() && s.headSent {
@@ -144,6 +145,8 @@
 	switch {
 	case end.noServer && !s.headSent && s.sends == 0:
 		return end.err // It includes the time to retry at.
+	case end.noServer && s.awaitServer(ctx):
+		return nil // The budget was charged before.
 	case end.noServer:
 		return s.fail(RefusalNoServer, s.reason, soon)
 	case s.refused > maxSends:
@@ -159,6 +162,28 @@
 	return nil
 }
 
+// awaitServer waits until a server takes requests again if all are in backoff or at their limits,
+// and reports whether one does soon enough for the caller. A request that has not run is refused
+// instead.
+func (s *stream) awaitServer(ctx context.Context) bool {
+	until := s.relay.options.Servers.Availability(s.request.Service).BackoffUntil
+	now := s.relay.options.Now()
+	if s.waitedSince.IsZero() {
+		s.waitedSince = now
+	}
+	if until.IsZero() || until.After(s.waitedSince.Add(time.Duration(maxIdleGaps*float64(s.request.Route.GapObjective)))) {
+		return false
+	}
+	timer := time.NewTimer(until.Sub(now))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // fail returns the error of a stream that does not continue. Its caller may retry at the given
 // time.
 func (s *stream) fail(kind Refusal, reason string, retryAt time.Time) error {
@@ -241,6 +266,7 @@
 		dispatch.BackupAddress, dispatch.BackupID = backup.Address, backup.ID
 	}
 	s.sends++
+	s.waitedSince = time.Time{}
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
 	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.lastEventID, "promptTokens", s.request.Demand.PromptTokens, "load", lease.Load)
