Refusals at servers' limits have a reason of their own, and event 612 counts denied requests

serversAtLimit in endivespoke_not_run_total and in the refusal's text tells them from servers that asked to be left alone. A health check's answer names a limit too, if it is of the same process.

--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -103,6 +102,16 @@
 	interval    time.Duration   // Between two permits for this VM, while all VMs that asked lately go on.
 	loggedAt    time.Time       // When a change was last reported.
 	sent        map[Purpose]int // Requests that this VM sent since the last report.
+	denied      int             // Requests since then that got no permit.
+}
+
+// Sent is what this VM sent to a server with a limit since the last report. Denied counts the
+// requests that got no permit; those that came while it waited for the next one are not counted.
+type Sent struct {
+	Server    Server
+	Limit     float64
+	ByPurpose map[Purpose]int
+	Denied    int
 }
 
 // isDenied reports whether the server's limit permits no request now.
@@ -175,6 +184,7 @@
 		s.interval = permitInterval(s.limit, reply.Askers)
 		return reply.Serial, nil
 	case !request.Preventive:
+		s.denied++
 		s.interval = permitInterval(s.limit, reply.Askers)
 		s.deniedUntil = now.Add(max(reply.Wait, minPermitWait))
 	}
@@ -327,24 +337,19 @@
 // reportSent reports the requests that were sent to servers with a limit, once in
 // sentLogInterval.
 func (p *Pool) reportSent() {
-	type report struct {
-		server Server
-		limit  float64
-		sent   map[Purpose]int
-	}
-	reports := []report{}
+	reports := []Sent{}
 	p.mu.Lock()
 	if now := p.options.Now(); now.Sub(p.sentReportedAt) >= sentLogInterval {
 		p.sentReportedAt = now
 		for _, s := range p.sortedServers() {
-			if len(s.sent) > 0 {
-				reports = append(reports, report{server: s.Server, limit: s.limit, sent: maps.Clone(s.sent)})
-				s.sent = nil
+			if len(s.sent) > 0 || s.denied > 0 {
+				reports = append(reports, Sent{Server: s.Server, Limit: s.limit, ByPurpose: s.sent, Denied: s.denied})
+				s.sent, s.denied = nil, 0
 			}
 		}
 	}
 	p.mu.Unlock()
 	for _, r := range reports {
-		p.options.OnSent(r.server, r.limit, r.sent)
+		p.options.OnSent(r)
 	}
 }
--- a/internal/backend/pool/notice.go
+++ b/internal/backend/pool/notice.go
@@ -163,6 +163,7 @@
 	Listed       int // They may take work.
 	Up           int // Those of Listed that are not down.
 	BackingOff   int // Those of Up that take no requests now.
+	AtLimit      int // Those of BackingOff whose limit permits no more.
 	BackoffUntil time.Time
 }
 
@@ -186,8 +187,11 @@
 		}
 		availability.BackingOff++
 		until := s.backoffUntil
-		if s.isDenied(now) && s.deniedUntil.After(until) {
-			until = s.deniedUntil
+		if s.isDenied(now) {
+			availability.AtLimit++
+			if s.deniedUntil.After(until) {
+				until = s.deniedUntil
+			}
 		}
 		if availability.BackoffUntil.IsZero() || until.Before(availability.BackoffUntil) {
 			availability.BackoffUntil = until
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -77,7 +77,7 @@
 	// OnLimit is called when the limit of a server changes, and OnSent at most once a second
 	// for each server with a limit, with the requests that this VM sent to it since.
 	OnLimit func(change LimitChange)
-	OnSent  func(server Server, limit float64, sent map[Purpose]int)
+	OnSent  func(sent Sent)
 	// HasIdle reports whether an idle connection to an address is open.
 	HasIdle    func(address string) bool
 	Successors Successors
@@ -177,7 +177,7 @@
 		options.OnLimit = func(LimitChange) {}
 	}
 	if options.OnSent == nil {
-		options.OnSent = func(Server, float64, map[Purpose]int) {}
+		options.OnSent = func(Sent) {}
 	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -140,8 +140,8 @@
 		ObservePermit: func(observation permit.Observation) { v.spread.ObservePermit(observation) },
 		AnnounceLimit: func(server pool.Server, limit pool.ServerLimit) { v.spread.AnnounceLimit(server.Group(), limit) },
 		OnLimit:       v.serverLimitChanged,
-		OnSent: func(server pool.Server, limit float64, sent map[pool.Purpose]int) {
-			event.LimitedSent.Info(v.logger, "server", server.ID, "limit", limit, "sent", sent)
+		OnSent: func(sent pool.Sent) {
+			event.LimitedSent.Info(v.logger, "server", sent.Server.ID, "limit", sent.Limit, "sent", sent.ByPurpose, "denied", sent.Denied)
 		},
 		Successors: pool.Successors{
 			Identify:          v.identify,
@@ -484,7 +484,8 @@
 	if !found || service.HealthPath == "" {
 		return "", errors.Errorf("service %s has no health path", server.Service)
 	}
-	if _, err = v.servers.TakePermit(server, pool.PurposeIdentify); err != nil {
+	serial, err := v.servers.TakePermit(server, pool.PurposeIdentify)
+	if err != nil {
 		return "", err
 	}
 	v.servers.RecordSent(server, pool.PurposeIdentify)
@@ -494,10 +495,14 @@
 		return "", errors.Trace(err)
 	}
 	defer response.Close()
-	if v.options.DecodeNotice(response.Response).Leaving {
+	notice := v.options.DecodeNotice(response.Response)
+	if id = v.options.DecodeIdentify(response.Response); id == server.ID {
+		v.servers.ApplyLimit(server, pool.Reply{Purpose: pool.PurposeIdentify, Status: response.StatusCode, Permit: serial}, notice)
+	}
+	if notice.Leaving {
 		return "", errors.New("the server process is leaving")
 	}
-	return v.options.DecodeIdentify(response.Response), nil
+	return id, nil
 }
 
 func (v *VM) successorFound(old, successor pool.Server, heardAgo time.Duration) {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -113,6 +113,7 @@
 	RefusalNoServer        Refusal = "noServer"
 	RefusalByServers       Refusal = "serversRefused"
 	RefusalBackoff         Refusal = "serversRest"
+	RefusalLimit           Refusal = "serversAtLimit"
 	RefusalBudget          Refusal = "retryBudget"
 	RefusalCrashes         Refusal = "crashesServers"
 	RefusalDeadline        Refusal = "timeIsUp"
@@ -279,9 +280,12 @@
 func (r *Relay) noServer(request *Request) error {
 	availability := r.options.Servers.Availability(request.Service)
 	refusal := &NotRun{Kind: RefusalNoServer, RetryAt: r.options.Now().Add(retryDelay)}
-	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting", request.Service, availability.Listed, availability.Up, availability.BackingOff)
+	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting, %d of these at their limits", request.Service, availability.Listed, availability.Up, availability.BackingOff, availability.AtLimit)
 	if !availability.BackoffUntil.IsZero() {
 		refusal.Kind = RefusalBackoff
+		if availability.AtLimit > 0 {
+			refusal.Kind = RefusalLimit
+		}
 		refusal.RetryAt = r.options.Servers.ReturnAt(request.Service, availability.BackoffUntil)
 	}
 	return refusal
