--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -341,7 +341,7 @@
 	p.mu.Lock()
 	if now := p.options.Now(); now.Sub(p.sentReportedAt) >= sentLogInterval {
 		p.sentReportedAt = now
-		for _, s := range p.sortedServers() {
+		for _, s := range p.servers {
 			if len(s.sent) > 0 || s.denied > 0 {
 				reports = append(reports, Sent{Server: s.Server, Limit: s.limit, ByPurpose: s.sent, Denied: s.denied})
 				s.sent, s.denied = nil, 0
