A store that comes back from an older copy begins a new era

Cause: revisions were compared as numbers, also by peers, and what a VM had written was taken as written for good.

Store-Era is decoded once; spread.StoreVersion orders by era, then revision. A new era begins with a full read. What VMs knew and the copy lacks stays in force: missing servers for two seconds, leaving and removed ones for four heartbeats; an older configuration confirms nothing. Rows are written again.

--- a/internal/lab/traffic/fleet.go
+++ b/internal/lab/traffic/fleet.go
@@ -267,7 +267,7 @@
 func (f *fleet) serverRows() spread.StoreRows {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rows := spread.StoreRows{Version: f.version, Full: true}
+	rows := spread.StoreRows{Version: spread.StoreVersion{Rev: f.version}, Full: true}
 	for _, s := range f.servers {
 		rows.Rows = append(rows.Rows, spread.ServerRow{Server: s, Changed: f.version})
 	}
@@ -285,7 +285,7 @@
 	for f.ctx.Err() == nil {
 		f.mu.Lock()
 		f.version++
-		rows := spread.StoreRows{Version: f.version}
+		rows := spread.StoreRows{Version: spread.StoreVersion{Rev: f.version}}
 		f.mu.Unlock()
 		f.readers(func(v *vm) {
 			v.ApplyServers(f.ctx, rows, time.Now())
--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -143,14 +143,14 @@
 
 func (c *copyIndex) writeBlocked(ctx context.Context) {
 	reports, digest := c.vm.crashes.Blocked()
-	if digest == c.blockedDigest {
+	if digest == c.blockedDigest && (digest == 0 || c.vm.written.has(blockedKey)) {
 		return
 	}
 	value, err := cbor.Marshal(reports)
 	if err != nil {
 		panic(err) // Strings and numbers can always be encoded as CBOR.
 	}
-	if err = c.vm.options.Copies.Put(ctx, blockedKey, value); err != nil {
+	if err = c.vm.written.put(ctx, c.vm.options.Copies, blockedKey, value); err != nil {
 		c.vm.logger.Debug("the blocked contents could not be written", "error", err)
 		return // The next interval retries.
 	}
@@ -159,7 +159,7 @@
 
 func (c *copyIndex) write(ctx context.Context, key string) {
 	known, changes := c.vm.copies.Newest(copyIndexMaxAge, copyIndexMaxEntries)
-	if changes == c.writtenChanges {
+	if changes == c.writtenChanges && (len(known) == 0 || c.vm.written.has(key)) {
 		return
 	}
 	locations := make([]spread.CopyLocation, 0, len(known))
@@ -170,7 +170,7 @@
 	if err != nil {
 		panic(err) // Strings can always be encoded as CBOR.
 	}
-	if err = c.vm.options.Copies.Put(ctx, key, value); err != nil {
+	if err = c.vm.written.put(ctx, c.vm.options.Copies, key, value); err != nil {
 		c.vm.logger.Debug("the locations of copies could not be written", "error", err)
 		return // The next interval retries.
 	}
--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -88,6 +88,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_permits_total{reply=%q}`, result)).Inc()
 }
 
+// storeRestored counts a new era of the store.
+func (c *counters) storeRestored() {
+	c.set.GetOrCreateCounter("endivespoke_store_restored_total").Inc()
+}
+
 // resumed records the pause of a stream that was resumed on another server.
 func (c *counters) resumed(fromCopy bool, pause time.Duration) {
 	from := "prompt"
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -95,7 +95,8 @@
 	unreachableTables atomic.Int64
 	storeUnreachable  atomic.Bool
 	ranked            rankCache
-	announced         atomic.Bool // This VM has written its row in the store.
+	storeEra          atomic.Uint64 // The newest era of the store that is known; 0 if none is.
+	written           *writtenRows
 	copyIndexRead     atomic.Bool // The copies that earlier VMs stored are read, or can't be.
 	started           time.Time
 	firstReady        chan struct{} // Closed when this VM first becomes ready.
@@ -122,6 +123,7 @@
 		started:     time.Now(),
 		firstReady:  make(chan struct{}),
 	}
+	v.written = newWrittenRows(v)
 	v.settings.Store(&options.Settings)
 	v.streamsContext, v.cancelStreams = context.WithCancelCause(context.Background())
 	v.bodies = caller.NewBodies(int64(bodiesFraction * float64(options.Settings.MemoryBytes)))
@@ -250,6 +252,7 @@
 		ServiceUsage:        v.serviceUsage,
 		OnServiceUsage:      v.applyServiceUsage,
 		OnCell:              v.cellChanged,
+		OnEra:               v.raiseEra,
 	}
 }
 
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -173,7 +173,7 @@
 	}
 	if err != nil {
 		snapshot := v.spread.Snapshot()
-		pairs = append(pairs, "reason", err, "serversVersion", snapshot.ServersVersion,
+		pairs = append(pairs, "reason", err, "serversVersion", snapshot.ServersVersion.Rev, "storeEra", snapshot.ServersVersion.Era,
 			"serversAgeMillis", v.Now().Sub(snapshot.ServersAt).Milliseconds(),
 			"configurationVersion", configurationVersion(snapshot), "configurationAgeMillis", v.Now().Sub(snapshot.ConfigurationAt).Milliseconds())
 	}
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -70,7 +70,7 @@
 	settings := v.settings.Load()
 	event.VMStopping.Info(v.logger, "vm", settings.Name, "running", v.running())
 	v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.Leaving = false, true })
-	if v.announced.Load() {
+	if v.written.has(settings.PeerAddress) {
 		if err := v.options.VMs.Remove(ctx, settings.PeerAddress); err != nil {
 			v.logger.Debug("this VM's row could not be removed", "error", err)
 		}
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
 // Settings are a VM's start parameters. Addresses are IP:PORT. Durations are bounds that
@@ -91,14 +93,16 @@
 // Rows are rows of a table, as of a version of the store.
 type Rows struct {
 	Rows    []Row
-	Version uint64
+	Version spread.StoreVersion
 }
 
 // Table is one table of the store. Read returns all rows. Watch waits for changes since a
-// version and returns them, or ErrHistoryGone. Both may fail at any time.
+// revision and returns them, or ErrHistoryGone; they are of no use if the era in their version is
+// not that of the revision. Put returns the era in which the row was written. All may fail at any
+// time.
 type Table struct {
 	Read   func(ctx context.Context) (Rows, error)
 	Watch  func(ctx context.Context, since uint64, wait time.Duration) (Rows, error)
-	Put    func(ctx context.Context, key string, value []byte) error
+	Put    func(ctx context.Context, key string, value []byte) (era uint64, err error)
 	Remove func(ctx context.Context, key string) error
 }
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -84,7 +84,7 @@
 	// lastPeerReplyAt is when a peer last answered this VM.
 	lastPeerReplyAt func() time.Time
 	apply           func(ctx context.Context, rows Rows, full bool, at time.Time)
-	since           uint64
+	since           spread.StoreVersion
 	synced          bool
 	failing         bool
 	failedAt        time.Time // Time of the last failure.
@@ -228,25 +228,40 @@
 }
 
 func (w *watcher) poll(ctx context.Context) error {
-	if !w.synced {
-		rows, err := w.table.Read(ctx)
-		if err != nil {
-			return err
-		}
-		w.apply(ctx, rows, true, w.vm.Now())
-		w.since, w.synced = rows.Version, true
-		return nil
+	if !w.synced || w.since.Era != w.vm.storeEra.Load() {
+		return w.read(ctx)
 	}
-	rows, err := w.table.Watch(ctx, w.since, watchTimeout)
+	rows, err := w.table.Watch(ctx, w.since.Rev, watchTimeout)
 	if errors.Is(err, ErrHistoryGone) {
 		w.synced = false
 		return nil
 	}
+	if err == nil {
+		err = w.vm.checkEra(rows.Version.Era)
+	}
 	if err != nil {
 		return err
 	}
+	if rows.Version.Era != w.since.Era {
+		w.synced = false // The store was restored: what has changed is not known.
+		return nil
+	}
 	w.apply(ctx, rows, false, w.vm.Now())
-	w.since = max(w.since, rows.Version)
+	w.since.Rev = max(w.since.Rev, rows.Version.Rev)
+	return nil
+}
+
+// read reads and applies the whole table.
+func (w *watcher) read(ctx context.Context) error {
+	rows, err := w.table.Read(ctx)
+	if err == nil {
+		err = w.vm.checkEra(rows.Version.Era)
+	}
+	if err != nil {
+		return err
+	}
+	w.apply(ctx, rows, true, w.vm.Now())
+	w.since, w.synced = rows.Version, true
 	return nil
 }
 
@@ -359,7 +374,7 @@
 			d.discover(ctx)
 			discoverAt = d.vm.Now().Add(discoverInterval)
 		}
-		if alone || (rank < announcers && !d.vm.announced.Load()) {
+		if alone || (rank < announcers && !d.vm.written.has(d.vm.settings.Load().PeerAddress)) {
 			discoverAt = time.Time{}
 			sleep(ctx, announceRetryDelay)
 			continue
@@ -370,19 +385,17 @@
 }
 
 func (d *discovery) announce(ctx context.Context) {
-	if d.vm.announced.Load() {
+	address := d.vm.settings.Load().PeerAddress
+	if d.vm.written.has(address) || d.vm.IsLeaving() {
 		return
 	}
-	address := d.vm.settings.Load().PeerAddress
 	value, err := json.Marshal(announcement{PeerAddress: address})
 	if err != nil {
 		return // A string can always be encoded as JSON.
 	}
-	if err = d.vm.options.VMs.Put(ctx, address, value); err != nil {
+	if err = d.vm.written.put(ctx, d.vm.options.VMs, address, value); err != nil {
 		d.vm.logger.Debug("this VM's row could not be written", "error", err)
-		return
 	}
-	d.vm.announced.Store(true)
 }
 
 func (d *discovery) discover(ctx context.Context) {
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -46,7 +46,7 @@
 
 // apply applies rows of the store. The value "" means that the entry was removed.
 func (g *serverListRig) apply(version uint64, full bool, rows map[string]string) {
-	changes := Rows{Version: version}
+	changes := Rows{Version: spread.StoreVersion{Rev: version}}
 	for id, value := range rows {
 		changes.Rows = append(changes.Rows, Row{Key: id, Value: []byte(value), Version: version, Deleted: value == ""})
 	}
@@ -125,7 +125,7 @@
 	g.apply(5, true, map[string]string{"a": "ready", "b": "ready", "c": "ready"})
 	for version := uint64(6); version < 12; version++ {
 		g.now = g.now.Add(serverHeartbeat)
-		g.vm.spread.ApplyServers(context.Background(), spread.StoreRows{Version: version}, g.now) // As received from peers.
+		g.vm.spread.ApplyServers(context.Background(), spread.StoreRows{Version: spread.StoreVersion{Rev: version}}, g.now) // As received from peers.
 	}
 	g.now = g.now.Add(serverHeartbeat)
 	g.apply(12, false, map[string]string{"a": ""})
@@ -149,7 +149,7 @@
 	ctx := context.Background()
 	leaving := pool.Server{ID: "a", Service: "s", Leaving: true}
 	rows := []spread.ServerRow{{Server: leaving, Changed: 8}}
-	g.vm.spread.ApplyServers(ctx, spread.StoreRows{Version: 8, Full: true, Rows: rows}, g.now)
+	g.vm.spread.ApplyServers(ctx, spread.StoreRows{Version: spread.StoreVersion{Rev: 8}, Full: true, Rows: rows}, g.now)
 	g.apply(6, true, map[string]string{"a": "ready"})
 	g.expect("a leaving")
 }
@@ -185,16 +185,16 @@
 	return Table{
 		Read: func(context.Context) (Rows, error) {
 			c.reads.Add(1)
-			return Rows{Version: 1, Rows: []Row{{Key: "row", Value: []byte("ready"), Version: 1}}}, nil
+			return Rows{Version: spread.StoreVersion{Rev: 1}, Rows: []Row{{Key: "row", Value: []byte("ready"), Version: 1}}}, nil
 		},
 		Watch: func(ctx context.Context, _ uint64, wait time.Duration) (Rows, error) {
 			c.watches.Add(1)
 			sleep(ctx, wait)
-			return Rows{Version: 1}, nil
+			return Rows{Version: spread.StoreVersion{Rev: 1}}, nil
 		},
-		Put: func(context.Context, string, []byte) error {
+		Put: func(context.Context, string, []byte) (uint64, error) {
 			c.writes.Add(1)
-			return nil
+			return 0, nil
 		},
 	}
 }
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -82,6 +82,9 @@
 	LogDropped           = define(805, "log lines were dropped")
 	CopiesUnread         = define(806, "where copies of streams are could not be read from the store")
 	ReadinessChanged     = define(807, "this VM takes requests, or takes none any more")
+	StoreRestored        = define(808, "the platform's store came back from an older copy")
+	StoreRowRewritten    = define(809, "a row was written again to the platform's store")
+	StoreEraOutdated     = define(810, "an answer of the platform's store was of an older copy")
 )
 
 var all []Event
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -57,7 +57,8 @@
 	return &summary{
 		ConfigVersion:  st.configVersion(),
 		ConfigAge:      ageMillis(st.configAt, now),
-		ServersVersion: st.servers.version,
+		ServersVersion: st.servers.version.Rev,
+		ServersEra:     st.servers.version.Era,
 		ServersAge:     ageMillis(st.servers.currentAt, now),
 		MembersHash:    st.members.hash(),
 		ServersHash:    st.servers.hash,
@@ -115,7 +116,15 @@
 	if len(received.Crashes) > 0 {
 		s.options.OnCrashes(received.Crashes)
 	}
-	s.do(ctx, func(st *state) { s.merge(ctx, st, received) })
+	if len(received.Departures) > 0 {
+		s.options.OnDepartures(received.Departures)
+	}
+	s.do(ctx, func(st *state) {
+		s.merge(ctx, st, received)
+		if len(received.Limits) > 0 {
+			s.options.OnLimits(received.Limits) // After the servers that they are of.
+		}
+	})
 	return true
 }
 
@@ -208,8 +217,11 @@
 	if received.Fetch != nil && received.Fetch.Config && st.configVersion() > received.Fetch.ConfigVersion {
 		m.Config = st.compressed
 	}
-	if received.Fetch != nil && received.Fetch.Servers && st.servers.version > received.Fetch.ServersVersion {
-		m.Servers = st.servers.changesSince(received.Fetch.ServersVersion)
+	if received.Fetch != nil && received.Fetch.Servers && st.servers.version.After(received.Fetch.serversVersion()) {
+		m.Servers = st.servers.changesSince(received.Fetch.serversVersion())
+	}
+	if received.Fetch != nil && received.Fetch.Servers && received.Fetch.ServersVersion == 0 {
+		m.Departures, m.Limits = s.options.Departures(), s.options.Limits() // The peer has just started.
 	}
 	return m
 }
@@ -259,11 +271,12 @@
 // mergeServersVersion adopts a peer's newer version of the server list without a fetch if
 // the hashes of both lists are equal. Most versions only record heartbeats of servers.
 func (s *Spread) mergeServersVersion(st *state, received *summary, now time.Time) {
-	if st.servers.version == 0 || received.ServersVersion <= st.servers.version || received.ServersHash != st.servers.hash {
+	own := st.servers.version
+	if own.IsZero() || received.ServersEra != own.Era || !received.serversVersion().After(own) || received.ServersHash != st.servers.hash {
 		return
 	}
 	st.servers.startGraceAfterOutage(timeFromAge(received.ServersAge, now))
-	st.servers.apply(&ServerChanges{Base: st.servers.version, Version: received.ServersVersion, Sum: received.ServersHash}, now)
+	st.servers.apply(&ServerChanges{Base: own.Rev, Version: received.ServersVersion, Era: own.Era, Sum: received.ServersHash}, now)
 }
 
 func (s *Spread) mergeConfiguration(st *state, received message) {
@@ -278,10 +291,12 @@
 
 // mergeServers applies a peer's changes to the server list.
 func (s *Spread) mergeServers(st *state, received message, now time.Time) {
-	if received.Summary != nil && received.Servers.Version > st.servers.version {
+	if received.Summary != nil && received.Servers.version().After(st.servers.version) {
 		st.servers.startGraceAfterOutage(timeFromAge(received.Summary.ServersAge, now))
 	}
+	before := st.servers.version
 	if st.servers.apply(received.Servers, now) {
+		s.eraChanged(st, before, received.From)
 		s.serversChanged(st, received.From, len(received.Servers.Rows))
 		st.hintDue = true
 	}
@@ -293,7 +308,7 @@
 	if at := timeFromAge(received.ConfigAge, now); received.ConfigVersion == st.configVersion() && at.After(st.configAt) {
 		st.configAt = at
 	}
-	if received.ServersVersion == st.servers.version {
+	if received.serversVersion() == st.servers.version {
 		st.servers.markCurrent(timeFromAge(received.ServersAge, now))
 	}
 }
@@ -301,9 +316,10 @@
 // fetch requests from the sender the content of which it has a newer version, unless a
 // fetch of that content is in progress.
 func (s *Spread) fetch(ctx context.Context, st *state, received message, now time.Time) {
-	w := fetchRequest{ConfigVersion: st.configVersion(), ServersVersion: st.servers.base()}
+	base := st.servers.base()
+	w := fetchRequest{ConfigVersion: st.configVersion(), ServersVersion: base.Rev, ServersEra: base.Era}
 	w.Config = received.Summary.ConfigVersion > w.ConfigVersion && now.After(st.configFetch)
-	w.Servers = received.Summary.ServersVersion > st.servers.version && now.After(st.serversFetch)
+	w.Servers = received.Summary.serversVersion().After(st.servers.version) && now.After(st.serversFetch)
 	if !w.Config && !w.Servers {
 		return
 	}
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -42,14 +42,24 @@
 	Deleted bool        `cbor:"3,keyasint,omitempty"`
 }
 
-// ServerChanges update a server list from version Base to Version. With Full set they are
-// the whole list and apply to any earlier version. Hash is that of the list at Version.
+// ServerChanges update a server list from version Base to Version, both of one Era. With Full
+// set they are the whole list and apply to any earlier version. Hash is that of the list at
+// Version.
 type ServerChanges struct {
 	Base    uint64      `cbor:"1,keyasint"`
 	Version uint64      `cbor:"2,keyasint"`
 	Full    bool        `cbor:"3,keyasint,omitempty"`
 	Rows    []ServerRow `cbor:"4,keyasint,omitempty"`
 	Sum     uint64      `cbor:"5,keyasint,omitempty"`
+	Era     uint64      `cbor:"6,keyasint,omitempty"`
+}
+
+func (c *ServerChanges) base() StoreVersion {
+	return StoreVersion{Era: c.Era, Rev: c.Base}
+}
+
+func (c *ServerChanges) version() StoreVersion {
+	return StoreVersion{Era: c.Era, Rev: c.Version}
 }
 
 // CopyLocation is where the memory of a stream is copied to. CopyKey is the same for all
@@ -88,6 +98,11 @@
 	MembersHash    uint64 `cbor:"5,keyasint,omitempty"`
 	ServersHash    uint64 `cbor:"6,keyasint,omitempty"` // Of the list at ServersVersion.
 	CrashesHash    uint64 `cbor:"7,keyasint,omitempty"`
+	ServersEra     uint64 `cbor:"8,keyasint,omitempty"` // Of ServersVersion.
+}
+
+func (s *summary) serversVersion() StoreVersion {
+	return StoreVersion{Era: s.ServersEra, Rev: s.ServersVersion}
 }
 
 // fetchRequest requests content that is newer than these versions.
@@ -96,6 +111,11 @@
 	ConfigVersion  uint64 `cbor:"2,keyasint,omitempty"`
 	Servers        bool   `cbor:"3,keyasint,omitempty"`
 	ServersVersion uint64 `cbor:"4,keyasint,omitempty"`
+	ServersEra     uint64 `cbor:"5,keyasint,omitempty"` // Of ServersVersion.
+}
+
+func (f *fetchRequest) serversVersion() StoreVersion {
+	return StoreVersion{Era: f.ServersEra, Rev: f.ServersVersion}
 }
 
 // message is the unit of exchange between two VMs. Each part is optional.
--- a/internal/peer/spread/servers.go
+++ b/internal/peer/spread/servers.go
@@ -37,10 +37,10 @@
 )
 
 // StoreRows are rows of servers read from the store: with Full all rows as of Version,
-// otherwise those that changed since an earlier read. A row that cannot be decoded is passed as
-// deleted.
+// otherwise those that changed since an earlier read of the same era. A row that cannot be decoded
+// is passed as deleted.
 type StoreRows struct {
-	Version uint64
+	Version StoreVersion
 	Full    bool
 	Rows    []ServerRow
 }
@@ -48,7 +48,7 @@
 // servers is this VM's replica of the server list. It is owned by the event loop.
 type servers struct {
 	rows    map[string]ServerRow
-	version uint64
+	version StoreVersion
 	hash    uint64 // Of the rows that are not deleted.
 	// needFull is set when a peer's changes did not reproduce its list. Tombstones may be
 	// missing, so the next fetch requests the whole list.
@@ -58,13 +58,15 @@
 	heartbeat  time.Duration
 	graceUntil time.Time
 	expired    map[string]pool.Server // Removed from the store, but used until graceUntil.
-	cachedList []pool.Server          // Result of list, until a row changes.
+	held       map[string]heldServer  // See hold.
+	holdUntil  time.Time
+	cachedList []pool.Server // Result of list, until a row changes.
 }
 
-func newServers(listed []pool.Server, version uint64, heartbeat time.Duration) servers {
-	s := servers{rows: map[string]ServerRow{}, version: version, heartbeat: heartbeat, expired: map[string]pool.Server{}}
+func newServers(listed []pool.Server, version StoreVersion, heartbeat time.Duration) servers {
+	s := servers{rows: map[string]ServerRow{}, version: version, heartbeat: heartbeat, expired: map[string]pool.Server{}, held: map[string]heldServer{}}
 	for _, server := range listed {
-		s.rows[server.ID] = ServerRow{Server: server, Changed: version}
+		s.rows[server.ID] = ServerRow{Server: server, Changed: version.Rev}
 	}
 	s.hash = hashOf(s.rows)
 	return s
@@ -89,9 +91,12 @@
 // applyStore converts rows of the store into changes and applies them. Heartbeats, which only
 // increment the version, are omitted.
 func (s *servers) applyStore(reply StoreRows, now time.Time) (changes *ServerChanges, changed bool) {
-	changes = &ServerChanges{Base: s.version, Version: reply.Version}
-	if reply.Version <= s.version {
-		return changes, false // Already received from a peer.
+	changes = &ServerChanges{Base: s.version.Rev, Version: reply.Version.Rev, Era: reply.Version.Era}
+	if !reply.Version.After(s.version) {
+		return changes, false // Already received from a peer, or of an older era.
+	}
+	if reply.Version.Era != s.version.Era && !s.version.IsZero() {
+		return changes, s.applyNewEra(changes, reply, now)
 	}
 	newest := map[string]ServerRow{} // The store may return a row once for each change.
 	for _, row := range reply.Rows {
@@ -102,11 +107,11 @@
 		if found && known.Deleted == row.Deleted && (row.Deleted || known.Server == row.Server) {
 			continue
 		}
-		row.Changed = max(row.Changed, s.version+1)
+		row.Changed = max(row.Changed, s.version.Rev+1)
 		changes.Rows = append(changes.Rows, row)
 	}
 	if reply.Full {
-		changes.Rows = append(changes.Rows, s.tombstonesOfMissing(newest, reply.Version)...)
+		changes.Rows = append(changes.Rows, s.tombstonesOfMissing(newest, reply.Version.Rev)...)
 	}
 	rows, hash := s.merge(changes)
 	return changes, s.replace(changes, rows, hash, now)
@@ -123,20 +128,24 @@
 	return tombstones
 }
 
-// base is the version from which a peer's changes have to start to update this list; 0 for
+// base is the version from which a peer's changes have to start to update this list; zero for
 // the whole list.
-func (s *servers) base() uint64 {
+func (s *servers) base() StoreVersion {
 	if s.needFull {
-		return 0
+		return StoreVersion{}
 	}
 	return s.version
 }
 
-// changesSince returns the changes that update a list at version base to this one.
-func (s *servers) changesSince(base uint64) *ServerChanges {
-	changes := &ServerChanges{Base: base, Version: s.version, Full: base == 0, Sum: s.hash}
+// changesSince returns the changes that update a list at version base to this one: the whole list
+// if base is zero or of another era.
+func (s *servers) changesSince(base StoreVersion) *ServerChanges {
+	if base.Era != s.version.Era {
+		base = StoreVersion{}
+	}
+	changes := &ServerChanges{Base: base.Rev, Version: s.version.Rev, Era: s.version.Era, Full: base.Rev == 0, Sum: s.hash}
 	for _, row := range s.rows {
-		if changes.Full && !row.Deleted || !changes.Full && row.Changed > base {
+		if changes.Full && !row.Deleted || !changes.Full && row.Changed > base.Rev {
 			changes.Rows = append(changes.Rows, row)
 		}
 	}
@@ -149,7 +158,10 @@
 // A peer can lack tombstones: a server that was added and removed, or removed and added,
 // between two of its reads of the store has left none there. The hash detects that.
 func (s *servers) apply(changes *ServerChanges, now time.Time) (changed bool) {
-	if changes.Version <= s.version || (!changes.Full && changes.Base > s.version) {
+	if !changes.version().After(s.version) {
+		return false
+	}
+	if !changes.Full && (changes.Era != s.version.Era || changes.base().After(s.version)) {
 		return false
 	}
 	rows, hash := s.merge(changes)
@@ -179,7 +191,8 @@
 
 // replace replaces the list by merged rows.
 func (s *servers) replace(changes *ServerChanges, rows map[string]ServerRow, hash uint64, now time.Time) (changed bool) {
-	s.version = changes.Version
+	isNewEra := changes.Era != s.version.Era && !s.version.IsZero()
+	s.version = changes.version()
 	if changes.Full {
 		s.needFull = false
 	}
@@ -188,6 +201,12 @@
 	}
 	before := s.rows
 	s.rows, s.hash, s.cachedList = rows, hash, nil
+	if isNewEra {
+		s.hold(before, now)
+		if until := now.Add(pool.ExpiryGrace - graceMargin); until.After(s.graceUntil) {
+			s.graceUntil = until
+		}
+	}
 	s.keepExpired(before, now)
 	s.removeOldTombstones()
 	return true
@@ -218,6 +237,9 @@
 	removed := []pool.Server{}
 	for id, known := range before {
 		if row, found := s.rows[id]; !known.Deleted && (!found || row.Deleted) {
+			if held, found := s.held[id]; found && held.row == known.Server {
+				continue // It has departed.
+			}
 			removed = append(removed, known.Server)
 		}
 	}
@@ -253,7 +275,7 @@
 // removeOldTombstones drops tombstones older than tombstoneVersions.
 func (s *servers) removeOldTombstones() {
 	for id, row := range s.rows {
-		if row.Deleted && row.Changed+tombstoneVersions < s.version {
+		if row.Deleted && row.Changed+tombstoneVersions < s.version.Rev {
 			delete(s.rows, id)
 		}
 	}
@@ -270,8 +292,8 @@
 func (s *servers) list() []pool.Server {
 	listed := []pool.Server{}
 	for _, row := range s.rows {
-		if !row.Deleted {
-			listed = append(listed, row.Server)
+		if server, isListed := s.heldBack(row); isListed {
+			listed = append(listed, server)
 		}
 	}
 	for _, server := range s.expired {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -88,7 +88,7 @@
 	ConfigurationAt time.Time              // When it was last known to be the newest.
 	Servers         []pool.Server
 	ServersKnown    bool
-	ServersVersion  uint64
+	ServersVersion  StoreVersion
 	ServersAt       time.Time
 	// Fetching means that a fetch of newer content from a peer is in progress.
 	Fetching bool
@@ -151,6 +151,8 @@
 	OnLimits       func(limits []pool.ServerLimit)
 	ServiceUsage   func() []ServiceUsage
 	OnServiceUsage func(peer string, usage []ServiceUsage)
+	// OnEra is called when the list of servers is of a new era of the store; see StoreVersion.
+	OnEra func(era uint64)
 	// OnCell is called when this VM's cell or the number of cells changes.
 	OnCell func(cell, cells int)
 }
@@ -182,7 +184,10 @@
 	config     *routing.Configuration
 	compressed []byte    // The configuration, compressed.
 	configAt   time.Time // When it was last known to be the newest.
-	servers    servers
+	// configBehind means that the store's row is older than the known configuration, as after a
+	// restore from an older copy: it confirms nothing until the operator has written it again.
+	configBehind bool
+	servers      servers
 	// Deadlines of the fetches in progress; zero if there is none.
 	configFetch   time.Time
 	serversFetch  time.Time
@@ -208,6 +213,9 @@
 	if options.OnLimits == nil {
 		options.OnLimits = func([]pool.ServerLimit) {}
 	}
+	if options.OnEra == nil {
+		options.OnEra = func(uint64) {}
+	}
 	if options.OnCell == nil {
 		options.OnCell = func(int, int) {}
 	}
@@ -291,8 +299,8 @@
 		case <-ticker.C:
 			s.tick(ctx, st)
 		}
-		if len(st.servers.expired) > 0 && graceDue == nil {
-			graceDue = time.After(st.servers.graceUntil.Sub(s.options.Now()))
+		if due := st.servers.nextExpiry(); !due.IsZero() && graceDue == nil {
+			graceDue = time.After(due.Sub(s.options.Now()))
 		}
 		if st.hintDue && hintDue == nil {
 			hintDue = time.After(hintDelay)
@@ -337,7 +345,7 @@
 		Configuration:   st.config,
 		ConfigurationAt: st.configAt,
 		Servers:         st.servers.listed(),
-		ServersKnown:    st.servers.version > 0,
+		ServersKnown:    !st.servers.version.IsZero(),
 		ServersVersion:  st.servers.version,
 		ServersAt:       st.servers.currentAt,
 		Fetching:        !st.configFetch.IsZero() || !st.serversFetch.IsZero(),
@@ -364,31 +372,35 @@
 		if raw == nil && st.config == nil {
 			return
 		}
-		if raw == nil || s.adoptConfiguration(st, raw, "store") {
+		if raw != nil {
+			version, decoded := s.adoptConfiguration(st, raw, "store")
+			st.configBehind = !decoded || version < st.configVersion()
+		}
+		if !st.configBehind {
 			st.configAt = readAt
 		}
 		s.publish(st)
 	})
 }
 
-// adoptConfiguration applies a configuration if it is newer. It reports whether it could be
-// decoded.
-func (s *Spread) adoptConfiguration(st *state, raw []byte, from string) bool {
+// adoptConfiguration applies a configuration if it is newer. It returns its version, and whether
+// it could be decoded.
+func (s *Spread) adoptConfiguration(st *state, raw []byte, from string) (version uint64, decoded bool) {
 	configuration, err := s.options.DecodeConfiguration(raw)
 	if err != nil {
 		event.ConfigUnreadable.Warn(s.options.Logger, "from", from, "error", err)
-		return false
+		return 0, false
 	}
 	before := st.configVersion()
 	if configuration.Version <= before {
-		return true
+		return configuration.Version, true
 	}
 	st.config, st.compressed = configuration, compress(raw)
 	event.ConfigInForce.Info(s.options.Logger, "version", configuration.Version, "before", before, "from", from,
 		"routes", len(configuration.Routes), "keys", len(configuration.Keys))
 	s.options.OnConfiguration(configuration)
 	st.hintDue = true
-	return true
+	return configuration.Version, true
 }
 
 func (st *state) configVersion() uint64 {
@@ -401,9 +413,14 @@
 // ApplyServers applies the rows that were read from the store at readAt.
 func (s *Spread) ApplyServers(ctx context.Context, rows StoreRows, readAt time.Time) {
 	s.do(ctx, func(st *state) {
+		if rows.Version.Era < st.servers.version.Era {
+			return // A peer has received a newer era's list.
+		}
 		st.servers.markCurrent(readAt)
 		s.endGrace(st, readAt)
+		before := st.servers.version
 		if changes, changed := st.servers.applyStore(rows, readAt); changed {
+			s.eraChanged(st, before, "store")
 			s.serversChanged(st, "store", len(changes.Rows))
 			st.hintDue = true
 		}
@@ -411,20 +428,36 @@
 	})
 }
 
+// eraChanged logs and reports that the list of servers is of a new era of the store.
+func (s *Spread) eraChanged(st *state, before StoreVersion, from string) {
+	now := st.servers.version
+	if before.Era == 0 || now.Era == before.Era {
+		return
+	}
+	event.StoreRestored.Warn(s.options.Logger, "era", now.Era, "before", before.Era, "version", now.Rev, "versionBefore", before.Rev, "from", from,
+		"servers", len(st.servers.rows), "missing", len(st.servers.expired), "held", len(st.servers.held))
+	s.options.OnEra(now.Era)
+}
+
 // serversChanged logs a change of the server list and calls OnServers.
 func (s *Spread) serversChanged(st *state, from string, changed int) {
 	listed := st.servers.listed()
-	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version, "from", from, "servers", len(listed), "changed", changed,
+	event.ServersChanged.Info(s.options.Logger, "version", st.servers.version.Rev, "era", st.servers.version.Era, "from", from, "servers", len(listed), "changed", changed,
 		"lapsed", len(st.servers.expired))
 	s.options.OnServers(listed)
 }
 
-// endGrace removes servers whose entries expired and were not renewed in time.
+// endGrace removes servers whose entries expired and were not renewed in time, and uses servers
+// again whose rows were held back.
 func (s *Spread) endGrace(st *state, now time.Time) {
 	expired := len(st.servers.expired)
 	if st.servers.endGrace(now) {
 		s.serversChanged(st, "end of the grace", expired)
 	}
+	held := len(st.servers.held)
+	if st.servers.endHold(now) {
+		s.serversChanged(st, "end of the hold", held)
+	}
 }
 
 // SetSeeds replaces the seeds, with addresses of VMs that may be down.
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -431,11 +431,11 @@
 	server := pool.Server{ID: "s1", Address: "10.0.0.1:1", Service: "s"}
 	ctx := context.Background()
 	rows := []spread.ServerRow{{Server: server, Changed: 4}}
-	vms[0].ApplyServers(ctx, spread.StoreRows{Version: 4, Full: true, Rows: rows}, time.Now())
+	vms[0].ApplyServers(ctx, spread.StoreRows{Version: spread.StoreVersion{Rev: 4}, Full: true, Rows: rows}, time.Now())
 	server.Leaving = true
 	rows = []spread.ServerRow{{Server: server, Changed: 6}}
-	vms[1].ApplyServers(ctx, spread.StoreRows{Version: 6, Rows: rows}, time.Now())
-	vms[0].ApplyServers(ctx, spread.StoreRows{Version: 6, Rows: rows}, time.Now())
+	vms[1].ApplyServers(ctx, spread.StoreRows{Version: spread.StoreVersion{Rev: 6}, Rows: rows}, time.Now())
+	vms[0].ApplyServers(ctx, spread.StoreRows{Version: spread.StoreVersion{Rev: 6}, Rows: rows}, time.Now())
 	waitFor(t, configBound, "all list it as leaving", func() bool {
 		for _, v := range vms {
 			listed := v.Snapshot().Servers
