A limit ends also at an issuer that took over and never saw it named

Answers that name no limit count only if one of their kind has named it, at this issuer. One that took a key over while the server stopped naming its limit had seen none, so that the limit never ended. Without any known kind four such answers in a row end it. TestBoundEndsAtAnIssuerThatNeverSawItNamed failed before (not in 100 answers). Found by reading the change again.

--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -50,6 +50,9 @@
 	// unboundedAfter is the number of permits in a row whose replies named no bound, after
 	// which the bound has ended. A single one may have been sent before the bound was named.
 	unboundedAfter = 2
+	// unboundedAfterChange replaces it at an issuer that has seen no answer that names the bound:
+	// it took the key over, and does not know which kinds of answers do.
+	unboundedAfterChange = 4
 	// retention is how long an unused key is kept, and expiryInterval how often unused keys are
 	// removed.
 	retention      = 10 * time.Minute
@@ -169,12 +172,19 @@
 		b.tokens = min(b.tokens, b.capacity())
 		b.kinds[o.Kind] = true
 		b.unnamed = 0
-	case b != nil && o.Serial > 0 && b.kinds[o.Kind]:
+	case b != nil && o.Serial > 0 && (b.kinds[o.Kind] || len(b.kinds) == 0):
 		b.unnamed++
-		b.unbounded = b.unnamed >= unboundedAfter
+		b.unbounded = b.unnamed >= b.unboundedAfter()
 	}
 }
 
+func (b *bucket) unboundedAfter() int {
+	if len(b.kinds) == 0 {
+		return unboundedAfterChange
+	}
+	return unboundedAfter
+}
+
 // bucket returns the bucket of a key, and creates an empty one if there is none.
 func (i *Issuer) bucket(key string, rate float64, now time.Time) *bucket {
 	i.expire(now)
--- a/internal/peer/permit/permit_test.go
+++ b/internal/peer/permit/permit_test.go
@@ -216,3 +216,17 @@
 	qt.Check(t, granted, qt.Equals, 10)
 	qt.Check(t, len(f.sent) <= 44, qt.IsTrue, qt.Commentf("%d sent in 10 s", len(f.sent)))
 }
+
+// TestBoundEndsAtAnIssuerThatNeverSawItNamed covers a bound that ends while its issuer is lost.
+func TestBoundEndsAtAnIssuerThatNeverSawItNamed(t *testing.T) {
+	f := newFleet(1, 2)
+	for range 100 {
+		f.now = f.now.Add(time.Second)
+		reply := f.issuers[0].Take(permit.Request{Key: "k", Rate: 2, VM: "a"})
+		if reply.Unbounded {
+			return
+		}
+		f.issuers[0].Observe(permit.Observation{Key: "k", Serial: reply.Serial, Kind: "run"})
+	}
+	t.Fatal("the bound has not ended after 100 answers that did not name it")
+}
