Watchers forward the limit of the server that they watch

In a fleet of several cells a watcher that received the limits of several servers at once forwarded them with each other's figures. TestWatchersForwardTheLimitOfEachServer failed before. Found by reading the change again.

--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -268,8 +268,7 @@
 // ApplyPeerLimits applies the limits that a peer reported. In a fleet of several cells the
 // watchers of a server forward them.
 func (p *Pool) ApplyPeerLimits(reported []ServerLimit) {
-	changes := []LimitChange{}
-	forward := []Server{}
+	changes, forward := []LimitChange{}, []LimitChange{}
 	p.mu.Lock()
 	for _, l := range reported {
 		known := p.servers[l.ServerID]
@@ -277,17 +276,18 @@
 			continue
 		}
 		known.limited, known.limit = true, l.Limit
-		changes = append(changes, LimitChange{Server: known.Server, Limited: true, Limit: l.Limit})
+		change := LimitChange{Server: known.Server, Limited: true, Limit: l.Limit}
+		changes = append(changes, change)
 		if p.cells > 1 && p.watches(known) {
-			forward = append(forward, known.Server)
+			forward = append(forward, change)
 		}
 	}
 	p.mu.Unlock()
 	for _, change := range changes {
 		p.options.OnLimit(change)
 	}
-	for i, s := range forward {
-		p.options.AnnounceLimit(s, limitOf(s, changes[i].Limit))
+	for _, change := range forward {
+		p.options.AnnounceLimit(change.Server, limitOf(change.Server, change.Limit))
 	}
 }
 
--- a/internal/backend/pool/limit_test.go
+++ b/internal/backend/pool/limit_test.go
@@ -194,3 +194,32 @@
 		}
 	})
 }
+
+// TestWatchersForwardTheLimitOfEachServer has a watcher of one of two servers receive both limits.
+func TestWatchersForwardTheLimitOfEachServer(t *testing.T) {
+	forwarded := map[string]float64{}
+	p := pool.New(pool.Options{
+		Now: time.Now, Draw: func() float64 { return 0 },
+		Watches:       func(group string) bool { return group == "s/b" },
+		AnnounceLimit: func(s pool.Server, limit pool.ServerLimit) { forwarded[s.ID] = limit.Limit },
+	})
+	p.SetCell(0, 2)
+	p.Update([]pool.Server{server("a1", "a"), server("b1", "b")})
+	p.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: 1}, {ServerID: "b1", Limit: 2}})
+	qt.Check(t, forwarded, qt.DeepEquals, map[string]float64{"b1": 2})
+}
+
+func TestLimitsOfAnySizeAreHandled(t *testing.T) {
+	for _, limit := range []float64{0, 1e-300, 1e9, 1e300} {
+		f := newLimitFleet(1, server("a1", "a"), server("b1", "b"), server("c1", "c"))
+		vm := f.vms[0]
+		vm.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: limit}, {ServerID: "b1", Limit: limit}, {ServerID: "c1", Limit: limit}})
+		for range 100 {
+			f.pass(time.Millisecond)
+			if lease, err := vm.AcquireForCall("s", nil); err == nil {
+				lease.Release()
+			}
+			qt.Assert(t, vm.ReturnAt("s", f.now).Before(f.now.Add(3*time.Minute)), qt.IsTrue)
+		}
+	}
+}
