Limits of a milliard requests a second don't end a request in a panic

The time between two returns of refused callers was rounded to 0, which is no valid range for a random number. TestLimitsOfAnySizeAreHandled failed before. Found by reading the change again.

--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -319,7 +319,7 @@
 	if perSecond == 0 {
 		return earliest.Add(rand.N(returnSpread))
 	}
-	gap := min(time.Duration(float64(time.Second)/perSecond), maxReturnDelay)
+	gap := max(min(time.Duration(float64(time.Second)/perSecond), maxReturnDelay), minPermitWait)
 	at := earliest
 	if next := p.returnAt[service].Add(gap); next.After(at) {
 		at = next
