--- a/internal/peer/spread/permits_test.go
+++ b/internal/peer/spread/permits_test.go
@@ -1,6 +1,7 @@
 package spread_test
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
 const (
@@ -100,6 +102,9 @@
 
 func TestLimitsReachAllVMsOfSeveralCells(t *testing.T) {
 	vms := fleet(t, newNetwork(), 60)
+	for _, v := range vms {
+		v.servers.Store(1)
+	}
 	const group = "s/a"
 	watcher := slices.IndexFunc(vms, func(v *vm) bool { return v.Watches(group) })
 	qt.Assert(t, watcher >= 0, qt.IsTrue)
@@ -111,3 +116,22 @@
 		})
 	})
 }
+
+// TestStartingVMReceivesLimitsWithTheServers has the VM list the servers for the first time when it
+// receives their limits, which say nothing to it before.
+func TestStartingVMReceivesLimitsWithTheServers(t *testing.T) {
+	n := newNetwork()
+	vms := fleet(t, n, 3)
+	rows := []spread.ServerRow{{Server: pool.Server{ID: "s1"}, Changed: 1}}
+	for _, v := range vms {
+		v.ApplyServers(context.Background(), spread.StoreRows{Version: spread.StoreVersion{Rev: 1}, Full: true, Rows: rows}, time.Now())
+		v.named.Store(&pool.ServerLimit{ServerID: "s1", Limit: 2})
+	}
+	n.losesPosts.Store(true) // Announcements of the limit are lost.
+	starting := n.start(t, "c9", "a0:1", "b1:1", "c2:1")
+	waitFor(t, 2*time.Second, "it lists the server", func() bool { return starting.servers.Load() > 0 })
+	waitFor(t, 20*time.Millisecond, "it has the limit", func() bool {
+		_, received := starting.limits.Load("s1")
+		return received
+	})
+}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -29,6 +29,8 @@
 	bytes       int
 	// refuses makes connections to VMs that have not started fail at once instead of time out.
 	refuses bool
+	// losesPosts loses all messages without a reply.
+	losesPosts atomic.Bool
 }
 
 type vm struct {
@@ -45,7 +47,9 @@
 	copies         sync.Map                            // Keys of the copies whose locations it has received.
 	copied         atomic.Pointer[spread.CopyLocation] // Of the one stream that runs here.
 	crashes        *crash.Record
-	limits         sync.Map // IDs of the servers whose limits it has received.
+	limits         sync.Map // IDs of the servers whose limits it has received, after the servers.
+	servers        atomic.Int64
+	named          atomic.Pointer[pool.ServerLimit] // The limit that a server named to it.
 }
 
 // findCopies returns the copies whose locations the VM has received.
@@ -113,6 +117,9 @@
 		Logger: hclog.NewNullLogger(),
 		Call:   call,
 		Post: func(peer, address string, body []byte) {
+			if n.losesPosts.Load() {
+				return
+			}
 			go func() {
 				ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 				defer cancel()
@@ -135,9 +142,15 @@
 			defer v.mu.Unlock()
 			v.versions = append(v.versions, c.Version)
 		},
-		OnServers: func([]pool.Server) {},
-		Loads:     func() []pool.Load { return nil },
-		OnLoads:   func(peer string, _ []pool.Load) { v.loadsReceived.Add(1); v.loadsFrom.Store(peer, true) },
+		OnServers: func(servers []pool.Server) { v.servers.Store(int64(len(servers))) },
+		Limits: func() []pool.ServerLimit {
+			if limit := v.named.Load(); limit != nil {
+				return []pool.ServerLimit{*limit}
+			}
+			return nil
+		},
+		Loads:   func() []pool.Load { return nil },
+		OnLoads: func(peer string, _ []pool.Load) { v.loadsReceived.Add(1); v.loadsFrom.Store(peer, true) },
 		Copies: func() []spread.CopyLocation {
 			if location := v.copied.Load(); location != nil {
 				return []spread.CopyLocation{*location}
@@ -158,7 +171,9 @@
 		OnDepartures: func([]pool.Departure) {},
 		OnLimits: func(limits []pool.ServerLimit) {
 			for _, limit := range limits {
-				v.limits.Store(limit.ServerID, true)
+				if v.servers.Load() > 0 {
+					v.limits.Store(limit.ServerID, true)
+				}
 			}
 		},
 		FindCopies:     v.findCopies,
