--- a/internal/backend/pool/limit_test.go
+++ b/internal/backend/pool/limit_test.go
@@ -131,8 +131,7 @@
 	}
 }
 
-// TestRefusedCallersReturnAtTheRateOfThePermits has six VMs refuse callers at once, and checks how
-// many of them are told to return in a second.
+// Six VMs refuse callers at once; the returns in each second are counted.
 func TestRefusedCallersReturnAtTheRateOfThePermits(t *testing.T) {
 	f := newLimitFleet(6, server("a1", "a"), server("b1", "b"))
 	const limit = 5.0
--- a/internal/peer/permit/permit_test.go
+++ b/internal/peer/permit/permit_test.go
@@ -76,9 +76,7 @@
 	return most
 }
 
-// TestBoundHoldsForAnyNumberOfVMsAndChangesOfTheIssuer covers rates below one a second, hundreds
-// of VMs, one VM with all the load, and issuers that are lost, return, or are taken as the issuer
-// by a part of the VMs for up to a second.
+// After a change a part of the VMs asks the issuer before, for up to a second.
 func TestBoundHoldsForAnyNumberOfVMsAndChangesOfTheIssuer(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := rapid.SampledFrom([]int{1, 2, 6, 9, 91, 295}).Draw(t, "VMs")
--- a/internal/peer/spread/era_test.go
+++ b/internal/peer/spread/era_test.go
@@ -34,8 +34,7 @@
 	return ids
 }
 
-// TestOlderCopyBringsBackNoServerThatLeft applies a restore to a VM that reads the store and, by
-// its list, to a peer.
+// A restore is applied to a VM that reads the store and, by its list, to a peer.
 func TestOlderCopyBringsBackNoServerThatLeft(t *testing.T) {
 	now := time.Unix(1000, 0)
 	reader, peer := newServers(nil, StoreVersion{}, eraHeartbeat), newServers(nil, StoreVersion{}, eraHeartbeat)
@@ -122,8 +121,7 @@
 // eraServers is the number of servers that join and leave.
 const eraServers = 8
 
-// TestAllVMsAgreeOnTheNewestEra has fleets of up to 430 VMs exchange lists while the store changes,
-// comes back from older copies, and answers late, and while VMs are cut off.
+// VMs exchange lists while the store changes, comes back and answers late, and some are cut off.
 func TestAllVMsAgreeOnTheNewestEra(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const readers = 2
--- a/internal/peer/spread/permits_test.go
+++ b/internal/peer/spread/permits_test.go
@@ -117,8 +117,7 @@
 	})
 }
 
-// TestStartingVMReceivesLimitsWithTheServers has the VM list the servers for the first time when it
-// receives their limits, which say nothing to it before.
+// A limit says nothing to a VM that does not list its server yet.
 func TestStartingVMReceivesLimitsWithTheServers(t *testing.T) {
 	n := newNetwork()
 	vms := fleet(t, n, 3)
--- a/internal/request/crash/trial_test.go
+++ b/internal/request/crash/trial_test.go
@@ -11,8 +11,7 @@
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
-// TestBlockedContentIsTriedOnceByAllVMsTogether has callers send the content to each of six VMs
-// in each second. Each run crashes its server, which is reported a second later.
+// Callers send the content to each of six VMs in each second; a crash is reported a second later.
 func TestBlockedContentIsTriedOnceByAllVMsTogether(t *testing.T) {
 	f := &fleet{now: time.Unix(0, 0)}
 	issuer := permit.NewIssuer(func() time.Time { return f.now })
