Pool: a server whose last answer was slow is tried again

Each VM's first call to that server had taken somewhat longer than its first call to the other one; the average latency of a server changes only with calls to it, and of two servers the quicker one gets all calls. So one slow answer excluded a server until the others queued, with a limit or without one.

Change: the expected latency halves with each second without a call, and the next call then weighs more.

--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -35,7 +35,7 @@
 	Calls int `json:"calls"`
 	// FailureRate is the recent fraction of calls that failed, 0 to 1.
 	FailureRate float64 `json:"failureRate"`
-	// LatencyMillis is the recent latency of successful calls.
+	// LatencyMillis is the recent latency of successful calls, 0 if there were none.
 	LatencyMillis float64 `json:"latencyMillis"`
 	// Connected means that an idle connection is open.
 	Connected bool `json:"connected"`
--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -156,7 +156,7 @@
 		CacheTokens:   p.capacities[s.Service].CacheTokens,
 		Calls:         s.calls,
 		FailureRate:   s.decayedFailures(now),
-		LatencyMillis: s.latencyMillis,
+		LatencyMillis: s.decayedLatency(now),
 		Connected:     p.options.HasIdle(s.Address),
 	}
 }
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
@@ -13,6 +14,9 @@
 	// failureHalfLife is the time after which a server's failure rate counts half, so
 	// that a server that gets no calls is tried again.
 	failureHalfLife = 2 * time.Second
+	// latencyHalfLife is the time after which a server's latency counts half, for the same
+	// reason.
+	latencyHalfLife = time.Second
 )
 
 // Lease is work on a server. Down is closed when the server is found down. CopyLost is
@@ -149,11 +153,28 @@
 		return
 	}
 	s.answeredAt = now
-	millis := float64(took) / float64(time.Millisecond)
+	s.recordLatency(now, float64(took)/float64(time.Millisecond))
+}
+
+// recordLatency adds a call to the average, in which older calls weigh the less the longer ago
+// they were.
+func (s *server) recordLatency(now time.Time, millis float64) {
+	older := (1 - newestCallWeight) * halvings(now.Sub(s.latencyAt), latencyHalfLife)
 	if s.latencyMillis == 0 {
-		s.latencyMillis = millis
+		older = 0
 	}
-	s.latencyMillis += newestCallWeight * (millis - s.latencyMillis)
+	s.latencyMillis = older*s.latencyMillis + (1-older)*millis
+	s.latencyAt = now
+}
+
+// decayedLatency returns the latency that is expected of a server. It decays while the server
+// gets no calls: otherwise one slow answer would exclude it for as long as others are quicker.
+func (s *server) decayedLatency(now time.Time) float64 {
+	return s.latencyMillis * halvings(now.Sub(s.latencyAt), latencyHalfLife)
+}
+
+func halvings(elapsed, halfLife time.Duration) float64 {
+	return math.Exp2(-max(elapsed, 0).Seconds() / halfLife.Seconds())
 }
 
 func (s *server) recordOutcome(now time.Time, failed bool) {
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -144,6 +144,7 @@
 	failureRate     float64
 	failureAt       time.Time
 	latencyMillis   float64
+	latencyAt       time.Time // When latencyMillis was last measured.
 }
 
 // New returns an empty pool.
