Own interface: a revision is confirmed by number and content

Cause: a table that was restored from an older copy gives revision numbers out again. The number alone confirmed the revision in force, so other content under the same number kept a VM accepting requests under its own content as if that were the newest.

Change: the hash has to be the same. Seen before: TestHeadsOfATableThatWentBackAreNotTakenAsNewer, "head 1 confirmed another content"; passes since.

--- a/internal/config/revision/inforce.go
+++ b/internal/config/revision/inforce.go
@@ -36,9 +36,10 @@
 }
 
 // Confirm extends FreshUntil after a revision was confirmed to be the newest. It
-// does nothing if another revision is in force.
-func (f *InForce) Confirm(revision uint64, until time.Time) {
-	if revision == f.Head.Revision && until.After(f.FreshUntil) {
+// does nothing if another revision is in force, or another content: a table that was
+// restored from an older copy gives out revisions again.
+func (f *InForce) Confirm(revision uint64, hash string, until time.Time) {
+	if revision == f.Head.Revision && hash == f.Head.Hash && until.After(f.FreshUntil) {
 		f.FreshUntil = until
 	}
 }
--- a/internal/config/revision/revision_test.go
+++ b/internal/config/revision/revision_test.go
@@ -151,8 +151,9 @@
 			"confirm": func(t *rapid.T) {
 				of := rapid.Uint64Range(0, 20).Draw(t, "revision")
 				until := start.Add(time.Duration(rapid.IntRange(1, 100).Draw(t, "until")) * time.Second)
-				inForce.Confirm(of, until)
-				if of == inForce.Head.Revision && until.After(confirmed[of]) {
+				hash := rapid.SampledFrom([]string{"", "other"}).Draw(t, "hash")
+				inForce.Confirm(of, hash, until)
+				if hash == inForce.Head.Hash && of == inForce.Head.Revision && until.After(confirmed[of]) {
 					confirmed[of] = until
 				}
 			},
@@ -163,3 +164,25 @@
 		})
 	})
 }
+
+// The table has lost the newest revision, and its number is given out again.
+func TestHeadsOfATableThatWentBackAreNotTakenAsNewer(t *testing.T) {
+	ctx := context.Background()
+	before, _ := newPublisher(t)
+	restored, _ := newPublisher(t)
+	inForce := revision.InForce{}
+	publish := func(p *revision.Publisher, name string, base uint64) revision.Head {
+		head, err := p.Publish(ctx, setNamed(name), base, name)
+		qt.Assert(t, err, qt.IsNil)
+		return head
+	}
+	publish(before, "first", 0)
+	newest := publish(before, "second", 1)
+	qt.Assert(t, inForce.Offer(newest, &object.Set{}, time.Time{}), qt.IsTrue)
+	for i, head := range []revision.Head{publish(restored, "first", 0), publish(restored, "other", 1)} {
+		qt.Check(t, inForce.Offer(head, &object.Set{}, time.Unix(2000, 0)), qt.IsFalse)
+		inForce.Confirm(head.Revision, head.Hash, time.Unix(2000, 0))
+		qt.Check(t, inForce.FreshUntil.IsZero(), qt.IsTrue, qt.Commentf("head %d confirmed another content", i))
+	}
+	qt.Check(t, inForce.Offer(publish(restored, "third", 2), &object.Set{}, time.Time{}), qt.IsTrue)
+}
--- a/internal/node/control/configuration.go
+++ b/internal/node/control/configuration.go
@@ -49,7 +49,7 @@
 	}
 	l.do(ctx, func(s *state) {
 		s.readingHead = false
-		s.inForce.Confirm(head.Revision, requestedAt.Add(revision.FreshnessLimit))
+		s.inForce.Confirm(head.Revision, head.Hash, requestedAt.Add(revision.FreshnessLimit))
 	})
 }
 
--- a/internal/node/control/heartbeat.go
+++ b/internal/node/control/heartbeat.go
@@ -58,7 +58,7 @@
 		// that was received before a pause of this VM and read after it must not make an
 		// old revision count as fresh.
 		fresh := time.Duration(reply.Heartbeat.FreshMillis) * time.Millisecond
-		s.inForce.Confirm(reply.Heartbeat.Revision, requestedAt.Add(fresh))
+		s.inForce.Confirm(reply.Heartbeat.Revision, reply.Heartbeat.Hash, requestedAt.Add(fresh))
 	})
 }
 
