--- a/internal/lab/traffic/fleet.go
+++ b/internal/lab/traffic/fleet.go
@@ -50,9 +50,9 @@
 	servers []pool.Server
 
 	mu      sync.Mutex
-	vms     map[string]*vm // By address.
-	down    bool           // The servers of failure domain "0" refuse connections.
-	version uint64         // Of the list of servers.
+	vms     map[string]*vm      // By address.
+	down    bool                // The servers of failure domain "0" refuse connections.
+	version spread.StoreVersion // Of the list of servers.
 	counts  map[string]Count
 	checks  int
 	started int
@@ -71,16 +71,20 @@
 }
 
 func newFleet(ctx context.Context, options Options) *fleet {
-	f := &fleet{ctx: ctx, options: options, vms: map[string]*vm{}, counts: map[string]Count{}, version: 1}
+	f := &fleet{ctx: ctx, options: options, vms: map[string]*vm{}, counts: map[string]Count{}, version: spread.StoreVersion{Era: 1, Rev: 1}}
 	for i := range options.Servers {
-		f.servers = append(f.servers, pool.Server{
-			ID: fmt.Sprint("server-", i), Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250),
-			Service: service, FailureDomain: fmt.Sprint(i % failureDomains), Slots: 8,
-		})
+		f.servers = append(f.servers, serverAt(i))
 	}
 	return f
 }
 
+func serverAt(i int) pool.Server {
+	return pool.Server{
+		ID: fmt.Sprint("server-", i), Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250),
+		Service: service, FailureDomain: fmt.Sprint(i % failureDomains), Slots: 8,
+	}
+}
+
 func addressOf(i int) string {
 	return fmt.Sprintf("10.0.%d.%d:80", i/250, i%250)
 }
@@ -241,9 +245,9 @@
 // check simulates opening a connection to a server.
 func (f *fleet) check(_ context.Context, address string) error {
 	time.Sleep(2 * networkDelay)
-	index := slices.IndexFunc(f.servers, func(s pool.Server) bool { return s.Address == address })
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	index := slices.IndexFunc(f.servers, func(s pool.Server) bool { return s.Address == address })
 	f.checks++
 	if f.down && f.servers[index].FailureDomain == "0" {
 		return errors.Trace(syscall.ECONNREFUSED)
@@ -267,13 +271,21 @@
 func (f *fleet) serverRows() spread.StoreRows {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	rows := spread.StoreRows{Version: spread.StoreVersion{Rev: f.version}, Full: true}
+	rows := spread.StoreRows{Version: f.version, Full: true}
 	for _, s := range f.servers {
-		rows.Rows = append(rows.Rows, spread.ServerRow{Server: s, Changed: f.version})
+		rows.Rows = append(rows.Rows, spread.ServerRow{Server: s, Changed: f.version.Rev})
 	}
 	return rows
 }
 
+// restoreServers begins a new era, whose list has one more server.
+func (f *fleet) restoreServers() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.version = spread.StoreVersion{Era: f.version.Era + 1, Rev: 1}
+	f.servers = append(f.servers, serverAt(len(f.servers)))
+}
+
 // publish delivers a configuration to the readers. It has about 20 KB, as users' have.
 func (f *fleet) publish(version uint64) {
 	raw := []byte(fmt.Sprint(version, " ", strings.Repeat("route ", 3500)))
@@ -284,8 +296,8 @@
 func (f *fleet) sendHeartbeats() {
 	for f.ctx.Err() == nil {
 		f.mu.Lock()
-		f.version++
-		rows := spread.StoreRows{Version: spread.StoreVersion{Rev: f.version}}
+		f.version.Rev++
+		rows := spread.StoreRows{Version: f.version}
 		f.mu.Unlock()
 		f.readers(func(v *vm) {
 			v.ApplyServers(f.ctx, rows, time.Now())
--- a/internal/lab/traffic/traffic.go
+++ b/internal/lab/traffic/traffic.go
@@ -1,6 +1,6 @@
 // Package traffic counts the messages between the VMs of a fleet, by kind: when the fleet
 // is idle, while streams run, and when VMs, a failure domain of servers or the configuration
-// change. It runs the packages spread, pool and placement in real time on an in-memory
+// change, or the store is restored. It runs the packages spread, pool and placement in real time on an in-memory
 // network with a fixed delay; there are no store, callers or engines.
 //
 // # Usage
@@ -85,6 +85,7 @@
 		{"a failure domain of servers is lost", f.loseServers},
 		{"the configuration changes", f.changeConfiguration},
 		{"VMs restart", f.restartVMs},
+		{"the store is restored from an older copy", f.restoreStore},
 	} {
 		start := time.Now()
 		f.reset()
@@ -178,6 +179,16 @@
 	})
 }
 
+// restoreStore delivers a list that is older by its version, in a new era and with one more
+// server, and waits until every VM has it.
+func (f *fleet) restoreStore() (convergence time.Duration, err error) {
+	f.restoreServers()
+	f.readers(func(v *vm) { v.ApplyServers(f.ctx, f.serverRows(), time.Now()) })
+	return f.waitUntilAll("every VM lists the server that joined", func(v *vm) bool {
+		return len(v.Snapshot().Servers) == f.options.Servers+1
+	})
+}
+
 // waitUntilAll waits until a condition holds for all VMs, and returns how long that took.
 func (f *fleet) waitUntilAll(condition string, holds func(*vm) bool) (elapsed time.Duration, err error) {
 	start := time.Now()
