--- a/internal/operator/explain/explain_test.go
+++ b/internal/operator/explain/explain_test.go
@@ -27,3 +27,17 @@
 	qt.Check(t, texts, qt.DeepEquals, []string{"vm-1 held", "vm-2 refused"})
 	qt.Check(t, found.Cause, qt.Contains, "crashes the servers")
 }
+
+func TestRestoreOfTheStoreIsShownWithItsEras(t *testing.T) {
+	const logs = `{"@timestamp":"2026-12-04T12:00:08Z","@message":"restored","vm":"vm-3","event":808,"era":2,"before":1,"version":15,"versionBefore":23}
+{"@timestamp":"2026-12-04T12:00:08Z","@message":"restored","vm":"vm-4","event":808,"era":2,"before":1,"version":15,"versionBefore":23}
+{"@timestamp":"2026-12-04T12:00:09Z","@message":"ended","vm":"vm-3","event":701,"request":"r1","outcome":"notRun","reason":"not run","millis":1,"serversVersion":15,"storeEra":2}
+`
+	found, err := explain.Read(strings.NewReader(logs), "r1")
+	qt.Assert(t, err, qt.IsNil)
+	text := strings.Builder{}
+	qt.Assert(t, found.Print(&text), qt.IsNil)
+	qt.Check(t, text.String(), qt.Contains, "vm-3                 808 restored before=1 era=2 version=15 versionBefore=23")
+	qt.Check(t, text.String(), qt.Contains, "serversVersion=15 storeEra=2")
+	qt.Check(t, text.String(), qt.Not(qt.Contains), "vm-4")
+}
