Pool: a server whose expected latency has decayed is tried with one call

Cause: a call's latency is known when it ends. Until then the decayed value was cheapest for every further call: in the new test 40 of 40 calls went to a server that takes 500 ms.

Change: the value does not decay while a call runs.

--- a/internal/backend/pool/latency_test.go
+++ b/internal/backend/pool/latency_test.go
@@ -71,3 +71,32 @@
 	}, server("a1", "a"), server("b1", "b"))
 	qt.Check(t, calls["a1"] > 500, qt.IsTrue, qt.Commentf("%v of the 2,000 calls since", calls))
 }
+
+// A server that is tried again gets one call, and the others when it has answered that.
+func TestServerThatWasSlowIsTriedWithOneCall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 2))
+	p := pool.New(pool.Options{
+		Now:   func() time.Time { return now },
+		Draw:  random.Float64,
+		Check: func(context.Context, string) error { return nil },
+	})
+	p.Update([]pool.Server{server("a1", "a"), server("b1", "b")})
+	for range 4 {
+		slow, err := p.AcquireForCall("s", map[string]bool{"b1": true})
+		qt.Assert(t, err, qt.IsNil)
+		slow.RecordCall(500*time.Millisecond, false)
+		slow.Release()
+	}
+	now = now.Add(20 * time.Second)
+	running := map[string]int{}
+	for range 40 { // All are sent before the first is answered.
+		lease, err := p.AcquireForCall("s", nil)
+		qt.Assert(t, err, qt.IsNil)
+		if running[lease.Server.ID]++; lease.Server.ID == "b1" {
+			lease.RecordCall(5*time.Millisecond, false)
+			lease.Release()
+		}
+	}
+	qt.Check(t, running["a1"], qt.Equals, 1)
+}
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -168,8 +168,12 @@
 }
 
 // decayedLatency returns the latency that is expected of a server. It decays while the server
-// gets no calls: otherwise one slow answer would exclude it for as long as others are quicker.
+// gets no calls: otherwise one slow answer would exclude it for as long as others are quicker. The
+// first call to it then measures it again, and no other is sent on the decayed value.
 func (s *server) decayedLatency(now time.Time) float64 {
+	if s.calls > 0 {
+		return s.latencyMillis
+	}
 	return s.latencyMillis * halvings(now.Sub(s.latencyAt), latencyHalfLife)
 }
 
--- a/internal/lab/traffic/traffic.go
+++ b/internal/lab/traffic/traffic.go
@@ -1,7 +1,7 @@
 // Package traffic counts the messages between the VMs of a fleet, by kind: when the fleet
 // is idle, while streams run, and when VMs, a failure domain of servers or the configuration
-// change, or the store is restored. It runs the packages spread, pool and placement in real time on an in-memory
-// network with a fixed delay; there are no store, callers or engines.
+// change, or the store is restored. It runs the packages spread, pool and placement in real
+// time on an in-memory network with a fixed delay; there are no store, callers or engines.
 //
 // # Usage
 //
