--- a/internal/backend/pool/latency_test.go
+++ b/internal/backend/pool/latency_test.go
@@ -11,17 +11,23 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
 
-// callsByServer simulates 50 calls a second, one after another; latency returns how long the
-// i-th of all calls takes.
-func callsByServer(length time.Duration, latency func(serverID string, i int) time.Duration, servers ...pool.Server) (calls map[string]int) {
-	now := time.Unix(1000, 0)
+// newSeededPool returns a pool whose random choices are the same in each run.
+func newSeededPool(now *time.Time, servers ...pool.Server) *pool.Pool {
 	random := rand.New(rand.NewPCG(1, 2))
 	p := pool.New(pool.Options{
-		Now:   func() time.Time { return now },
+		Now:   func() time.Time { return *now },
 		Draw:  random.Float64,
 		Check: func(context.Context, string) error { return nil },
 	})
 	p.Update(servers)
+	return p
+}
+
+// callsByServer simulates 50 calls a second, one after another; latency returns how long the
+// i-th of all calls takes.
+func callsByServer(length time.Duration, latency func(serverID string, i int) time.Duration, servers ...pool.Server) (calls map[string]int) {
+	now := time.Unix(1000, 0)
+	p := newSeededPool(&now, servers...)
 	calls = map[string]int{}
 	const interval = 20 * time.Millisecond
 	for i := range int(length / interval) {
@@ -75,13 +81,7 @@
 // A server that is tried again gets one call, and the others when it has answered that.
 func TestServerThatWasSlowIsTriedWithOneCall(t *testing.T) {
 	now := time.Unix(1000, 0)
-	random := rand.New(rand.NewPCG(1, 2))
-	p := pool.New(pool.Options{
-		Now:   func() time.Time { return now },
-		Draw:  random.Float64,
-		Check: func(context.Context, string) error { return nil },
-	})
-	p.Update([]pool.Server{server("a1", "a"), server("b1", "b")})
+	p := newSeededPool(&now, server("a1", "a"), server("b1", "b"))
 	for range 4 {
 		slow, err := p.AcquireForCall("s", map[string]bool{"b1": true})
 		qt.Assert(t, err, qt.IsNil)
--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -12,7 +12,7 @@
 // A server may name a limit: the number of requests a second that it takes from all VMs together.
 // Each request to such a server, whatever it is for, needs a permit from the server's bucket,
 // which one VM keeps for all; see package permit. Calls and streams take theirs in acquire, all
-// other requests in TakePermit. A server that has no permit left is not chosen until it has:
+// other requests in TakePermit. After a denial a server is not chosen until the next permit is due:
 //
 //	limit named      permit denied      wait is over     2 answers name no limit
 //	|----------------|------------------|----------------|
@@ -84,7 +84,7 @@
 	// takes the latency between two VMs.
 	maxPermitRequests = 8
 	permitTimeout     = 100 * time.Millisecond
-	// minPermitWait is the shortest time for which a server is not chosen after a denial.
+	// minPermitWait is the minimum time between a denial and the next request for a permit.
 	minPermitWait = time.Millisecond
 	// maxReturnDelay bounds the time after which a refused caller is asked to return.
 	maxReturnDelay = time.Minute
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -144,7 +144,7 @@
 	failureRate     float64
 	failureAt       time.Time
 	latencyMillis   float64
-	latencyAt       time.Time // When latencyMillis was last measured.
+	latencyAt       time.Time // Time of the last update of latencyMillis.
 }
 
 // New returns an empty pool.
--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -12,7 +12,7 @@
 //	issuer := permit.NewIssuer(time.Now)
 //	reply := issuer.Take(permit.Request{Key: key, Rate: 6.1, VM: "vm-2"})
 //	switch {
-//	case reply.Unbounded: // The bound no longer holds.
+//	case reply.Unbounded: // The key has no bound now; no permit is needed.
 //	case reply.Granted:   // Send one request now.
 //	default:              // Ask again after reply.Wait.
 //	}
