Pool: servers without a limit take what waited too long for a permit

Cause: after permitTimeout acquire gave up, also if servers that need no permit could take the request. Change: it then chooses among those. TestOtherServersAreChosenWhenAPermitTakesLong failed on the first stream before.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -26,8 +26,8 @@
 
 // AcquireForCall chooses a server for a short call, none of those tried.
 func (p *Pool) AcquireForCall(service string, tried map[string]bool) (lease *Lease, err error) {
-	return p.acquire(false, func(now time.Time) *server {
-		usable, candidates := p.usableServers(service, tried, now)
+	return p.acquire(false, func(now time.Time, withLimit bool) *server {
+		usable, candidates := p.usableServers(service, tried, now, withLimit)
 		at, found := placement.ChooseForCall(candidates, p.options.Draw)
 		if !found {
 			return nil
@@ -42,11 +42,11 @@
 // AcquireForStream chooses a server for a stream, and one in another failure domain for
 // the copy of its memory; copyHolder is nil if no such server has capacity.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
-	lease, err = p.acquire(criteria.continues(), func(now time.Time) *server {
-		if chosen := p.requestedServer(criteria, now); chosen != nil {
+	lease, err = p.acquire(criteria.continues(), func(now time.Time, withLimit bool) *server {
+		if chosen := p.requestedServer(criteria, now); chosen != nil && (withLimit || !chosen.limited) {
 			return chosen
 		}
-		return p.chooseForStream(criteria, now)
+		return p.chooseForStream(criteria, now, withLimit)
 	}, func(chosen *server, now time.Time) (lease *Lease) {
 		lease, copyHolder = p.leaseForStream(criteria, chosen, now)
 		return lease
@@ -85,8 +85,8 @@
 
 // chooseForStream chooses among the servers of this VM's cell, and among all servers if
 // those of the cell are down or have no capacity. Called with the lock held.
-func (p *Pool) chooseForStream(criteria Criteria, now time.Time) *server {
-	usable, candidates := p.usableServers(criteria.Service, criteria.Tried, now)
+func (p *Pool) chooseForStream(criteria Criteria, now time.Time, withLimit bool) *server {
+	usable, candidates := p.usableServers(criteria.Service, criteria.Tried, now, withLimit)
 	cellServers, cellCandidates := p.inCell(usable, candidates)
 	if at, found := placement.ChooseForStream(cellCandidates, criteria.Demand); found && !cellCandidates[at].Avoided && placement.Fits(cellCandidates[at], criteria.Demand) {
 		return cellServers[at]
@@ -100,7 +100,7 @@
 // chooseForCopy chooses the holder of a stream's copy in the same way; nil if no server
 // has capacity. Called with the lock held.
 func (p *Pool) chooseForCopy(criteria Criteria, chosen *server, now time.Time) *server {
-	usable, candidates := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, now)
+	usable, candidates := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, now, true)
 	for i, s := range usable {
 		// The stream could not continue there once the limit is reached.
 		candidates[i].Avoided = candidates[i].Avoided || s.limited
@@ -118,11 +118,11 @@
 // usableServers lists the servers of a service that may take new work, with a candidate
 // for each. The order is random, so that VMs with the same view don't all choose the
 // first. Called with the lock held.
-func (p *Pool) usableServers(service string, tried map[string]bool, now time.Time) ([]*server, []placement.Candidate) {
+func (p *Pool) usableServers(service string, tried map[string]bool, now time.Time, withLimit bool) ([]*server, []placement.Candidate) {
 	p.forgetExpiredPeers(now)
 	usable := []*server{}
 	for _, s := range p.servers {
-		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] {
+		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] && (withLimit || !s.limited) {
 			usable = append(usable, s)
 		}
 	}
--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -119,26 +119,27 @@
 	return l.limited && now.Before(l.deniedUntil)
 }
 
+// chooser chooses a server; withLimit reports whether servers that name a limit are candidates.
+type chooser func(now time.Time, withLimit bool) *server
+
 // acquire takes a lease on the server that choose returns, once there is a permit for it. Both
-// functions are called with the lock held. A server that is denied is no candidate the next time.
-func (p *Pool) acquire(urgent bool, choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+// functions are called with the lock held. A server that is denied is no candidate the next time,
+// and none with a limit is once the time for permits is over.
+func (p *Pool) acquire(urgent bool, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	until := p.options.Now().Add(permitTimeout)
-	for range maxPermitRequests {
-		if lease, err = p.acquireOnce(urgent, choose, begin); !errors.Is(err, ErrNoPermit) {
+	for requests := 0; requests < maxPermitRequests && !p.options.Now().After(until); requests++ {
+		if lease, err = p.acquireOnce(urgent, true, choose, begin); !errors.Is(err, ErrNoPermit) {
 			return lease, err
 		}
-		if p.options.Now().After(until) {
-			break
-		}
 	}
-	return nil, errors.Trace(ErrNone)
+	return p.acquireOnce(urgent, false, choose, begin)
 }
 
-func (p *Pool) acquireOnce(urgent bool, choose func(now time.Time) *server, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquireOnce(urgent, withLimit bool, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
-	chosen := choose(now)
+	chosen := choose(now, withLimit)
 	if chosen == nil {
 		return nil, errors.Trace(ErrNone)
 	}
--- a/internal/backend/pool/limit_test.go
+++ b/internal/backend/pool/limit_test.go
@@ -1,6 +1,7 @@
 package pool_test
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"testing"
@@ -222,3 +223,33 @@
 		}
 	}
 }
+
+// The issuer of the permits replies late, with a denial.
+func TestOtherServersAreChosenWhenAPermitTakesLong(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := pool.New(pool.Options{
+		Now:   func() time.Time { return now },
+		Draw:  func() float64 { return 0.5 },
+		Check: func(context.Context, string) error { return nil },
+		TakePermit: func(permit.Request) permit.Reply {
+			now = now.Add(200 * time.Millisecond)
+			return permit.Reply{Wait: 50 * time.Millisecond}
+		},
+	})
+	limited := server("a1", "a")
+	p.Update([]pool.Server{limited, server("b1", "b")})
+	p.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: 2}})
+	for i := range 40 {
+		now = now.Add(time.Second)
+		call, err := p.AcquireForCall("s", nil)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("call %d", i))
+		qt.Check(t, call.Server.ID, qt.Equals, "b1")
+		call.Release()
+		stream, _, err := p.AcquireForStream(criteria)
+		qt.Assert(t, err, qt.IsNil, qt.Commentf("stream %d", i))
+		qt.Check(t, stream.Server.ID, qt.Equals, "b1")
+		if i%2 == 0 {
+			stream.Release() // The others make a1 the cheaper one.
+		}
+	}
+}
