--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -71,7 +71,8 @@
 	Deadline    time.Time
 	LastEventID string
 	Demand      placement.Demand
-	PromptKey   string
+	PromptParts []string // IDs of the parts of the prompt that other requests may share.
+	PromptKey   string   // ID of the part that they do not share.
 }
 
 // View is the configuration that the VM has. CurrentAt is when it was last known to be
@@ -121,6 +122,7 @@
 		Deadline:    deadline(in, route),
 		LastEventID: in.LastEventID,
 		Demand:      in.Demand,
+		PromptParts: in.PromptParts,
 	}
 	if account.HasPriority {
 		request.Priority = account.Priority
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -53,6 +53,8 @@
 	Demand      placement.Demand
 	CopyKey     string // The same for each attempt, and unique to the request; "" if unknown.
 	Content     string // Hash of account, path and body, which different requests may share.
+	// PromptParts are the IDs of the parts of the prompt that other requests may share.
+	PromptParts []string
 	// Servers lists the servers that the request was sent to, in order, for the log. Only
 	// the goroutine that relays the request accesses it.
 	Servers []string
@@ -266,7 +268,7 @@
 func (r *Relay) reportInterruption(ctx context.Context, request *Request, lease *pool.Lease, startedAt, at time.Time, justBegun bool) {
 	leaving := lease.IsLeaving()
 	if ctx.Err() == nil {
-		event.RunCut.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content,
+		event.RunCut.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content, "parts", request.PromptParts,
 			"server", lease.Server.ID, "justBegun", justBegun, "leaving", leaving)
 	}
 	if justBegun && !leaving {
