Crashes count against the parts of prompts that requests share, in one record with their contents

Cause: a crash counted against a content only (account, path, body), so that each new request with the part could crash three servers. The class is a circuit breaker on too narrow a key: what varies the key gets a new allowance. Ruled out: slow reports, a refused content is known to all VMs within 51 ms.

Change: one record of traits, contents and parts alike.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -165,22 +165,7 @@
 		Go:     func(do func()) { rescue.Go(v.logger, "connection to a peer", do) },
 	})
 	v.copies = copies.New(copies.Options{Now: v.Now})
-	v.crashes = crash.New(crash.Options{
-		Now:              v.Now,
-		Announce:         func(report crash.Report) { v.spread.AnnounceCrash(report) },
-		TakePermit:       v.takePermit,
-		HasTerminated:    v.servers.HasTerminated,
-		CorrelatedLosses: v.servers.CorrelatedLosses,
-		OnTerminated: func(content string, server pool.Server, after time.Duration) {
-			event.EndHeldAgainst.Info(v.logger, "content", content, "server", server.ID, "afterMillis", after.Milliseconds())
-		},
-		OnDismissed: func(content, reason string) {
-			event.EndsCleared.Info(v.logger, "content", content, "reason", reason)
-		},
-		OnBlocked: func(content string, terminations int) {
-			event.ContentRefused.Warn(v.logger, "content", content, "servers", terminations)
-		},
-	})
+	v.crashes = crash.New(v.crashOptions())
 	v.spread = spread.New(v.spreadOptions())
 	v.relay = relay.New(relay.Options{
 		Servers:            v.servers,
@@ -198,9 +183,11 @@
 		Refund:             func(service string) { v.budgetOf(service).Refund() },
 		Copies:             relay.Copies{Put: v.putCopy, Find: v.findCopy},
 		Crashes: relay.Crashes{
-			Interrupted:  v.crashes.Interrupted,
-			Completed:    v.crashes.Completed,
-			BlockedUntil: v.crashes.BlockedUntil,
+			Interrupted: v.crashes.Interrupted,
+			Completed:   v.crashes.Completed,
+			Check:       v.crashes.Check,
+			Recheck:     v.crashes.Recheck,
+			IsBlocked:   v.crashes.IsBlocked,
 		},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -109,14 +109,14 @@
 }
 
 // contextOf selects the lines in which the request's VMs report on its servers, on the
-// store and on themselves within contextWindow, and the lines on the request's content
-// of any VM at any time.
+// store and on themselves within contextWindow, and the lines on the request's content and the
+// parts of its prompt of any VM at any time.
 func (e *Explanation) contextOf(others []Line) []Line {
-	vms, servers, contents := map[string]bool{}, map[string]bool{}, map[string]bool{}
+	vms, servers, traits := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, line := range e.Lines {
 		vms[line.VM] = true
-		if content, found := line.Fields["content"].(string); found {
-			contents[content] = true
+		for _, trait := range line.traits() {
+			traits[trait] = true
 		}
 		for _, server := range line.servers() {
 			servers[server] = true
@@ -126,8 +126,8 @@
 	to := e.Lines[len(e.Lines)-1].At.Add(contextWindow)
 	selected := []Line{}
 	for _, line := range others {
-		if content, found := line.Fields["content"].(string); found {
-			if contents[content] {
+		if of := line.traits(); len(of) > 0 {
+			if traits[of[0]] {
 				selected = append(selected, line)
 			}
 			continue
@@ -164,6 +164,20 @@
 	return names
 }
 
+// traits returns the content and the parts of prompts that a line names.
+func (l Line) traits() (names []string) {
+	for _, field := range []string{"content", "part"} {
+		if name, _ := l.Fields[field].(string); name != "" {
+			names = append(names, field+" "+name)
+		}
+	}
+	parts, _ := l.Fields["parts"].([]any)
+	for _, name := range parts {
+		names = append(names, fmt.Sprint("part ", name))
+	}
+	return names
+}
+
 // cause describes why the request had its outcome.
 func (e *Explanation) cause() string {
 	end, found := e.last(event.RequestEnded)
--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -61,13 +61,15 @@
 
 // Request asks for one permit. Rate is the rate that the requester knows of, in permits a second.
 // An urgent request continues a stream, and may take a permit in advance. A preventive request
-// serves no caller yet and gets a permit only if others leave it.
+// serves no caller yet and gets a permit only if others leave it. A request for a fresh key gets the
+// first permit at once: what it bounds has hardly begun.
 type Request struct {
 	Key        string  `cbor:"1,keyasint"`
 	Rate       float64 `cbor:"2,keyasint"`
 	VM         string  `cbor:"3,keyasint"`
 	Preventive bool    `cbor:"4,keyasint,omitempty"`
 	Urgent     bool    `cbor:"5,keyasint,omitempty"`
+	Fresh      bool    `cbor:"6,keyasint,omitempty"`
 }
 
 // Reply answers a Request. Serial numbers the permits of a key, from 1. Askers is the number of
@@ -124,7 +126,11 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
+	_, known := i.buckets[request.Key]
 	b := i.bucket(request.Key, request.Rate, now)
+	if request.Fresh && !known {
+		b.tokens = 1
+	}
 	if b.unbounded {
 		return Reply{Unbounded: true}
 	}
--- a/internal/peer/spread/crashes_test.go
+++ b/internal/peer/spread/crashes_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 // exchangeLimit is the time within which crash reports must reach a VM, also one that was partitioned.
@@ -26,7 +27,7 @@
 		v.crashes.Terminated("c", pool.Server{ID: fmt.Sprint("server ", i), FailureDomain: fmt.Sprint(i)}, time.Now())
 		time.Sleep(20 * time.Millisecond)
 	}
-	refuses := func(v *vm) bool { _, refused := v.crashes.BlockedUntil("c"); return refused }
+	refuses := func(v *vm) bool { return v.crashes.Check("c").Decision == crash.Refuse }
 	waitFor(t, exchangeLimit, "all others refuse the content", func() bool {
 		for _, v := range vms {
 			if v != partitioned && !refuses(v) {
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -23,6 +23,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
@@ -128,6 +129,7 @@
 		request.Priority = account.Priority
 	}
 	request.Content = hash(account.Name, in)
+	request.Traits = crash.Traits(request.Content, in.PromptParts)
 	if route.Kind == routing.KindStreaming && in.PromptKey != "" { // Otherwise the key is not unique to the request.
 		request.CopyKey = hash(account.Name, in, in.PromptKey)
 	}
--- a/internal/request/crash/crash_test.go
+++ b/internal/request/crash/crash_test.go
@@ -10,9 +10,12 @@
 	"pgregory.net/rapid"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/lab/property"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
+func init() { property.FixSeed() }
+
 // fleet is a group of VMs whose reports reach each other when deliver is called.
 type fleet struct {
 	now     time.Time
@@ -43,9 +46,8 @@
 	return pool.Server{ID: id, Service: "s", FailureDomain: "of " + id}
 }
 
-func blocks(vm *crash.Record, content string) bool {
-	_, blocked := vm.BlockedUntil(content)
-	return blocked
+func blocks(vm *crash.Record, traits ...crash.Trait) bool {
+	return vm.Check(traits...).Decision != crash.Run
 }
 
 // TestCrashesAddUpAcrossVMs has each of three VMs detect one crash, and receive the reports of
@@ -125,7 +127,7 @@
 		})
 		for round := range 4 {
 			for i := range c.ran {
-				vm.Interrupted("c", pool.Server{ID: fmt.Sprint(round, i), Service: "s", FailureDomain: "a"}, now, now)
+				vm.Interrupted([]crash.Trait{"c"}, pool.Server{ID: fmt.Sprint(round, i), Service: "s", FailureDomain: "a"}, now, now)
 			}
 			for range 3 {
 				now = now.Add(700 * time.Millisecond)
@@ -136,6 +138,27 @@
 	}
 }
 
+// Two contents with a common part crash the four servers of a failure domain, two each.
+func TestCrashesUnderAPartAreNoLossOfAFailureDomain(t *testing.T) {
+	now := time.Unix(0, 0)
+	vm := crash.New(crash.Options{
+		Now:              func() time.Time { return now },
+		Announce:         func(crash.Report) {},
+		HasTerminated:    func(pool.Server, time.Time) bool { return true },
+		CorrelatedLosses: func(pool.Server) int { return 4 },
+	})
+	for i := range 4 {
+		traits := crash.Traits(fmt.Sprint("c", i%2), []string{"aa"})
+		vm.Interrupted(traits, pool.Server{ID: fmt.Sprint(i), Service: "s", FailureDomain: "a"}, now, now)
+	}
+	now = now.Add(700 * time.Millisecond)
+	vm.Poll()
+	for _, content := range []crash.Trait{"c0", "c1"} {
+		terminations, _ := vm.Count(content)
+		qt.Check(t, terminations, qt.Equals, 2)
+	}
+}
+
 // TestRunThatStartedAfterATerminationIsNotCounted has servers crash under one request. This VM
 // and another one send others to them until the crashes are detected.
 func TestRunThatStartedAfterATerminationIsNotCounted(t *testing.T) {
@@ -151,12 +174,12 @@
 	for i := range 4 {
 		startedAt := f.now
 		f.now = f.now.Add(50 * time.Millisecond)
-		f.vms[0].Interrupted("culprit", server(fmt.Sprint(i)), startedAt, f.now)
+		f.vms[0].Interrupted([]crash.Trait{"culprit"}, server(fmt.Sprint(i)), startedAt, f.now)
 		if i > 0 {
-			f.vms[0].Interrupted("beside it", server(fmt.Sprint(i)), startedAt, f.now)
+			f.vms[0].Interrupted([]crash.Trait{"beside it"}, server(fmt.Sprint(i)), startedAt, f.now)
 		}
 		for _, vm := range f.vms {
-			vm.Interrupted("sent later", server(fmt.Sprint(i)), f.now.Add(10*time.Millisecond), f.now.Add(20*time.Millisecond))
+			vm.Interrupted([]crash.Trait{"sent later"}, server(fmt.Sprint(i)), f.now.Add(10*time.Millisecond), f.now.Add(20*time.Millisecond))
 		}
 	}
 	f.now = f.now.Add(time.Second)
@@ -188,7 +211,7 @@
 		vm.Completed("c")
 		now = now.Add(c.ago)
 		for i := range 3 {
-			vm.Interrupted("c", server(fmt.Sprint(i)), now, now)
+			vm.Interrupted([]crash.Trait{"c"}, server(fmt.Sprint(i)), now, now)
 		}
 		qt.Check(t, blocks(vm, "c"), qt.Equals, c.blocked, qt.Commentf("%v after it ran to completion", c.ago))
 	}
@@ -202,15 +225,15 @@
 	for i := range 3 {
 		vm.Terminated("c", server(fmt.Sprint("server ", i)), f.now)
 	}
-	first, blocked := vm.BlockedUntil("c")
-	qt.Assert(t, blocked, qt.IsTrue)
+	first := vm.Check("c")
+	qt.Assert(t, first.Decision, qt.Equals, crash.Refuse)
 	blockedAt := f.now
-	f.now = first
+	f.now = first.Until
 	qt.Assert(t, blocks(vm, "c"), qt.IsFalse)
 	vm.Terminated("c", server("server 3"), f.now)
-	second, blocked := vm.BlockedUntil("c")
-	qt.Assert(t, blocked, qt.IsTrue)
-	qt.Assert(t, second.Sub(first), qt.Equals, 2*first.Sub(blockedAt))
+	second := vm.Check("c")
+	qt.Assert(t, second.Decision, qt.Equals, crash.Refuse)
+	qt.Assert(t, second.Until.Sub(first.Until), qt.Equals, 2*first.Until.Sub(blockedAt))
 }
 
 // TestEvictionKeepsBlockedContents has one server terminate under more contents than are kept.
@@ -221,7 +244,7 @@
 		vm.Terminated("c", server(fmt.Sprint("server ", i)), f.now)
 	}
 	for i := range 20_000 {
-		vm.Terminated(fmt.Sprint("other ", i), server("server"), f.now)
+		vm.Terminated(crash.Trait(fmt.Sprint("other ", i)), server("server"), f.now)
 	}
 	qt.Check(t, blocks(vm, "c"), qt.IsTrue)
 }
@@ -310,7 +333,7 @@
 		return 0
 	}
 	for _, id := range []string{"at once", "later", "too late", "never"} {
-		vm.Interrupted("c", pool.Server{ID: id}, now, now)
+		vm.Interrupted([]crash.Trait{"c"}, pool.Server{ID: id}, now, now)
 	}
 	now = now.Add(5 * time.Second)
 	terminated["later"] = true
--- a/internal/request/crash/entry.go
+++ b/internal/request/crash/entry.go
@@ -5,32 +5,34 @@
 	"fmt"
 	"hash/fnv"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
 
-// entry holds the terminations under one content, by process.
+// entry holds the terminations under one trait, by process.
 type entry map[string]termination
 
 type termination struct {
 	at        time.Time
 	group     string
 	dismissed bool
+	tested    bool // A request ran there as a trial, and this trait was one of its suspects.
 }
 
-// isRecurring reports whether several processes terminated under the content.
+// isRecurring reports whether several processes terminated under the trait.
 func (e entry) isRecurring() bool {
 	return len(e) >= minRecurring
 }
 
 // digest returns 0 for an entry that is not recurring.
-func (e entry) digest(content string) (digest uint64) {
+func (e entry) digest(trait Trait) (digest uint64) {
 	if !e.isRecurring() {
 		return 0
 	}
 	for process, known := range e {
 		hash := fnv.New64a()
-		fmt.Fprintf(hash, "%s\x00%s\x00%t", content, process, known.dismissed) // Writes to a hash return no error.
+		fmt.Fprintf(hash, "%s\x00%s\x00%t\x00%t", trait, process, known.dismissed, known.tested) // Writes to a hash return no error.
 		digest += hash.Sum64()
 	}
 	return digest
@@ -47,6 +49,33 @@
 	return count
 }
 
+// testedAt returns the processes that terminated under a trial of the trait, in order.
+func (e entry) testedAt() (processes []string) {
+	for process, known := range e {
+		if known.tested && !known.dismissed {
+			processes = append(processes, process)
+		}
+	}
+	slices.Sort(processes)
+	return processes
+}
+
+// newest returns the newest active terminations, count at most.
+func (e entry) newest(count int) entry {
+	processes := []string{}
+	for process, known := range e {
+		if !known.dismissed {
+			processes = append(processes, process)
+		}
+	}
+	slices.SortFunc(processes, func(a, b string) int { return cmp.Or(e[b].at.Compare(e[a].at), cmp.Compare(a, b)) })
+	newest := entry{}
+	for _, process := range processes[:min(len(processes), count)] {
+		newest[process] = e[process]
+	}
+	return newest
+}
+
 // correlatedWith returns the number of processes of the same group that terminated within
 // correlationWindow of one, itself included.
 func (e entry) correlatedWith(one termination) (count int) {
@@ -69,14 +98,33 @@
 	return last
 }
 
-func (e entry) blockedUntil(now time.Time) (until time.Time, blocked bool) {
-	count := e.active()
-	if count < terminationLimit {
-		return time.Time{}, false
+// blockEnd returns when the block of a cause ends.
+func (e entry) blockEnd(trait Trait) time.Time {
+	block, growth, failures := float64(initialBlock), float64(blockGrowth), e.active()-terminationLimit
+	if trait.IsPart() {
+		block, growth, failures = float64(initialPartBlock), partBlockGrowth, e.failedTrials()
 	}
-	block := min(initialBlock<<min(count-terminationLimit, maxDoublings), retention)
-	until = e.last().Add(block)
-	return until, now.Before(until)
+	block *= math.Pow(growth, float64(failures))
+	return e.last().Add(time.Duration(min(block, float64(retention))))
+}
+
+// failedTrials returns how often a server terminated after a time of initialPartBlock without an
+// active termination. Many requests may have run with a part when it was first blocked, so their
+// number says nothing.
+func (e entry) failedTrials() (count int) {
+	times := []time.Time{}
+	for _, known := range e {
+		if !known.dismissed {
+			times = append(times, known.at)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	for i := 1; i < len(times); i++ {
+		if times[i].Sub(times[i-1]) >= initialPartBlock {
+			count++
+		}
+	}
+	return count
 }
 
 func (e entry) hasExpired(now time.Time) bool {
--- a/internal/request/crash/interruption.go
+++ b/internal/request/crash/interruption.go
@@ -9,31 +9,46 @@
 
 // interruption is a run that was interrupted at a server.
 type interruption struct {
-	content   string
+	traits    []Trait
+	tested    []Trait // The suspects if the run was a trial.
 	server    pool.Server
 	startedAt time.Time
 	at        time.Time
 }
 
-// Interrupted records that a run of the content was interrupted at a server shortly after its
+// Interrupted records that a run of a request was interrupted at a server shortly after its
 // start. If the server process has terminated, or is found to have within detectionTimeout, that
-// counts against the content, unless the same termination had already interrupted another run
-// when this one started.
-func (r *Record) Interrupted(content string, server pool.Server, startedAt, at time.Time) {
+// counts against the request's traits, unless the same termination had already interrupted another
+// run when this one started. It does not count against traits that ran to completion here a moment
+// before. Interrupted reports whether the process is known to have terminated.
+func (r *Record) Interrupted(traits []Trait, server pool.Server, startedAt, at time.Time) (terminated bool) {
+	now := r.options.Now()
 	r.mu.Lock()
-	completedRecently := r.recent.has(content, r.options.Now())
+	c := interruption{server: server, startedAt: startedAt, at: at}
+	for _, trait := range traits {
+		if t, found := r.trials[trait]; found {
+			c.tested = t.traits
+			delete(r.trials, trait)
+		}
+		if !r.recent.has(trait, now) {
+			c.traits = append(c.traits, trait)
+		}
+	}
 	r.mu.Unlock()
-	c := interruption{content: content, server: server, startedAt: startedAt, at: at}
-	if completedRecently || r.resolve(c) {
-		return
+	if r.resolve(c) {
+		return true
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.pending = appendBounded(r.pending, c)
+	if len(c.traits) > 0 {
+		r.pending = appendBounded(r.pending, c)
+	}
+	return false
 }
 
 // Poll resolves interruptions whose servers were meanwhile found to have terminated, and
-// dismisses terminations that turned out to be part of the failure of a whole failure domain.
+// dismisses terminations that are part of the failure of a whole failure domain, or
+// that other VMs count against a part with which requests run to completion here.
 func (r *Record) Poll() {
 	r.mu.Lock()
 	pending, resolved := r.pending, r.resolved
@@ -46,13 +61,15 @@
 		if now.Sub(c.at) < correlationDelay {
 			return false
 		}
-		r.dismissIfCorrelated(c)
+		r.dismissIfCorrelated(c.traits, c.server)
 		return true
 	})
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.pending = append(pending, r.pending...)
 	r.resolved = append(resolved, r.resolved...)
+	sound := r.soundSuspects(now)
+	r.mu.Unlock()
+	r.dismiss(sound)
 }
 
 // resolve reports whether the server process of an interruption is known to have terminated. If
@@ -68,8 +85,10 @@
 		return true // The process had terminated before the run started.
 	}
 	now := r.options.Now()
-	r.options.OnTerminated(c.content, c.server, now.Sub(c.at))
-	r.Terminated(c.content, c.server, c.at)
+	for _, trait := range c.traits {
+		r.options.OnTerminated(trait, c.server, now.Sub(c.at))
+	}
+	r.terminated(c.traits, c.tested, c.server, c.at)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c.at = now // Correlated losses are detected from now on.
@@ -78,21 +97,44 @@
 }
 
 // dismissIfCorrelated dismisses the termination of a server that was lost with most of its
-// failure domain, unless the content ran on most of the servers lost.
-func (r *Record) dismissIfCorrelated(c interruption) {
-	lost := r.options.CorrelatedLosses(c.server)
+// failure domain, unless requests with one of the traits ran on most of the servers lost: then these
+// may have crashed. That of a trial takes minTrialLosses, since crashes under several causes may be
+// most of a small failure domain.
+func (r *Record) dismissIfCorrelated(traits []Trait, server pool.Server) {
+	lost := r.options.CorrelatedLosses(server)
+	if lost == 0 {
+		return
+	}
+	reports := []Report{}
 	r.mu.Lock()
-	own, found := r.contents[c.content][c.server.Process()]
-	if lost == 0 || !found || own.dismissed || 2*r.contents[c.content].correlatedWith(own) > lost {
+	if slices.ContainsFunc(traits, func(trait Trait) bool { return r.explains(trait, server, lost) }) {
 		r.mu.Unlock()
 		return
 	}
-	own.dismissed = true
-	r.merge(c.content, map[string]termination{c.server.Process(): own})
-	report := r.report(c.content)
+	for _, trait := range traits {
+		own, found := r.traits[trait][server.Process()]
+		if !found || own.dismissed || (own.tested && lost < minTrialLosses) {
+			continue
+		}
+		own.dismissed = true
+		dismissed := map[string]termination{server.Process(): own}
+		r.merge(trait, dismissed)
+		reports = append(reports, r.report(trait, dismissed))
+	}
+	findings := r.attributeIfChanged()
 	r.mu.Unlock()
-	r.options.Announce(report)
-	r.options.OnDismissed(c.content, "server "+c.server.ID+" was lost with its failure domain")
+	for _, report := range reports {
+		r.options.Announce(report)
+		r.options.OnDismissed(report.Trait, "server "+server.ID+" was lost with its failure domain")
+	}
+	r.notify(findings)
+}
+
+// explains reports whether requests with a trait ran on most of the servers that were lost together
+// with one. Called with the lock held.
+func (r *Record) explains(trait Trait, server pool.Server, lost int) bool {
+	one, found := r.traits[trait][server.Process()]
+	return found && 2*r.traits[trait].correlatedWith(one) > lost
 }
 
 // appendBounded drops the oldest interruption if there are maxInterruptions.
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -48,8 +48,14 @@
 	}
 	hedge := time.NewTimer(time.Duration(hedgeFraction * float64(request.Route.LatencyObjective)))
 	defer hedge.Stop()
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
 	for {
 		select {
+		case <-ticker.C:
+			if by, blocked := r.options.Crashes.IsBlocked(request.Traits...); blocked && by.IsPart() {
+				return nil, &Unknown{Reason: refusalFor(by, "%s crashes the servers that run it", time.Time{}).Reason}
+			}
 		case result := <-c.results:
 			c.inFlight--
 			if answer, err = c.evaluate(ctx, result); answer != nil || err != nil {
@@ -71,8 +77,8 @@
 	if len(c.tried) >= maxSends {
 		return c.relay.noServer(c.request)
 	}
-	if until, refused := c.relay.options.Crashes.BlockedUntil(c.request.Content); refused {
-		return &NotRun{Kind: RefusalCrashes, Reason: reasonCrashes, RetryAt: until}
+	if refusal := c.relay.admit(ctx, c.request); refusal != nil {
+		return refusal
 	}
 	lease, err := c.relay.options.Servers.AcquireForCall(c.request.Service, c.tried)
 	if err != nil {
@@ -162,7 +168,7 @@
 		lease.RecordCall(took, result.verdict.Status >= http.StatusInternalServerError)
 	}
 	if result.err == nil && result.verdict.Success && result.verdict.Signed {
-		c.relay.options.Crashes.Completed(c.request.Content)
+		c.relay.options.Crashes.Completed(c.request.Traits...)
 	}
 }
 
--- a/internal/request/relay/counts.go
+++ b/internal/request/relay/counts.go
@@ -18,6 +18,7 @@
 	EndRefused  EarlyEnd = "refused"  // The server answered that it had not run it.
 	EndReplaced EarlyEnd = "replaced" // Another server has the address.
 	EndInactive EarlyEnd = "silent"   // An event was overdue, or the server was found down.
+	EndBlocked  EarlyEnd = "blocked"  // Requests with its traits crash servers, and it had not begun to answer.
 	EndFailed   EarlyEnd = "failed"   // The server answered with a failure of its own.
 	EndBroken   EarlyEnd = "broken"   // The connection broke.
 )
@@ -38,6 +39,8 @@
 		return EndReplaced
 	case e.notRun:
 		return EndRefused
+	case e.blocked:
+		return EndBlocked
 	case e.aborted:
 		return EndInactive
 	case e.notSent:
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -31,6 +31,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 // Request is one attempt of a caller. Header and Target are forwarded unchanged.
@@ -53,11 +54,15 @@
 	Demand      placement.Demand
 	CopyKey     string // The same for each attempt, and unique to the request; "" if unknown.
 	Content     string // Hash of account, path and body, which different requests may share.
-	// PromptParts are the IDs of the parts of the prompt that other requests may share.
+	// PromptParts are the IDs of the parts of the prompt that other requests may share. Traits
+	// are what the crash record knows the request by.
 	PromptParts []string
+	Traits      []crash.Trait
 	// Servers lists the servers that the request was sent to, in order, for the log. Only
 	// the goroutine that relays the request accesses it.
 	Servers []string
+
+	checked bool // The crash record was asked about it.
 }
 
 // Dispatch is the send of a request to one server.
@@ -118,6 +123,7 @@
 	RefusalLimit           Refusal = "serversAtLimit"
 	RefusalBudget          Refusal = "retryBudget"
 	RefusalCrashes         Refusal = "crashesServers"
+	RefusalPart            Refusal = "partCrashesServers"
 	RefusalDeadline        Refusal = "timeIsUp"
 )
 
@@ -199,11 +205,13 @@
 	Find func(ctx context.Context, copyKey string) (copied Copy, found bool)
 }
 
-// Crashes records the contents under which servers crash; see package crash.
+// Crashes records the traits of requests under which servers crash; see package crash.
 type Crashes struct {
-	Interrupted  func(content string, server pool.Server, startedAt, at time.Time)
-	Completed    func(content string)
-	BlockedUntil func(content string) (until time.Time, refused bool)
+	Interrupted func(traits []crash.Trait, server pool.Server, startedAt, at time.Time) (terminated bool)
+	Completed   func(traits ...crash.Trait)
+	Check       func(traits ...crash.Trait) crash.Verdict
+	Recheck     func(traits ...crash.Trait) crash.Verdict
+	IsBlocked   func(traits ...crash.Trait) (by crash.Trait, blocked bool)
 }
 
 // Relay is safe for concurrent use.
@@ -220,8 +228,6 @@
 }
 
 const (
-	// reasonCrashes is the reason given for the refusal of a blocked content.
-	reasonCrashes = "it crashes the servers that run it"
 	// retryDelay is the time after which a caller may retry if no server is up. A server
 	// takes about a second to restart.
 	retryDelay = 500 * time.Millisecond
@@ -264,16 +270,14 @@
 
 // reportInterruption records that a run of a request was interrupted at a server. A run that
 // ended because its caller left or its deadline passed may have crashed the server too. A server
-// that is leaving terminates anyway.
-func (r *Relay) reportInterruption(ctx context.Context, request *Request, lease *pool.Lease, startedAt, at time.Time, justBegun bool) {
+// that is leaving terminates anyway. It reports whether the server is known to have terminated.
+func (r *Relay) reportInterruption(ctx context.Context, request *Request, lease *pool.Lease, startedAt, at time.Time, justBegun bool) (terminated bool) {
 	leaving := lease.IsLeaving()
 	if ctx.Err() == nil {
 		event.RunCut.Info(r.options.Logger, "request", request.ID, "kind", request.Route.Kind.String(), "content", request.Content, "parts", request.PromptParts,
 			"server", lease.Server.ID, "justBegun", justBegun, "leaving", leaving)
 	}
-	if justBegun && !leaving {
-		r.options.Crashes.Interrupted(request.Content, lease.Server, startedAt, at)
-	}
+	return justBegun && !leaving && r.options.Crashes.Interrupted(request.Traits, lease.Server, startedAt, at)
 }
 
 // noServer returns the refusal for a request that no server may take. If all servers are in
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -52,6 +52,7 @@
 	servers   *pool.Pool
 	crashes   *crash.Record
 	answers   *nodecaller.Bodies
+	retries   *budget.Shared
 	mu        sync.Mutex
 	arrivals  []arrival
 	addresses map[string]string
@@ -100,7 +101,7 @@
 // vm returns the relay of another VM, which has the same index of copies.
 func (g *rig) vm(servers *pool.Pool) *relay.Relay {
 	connections := http1.New(http1.Options{})
-	retries := budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
+	g.retries = budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
 	g.crashes = crash.New(crash.Options{Now: time.Now, Announce: func(crash.Report) {}, HasTerminated: servers.HasTerminated})
 	renewals := relay.Renewals{}
 	if g.renews {
@@ -116,9 +117,9 @@
 		Decode:             decode,
 		IDHeader:           headerID,
 		ReadAnswer:         g.answers.Read,
-		Withdraw:           func(string) bool { return retries.Withdraw() },
-		WithdrawPreventive: func(string) bool { return retries.WithdrawPreventive() },
-		Refund:             func(string) { retries.Refund() },
+		Withdraw:           func(string) bool { return g.retries.Withdraw() },
+		WithdrawPreventive: func(string) bool { return g.retries.WithdrawPreventive() },
+		Refund:             func(string) { g.retries.Refund() },
 		Counts: relay.Counts{
 			EndedEarly: func(how relay.EarlyEnd) { g.mu.Lock(); defer g.mu.Unlock(); g.earlyEnds = append(g.earlyEnds, how) },
 			Resumed: func(fromCopy bool, _ time.Duration) {
@@ -135,9 +136,11 @@
 			Find: g.findCopy,
 		},
 		Crashes: relay.Crashes{
-			Interrupted:  g.crashes.Interrupted,
-			Completed:    g.crashes.Completed,
-			BlockedUntil: g.crashes.BlockedUntil,
+			Interrupted: g.crashes.Interrupted,
+			Completed:   g.crashes.Completed,
+			Check:       g.crashes.Check,
+			Recheck:     g.crashes.Recheck,
+			IsBlocked:   g.crashes.IsBlocked,
 		},
 	})
 }
@@ -224,6 +227,7 @@
 		Target:   "/x/1",
 		Service:  "s",
 		Content:  "content",
+		Traits:   crash.Traits("content", nil),
 		Received: now,
 		Deadline: now.Add(5 * time.Second),
 		Demand:   placement.Demand{PromptTokens: 1000, OutputTokens: 100},
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -13,6 +13,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 const (
@@ -38,8 +39,14 @@
 	// startWindow is the time after its first event for which a run counts as just started.
 	// Only such a run may have crashed its server.
 	startWindow = 250 * time.Millisecond
-	// maxCrashes is the number of servers that may go down just after a stream started
-	// there. Then it is not sent again, as it may have crashed them.
+	// passedAfter and passedEvents are the time since its first event and the number of events
+	// from which on a run can't have crashed its server at its start. Both are needed: events
+	// that a VM reads after a pause arrived before it.
+	passedAfter  = 2 * startWindow
+	passedEvents = 16
+	// maxCrashes is the number of servers that may stop responding just after a stream started
+	// there. Then it is not sent again, as it may have crashed them. Servers that are known to
+	// have terminated are left to the crash record, which knows the runs beside it too.
 	maxCrashes = 3
 	// watchInterval is how often a run's server is checked for inactivity.
 	watchInterval = 100 * time.Millisecond
@@ -56,7 +63,10 @@
 	sentAt         time.Time // When the current run was sent.
 	firstEventAt   time.Time // When the first event of the current run arrived; zero before.
 	sends          int       // Sends that may have run.
-	crashes        int       // Of these, the ones whose server was found down at once, just after their start.
+	lastEventAt    time.Time // When the last event of the current run arrived.
+	runEvents      int       // Events of the current run.
+	passed         bool      // A run of it has outlived its start by passedAfter.
+	crashes        int       // Of these, the ones whose server stopped responding just after their start.
 	refused        int       // Sends that no server ran.
 	idleTimeouts   int       // Runs that were ended by an idle timeout.
 	chargedRetries int       // Sends that were charged to the retry budget.
@@ -82,6 +92,7 @@
 	replaced  bool
 	aborted   bool // The watch ended it: it was idle, or the server is down.
 	idle      bool // The watch ended it since an event was overdue.
+	blocked   bool // The watch ended it since requests with its traits crash servers.
 	moved     bool // Its memory was moved, and it continues at another server.
 	err       error
 	callerErr error // The caller's connection failed.
@@ -98,12 +109,15 @@
 		s.resumeFrom, _ = r.options.Copies.Find(ctx, request.CopyKey)
 	}
 	for {
-		if until, refused := r.options.Crashes.BlockedUntil(request.Content); refused || s.crashes >= maxCrashes {
-			return s.fail(RefusalCrashes, reasonCrashes, until)
+		if s.crashes >= maxCrashes {
+			return s.fail(refusalFor(crash.Trait(request.Content), "%s may be what made servers stop responding that ran it", time.Time{}))
+		}
+		if refusal := r.admit(ctx, request); refusal != nil {
+			return s.fail(refusal)
 		}
 		end := s.run(ctx)
 		if end.done {
-			r.options.Crashes.Completed(request.Content)
+			r.options.Crashes.Completed(request.Traits...)
 			return nil
 		}
 		if end.answer != nil {
@@ -112,6 +126,11 @@
 		if end.callerErr != nil || ctx.Err() != nil {
 			return s.contextError(ctx, end)
 		}
+		if end.blocked {
+			if refusal := r.admit(ctx, request); refusal != nil {
+				return s.fail(refusal)
+			}
+		}
 		if final := s.decide(ctx, end); final != nil {
 			return final
 		}
@@ -148,15 +167,15 @@
 	case end.noServer && s.awaitServer(ctx):
 		return nil // The budget was charged before.
 	case end.noServer:
-		return s.fail(RefusalNoServer, s.reason, soon)
+		return s.fail(&NotRun{Kind: RefusalNoServer, Reason: s.reason, RetryAt: soon})
 	case s.refused > maxSends:
-		return s.fail(RefusalByServers, "servers refused it: "+s.reason, soon)
+		return s.fail(&NotRun{Kind: RefusalByServers, Reason: "servers refused it: " + s.reason, RetryAt: soon})
 	case s.sends > 0 && !s.request.Route.Retryable():
-		return s.fail(RefusalByServers, s.reason, soon)
+		return s.fail(&NotRun{Kind: RefusalByServers, Reason: s.reason, RetryAt: soon})
 	case s.sends >= s.request.Route.MaxAttempts:
-		return s.fail(RefusalByServers, "all attempts are used: "+s.reason, soon)
+		return s.fail(&NotRun{Kind: RefusalByServers, Reason: "all attempts are used: " + s.reason, RetryAt: soon})
 	case !s.relay.options.Withdraw(s.request.Service):
-		return s.fail(RefusalBudget, "the retry budget of the service is spent", soon)
+		return s.fail(&NotRun{Kind: RefusalBudget, Reason: "the retry budget of the service is spent", RetryAt: soon})
 	}
 	s.chargedRetries++
 	return nil
@@ -174,26 +193,18 @@
 	if until.IsZero() || until.After(s.waitedSince.Add(time.Duration(maxIdleGaps*float64(s.request.Route.GapObjective)))) {
 		return false
 	}
-	timer := time.NewTimer(until.Sub(now))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleepUntil(ctx, now, until)
 }
 
-// fail returns the error of a stream that does not continue. Its caller may retry at the given
-// time.
-func (s *stream) fail(kind Refusal, reason string, retryAt time.Time) error {
+// fail returns the error of a stream that does not continue: the refusal, if it has not run.
+func (s *stream) fail(refusal *NotRun) error {
 	switch {
 	case s.headSent:
-		return &Interrupted{Reason: reason}
+		return &Interrupted{Reason: refusal.Reason}
 	case s.sends > 0:
-		return &Unknown{Reason: reason}
+		return &Unknown{Reason: refusal.Reason}
 	default:
-		return &NotRun{Kind: kind, Reason: reason, RetryAt: retryAt}
+		return refusal
 	}
 }
 
@@ -270,7 +281,7 @@
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
 	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.lastEventID, "promptTokens", s.request.Demand.PromptTokens, "load", lease.Load)
-	s.sentAt, s.firstEventAt = s.relay.options.Now(), time.Time{}
+	s.sentAt, s.firstEventAt, s.lastEventAt, s.runEvents = s.relay.options.Now(), time.Time{}, time.Time{}, 0
 	s.relay.options.LoadAdded()
 	defer s.relay.options.LoadReduced()
 	end = s.exchange(ctx, lease, dispatch, resumed)
@@ -296,7 +307,7 @@
 		return
 	}
 	now := s.relay.options.Now()
-	justBegun := s.firstEventAt.IsZero() || now.Sub(s.firstEventAt) <= startWindow
+	justBegun := s.lastEventAt.Sub(s.firstEventAt) <= startWindow
 	if end.callerErr != nil || ctx.Err() != nil {
 		s.reportInterruption(ctx, lease, end, now, justBegun)
 		return
@@ -304,6 +315,7 @@
 	s.relay.options.Counts.EndedEarly(end.earlyEnd())
 	event.RunEnded.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
 		"fromCopy", resumed, "lastEvent", s.lastEventID, "notRun", end.notRun, "silent", end.aborted, "reason", fmt.Sprint(end.err))
+	stopped := false
 	switch {
 	case end.replaced:
 		lease.MarkReplaced()
@@ -312,23 +324,24 @@
 	case end.notRun || end.answer != nil:
 	case end.notSent:
 		lease.ReportUnreachable(end.err)
+	case end.blocked:
 	case justBegun && !end.aborted:
-		if !lease.Check(ctx) {
-			s.crashes++
-		}
+		stopped = !lease.Check(ctx)
 	default:
 		lease.ReportBroken()
 	}
-	s.reportInterruption(ctx, lease, end, now, justBegun)
+	if terminated := s.reportInterruption(ctx, lease, end, now, justBegun); stopped && !terminated {
+		s.crashes++
+	}
 	s.tried[lease.Server.ID] = true
 }
 
 // reportInterruption reports a run that may have crashed its server.
-func (s *stream) reportInterruption(ctx context.Context, lease *pool.Lease, end runResult, at time.Time, justBegun bool) {
-	if end.notSent || end.notRun || end.failure || end.answer != nil {
-		return
+func (s *stream) reportInterruption(ctx context.Context, lease *pool.Lease, end runResult, at time.Time, justBegun bool) (terminated bool) {
+	if end.notSent || end.notRun || end.failure || end.blocked || end.answer != nil {
+		return false
 	}
-	s.relay.reportInterruption(ctx, s.request, lease, s.sentAt, at, justBegun)
+	return s.relay.reportInterruption(ctx, s.request, lease, s.sentAt, at, justBegun)
 }
 
 // exchange sends the dispatch, awaits the head and relays the events.
@@ -340,6 +353,7 @@
 	defer func() {
 		end.moved = s.finishMove(watch, end)
 		s.renewedCopy = watch.renewal.copied
+		end.blocked = watch.blocked.Load() && !end.done && end.callerErr == nil
 	}()
 	response, verdict, err := s.relay.send(ctx, dispatch)
 	if err != nil {
@@ -383,6 +397,17 @@
 	}
 }
 
+// recordProgress records an event of the run. A run that outlived its start by far has shown that
+// its traits crash no server that begins to answer; its end may be seconds away.
+func (s *stream) recordProgress() {
+	s.lastEventAt = s.relay.options.Now()
+	s.runEvents++
+	if !s.passed && s.runEvents >= passedEvents && s.lastEventAt.Sub(s.firstEventAt) >= passedAfter {
+		s.passed = true
+		s.relay.options.Crashes.Completed(s.request.Traits...)
+	}
+}
+
 // relayEvents relays events until the run ends.
 func (s *stream) relayEvents(response *http1.Response, verdict Verdict, lease *pool.Lease, dispatch Dispatch, watch *watch) (end runResult) {
 	reader := bufio.NewReader(response.Body)
@@ -414,6 +439,7 @@
 			s.onFirstEvent(lease, dispatch, watch)
 		}
 		first = false
+		s.recordProgress()
 		s.sendHead(verdict)
 		if err = s.sink.Event(e.raw); err != nil {
 			return runResult{callerErr: err}
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -19,6 +19,7 @@
 	dueAt       atomic.Int64 // When the next event is overdue, in Unix nanoseconds.
 	aborted     atomic.Bool
 	down        atomic.Bool // The server was found to be down.
+	blocked     atomic.Bool // Requests with the run's traits are refused, and it has not begun to answer.
 	timer       *time.Timer
 	stopped     chan struct{}
 	started     atomic.Bool   // The run's first event has arrived.
@@ -100,6 +101,11 @@
 			copyLost = nil
 			moveDue = true // Takes effect after the first event: before it there is little to move.
 		case <-ticker.C:
+			if _, blocked := s.relay.options.Crashes.IsBlocked(s.request.Traits...); blocked && !w.started.Load() {
+				w.blocked.Store(true) // It would crash its server once it begins to answer.
+				w.abort()
+				return
+			}
 			if since := now().Add(-inactivityLimit); since.After(startedAt) {
 				lease.CheckIfInactive(since)
 			}
