A response that a server sends twice answers one request

What callers could see: 'not run, try again' for a request that a server runs. A faulty server writes an earlier refusal once more on a kept connection; the same request sent again there, or a call without an id (a move, the freeing of a copy, a question for an id), took it for its own answer.

Cause: responses are matched by the request's id only. Now no two requests in a row with the same id, or without one, share a connection, and a response with an id is never that of a call without one. Three tests in http1_test.go failed before.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -22,6 +22,7 @@
 	"math"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -94,8 +95,9 @@
 }
 
 // Request is one HTTP request to an address. Body is sent with its length. ID is the
-// value that the server echoes in the header IDHeader; responses with another value are
-// skipped.
+// value that the server echoes in the header IDHeader, "" if it echoes none; responses with
+// another value are skipped. A server may send a response twice, so no two requests in a row with
+// the same ID share a connection.
 type Request struct {
 	Address  string
 	HTTP     *http.Request
@@ -117,7 +119,8 @@
 	reader     *bufio.Reader
 	remaining  int64 // Bytes that may still be read of the head or of a stale body.
 	idleUntil  time.Time
-	used       bool // It has carried a request.
+	used       bool   // It has carried a request.
+	lastID     string // Of the last request that it has carried; "" also for one without an id.
 	unreusable bool
 }
 
@@ -137,6 +140,7 @@
 	*http.Response
 	pool       *Pool
 	address    string
+	id         string // Of the request.
 	connection *connection
 	written    chan error
 	stop       func() bool
@@ -189,7 +193,7 @@
 		_ = c.Close()
 		return nil, errors.Annotatef(ErrBroken, "%s: %v", request.Address, err)
 	}
-	return &Response{Response: head, pool: p, address: request.Address, connection: c, written: written, stop: stop}, nil
+	return &Response{Response: head, pool: p, address: request.Address, id: request.ID, connection: c, written: written, stop: stop}, nil
 }
 
 // Check opens a connection to find out whether the address accepts any, and keeps it for
@@ -251,7 +255,7 @@
 // have been closed meanwhile, or a new one.
 func (p *Pool) acquire(ctx context.Context, request Request) (*connection, error) {
 	for {
-		c := p.pop(request.Address)
+		c := p.pop(request.Address, request.ID)
 		if c == nil {
 			break
 		}
@@ -263,16 +267,18 @@
 	return p.open(ctx, request.Address)
 }
 
-func (p *Pool) pop(address string) *connection {
+// pop removes and returns the newest idle connection that may carry a request with an ID.
+func (p *Pool) pop(address, id string) *connection {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	idle := p.idle[address]
-	if len(idle) == 0 {
-		return nil
+	for i, c := range slices.Backward(idle) {
+		if !c.used || c.lastID != id {
+			p.idle[address] = slices.Delete(idle, i, i+1)
+			return c
+		}
 	}
-	c := idle[len(idle)-1]
-	p.idle[address] = idle[:len(idle)-1]
-	return c
+	return nil
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*connection, error) {
@@ -361,7 +367,7 @@
 		if request.ID != "" && echoed == "" && c.used {
 			return nil, errors.New("an answer names no request: it may be of an earlier one")
 		}
-		if request.ID == "" || echoed == "" || echoed == request.ID {
+		if echoed == "" || echoed == request.ID {
 			return head, nil
 		}
 		if stale++; stale > maxStaleResponses {
@@ -401,7 +407,7 @@
 		_ = c.Close()
 		return
 	}
-	c.used = true
+	c.used, c.lastID = true, r.id
 	c.idleUntil = r.pool.options.Now().Add(idleTimeout(r.Header))
 	r.pool.keep(r.address, c)
 }
--- a/internal/backend/http1/http1_test.go
+++ b/internal/backend/http1/http1_test.go
@@ -237,3 +237,81 @@
 		t.Fatal("the server does not see the connection close")
 	}
 }
+
+// refuse writes a refusal of a request.
+func refuse(c io.Writer, id string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nX-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nbusy", id)
+}
+
+// TestRefusalOfTheSameRequestIsNotReadAgain has a server refuse a request, and write the refusal
+// once more when the request comes again on the same connection, before it runs it.
+func TestRefusalOfTheSameRequestIsNotReadAgain(t *testing.T) {
+	address, opened := peer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		for sent := 1; ; sent++ {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			if number == 1 {
+				refuse(c, request.Header.Get("X-Id")) // The second time, it is a stale one.
+			}
+			if number > 1 || sent > 1 {
+				answer(c, request.Header.Get("X-Id"), "ran")
+			}
+		}
+	})
+	p := http1.New(http1.Options{})
+	_, err := send(p, address, "r0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	body, err := send(p, address, "r0", nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, body, qt.Equals, "ran")
+	qt.Check(t, opened.Load(), qt.Equals, int32(2))
+}
+
+// TestResponseOfAnotherRequestIsNotThatOfACall has a server send a response that names a request
+// when a call without an id is next on the connection.
+func TestResponseOfAnotherRequestIsNotThatOfACall(t *testing.T) {
+	address, _ := peer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		for _, id := range []string{"r0", ""} {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if id == "" {
+				refuse(c, "r0")
+			}
+			answer(c, id, "for "+id)
+		}
+		_, _ = r.ReadByte()
+	})
+	p := http1.New(http1.Options{})
+	for _, id := range []string{"r0", ""} {
+		body, err := send(p, address, id, nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, body, qt.Equals, "for "+id)
+	}
+}
+
+// TestResponseOfAnEarlierCallIsNotThatOfTheNext has a server write the response to a call without an
+// id once more when the next such call is sent.
+func TestResponseOfAnEarlierCallIsNotThatOfTheNext(t *testing.T) {
+	address, _ := peer(t, func(number int, c net.Conn, r *bufio.Reader) {
+		for sent := 1; ; sent++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			if sent > 1 {
+				answer(c, "", fmt.Sprint("call ", number, ".", sent-1))
+			}
+			answer(c, "", fmt.Sprint("call ", number, ".", sent))
+		}
+	})
+	p := http1.New(http1.Options{})
+	seen := map[string]bool{}
+	for range 4 {
+		body, err := send(p, address, "", nil)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, seen[body], qt.IsFalse, qt.Commentf("%s", body))
+		seen[body] = true
+	}
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -426,7 +426,7 @@
 	}
 	v.servers.RecordSent(server, purpose)
 	v.counters.sent(purpose)
-	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: request, Body: body})
+	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: request, Body: body, IDHeader: v.options.IDHeader})
 	if err != nil {
 		return 0, nil, errors.Trace(err)
 	}
@@ -459,7 +459,7 @@
 	}
 	v.servers.RecordSent(server, pool.PurposeIdentify)
 	v.counters.sent(pool.PurposeIdentify)
-	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: v.options.EncodeIdentify(service.HealthPath)})
+	response, err := v.connections.Send(ctx, http1.Request{Address: server.Address, HTTP: v.options.EncodeIdentify(service.HealthPath), IDHeader: v.options.IDHeader})
 	if err != nil {
 		return "", errors.Trace(err)
 	}
