A stream goes on with events that follow those that the caller has

What callers could see: the text of an error in the middle of their stream, or a stream that ends as if it were complete. After a stream broke off, whatever the next server sent with the type of a stream was passed on.

--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -71,3 +72,18 @@
 	}
 	return ""
 }
+
+// follows reports whether an event may come after the last one that the caller has: its id is
+// higher. The first event of a run that continues a stream needs an id, as what a server answers
+// instead of a stream may look like an event.
+func follows(e frame, last string, first bool) bool {
+	before, err := strconv.ParseUint(last, 10, 64)
+	if err != nil {
+		return true // The stream has begun with this run, or its ids are no numbers.
+	}
+	id, err := strconv.ParseUint(e.id, 10, 64)
+	if err != nil {
+		return !first && e.id == ""
+	}
+	return id > before
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -433,6 +433,9 @@
 			continue // Comments are no progress.
 		}
 		comments = 0
+		if !follows(e, s.lastEventID, first) {
+			return runResult{err: errors.Annotatef(http1.ErrBroken, "event %q does not follow event %q", e.id, s.lastEventID)}
+		}
 		watch.pause()
 		lease.RecordActivity()
 		if first {
