The limit of a server that is not listed yet is kept until it is

It had started at the address of one that crashed while the store could not be read; its 421 named the limit, but a 421 is of another process than the one in the list, so its notice was dropped. What a process says of itself is now kept by its id until it is listed.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -90,14 +90,15 @@
 	mu         sync.Mutex
 	servers    map[string]*server
 	peers      map[string]peerLoads
-	peerTotals map[string]Load      // The load of all peers, by server ID.
-	capacities map[string]Capacity  // By service.
-	lossAt     map[string]time.Time // By group.
-	departures map[string]departure // By server ID.
-	returnAt   map[string]time.Time // When the last refused caller of a service is to return.
-	cell       int                  // The cell of this VM.
-	cells      int                  // 0 and 1 for a fleet that is not split.
-	cellOf     map[string]int       // The cells of the servers, by address; nil until needed.
+	peerTotals map[string]Load        // The load of all peers, by server ID.
+	capacities map[string]Capacity    // By service.
+	lossAt     map[string]time.Time   // By group.
+	departures map[string]departure   // By server ID.
+	returnAt   map[string]time.Time   // When the last refused caller of a service is to return.
+	early      map[string]earlyNotice // By server id.
+	cell       int                    // The cell of this VM.
+	cells      int                    // 0 and 1 for a fleet that is not split.
+	cellOf     map[string]int         // The cells of the servers, by address; nil until needed.
 
 	recheckedAt    time.Time
 	sentReportedAt time.Time
@@ -183,12 +184,17 @@
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}}
 }
 
 // Update replaces the list of servers. The state of servers that stay in the list is
 // kept.
 func (p *Pool) Update(listed []Server) {
+	p.update(listed)
+	p.applyEarlyNotices()
+}
+
+func (p *Pool) update(listed []Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, s := range p.servers {
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -93,9 +93,14 @@
 	}
 	found := p.addSuccessor(s, id, now)
 	old, sinceAnswer := s.Server, now.Sub(s.answeredAt)
+	successor := Server{}
+	if found != nil {
+		successor = found.Server // The list may change it once the lock is released.
+	}
 	p.mu.Unlock()
+	p.applyEarlyNotices()
 	if found != nil {
-		p.options.Successors.OnFound(old, found.Server, sinceAnswer)
+		p.options.Successors.OnFound(old, successor, sinceAnswer)
 	}
 }
 
@@ -103,13 +108,12 @@
 // place.
 func (p *Pool) ApplyPeerSuccessor(serverID, successorID string) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	now := p.options.Now()
-	s := p.servers[serverID]
-	if s == nil || !s.listed || s.isLeaving() || !p.isListStale(now) {
-		return
+	if s := p.servers[serverID]; s != nil && s.listed && !s.isLeaving() && p.isListStale(now) {
+		p.addSuccessor(s, successorID, now)
 	}
-	p.addSuccessor(s, successorID, now)
+	p.mu.Unlock()
+	p.applyEarlyNotices()
 }
 
 // addSuccessor replaces a server by one with another id, unless that one is known
--- a/internal/backend/pool/successor_test.go
+++ b/internal/backend/pool/successor_test.go
@@ -103,6 +103,19 @@
 	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
 }
 
+// TestSuccessorThatIsFoundMayBeListedAtOnce guards against a data race: the list changes the server while
+// the search reports it. Nothing may order the two here, so that the race detector sees it.
+func TestSuccessorThatIsFoundMayBeListedAtOnce(t *testing.T) {
+	g := newSuccessorRig(t)
+	g.crash(time.Second)
+	g.recheckFor(500 * time.Millisecond)
+	time.Sleep(50 * time.Millisecond)
+	listed := server("a1", "a")
+	listed.ID = "a1-again"
+	g.Update([]pool.Server{listed})
+	qt.Assert(t, g.streamServer(), qt.Equals, "a1-again")
+}
+
 func TestServerAtAnAddressThatMayBeReusedIsNotFound(t *testing.T) {
 	g := newSuccessorRig(t)
 	g.crash(addressKept)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -465,8 +465,11 @@
 	}
 	defer response.Close()
 	notice := v.options.DecodeNotice(response.Response)
+	reply := pool.Reply{Purpose: pool.PurposeIdentify, Status: response.StatusCode, Permit: serial}
 	if id = v.options.DecodeIdentify(response.Response); id == server.ID {
-		v.servers.ApplyLimit(server, pool.Reply{Purpose: pool.PurposeIdentify, Status: response.StatusCode, Permit: serial}, notice)
+		v.servers.ApplyLimit(server, reply, notice)
+	} else {
+		v.servers.ApplySuccessorNotice(id, reply, notice)
 	}
 	if notice.Leaving {
 		return "", errors.New("the server process is leaving")
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -90,8 +90,9 @@
 	Success    bool
 	Signed     bool
 	NotRun     bool
-	Replaced   bool // Another instance answers at the address.
-	EventsOnly bool // The body is a stream of events.
+	Replaced   bool   // Another instance answers at the address.
+	InstanceID string // Id of the server that answers, if it reports it.
+	EventsOnly bool   // The body is a stream of events.
 	Notice     pool.ServerNotice
 }
 
@@ -250,10 +251,13 @@
 		return nil, Verdict{}, err
 	}
 	verdict = r.options.Decode(response.Response)
-	if !verdict.Replaced { // Otherwise the notice is that of another process.
-		r.options.Servers.ApplyNotice(dispatch.Server, verdict.Notice)
-		r.options.Servers.ApplyLimit(dispatch.Server, pool.Reply{Purpose: dispatch.Purpose, Status: verdict.Status, Refused: verdict.NotRun, Permit: dispatch.Permit}, verdict.Notice)
+	reply := pool.Reply{Purpose: dispatch.Purpose, Status: verdict.Status, Refused: verdict.NotRun, Permit: dispatch.Permit}
+	if verdict.Replaced {
+		r.options.Servers.ApplySuccessorNotice(verdict.InstanceID, reply, verdict.Notice)
+		return response, verdict, nil
 	}
+	r.options.Servers.ApplyNotice(dispatch.Server, verdict.Notice)
+	r.options.Servers.ApplyLimit(dispatch.Server, reply, verdict.Notice)
 	return response, verdict, nil
 }
 
