--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -180,6 +180,7 @@
 		Renewals:           relay.Renewals{Copy: v.copyRun, Free: v.freeCopy},
 		Withdraw:           v.withdraw,
 		WithdrawPreventive: v.withdrawPreventive,
+		RetryAt:            func(service string) time.Time { return v.budgetOf(service).RetryAt() },
 		Refund:             func(service string) { v.budgetOf(service).Refund() },
 		Copies:             relay.Copies{Put: v.putCopy, Find: v.findCopy},
 		Crashes: relay.Crashes{
--- a/internal/request/budget/shared.go
+++ b/internal/request/budget/shared.go
@@ -1,6 +1,7 @@
 package budget
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -108,9 +109,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	total := s.total()
-	allowance := usableFraction * s.options.Allowance / float64(max(s.options.Cells(), 1))
-	if age := s.options.Now().Sub(s.options.KnownSince); !s.knowsWindow() {
-		allowance *= startFraction / usableFraction * float64(age) / float64(s.options.Window)
+	allowance := s.fullAllowance()
+	if !s.knowsWindow() {
+		allowance = s.startAllowance() * float64(s.options.Now().Sub(s.options.KnownSince)) / float64(s.options.Window)
 	}
 	if float64(total.Retries+1) > fraction*(usableFraction*s.options.Ratio*float64(total.Requests)+allowance) {
 		return false
@@ -119,6 +120,30 @@
 	return true
 }
 
+// RetryAt returns when the allowance of a VM that has just started suffices for one more retry, if
+// nothing else changes; zero if the age of the VM is not what it lacks.
+func (s *Shared) RetryAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	total := s.total()
+	lacking := float64(total.Retries+1) - usableFraction*s.options.Ratio*float64(total.Requests)
+	if s.knowsWindow() || lacking <= 0 || lacking > s.startAllowance() {
+		return time.Time{}
+	}
+	age := time.Duration(math.Ceil(lacking / s.startAllowance() * float64(s.options.Window)))
+	return s.options.KnownSince.Add(age)
+}
+
+// fullAllowance is the part of the allowance that the VMs of a cell use.
+func (s *Shared) fullAllowance() float64 {
+	return usableFraction * s.options.Allowance / float64(max(s.options.Cells(), 1))
+}
+
+// startAllowance is what they use of it if nobody knows the usage before, one window after their start.
+func (s *Shared) startAllowance() float64 {
+	return startFraction / usableFraction * s.fullAllowance()
+}
+
 // Refund gives back the withdrawal of a retry that never reached a server.
 func (s *Shared) Refund() {
 	s.mu.Lock()
--- a/internal/request/budget/shared_test.go
+++ b/internal/request/budget/shared_test.go
@@ -240,3 +240,29 @@
 	announce(vms, 0)
 	qt.Check(t, withdrawAll(vms[1:]) > 100, qt.IsTrue)
 }
+
+func TestVMThatStartsKnowsWhenItMayRetry(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		vm := newVMs(1, &now, now)[0]
+		for range rapid.IntRange(0, 20).Draw(t, "requests") {
+			vm.Deposit()
+		}
+		for vm.Withdraw() {
+		}
+		at := vm.RetryAt()
+		property.Assert(t, at.After(now), qt.IsTrue)
+		now = at.Add(-time.Millisecond)
+		property.Assert(t, vm.Withdraw(), qt.IsFalse)
+		now = at.Add(time.Microsecond)
+		property.Assert(t, vm.Withdraw(), qt.IsTrue)
+	})
+}
+
+func TestVMThatKnowsTheWindowWaitsForNoAllowance(t *testing.T) {
+	now := time.Unix(1000, 0)
+	vm := newVMs(1, &now, time.Time{})[0]
+	for vm.Withdraw() {
+	}
+	qt.Check(t, vm.RetryAt().IsZero(), qt.IsTrue)
+}
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -86,7 +86,7 @@
 	}
 	if len(c.tried) > 0 && !c.relay.options.Withdraw(c.request.Service) {
 		lease.Release()
-		return &NotRun{Kind: RefusalBudget, Reason: "the retry budget of the service is spent", RetryAt: c.relay.options.Now().Add(retryDelay)}
+		return c.relay.budgetSpent()
 	}
 	c.tried[lease.Server.ID] = true
 	c.request.Servers = append(c.request.Servers, lease.Server.ID)
@@ -211,7 +211,12 @@
 // retry sends the request once more, or returns the final outcome.
 func (c *call) retry(ctx context.Context) (answer *Answer, err error) {
 	if c.sent == 0 || c.mayRetry() {
-		if err = c.start(ctx, pool.PurposeRetry); err == nil {
+		waitUntil := c.relay.options.Now().Add(maxBudgetWait)
+		err = c.start(ctx, pool.PurposeRetry)
+		for isBudgetSpent(err) && c.relay.awaitBudget(ctx, c.request.Service, waitUntil) {
+			err = c.start(ctx, pool.PurposeRetry)
+		}
+		if err == nil {
 			return nil, nil
 		}
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -178,9 +178,12 @@
 	IDHeader string
 	// Withdraw takes one retry from the service's shared budget and reports whether it was
 	// available. WithdrawPreventive does so for a retry that only protects a stream against
-	// a later loss. Refund gives back the withdrawal of a retry that never reached a server.
+	// a later loss. RetryAt is when the budget of a VM that has just started suffices for a
+	// retry; zero if that is not what it lacks. Refund gives back the withdrawal of a retry that
+	// never reached a server.
 	Withdraw           func(service string) bool
 	WithdrawPreventive func(service string) bool
+	RetryAt            func(service string) time.Time
 	Refund             func(service string)
 	Counts             Counts
 	// LoadAdded is called when a stream is placed on a server, and LoadReduced when its
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -119,6 +119,7 @@
 		ReadAnswer:         g.answers.Read,
 		Withdraw:           func(string) bool { return g.retries.Withdraw() },
 		WithdrawPreventive: func(string) bool { return g.retries.WithdrawPreventive() },
+		RetryAt:            func(string) time.Time { return g.retries.RetryAt() },
 		Refund:             func(string) { g.retries.Refund() },
 		Counts: relay.Counts{
 			EndedEarly: func(how relay.EarlyEnd) { g.mu.Lock(); defer g.mu.Unlock(); g.earlyEnds = append(g.earlyEnds, how) },
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -174,8 +174,8 @@
 		return s.fail(&NotRun{Kind: RefusalByServers, Reason: s.reason, RetryAt: soon})
 	case s.sends >= s.request.Route.MaxAttempts:
 		return s.fail(&NotRun{Kind: RefusalByServers, Reason: "all attempts are used: " + s.reason, RetryAt: soon})
-	case !s.relay.options.Withdraw(s.request.Service):
-		return s.fail(&NotRun{Kind: RefusalBudget, Reason: "the retry budget of the service is spent", RetryAt: soon})
+	case !s.relay.withdraw(ctx, s.request.Service):
+		return s.fail(s.relay.budgetSpent())
 	}
 	s.chargedRetries++
 	return nil
