Own interface: crashes count for all VMs, against contents and beginnings of prompts

Cause: each VM counted the crashes of whole contents by itself, and kept its suspects apart only from each other. Now the crash record counts contents and the beginnings of prompts, heartbeats carry it, and each server is assigned to one suspect of all VMs by rendezvous hashing (DECISIONS 24). One VM issues the permits for trials of a blocked beginning.

--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -54,13 +54,17 @@
 }
 
 // Criteria describes what the work requires. Either Version or Service is set. Suspicion
-// is the number of servers that crashed while running the request. Prefix, when set,
-// identifies the beginning of the prompt for cache affinity.
+// is the number of servers that crashed while running the request. Content identifies what
+// the request asks for, and Suspects the contents, at all VMs, that are to be isolated from
+// each other; its own may be among them. Prefix, when set, identifies the beginning of the
+// prompt for cache affinity.
 type Criteria struct {
 	Version   string
 	Service   string
 	Exclude   []string
 	Suspicion int
+	Content   string
+	Suspects  []string
 	Prefix    string
 }
 
@@ -207,13 +211,14 @@
 }
 
 // fits reports whether the request may share the server with what runs there. A request
-// at or above isolationThreshold is isolated from every other suspect.
+// at or above isolationThreshold is isolated from every other suspect of this VM, and from
+// the Suspects of all VMs.
 func (s *server) fits(criteria Criteria) bool {
 	if slices.Contains(criteria.Exclude, s.Name) {
 		return false
 	}
 	if criteria.Suspicion >= isolationThreshold {
-		return s.suspects == 0
+		return s.suspects == 0 && s.isAssignedTo(criteria)
 	}
 	return criteria.Suspicion == 0 || s.isolated == 0
 }
--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -28,6 +28,7 @@
 	"github.com/endivespoke/endivespoke/internal/peer/gossip"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/platform/vmlist"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 const (
@@ -51,6 +52,13 @@
 	// maxBlockedPerHeartbeat of them.
 	maxBlocked             = 64
 	maxBlockedPerHeartbeat = 4
+	// crashReportPeriod is how long heartbeats carry each crash, so that crashes under one
+	// content at different VMs are counted together. maxFreshCrashes bounds these reports in a
+	// heartbeat: an engine runs some 50 requests, each with a few beginnings.
+	// maxRecurringCrashes bounds the reports of contents under which several engines crashed.
+	crashReportPeriod   = 3 * gossip.HeartbeatInterval
+	maxFreshCrashes     = 128
+	maxRecurringCrashes = 16
 )
 
 // Options configures a Loop. OnConfiguration is called on the loop's goroutine with each
@@ -66,6 +74,8 @@
 	OnDown          func(vm string)
 	Demands         func() []wire.AccountDemand
 	OnDemands       func(from string, demands []wire.AccountDemand)
+	Crashes         func(since time.Time, maxFresh, maxRecurring int) []crash.Report
+	OnCrashes       func(reports []crash.Report)
 }
 
 // Loop is the goroutine that owns the control state.
--- a/internal/node/control/heartbeat.go
+++ b/internal/node/control/heartbeat.go
@@ -38,6 +38,7 @@
 	}
 	slices.SortFunc(heartbeat.Blocked, func(a, b wire.BlockedContent) int { return b.Until.Compare(a.Until) })
 	heartbeat.Blocked = heartbeat.Blocked[:min(maxBlockedPerHeartbeat, len(heartbeat.Blocked))]
+	heartbeat.Crashes = l.options.Crashes(now.Add(-crashReportPeriod), maxFreshCrashes, maxRecurringCrashes)
 	return heartbeat
 }
 
@@ -100,6 +101,9 @@
 	for _, content := range heartbeat.Blocked {
 		s.block(content)
 	}
+	if len(heartbeat.Crashes) > 0 {
+		l.options.OnCrashes(heartbeat.Crashes)
+	}
 	if heartbeat.Revision <= s.inForce.Head.Revision || s.fetching {
 		return
 	}
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -38,6 +38,7 @@
 	"github.com/endivespoke/endivespoke/internal/node/settings"
 	"github.com/endivespoke/endivespoke/internal/node/trace"
 	"github.com/endivespoke/endivespoke/internal/operator/admin"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/peer/replica"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	platformobject "github.com/endivespoke/endivespoke/internal/platform/object"
@@ -46,6 +47,7 @@
 	"github.com/endivespoke/endivespoke/internal/request/action"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
 	"github.com/endivespoke/endivespoke/internal/request/owner"
 )
@@ -69,6 +71,8 @@
 	settings  settings.Checked
 	logger    hclog.Logger
 	loop      *control.Loop
+	crashes   *crash.Record
+	permits   *permit.Issuer
 	fleet     *fleet.Fleet
 	gate      *admission.Gate
 	shares    *admission.Shares
@@ -146,6 +150,17 @@
 		OnAcks: func(peer string, acks []wire.Ack) { v.owner.OnAcks(peer, acks) },
 		OnDown: func(peer string) { v.owner.OnDown(peer) },
 	})
+	v.permits = permit.NewIssuer(time.Now)
+	v.crashes = crash.New(crash.Options{
+		Now:        time.Now,
+		Announce:   func(crash.Report) {}, // Heartbeats carry the reports.
+		TakePermit: v.takePermit,
+		VMs:        func() int { return len(v.loop.Snapshot().Members) },
+		OnBlocked: func(trait crash.Trait, terminations int) {
+			name, value := trait.Field()
+			event.ContentCondemned.Warn(v.logger, name, value, "servers", terminations)
+		},
+	})
 	v.loop = control.New(control.Options{
 		Self:            v.self(),
 		Pool:            v.pool,
@@ -157,6 +172,8 @@
 		OnDown:          func(peer string) { go v.owner.OnDown(peer) },
 		Demands:         v.demands,
 		OnDemands:       v.mergeDemands,
+		Crashes:         v.crashes.Current,
+		OnCrashes:       v.crashes.Merge,
 	})
 	v.owner = owner.New(owner.Options{
 		Engines:      v.engines,
@@ -166,6 +183,7 @@
 		Store:        v.store,
 		Snapshot:     v.loop.Snapshot,
 		BlockContent: v.loop.Block,
+		Crashes:      v.crashes,
 		Logger:       v.logger,
 		Now:          time.Now,
 		Grace:        v.settings.Grace,
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -20,6 +20,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
@@ -184,6 +185,7 @@
 	Members     []Member         `cbor:"5,keyasint,omitempty"`
 	Blocked     []BlockedContent `cbor:"6,keyasint,omitempty"`
 	Demands     []AccountDemand  `cbor:"7,keyasint,omitempty"`
+	Crashes     []crash.Report   `cbor:"8,keyasint,omitempty"`
 }
 
 // ContentRequest requests a configuration by hash.
--- a/internal/request/generation/generation_test.go
+++ b/internal/request/generation/generation_test.go
@@ -1,6 +1,7 @@
 package generation_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -168,3 +169,20 @@
 		}
 	})
 }
+
+// TestBeginningsAreSharedByPromptsThatBeginAlike has prompts of messages and of text.
+func TestBeginningsAreSharedByPromptsThatBeginAlike(t *testing.T) {
+	text := strings.Repeat("wall ", 100)
+	one, other := generation.Spec{Prompt: text + "one"}, generation.Spec{Prompt: text + "other"}
+	qt.Check(t, one.Beginnings(), qt.HasLen, 1)
+	qt.Check(t, one.Beginnings(), qt.DeepEquals, other.Beginnings())
+	qt.Check(t, generation.Spec{Prompt: "short"}.Beginnings(), qt.HasLen, 0)
+	qt.Check(t, generation.Spec{Prompt: strings.Repeat(text, 10)}.Beginnings(), qt.HasLen, 3)
+	system, user := generation.Message{Role: "system", Content: "be brief"}, generation.Message{Role: "user", Content: "hello"}
+	first := generation.Spec{Messages: []generation.Message{system, user}}
+	second := generation.Spec{Messages: []generation.Message{system, user, user}}
+	qt.Check(t, first.Beginnings(), qt.HasLen, 1)
+	qt.Check(t, second.Beginnings()[0], qt.Equals, first.Beginnings()[0])
+	qt.Check(t, second.Beginnings()[1], qt.Not(qt.Equals), first.Beginnings()[0])
+	qt.Check(t, generation.Spec{Messages: []generation.Message{user, user}}.Beginnings()[0], qt.Not(qt.Equals), first.Beginnings()[0])
+}
--- a/internal/request/generation/journal.go
+++ b/internal/request/generation/journal.go
@@ -95,6 +95,34 @@
 	return hex.EncodeToString(hash.Sum(nil)[:16])
 }
 
+// firstBeginning is the length of the shortest beginning of a prompt, in bytes; each further one is
+// beginningGrowth times as long. Shorter prompts have none.
+const (
+	firstBeginning  = 256
+	beginningGrowth = 4
+)
+
+// Beginnings identifies the beginnings of the prompt that other requests may share: all messages
+// but the last ones, or, of a prompt without messages, the text up to some lengths.
+func (s Spec) Beginnings() (ids []string) {
+	hash := sha256.New()
+	add := func(texts ...string) {
+		for _, text := range texts {
+			_, _ = fmt.Fprintf(hash, "%s\x00", text) // A hash never fails to write.
+		}
+		ids = append(ids, hex.EncodeToString(hash.Sum(nil)[:16]))
+	}
+	for i := 0; i+1 < len(s.Messages); i++ {
+		add(s.Messages[i].Role, s.Messages[i].Content)
+	}
+	from := 0
+	for length := firstBeginning; length < len(s.Prompt); length *= beginningGrowth {
+		add(s.Prompt[from:length])
+		from = length
+	}
+	return ids
+}
+
 // SameBody reports whether two specs request the same answer. Deadlines may
 // differ, since a retry sets a new one.
 func (s Spec) SameBody(other Spec) bool {
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -38,6 +38,7 @@
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
@@ -76,6 +77,7 @@
 	Store        *replica.Store
 	Snapshot     func() *control.Snapshot
 	BlockContent func(contentHash string)
+	Crashes      *crash.Record // Nil for one of its own.
 	Logger       hclog.Logger
 	Now          func() time.Time
 	Grace        time.Duration
@@ -103,6 +105,9 @@
 	if options.Timing == (Timing{}) {
 		options.Timing = DefaultTiming
 	}
+	if options.Crashes == nil {
+		options.Crashes = crash.New(crash.Options{Now: options.Now, Announce: func(crash.Report) {}})
+	}
 	return &Owner{
 		options:            options,
 		byRequest:          map[generation.RequestID]*Generation{},
@@ -139,6 +144,9 @@
 	if until, blocked := snapshot.BlockedUntil[hash]; blocked {
 		return nil, blockedProblem(until)
 	}
+	if verdict := o.options.Crashes.Check(crash.Traits(hash, submission.Spec.Beginnings())...); verdict.Trait.IsPart() {
+		return nil, beginningProblem(verdict.Until)
+	}
 	if !snapshot.Accepting(o.options.Now()) {
 		return nil, &problem.Problem{Code: problem.ConfigurationOutdated, Outcome: notRun(submission.KeyGiven), Detail: "this VM can't tell whether its configuration is current; use another", RetryAt: o.options.Now().Add(time.Second)}
 	}
@@ -224,6 +232,11 @@
 	return &problem.Problem{Code: problem.CrashesServers, Outcome: problem.Failed, Detail: "every engine that ran this content crashed; it is not run again for now", RetryAt: until}
 }
 
+// beginningProblem refuses a request that begins like others under which engines crashed.
+func beginningProblem(until time.Time) *problem.Problem {
+	return &problem.Problem{Code: problem.CrashesServers, Outcome: problem.Failed, Detail: "engines crashed under prompts that begin like this one; it is not run for now", RetryAt: until}
+}
+
 func (o *Owner) newGeneration(ctx context.Context, journal *generation.Journal) *Generation {
 	ctx, cancel := context.WithDeadline(trace.Detached(ctx), journal.Spec.Deadline)
 	return &Generation{
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -11,6 +11,7 @@
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/gossip"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
 )
 
@@ -21,14 +22,17 @@
 	// other suspected requests.
 	isolationWait = 2 * time.Second
 	// isolateAfterCrashes is the number of servers that crashed while running a
-	// request, from which on the request is isolated from other suspected
-	// requests.
+	// content, at all VMs, from which on its requests are isolated from other suspected
+	// ones.
 	isolateAfterCrashes = 2
 	// blockAfterCrashes is the number of servers that crashed while running a
-	// request, from which on its content is blocked if the last one crashed while
+	// content, at all VMs, from which on it is blocked if the last one crashed while
 	// the request was isolated. Fewer crashes also occur under harmless requests,
 	// when several servers fail at the same time.
 	blockAfterCrashes = 4
+	// reportTime is the time after which all VMs know of a crash: until the next heartbeat,
+	// and until one to a VM that answered it.
+	reportTime = 2 * gossip.HeartbeatInterval
 	// dismissAfterTokens is the least number of tokens of a dispatch after which
 	// the crashes are no longer counted against its request.
 	dismissAfterTokens = 32
@@ -73,6 +77,8 @@
 	sameEngine         bool      // The connection resumes the engine's stream.
 	isolationDeadline  time.Time // Until when a suspected request waits for a server without others.
 	isolated           bool      // The current dispatch shares its server with no other suspected request.
+	passed             bool      // The current dispatch has outlived the crashes of the content.
+	refusedAt          time.Time // When a server last refused an isolated dispatch.
 	everConnected      bool
 	broken             bool // The last connection broke, rather than reaching its idle timeout.
 }
@@ -147,6 +153,9 @@
 		return rc.recordResumeResult(c)
 	}
 	if c.err != nil && c.refused {
+		if c.isolated {
+			rc.refusedAt = rc.owner.options.Now()
+		}
 		rc.excluded = append(rc.excluded, c.server)
 		rc.owner.serverFailed(c.server, c.err)
 	}
@@ -198,11 +207,14 @@
 	return rc.generation.journal.EngineRequest != "" && !rc.engineLost
 }
 
+// hedgeDelay returns the profile's hedge delay, or the time until a dispatch may start if that is
+// longer.
 func (rc *recovery) hedgeDelay() time.Duration {
+	delay := rc.owner.options.Timing.HedgeDelayLatency
 	if rc.owner.profile() == object.ProfileResourceUse {
-		return rc.owner.options.Timing.HedgeDelayResources
+		delay = rc.owner.options.Timing.HedgeDelayResources
 	}
-	return rc.owner.options.Timing.HedgeDelayLatency
+	return max(delay, rc.dispatchableAt().Sub(rc.owner.options.Now()))
 }
 
 // tryResume requests the rest of the engine's stream over a new connection.
@@ -251,6 +263,9 @@
 // retry interval, unless a server refused the work and the retry budget allows
 // another dispatch at once.
 func (rc *recovery) dispatchOrPause(ctx context.Context) candidate {
+	if !rc.awaitReports(ctx) {
+		return candidate{err: errors.Trace(ctx.Err())}
+	}
 	c := rc.recordResult(rc.tryDispatch(ctx, rc.criteria()))
 	if c.err == nil || (c.refused && rc.owner.retries.Withdraw()) {
 		return c
@@ -277,6 +292,9 @@
 	if c.err = rc.checkContinuable(); c.err != nil {
 		return c
 	}
+	if c.err = rc.checkNotBlocked(); c.err != nil {
+		return c
+	}
 	if c.lease, c.err = o.options.Fleet.Pick(criteria); c.err != nil {
 		if o.options.Fleet.Capacity(fleet.Criteria{Version: criteria.Version}) == 0 {
 			c.err = &problem.Problem{Code: problem.NoServer, Outcome: rc.dispatchFailureOutcome(), Detail: "no backend server is published for version " + criteria.Version, RetryAt: o.options.Now().Add(5 * time.Second)}
@@ -380,6 +398,7 @@
 	rc.release()
 	rc.lease = found.lease
 	rc.isolated = found.isolated
+	rc.passed = false
 	rc.engineLost = false
 	rc.dispatchTokens = 0
 	rc.stalledConnections = 0
@@ -464,6 +483,7 @@
 	g.mu.Unlock()
 	if complete {
 		rc.owner.recordCrashes(g.contentHash, nil)
+		rc.owner.options.Crashes.Completed(g.traits()...)
 	}
 	if failed && !moved && request != "" {
 		rc.cancelPrevious(server, request)
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -1,13 +1,16 @@
 package owner
 
 import (
+	"context"
 	"slices"
 	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
 	"github.com/endivespoke/endivespoke/internal/node/control"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
 // recordCrash records that an engine crashed while running this request. It
@@ -20,30 +23,118 @@
 	g.mu.Unlock()
 	rc.tokensAtCrash = rc.dispatchTokens
 	rc.owner.recordCrashes(g.contentHash, crashes)
-	if len(crashes) < blockAfterCrashes || !rc.isolated {
+	if until, blocked := rc.owner.recordTermination(g, server); blocked {
+		return beginningProblem(until)
+	}
+	count, _ := rc.owner.options.Crashes.Count(crash.Trait(g.contentHash))
+	if max(len(crashes), count) < blockAfterCrashes || !rc.isolated {
 		return nil
 	}
-	event.ContentCondemned.Warn(rc.owner.options.Logger, "content", g.contentHash, "servers", crashes)
+	event.ContentCondemned.Warn(rc.owner.options.Logger, "content", g.contentHash, "servers", crashes, "atAllVMs", count)
 	rc.owner.options.BlockContent(g.contentHash)
 	return blockedProblem(rc.owner.options.Now().Add(control.BlockedFor))
 }
 
+// terminationWindow is the time within which crashes of an engine under several requests, as several
+// VMs see them, are one termination.
+const terminationWindow = 10 * time.Second
+
+// recordTermination records that an engine crashed under a generation, for all that other prompts
+// may have in common with it. It reports whether a beginning of the prompt is blocked, and until
+// when. The content is left to recordCrash, which knows which requests shared the engine.
+func (o *Owner) recordTermination(g *Generation, server string) (until time.Time, blocked bool) {
+	now := o.options.Now()
+	process := pool.Server{ID: server, Started: now.Truncate(terminationWindow).UnixMilli()}
+	for _, trait := range g.traits() {
+		o.options.Crashes.Terminated(trait, process, now)
+	}
+	return o.blockedBeginning(g)
+}
+
+// blockedBeginning reports whether a beginning of the generation's prompt is blocked, and until when.
+func (o *Owner) blockedBeginning(g *Generation) (until time.Time, blocked bool) {
+	traits := g.traits()
+	by, blocked := o.options.Crashes.IsBlocked(traits...)
+	if !blocked || !by.IsPart() {
+		return time.Time{}, false
+	}
+	return o.options.Crashes.Recheck(traits...).Until, true
+}
+
+// traits returns what the crash record knows the generation's prompt by.
+func (g *Generation) traits() []crash.Trait {
+	return crash.Traits(g.contentHash, g.spec.Beginnings())
+}
+
+// suspicion returns the number of servers that crashed under the generation's content at all
+// VMs, as far as this one knows, and when the last one did. Callers hold the generation's mu.
+func (rc *recovery) suspicion() (crashes int, last time.Time) {
+	count, last := rc.owner.options.Crashes.Count(crash.Trait(rc.generation.contentHash))
+	return max(count, len(rc.generation.journal.Crashes)), last
+}
+
+// dispatchableAt returns when the next dispatch may start. A content that is to be isolated waits
+// until the other VMs have the report of its last crash, so that none of them sends another
+// suspect to the same server. It also waits after a refusal: the server that all VMs send the
+// content to may just have crashed under it.
+func (rc *recovery) dispatchableAt() time.Time {
+	rc.generation.mu.Lock()
+	defer rc.generation.mu.Unlock()
+	crashes, last := rc.suspicion()
+	if crashes < isolateAfterCrashes {
+		return time.Time{}
+	}
+	if rc.refusedAt.After(last) {
+		last = rc.refusedAt
+	}
+	return last.Add(reportTime)
+}
+
+// checkNotBlocked returns the final error of a generation whose content, or a beginning of whose
+// prompt, was blocked since it was accepted.
+func (rc *recovery) checkNotBlocked() error {
+	o, g := rc.owner, rc.generation
+	if until, blocked := o.options.Snapshot().BlockedUntil[g.contentHash]; blocked {
+		return blockedProblem(until)
+	}
+	if until, blocked := o.blockedBeginning(g); blocked {
+		return beginningProblem(until)
+	}
+	return nil
+}
+
+// awaitReports waits until the next dispatch may start. It reports whether the context goes on.
+func (rc *recovery) awaitReports(ctx context.Context) bool {
+	timer := time.NewTimer(rc.dispatchableAt().Sub(rc.owner.options.Now()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // criteria returns the criteria for the server of the next dispatch. A request
-// under which several servers crashed waits for up to isolationWait for a server
-// without other suspected requests, and then shares one.
+// under whose content several servers crashed waits for up to isolationWait for a
+// server without other suspected requests, and then shares one.
 func (rc *recovery) criteria() fleet.Criteria {
 	g := rc.generation
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	criteria := fleet.Criteria{
-		Version:   g.journal.Spec.Version,
-		Exclude:   slices.Clone(rc.excluded),
-		Suspicion: len(g.journal.Crashes),
-		Prefix:    g.prefix(),
+		Version: g.journal.Spec.Version,
+		Exclude: slices.Clone(rc.excluded),
+		Content: g.contentHash,
+		Prefix:  g.prefix(),
 	}
+	criteria.Suspicion, _ = rc.suspicion()
 	if criteria.Suspicion < isolateAfterCrashes {
 		return criteria
 	}
+	for _, content := range rc.owner.options.Crashes.RecurringContents() {
+		criteria.Suspects = append(criteria.Suspects, string(content))
+	}
 	now := rc.owner.options.Now()
 	if rc.isolationDeadline.IsZero() {
 		rc.isolationDeadline = now.Add(isolationWait)
@@ -81,19 +172,23 @@
 }
 
 // addTokens counts tokens of the current dispatch. It dismisses the crashes of the
-// request once the dispatch has dismissAfterTokens tokens and twice as many as the
-// one whose engine crashed last. Callers hold the generation's mu.
+// content, at all VMs, once the dispatch has dismissAfterTokens tokens and twice as many
+// as the one whose engine crashed last. Callers hold the generation's mu.
 func (rc *recovery) addTokens(tokens int) {
 	if rc.dispatchTokens == 0 && tokens > 0 && rc.lease != nil {
 		rc.owner.serverSucceeded(rc.lease.Server.Name)
 	}
 	rc.dispatchTokens += tokens
-	journal := rc.generation.journal
-	if len(journal.Crashes) == 0 || rc.dispatchTokens < max(dismissAfterTokens, 2*rc.tokensAtCrash) {
+	if rc.passed || rc.dispatchTokens < max(dismissAfterTokens, 2*rc.tokensAtCrash) {
+		return
+	}
+	rc.passed = true
+	if crashes, _ := rc.suspicion(); crashes == 0 {
 		return
 	}
-	journal.Crashes = nil
+	rc.generation.journal.Crashes = nil
 	rc.owner.recordCrashes(rc.generation.contentHash, nil)
+	rc.owner.options.Crashes.Completed(rc.generation.traits()...)
 	if rc.lease != nil {
 		rc.lease.ClearSuspicion()
 	}
