--- a/internal/request/owner/isolation_test.go
+++ b/internal/request/owner/isolation_test.go
@@ -60,9 +60,14 @@
 	return v
 }
 
-// exchange passes a round of heartbeats.
+// exchange lets a round of heartbeats pass.
 func (v *vms) exchange() {
 	v.at = v.at.Add(gossip.HeartbeatInterval)
+	v.merge()
+}
+
+// merge has each VM receive the crash reports of all others.
+func (v *vms) merge() {
 	for _, from := range v.owners {
 		for _, to := range v.owners {
 			to.options.Crashes.Merge(from.options.Crashes.Current(v.at.Add(-3*gossip.HeartbeatInterval), 128, 16))
