Suspects that wait for an engine never run as harmless requests (own interface)

What callers saw: a request that crashes engines took 6 where 4 are allowed, and others were broken off each time; at worst all engines are lost and callers wait for their deadline.

Cause: from its second crash on a content runs only at engines that are assigned to it. The assignment could leave it with none that lives: it did not know which had crashed, gave servers to contents that are blocked, and not the same number to each. After 2 s it then ran as a harmless request, so that its crash showed nothing, without bound.

Change: suspects choose engines in turn, the likeliest cause first, crashed ones last, blocked contents none. All VMs wait for the same engine of a content. Isolation is relaxed in two steps, and a crash counts after each. Event 408 no longer says that a content is refused which is not.

--- a/internal/backend/fleet/choice.go
+++ b/internal/backend/fleet/choice.go
@@ -5,9 +5,6 @@
 )
 
 func (f *Fleet) choose(candidates []*server, criteria Criteria, now time.Time) *server {
-	if criteria.Suspicion >= isolationThreshold {
-		return chooseForSuspect(candidates, criteria.Content)
-	}
 	first := candidates[f.options.Random.IntN(len(candidates))]
 	second := candidates[f.options.Random.IntN(len(candidates))]
 	chosen := first
--- a/internal/backend/fleet/ejection.go
+++ b/internal/backend/fleet/ejection.go
@@ -15,13 +15,13 @@
 
 // earliestEjected returns the ejected server that returns first if there are no
 // candidates, so that at most maxEjectedFraction of a pool stays ejected.
-func (f *Fleet) earliestEjected(matching, candidates []*server, criteria Criteria, now time.Time) []*server {
+func (f *Fleet) earliestEjected(fitting, candidates []*server, now time.Time) []*server {
 	if len(candidates) > 0 {
 		return candidates
 	}
 	var first *server
-	for _, s := range matching {
-		if s.admits(now) || !s.fits(criteria) || s.inFlight > 0 {
+	for _, s := range fitting {
+		if s.admits(now) || s.inFlight > 0 {
 			continue
 		}
 		if first == nil || s.ejectedUntil.Before(first.ejectedUntil) {
--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -55,9 +55,10 @@
 
 // Criteria describes what the work requires. Either Version or Service is set. Suspicion
 // is the number of servers that crashed while running the request. Content identifies what
-// the request asks for, and Suspects the contents, at all VMs, that are to be isolated from
-// each other; its own may be among them. Prefix, when set, identifies the beginning of the
-// prompt for cache affinity.
+// the request asks for. Suspects are the contents, at all VMs, that are to be isolated from
+// each other, the likeliest cause of crashes first; its own may be among them. Crashed lists the
+// servers that crashed lately, which suspects get last. Prefix, when set, identifies the
+// beginning of the prompt for cache affinity.
 type Criteria struct {
 	Version   string
 	Service   string
@@ -65,9 +66,25 @@
 	Suspicion int
 	Content   string
 	Suspects  []string
+	Crashed   []string
+	Isolation Isolation
 	Prefix    string
 }
 
+// Isolation is which requests may not run on the server of a request at or above
+// isolationThreshold. Requests of this VM at or above it never may.
+type Isolation int
+
+// The kinds of isolation, the strictest first.
+const (
+	// FromAllSuspects excludes all requests of this VM under which a server crashed.
+	FromAllSuspects Isolation = iota
+	// FromSuspectsOfAllVMs excludes the Suspects.
+	FromSuspectsOfAllVMs
+	// FromSuspectsOfThisVM excludes no others.
+	FromSuspectsOfThisVM
+)
+
 // server is the state of one backend server on this VM.
 type server struct {
 	object.BackendServer
@@ -168,8 +185,8 @@
 	return f.acquire(chosen, criteria, now), nil
 }
 
-// candidates lists the servers that may take the work, in name order so that a seeded
-// source of random numbers gives the same choices.
+// candidates lists the servers that may take the work, in an order that is always the same, so
+// that a seeded source of random numbers gives the same choices.
 func (f *Fleet) candidates(criteria Criteria, now time.Time) []*server {
 	candidates := []*server{}
 	ejected := 0
@@ -188,14 +205,25 @@
 	for _, s := range matching {
 		if !s.admits(now) {
 			ejected++
+		}
+	}
+	fitting := []*server{}
+	for _, s := range assigned(matching, criteria) {
+		if slices.Contains(criteria.Exclude, s.Name) {
 			continue
 		}
 		if s.fits(criteria) {
+			fitting = append(fitting, s)
+		}
+		if s.admits(now) && s.fits(criteria) {
 			candidates = append(candidates, s)
 		}
+		if s.admits(now) && criteria.isIsolated() {
+			break // It waits for this one: other VMs send requests with its content there too.
+		}
 	}
 	if float64(ejected) > maxEjectedFraction*float64(len(matching)) {
-		return f.earliestEjected(matching, candidates, criteria, now)
+		return f.earliestEjected(fitting, candidates, now)
 	}
 	return candidates
 }
@@ -210,15 +238,10 @@
 	return slices.Contains(s.Versions, criteria.Version)
 }
 
-// fits reports whether the request may share the server with what runs there. A request
-// at or above isolationThreshold is isolated from every other suspect of this VM, and from
-// the Suspects of all VMs.
+// fits reports whether the request may share the server with what runs there.
 func (s *server) fits(criteria Criteria) bool {
-	if slices.Contains(criteria.Exclude, s.Name) {
-		return false
-	}
-	if criteria.Suspicion >= isolationThreshold {
-		return s.suspects == 0 && s.isAssignedTo(criteria)
+	if criteria.isIsolated() && criteria.Isolation == FromAllSuspects {
+		return s.suspects == 0
 	}
 	return criteria.Suspicion == 0 || s.isolated == 0
 }
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -116,6 +116,14 @@
 	return fmt.Sprintf("%s/%d", s.ID, s.Started)
 }
 
+// ProcessServerID returns the ID of the server of a Process.
+func ProcessServerID(process string) string {
+	if i := strings.LastIndexByte(process, '/'); i >= 0 {
+		return process[:i]
+	}
+	return process
+}
+
 type server struct {
 	Server
 	limitState
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -157,8 +157,10 @@
 		TakePermit: v.takePermit,
 		VMs:        func() int { return len(v.loop.Snapshot().Members) },
 		OnBlocked: func(trait crash.Trait, terminations int) {
-			name, value := trait.Field()
-			event.ContentCondemned.Warn(v.logger, name, value, "servers", terminations)
+			if trait.IsPart() { // Contents are blocked by the owner of a request, after more crashes.
+				_, beginning := trait.Field()
+				event.ContentCondemned.Warn(v.logger, "part", beginning, "servers", terminations)
+			}
 		},
 	})
 	v.loop = control.New(control.Options{
--- a/internal/request/crash/periodic.go
+++ b/internal/request/crash/periodic.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 )
 
 // Current returns reports for VMs that exchange them at intervals instead of when they change:
@@ -43,7 +45,8 @@
 	return known.active(), known.last()
 }
 
-// RecurringContents returns the contents under which several processes terminated, in order.
+// RecurringContents returns the contents under which several processes terminated, those with the
+// most first, in the same order on VMs that have merged the same reports.
 func (r *Record) RecurringContents() []Trait {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -53,6 +56,21 @@
 			contents = append(contents, trait)
 		}
 	}
-	slices.Sort(contents)
+	slices.SortFunc(contents, func(a, b Trait) int {
+		return cmp.Or(cmp.Compare(r.traits[b].active(), r.traits[a].active()), cmp.Compare(a, b))
+	})
 	return contents
 }
+
+// TerminatedServers returns the IDs of the servers of which a process has terminated since a time.
+func (r *Record) TerminatedServers(since time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ids := []string{}
+	for process, at := range r.terminatedAt {
+		if at.After(since) {
+			ids = append(ids, pool.ProcessServerID(process))
+		}
+	}
+	return ids
+}
--- a/internal/request/owner/crashing_test.go
+++ b/internal/request/owner/crashing_test.go
@@ -187,7 +187,7 @@
 		v := newVMs(2, 8, rapid.Uint64().Draw(t, "seed"))
 		suspects := []*recovery{}
 		for i := range rapid.IntRange(2, 4).Draw(t, "suspects") {
-			suspects = append(suspects, v.run(i%2, fmt.Sprint("content ", rapid.Uint64().Draw(t, "content"))))
+			suspects = append(suspects, v.run(i%2, fmt.Sprint("content ", i, rapid.Uint64().Draw(t, "content"))))
 		}
 		for _, server := range []string{"s0", "s1", "s2"} {
 			for _, rc := range suspects {
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -19,8 +19,13 @@
 	// retryInterval is the wait before all servers are tried again.
 	retryInterval = 100 * time.Millisecond
 	// isolationWait bounds the wait of a suspected request for a server without
-	// other suspected requests.
-	isolationWait = 2 * time.Second
+	// other suspected requests of this VM, and assignmentWait that for a server that
+	// is assigned to it among the suspects of all VMs: these may all be unreachable.
+	isolationWait  = 2 * time.Second
+	assignmentWait = 10 * time.Second
+	// crashedPeriod is how long a server that crashed is the last choice for a suspected
+	// request. Engines restart within seconds.
+	crashedPeriod = time.Minute
 	// isolateAfterCrashes is the number of servers that crashed while running a
 	// content, at all VMs, from which on its requests are isolated from other suspected
 	// ones.
@@ -75,8 +80,8 @@
 	excluded           []string
 	lostAt             time.Time // Time of the last event of the stream that was lost.
 	sameEngine         bool      // The connection resumes the engine's stream.
-	isolationDeadline  time.Time // Until when a suspected request waits for a server without others.
-	isolated           bool      // The current dispatch shares its server with no other suspected request.
+	waitsSince         time.Time // When a suspected request began to wait for a server; zero while it has one.
+	isolated           bool      // The current dispatch is isolated from other suspected requests.
 	passed             bool      // The current dispatch has outlived the crashes of the content.
 	refusedAt          time.Time // When a server last refused an isolated dispatch.
 	everConnected      bool
@@ -402,7 +407,7 @@
 	rc.engineLost = false
 	rc.dispatchTokens = 0
 	rc.stalledConnections = 0
-	rc.isolationDeadline = time.Time{}
+	rc.waitsSince = time.Time{}
 }
 
 func (rc *recovery) cancelPrevious(server, request string) {
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -115,9 +115,10 @@
 	}
 }
 
-// criteria returns the criteria for the server of the next dispatch. A request
-// under whose content several servers crashed waits for up to isolationWait for a
-// server without other suspected requests, and then shares one.
+// criteria returns the criteria for the server of the next dispatch. A request under whose content
+// several servers crashed waits for one without other suspected requests, and gets less isolation
+// the longer it waits, but always some: a crash beside another suspect shows nothing, so any
+// number of them could follow.
 func (rc *recovery) criteria() fleet.Criteria {
 	g := rc.generation
 	g.mu.Lock()
@@ -132,15 +133,21 @@
 	if criteria.Suspicion < isolateAfterCrashes {
 		return criteria
 	}
+	now, blocked := rc.owner.options.Now(), rc.owner.options.Snapshot().BlockedUntil
 	for _, content := range rc.owner.options.Crashes.RecurringContents() {
-		criteria.Suspects = append(criteria.Suspects, string(content))
-	}
-	now := rc.owner.options.Now()
-	if rc.isolationDeadline.IsZero() {
-		rc.isolationDeadline = now.Add(isolationWait)
-	}
-	if now.After(rc.isolationDeadline) {
-		criteria.Suspicion = 1
+		if !blocked[string(content)].After(now) {
+			criteria.Suspects = append(criteria.Suspects, string(content))
+		}
+	}
+	criteria.Crashed = rc.owner.options.Crashes.TerminatedServers(now.Add(-crashedPeriod))
+	if rc.waitsSince.IsZero() {
+		rc.waitsSince = now
+	}
+	switch waited := now.Sub(rc.waitsSince); {
+	case waited > assignmentWait:
+		criteria.Isolation = fleet.FromSuspectsOfThisVM
+	case waited > isolationWait:
+		criteria.Isolation = fleet.FromSuspectsOfAllVMs
 	}
 	return criteria
 }
