--- a/internal/request/owner/crashing_test.go
+++ b/internal/request/owner/crashing_test.go
@@ -28,6 +28,7 @@
 type play struct {
 	*vms
 	random  *rand.Rand
+	begins  bool // All prompts begin alike.
 	runs    []*playedRun
 	crashed map[string]bool
 	refused []string // Harmless generations that were given up.
@@ -54,10 +55,11 @@
 	return 20 + p.random.IntN(180)
 }
 
-// newRecovery returns that of a generation whose prompt has no beginning.
 func (p *play) newRecovery(vm int, content string) *recovery {
 	rc := p.run(vm, content)
-	rc.generation.spec.Prompt = content
+	if !p.begins {
+		rc.generation.spec.Prompt = content
+	}
 	return rc
 }
 
@@ -146,12 +148,21 @@
 // TestCrashingContentLosesFewEnginesBesideOthers sends a content that crashes engines to several VMs at
 // once, beside harmless ones at all VMs.
 func TestCrashingContentLosesFewEnginesBesideOthers(t *testing.T) {
+	playCrashingContent(t, false)
+}
+
+// TestHarmlessGenerationsThatBeginLikeACrashingOneComplete does so where all prompts begin alike.
+func TestHarmlessGenerationsThatBeginLikeACrashingOneComplete(t *testing.T) {
+	playCrashingContent(t, true)
+}
+
+func playCrashingContent(t *testing.T, begins bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		vmCount := rapid.IntRange(1, 4).Draw(t, "vms")
 		allowed := max(blockAfterCrashes, 2*vmCount+1)
 		servers := allowed + rapid.IntRange(2, 6).Draw(t, "more servers")
 		seed := rapid.Uint64().Draw(t, "seed")
-		p := &play{vms: newVMs(vmCount, servers, seed), random: rand.New(rand.NewPCG(seed, 0)), crashed: map[string]bool{}}
+		p := &play{vms: newVMs(vmCount, servers, seed), random: rand.New(rand.NewPCG(seed, 0)), begins: begins, crashed: map[string]bool{}}
 		for vm := range vmCount {
 			for i := range rapid.IntRange(0, 10).Draw(t, "harmless") {
 				p.start(vm, fmt.Sprintf("harmless %d.%d", vm, i), p.tokens())
