A generation is given up for a beginning of its prompt when all VMs' reports must be in (own interface)

What callers saw: an accepted generation ended in crashesServers although only another content with the same beginning crashes engines.

Cause: a VM may have the reports of a beginning's crashes up to two heartbeats before those of the content that explains them, and gave the generation up at that moment. It now waits for the reports: until then the generation is not dispatched. A request that is not accepted yet is refused at once, as before.

The test of blocked generations lets that time pass, and asserts the same.

--- a/internal/request/owner/isolation_test.go
+++ b/internal/request/owner/isolation_test.go
@@ -176,6 +176,10 @@
 				if errors.Is(c.err, engine.ErrGone) {
 					c = rc.nextCandidate(context.Background())
 				}
+				if errors.Is(c.err, errBeginningBlocked) { // It waits for reports.
+					v.at = v.at.Add(reportTime)
+					c = rc.nextCandidate(context.Background())
+				}
 				var final *problem.Problem
 				qt.Assert(t, errors.As(c.err, &final), qt.IsTrue, qt.Commentf("%v", c.err))
 				qt.Check(t, final.Code, qt.Equals, problem.CrashesServers)
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/endivespoke/endivespoke/internal/backend/fleet"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
@@ -23,9 +25,7 @@
 	g.mu.Unlock()
 	rc.tokensAtCrash = rc.dispatchTokens
 	rc.owner.recordCrashes(g.contentHash, crashes)
-	if until, blocked := rc.owner.recordTermination(g, server); blocked {
-		return beginningProblem(until)
-	}
+	rc.owner.recordTermination(g, server)
 	count, _ := rc.owner.options.Crashes.Count(crash.Trait(g.contentHash))
 	if max(len(crashes), count) < blockAfterCrashes || !rc.isolated {
 		return nil
@@ -40,25 +40,14 @@
 const terminationWindow = 10 * time.Second
 
 // recordTermination records that an engine crashed under a generation, for all that other prompts
-// may have in common with it. It reports whether a beginning of the prompt is blocked, and until
-// when. The content is left to recordCrash, which knows which requests shared the engine.
-func (o *Owner) recordTermination(g *Generation, server string) (until time.Time, blocked bool) {
+// may have in common with it. Whether its content is blocked is left to recordCrash, which knows
+// which requests shared the engine.
+func (o *Owner) recordTermination(g *Generation, server string) {
 	now := o.options.Now()
 	process := pool.Server{ID: server, Started: now.Truncate(terminationWindow).UnixMilli()}
 	for _, trait := range g.traits() {
 		o.options.Crashes.Terminated(trait, process, now)
 	}
-	return o.blockedBeginning(g)
-}
-
-// blockedBeginning reports whether a beginning of the generation's prompt is blocked, and until when.
-func (o *Owner) blockedBeginning(g *Generation) (until time.Time, blocked bool) {
-	traits := g.traits()
-	by, blocked := o.options.Crashes.IsBlocked(traits...)
-	if !blocked || !by.IsPart() {
-		return time.Time{}, false
-	}
-	return o.options.Crashes.Recheck(traits...).Until, true
 }
 
 // traits returns what the crash record knows the generation's prompt by.
@@ -90,17 +79,25 @@
 	return last.Add(reportTime)
 }
 
+// errBeginningBlocked means that the next dispatch waits for reports on a beginning of the prompt.
+const errBeginningBlocked = errors.ConstError("a beginning of the prompt may be what crashes engines")
+
 // checkNotBlocked returns the final error of a generation whose content, or a beginning of whose
-// prompt, was blocked since it was accepted.
+// prompt, was blocked since it was accepted. Another VM may know of a content that explains the
+// crashes under the beginning, so the final error follows when its reports must have arrived.
 func (rc *recovery) checkNotBlocked() error {
 	o, g := rc.owner, rc.generation
 	if until, blocked := o.options.Snapshot().BlockedUntil[g.contentHash]; blocked {
 		return blockedProblem(until)
 	}
-	if until, blocked := o.blockedBeginning(g); blocked {
-		return beginningProblem(until)
+	by, blocked := o.options.Crashes.IsBlocked(g.traits()...)
+	if !blocked || !by.IsPart() {
+		return nil
+	}
+	if _, last := o.options.Crashes.Count(by); o.options.Now().Before(last.Add(reportTime)) {
+		return errors.Trace(errBeginningBlocked)
 	}
-	return nil
+	return beginningProblem(o.options.Crashes.Recheck(g.traits()...).Until)
 }
 
 // awaitReports waits until the next dispatch may start. It reports whether the context goes on.
