The newest crashing content is blocked also where many are (own interface)

The list of blocked contents holds 64, and one more was not blocked at all: each of its requests could crash four engines. The block that ends first is dropped instead, and a late report shortens no block.

--- a/internal/node/control/control.go
+++ b/internal/node/control/control.go
@@ -270,10 +270,22 @@
 	l.changes <- func(s *state) { s.block(wire.BlockedContent{ContentHash: contentHash, Until: until}) }
 }
 
+// block blocks a content. If there are too many, the one whose block ends first is dropped.
 func (s *state) block(content wire.BlockedContent) {
-	if len(s.blocked) < maxBlocked || !s.blocked[content.ContentHash].IsZero() {
-		s.blocked[content.ContentHash] = content.Until
+	if !s.blocked[content.ContentHash].Before(content.Until) {
+		return
 	}
+	s.blocked[content.ContentHash] = content.Until
+	if len(s.blocked) <= maxBlocked {
+		return
+	}
+	first := content
+	for hash, until := range s.blocked {
+		if until.Before(first.Until) {
+			first = wire.BlockedContent{ContentHash: hash, Until: until}
+		}
+	}
+	delete(s.blocked, first.ContentHash)
 }
 
 func (l *Loop) readList(ctx context.Context) {
