Suspects that another trait explains are kept in the store too

Soak: /stream/deadly reached 4 servers after the bound, 3 allowed. From the logs: it crashed three servers at 57.5, and the part that all requests share was under these and three more. So the part explained the content's crashes, and only causes were written to the store. All VMs restarted, read the part and not the content, a request with the part completed at 09.99, and the content crashed five more.

Now all suspects are written. TestContentThatAPartExplainsIsKnownToVMsThatStart failed before.

--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -34,19 +34,19 @@
 	// copyIndexKey is the key of the first cell's row. Other cells add their number:
 	// "running-3" is the row of the fourth cell.
 	copyIndexKey = "running"
-	// causesKey is the key of the row of what requests share that crash servers. All VMs have
+	// suspectsKey is the key of the row of what may make requests crash servers. All VMs have
 	// the same list, so one row serves all cells.
-	causesKey = "crashes"
+	suspectsKey = "crashes"
 )
 
 // copyIndex stores the locations of the copies of running streams, for the case that all
 // VMs fail together: servers keep copies for some seconds, and callers reconnect as soon as
 // VMs are available. The VMs of a cell announce all copies to each other, so one VM of each
-// cell writes for it. The writer of the first cell also writes the causes of crashes.
+// cell writes for it. The writer of the first cell also writes the suspects of crashes.
 type copyIndex struct {
 	vm             *VM
 	writtenChanges int    // Change count of the copies at the last write.
-	causesDigest   uint64 // Checksum of the causes of crashes at the last write.
+	suspectsDigest uint64 // Checksum of the suspects of crashes at the last write.
 }
 
 // String names the service in the supervisor's messages.
@@ -70,7 +70,7 @@
 		}
 		c.write(ctx, copyIndexRowKey(snapshot))
 		if snapshot.Cell == 0 {
-			c.writeCauses(ctx)
+			c.writeSuspects(ctx)
 		}
 	}
 	return ctx.Err()
@@ -113,8 +113,8 @@
 		return
 	}
 	for _, row := range rows.Rows {
-		if row.Key == causesKey {
-			c.readCauses(row)
+		if row.Key == suspectsKey {
+			c.readSuspects(row)
 			continue
 		}
 		locations := []spread.CopyLocation{}
@@ -128,33 +128,33 @@
 	}
 }
 
-// readCauses restores the causes of crashes with their ages at the time of the write. How long
+// readSuspects restores the suspects of crashes with their ages at the time of the write. How long
 // ago that was is not known, so a cause stays blocked for the time that remained when the row was
 // written.
-func (c *copyIndex) readCauses(row Row) {
+func (c *copyIndex) readSuspects(row Row) {
 	reports := []crash.Report{}
 	if err := cbor.Unmarshal(row.Value, &reports); err != nil {
 		event.CopiesUnread.Info(c.vm.logger, "row", row.Key, "error", err)
 		return
 	}
 	c.vm.crashes.Merge(reports)
-	_, c.causesDigest = c.vm.crashes.Causes()
+	_, c.suspectsDigest = c.vm.crashes.Suspects()
 }
 
-func (c *copyIndex) writeCauses(ctx context.Context) {
-	reports, digest := c.vm.crashes.Causes()
-	if digest == c.causesDigest && (digest == 0 || c.vm.written.has(causesKey)) {
+func (c *copyIndex) writeSuspects(ctx context.Context) {
+	reports, digest := c.vm.crashes.Suspects()
+	if digest == c.suspectsDigest && (digest == 0 || c.vm.written.has(suspectsKey)) {
 		return
 	}
 	value, err := cbor.Marshal(reports)
 	if err != nil {
 		panic(err) // Strings and numbers can always be encoded as CBOR.
 	}
-	if err = c.vm.written.put(ctx, c.vm.options.Copies, causesKey, value); err != nil {
-		c.vm.logger.Debug("the causes of crashes could not be written", "error", err)
+	if err = c.vm.written.put(ctx, c.vm.options.Copies, suspectsKey, value); err != nil {
+		c.vm.logger.Debug("the suspects of crashes could not be written", "error", err)
 		return // The next interval retries.
 	}
-	c.causesDigest = digest
+	c.suspectsDigest = digest
 }
 
 func (c *copyIndex) write(ctx context.Context, key string) {
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -495,13 +495,14 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
-// Causes returns the reports of the traits that terminations are attributed to, also after their
-// blocks, and a digest of them that changes when they do: maxStored at most, those with the most
-// terminations first, and of each the newest maxStoredTerminations that count.
-func (r *Record) Causes() (reports []Report, digest uint64) {
+// Suspects returns the reports of the traits under which as many processes as their limit have
+// terminated, also after their blocks, and a digest of them that changes when they do: maxStored at
+// most, those with the most terminations first, and of each the newest maxStoredTerminations that
+// count. Those that another trait explains are among them: that one may turn out to be sound.
+func (r *Record) Suspects() (reports []Report, digest uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for trait := range r.causes {
+	for trait := range r.suspects {
 		reports = append(reports, r.report(trait, r.traits[trait].newest(maxStoredTerminations)))
 	}
 	slices.SortFunc(reports, func(a, b Report) int {
--- a/internal/request/crash/trial_test.go
+++ b/internal/request/crash/trial_test.go
@@ -222,3 +222,22 @@
 		}
 	}
 }
+
+// TestContentThatAPartExplainsIsKnownToVMsThatStart has all VMs restart while a part is blocked that
+// explains the crashes under a content too, and the part turn out to be sound.
+func TestContentThatAPartExplainsIsKnownToVMsThatStart(t *testing.T) {
+	f := newFleet(2)
+	before, after := f.vms[0], f.vms[1]
+	for i := range 6 {
+		before.Terminated("part/aa", server(fmt.Sprint("server ", i)), f.now)
+		if i < 3 {
+			before.Terminated("c", server(fmt.Sprint("server ", i)), f.now)
+		}
+	}
+	reports, _ := before.Suspects()
+	after.Merge(reports)
+	after.Completed("part/aa")
+	verdict := after.Check("c", "part/aa")
+	qt.Check(t, verdict.Decision, qt.Equals, crash.Refuse)
+	qt.Check(t, verdict.Trait, qt.Equals, crash.Trait("c"))
+}
--- a/internal/request/owner/crashing_test.go
+++ b/internal/request/owner/crashing_test.go
@@ -68,9 +68,11 @@
 	if r.dispatchableAt().After(p.at) {
 		return
 	}
-	if err := r.checkNotBlocked(); errors.Is(err, errBeginningBlocked) {
+	err := r.checkNotBlocked()
+	if errors.Is(err, errBeginningBlocked) {
 		return
-	} else if err != nil {
+	}
+	if err != nil {
 		p.end(r, err)
 		return
 	}
