--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -44,13 +45,13 @@
 }
 
 type request struct {
-	method     string
-	path       string
-	body       []byte
-	deadline   time.Duration
-	lastEvent  int
-	prefix     string
-	beforeRead func()
+	method    string
+	path      string
+	body      []byte
+	deadline  time.Duration
+	lastEvent int
+	prefix    string
+	tokens    string // X-Token-Counts.
 }
 
 // send sends one attempt to a machine and reads the whole answer.
@@ -73,9 +74,12 @@
 	r.Header.Set("Authorization", "Token "+key)
 	if strings.HasPrefix(q.path, "/stream/") {
 		r.Header.Set("X-Model", "m")
-		r.Header.Set("X-Token-Counts", "450,80")
+		r.Header.Set("X-Token-Counts", cmp.Or(q.tokens, "450,80"))
 		if q.prefix == "" {
 			q.prefix = "5c1e07a2:200,a" + o.id[1:] + ":250"
+			if q.tokens != "" {
+				q.prefix = "5c1e07a2:200,a" + o.id[1:] + ":2250"
+			}
 		}
 		r.Header.Set("X-Prompt-Prefix", q.prefix)
 	}
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -30,6 +30,10 @@
 	store   *store
 	record  *record
 	faulty  func(w http.ResponseWriter, r *http.Request, id string) bool
+	// preemptedAt is the event after which a stream is preempted, 0 for none, and preemptedFor the
+	// time in which it is read in again.
+	preemptedAt  int
+	preemptedFor time.Duration
 	// unframed streams have neither a length nor chunks and end with their connection.
 	unframed bool
 
@@ -191,8 +195,14 @@
 			return
 		}
 		run.created.Store(int64(i))
+		gap := w.gap
+		if i == w.preemptedAt {
+			gap = w.preemptedFor
+			w.record.note("worker    %s preempts %s and reads it again", w.id, id)
+		}
 		select {
 		case <-r.Context().Done():
+			w.record.note("worker    %s: the connection of %s was closed after event %d", w.id, id, i)
 			return
 		case <-run.stop: // The stream is closed without its end.
 			w.record.movesStopped.Add(1)
@@ -201,7 +211,7 @@
 				return
 			}
 			panic(http.ErrAbortHandler)
-		case <-time.After(w.gap):
+		case <-time.After(gap):
 		}
 	}
 	closed()
