--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-standin ] || exit 2
-exec target/review-standin service "$here/record.txt"
+exec target/review-standin silence "$here/record.txt"
--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -7,6 +7,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -22,5 +24,8 @@
 	}
 	g := newRig(os.Args[2])
 	time.AfterFunc(longest, func() { g.giveUp("the case took too long") })
+	interrupts := make(chan os.Signal, 1)
+	signal.Notify(interrupts, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() { g.giveUp("ended by %v", <-interrupts) }()
 	cases[os.Args[1]](g)
 }
