--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,5 +3,8 @@
 # the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x target/review-standin ] || exit 2
+if [ ! -x target/review-standin ]; then
+	echo "NOT RUN: target/review-standin is not built" | tee "$here/record.txt" >&2
+	exit 2
+fi
 exec target/review-standin moved "$here/record.txt"
--- a/review/_standin/client.go
+++ b/review/_standin/client.go
@@ -74,11 +74,11 @@
 	r.Header.Set("Authorization", "Token "+key)
 	if strings.HasPrefix(q.path, "/stream/") {
 		r.Header.Set("X-Model", "m")
-		r.Header.Set("X-Token-Counts", cmp.Or(q.tokens, "450,80"))
+		r.Header.Set("X-Token-Counts", cmp.Or(q.tokens, "450,780"))
 		if q.prefix == "" {
 			q.prefix = "5c1e07a2:200,a" + o.id[1:] + ":250"
 			if q.tokens != "" {
-				q.prefix = "5c1e07a2:200,a" + o.id[1:] + ":2250"
+				q.prefix = "5c1e07a2:200,a" + o.id[1:] + ":4800"
 			}
 		}
 		r.Header.Set("X-Prompt-Prefix", q.prefix)
--- a/review/_standin/foreign.go
+++ b/review/_standin/foreign.go
@@ -47,6 +47,7 @@
 		}
 		// The client's one retry: on a new connection, after the last event that it has.
 		q.lastEvent = a.last.lastEvent
+		q.deadline -= a.last.endedAt.Sub(a.last.sentAt) // What is left.
 		a.last = newClient().send(g, next, q)
 		a.ids = append(a.ids, a.last.id)
 	}
--- a/review/_standin/rig.go
+++ b/review/_standin/rig.go
@@ -142,6 +142,7 @@
 // giveUp ends a case that can't run.
 func (g *rig) giveUp(format string, values ...any) {
 	fmt.Fprintf(os.Stderr, format+"\n", values...)
+	g.record.note("NOT RUN: "+format, values...)
 	g.stop()
 	os.Exit(exitNotRun)
 }
@@ -225,6 +226,7 @@
 		g.giveUp("%v", err)
 	}
 	m.process.Stdout, m.process.Stderr = log, log
+	m.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err = m.process.Start(); err != nil {
 		g.giveUp("starting %s: %v", m.name, err)
 	}
--- a/review/_standin/service.go
+++ b/review/_standin/service.go
@@ -49,6 +49,7 @@
 				return
 			}
 			q.lastEvent = o.lastEvent
+			q.deadline -= o.endedAt.Sub(o.sentAt) // What is left.
 			retries[i] = newClient().send(g, g.machines[1+i%2], q)
 		}()
 	}
--- a/review/_standin/silence.go
+++ b/review/_standin/silence.go
@@ -9,31 +9,34 @@
 
 func init() { cases["silence"] = silence }
 
-// silence stops one of two machines with SIGTERM while it answers streams that may not be resumed.
-// Each is preempted once in its middle, and its worker reads its 2,500 tokens again: 0.5 s.
+// silence stops one of two machines with SIGTERM while it answers streams that may not be resumed,
+// two at each worker. The memory of a worker runs out shortly before their ends; it preempts the newer
+// one and reads it in again when the older one has ended.
 func silence(g *rig) {
+	memory := 11_000
+	if !g.trouble {
+		memory = 55_000
+	}
 	c := configuration(7)
 	for _, route := range c["routes"].([]any) {
 		route.(map[string]any)["resumable"] = false
 	}
+	engine := c["services"].([]any)[0].(map[string]any)["engine"].(map[string]any)
+	engine["kv_cache_tokens"], engine["backups"], engine["moves"] = memory, false, false
 	g.store.put("op", "config", c)
 	for i, zone := range []string{"brescia", "bergamo"} {
 		for j := range 2 {
-			w := &worker{
+			g.startWorker(&worker{
 				id: fmt.Sprintf("i-model-%d%d", i, j), service: "model", zone: zone, address: fmt.Sprintf("%s.%d:0", g.network, 100+10*i+j),
-				slots: 64, events: 130, gap: 31 * time.Millisecond, prompt: 500 * time.Millisecond,
-			}
-			if g.trouble {
-				w.preemptedAt, w.preemptedFor = 60, 500*time.Millisecond
-			}
-			g.startWorker(w)
+				slots: 64, events: 130, gap: 31 * time.Millisecond, memory: memory,
+			})
 		}
 		g.addMachine(fmt.Sprintf("front-%s-1", zone), zone, 134)
 	}
 	g.startAll()
 	time.Sleep(4 * time.Second) // Longer than contact_ms: all machines are in touch.
 
-	const streams = 12
+	const streams = 8
 	target := g.machines[0]
 	outcomes := make([]outcome, streams)
 	var wait sync.WaitGroup
@@ -42,11 +45,11 @@
 		go func() {
 			defer wait.Done()
 			outcomes[i] = newClient().send(g, target, request{
-				method: "POST", path: fmt.Sprintf("/stream/%d", i), body: []byte("a motor log"), deadline: 25 * time.Second, tokens: "2450,80",
+				method: "POST", path: fmt.Sprintf("/stream/%d", i), body: []byte("a motor log"), deadline: 25 * time.Second, tokens: "5000,780",
 			})
 		}()
 	}
-	time.Sleep(time.Second)
+	time.Sleep(4 * time.Second)
 	g.signal(target, syscall.SIGTERM)
 	termAt := time.Now()
 	wait.Wait()
--- a/review/_standin/worker.go
+++ b/review/_standin/worker.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,10 +32,9 @@
 	store   *store
 	record  *record
 	faulty  func(w http.ResponseWriter, r *http.Request, id string) bool
-	// preemptedAt is the event after which a stream is preempted, 0 for none, and preemptedFor the
-	// time in which it is read in again.
-	preemptedAt  int
-	preemptedFor time.Duration
+	// memory is kv_cache_tokens; 0 for no bound. With it, prompts are read one after the other at
+	// tokensPerMilli, and the newest run is preempted when memory runs out.
+	memory int
 	// unframed streams have neither a length nor chunks and end with their connection.
 	unframed bool
 
@@ -44,13 +45,28 @@
 	born    int64
 	stop    chan struct{}
 	running map[string]*streamRun // By request id.
+	loaded  []*streamRun          // The runs that are in memory, newest last.
+	waiting []*streamRun          // The runs that wait for memory, first first.
+	reading sync.Mutex            // Held while a prompt is read.
+	isBusy  atomic.Bool           // A prompt is being read.
 }
 
+// The engine of cdmep-spoke's sheet.
+const (
+	tokensPerMilli = 5
+	tokensPerEvent = 6
+	// gapBesidePrompt is the time of an event beside a prompt that is read in chunks of 125 tokens:
+	// six steps of 5.18 ms and 25 ms.
+	gapBesidePrompt = 181 * time.Millisecond
+)
+
 // streamRun is a stream that a worker runs. Its memory is that of the run origin.
 type streamRun struct {
-	origin  string
-	stop    chan struct{}
-	created atomic.Int64 // Events.
+	origin   string
+	stop     chan struct{}
+	created  atomic.Int64 // Events.
+	tokens   int          // In memory, or needed to get there again. Guarded by the worker's mutex.
+	isLoaded bool         // Guarded by the worker's mutex.
 }
 
 // copies has the copies of runs, by handle or by the run's request id.
@@ -176,10 +192,15 @@
 		copies.at[id], copies.origin[id] = backup, origin
 		copies.Unlock()
 	}
-	if r.Header.Get("Kv-From") == "" {
+	run := &streamRun{origin: origin, stop: make(chan struct{}), tokens: promptTokens(r)}
+	if w.memory > 0 {
+		defer w.unload(run)
+		if !w.load(r.Context(), run) {
+			return
+		}
+	} else if r.Header.Get("Kv-From") == "" {
 		time.Sleep(w.prompt)
 	}
-	run := &streamRun{origin: origin, stop: make(chan struct{})}
 	w.mu.Lock()
 	w.running[id] = run
 	w.mu.Unlock()
@@ -196,9 +217,13 @@
 		}
 		run.created.Store(int64(i))
 		gap := w.gap
-		if i == w.preemptedAt {
-			gap = w.preemptedFor
-			w.record.note("worker    %s preempts %s and reads it again", w.id, id)
+		if w.isBusy.Load() {
+			gap = gapBesidePrompt
+		}
+		if w.memory > 0 && !w.grow(run) {
+			w.record.note("worker    %s preempts %s after event %d, since memory runs out", w.id, id, i)
+			isLoaded := w.load(r.Context(), run)
+			w.record.note("worker    %s has read %s again: %v", w.id, id, isLoaded)
 		}
 		select {
 		case <-r.Context().Done():
@@ -217,6 +242,86 @@
 	closed()
 }
 
+// promptTokens returns the number of prompt tokens that a request names.
+func promptTokens(r *http.Request) int {
+	prompt, _, _ := strings.Cut(r.Header.Get("X-Token-Counts"), ",")
+	tokens, _ := strconv.Atoi(prompt)
+	return tokens
+}
+
+// load waits for memory and reads a run's tokens. It reports false if the caller is gone.
+func (w *worker) load(ctx context.Context, run *streamRun) bool {
+	w.mu.Lock()
+	w.waiting = append(w.waiting, run)
+	w.mu.Unlock()
+	for !w.tryLoad(run) {
+		select {
+		case <-ctx.Done():
+			w.unload(run)
+			return false
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+	w.reading.Lock()
+	defer w.reading.Unlock()
+	w.isBusy.Store(true)
+	defer w.isBusy.Store(false)
+	w.mu.Lock()
+	tokens := run.tokens
+	w.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(tokens/tokensPerMilli) * time.Millisecond):
+		return true
+	}
+}
+
+// tryLoad takes memory for the run if it is the first that waits and fits.
+func (w *worker) tryLoad(run *streamRun) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.waiting[0] != run || w.used()+run.tokens > w.memory {
+		return false
+	}
+	w.waiting = w.waiting[1:]
+	w.loaded = append(w.loaded, run)
+	run.isLoaded = true
+	return true
+}
+
+// used returns the tokens in memory. Called with the lock held.
+func (w *worker) used() int {
+	sum := 0
+	for _, run := range w.loaded {
+		sum += run.tokens
+	}
+	return sum
+}
+
+// grow adds an event's tokens to a run, and reports whether the run is still in memory. The newest
+// one isn't if memory runs out.
+func (w *worker) grow(run *streamRun) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	run.tokens += tokensPerEvent
+	for w.used() > w.memory {
+		newest := w.loaded[len(w.loaded)-1]
+		newest.isLoaded = false
+		w.loaded = w.loaded[:len(w.loaded)-1]
+	}
+	return run.isLoaded
+}
+
+// unload frees the memory of a run that has ended.
+func (w *worker) unload(run *streamRun) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	isRun := func(other *streamRun) bool { return other == run }
+	w.loaded = slices.DeleteFunc(w.loaded, isRun)
+	w.waiting = slices.DeleteFunc(w.waiting, isRun)
+}
+
 // begin sends the head of a stream and returns the functions that send its events and end it.
 func (w *worker) begin(out http.ResponseWriter, r *http.Request) (write func(text string) error, end func()) {
 	out.Header().Set("Content-Type", "text/event-stream")
