--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -44,6 +44,21 @@
 	// Started is when its process started, in Unix milliseconds of its own clock; 0 if it
 	// is not reported.
 	Started int64
+	// Version is that of its software; empty if versions make no difference.
+	Version string `cbor:",omitempty"`
+}
+
+// VersionRule limits a choice to servers of some versions, while a roll-out is under way. The zero
+// value limits nothing. Servers of version Prefer are chosen if one of them takes the work, and
+// others if none does. Servers of the versions Avoid are chosen only if no other server is listed.
+type VersionRule struct {
+	Prefer string
+	Avoid  []string
+	// AvoidOthers avoids all versions but Prefer.
+	AvoidOthers bool
+	// Servers bounds the choice to that many servers of version Prefer, the same on all VMs; 0
+	// for all.
+	Servers int
 }
 
 // Options configures a Pool. Draw returns random numbers in [0, 1) and must be safe for
