--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -560,7 +560,13 @@
 			}
 			g := newRig(t, map[string]script{"a1": run("a1"), "b1": run("b1"), "c1": run("c1")})
 			g.stopRun = stop
-			time.AfterFunc(lossAt, func() { g.servers.ApplyPeerLoss(g.seen()[0].backup, true) })
+			go func() {
+				for len(g.seen()) == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				time.Sleep(lossAt)
+				g.servers.ApplyPeerLoss(g.seen()[0].backup, true)
+			}()
 			c := &caller{}
 			err := g.relay.Stream(context.Background(), request(routing.KindStreaming), c.sink())
 			qt.Assert(t, err, qt.IsNil)
