Returning streams go on only at services of their route

Ruled out: the configuration itself; new requests of the route went to the new service. Change: the service of the copy's server is compared with the route in force. With a split route the copy decides the service, where it was drawn anew before and the copy often not found.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -328,6 +328,16 @@
 	return s.listed && !s.isLeaving() && !s.replaced
 }
 
+// ServiceOf returns the service of a server, "" if the server is not known.
+func (p *Pool) ServiceOf(serverID string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.servers[serverID]; s != nil {
+		return s.Service
+	}
+	return ""
+}
+
 // Calls returns the number of short calls in flight from this VM.
 func (p *Pool) Calls() int {
 	p.mu.Lock()
--- a/internal/config/routing/routing.go
+++ b/internal/config/routing/routing.go
@@ -11,6 +11,7 @@
 package routing
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -83,6 +84,11 @@
 	return r.Kind == KindIdempotent || (r.Kind == KindStreaming && r.Resumable)
 }
 
+// LeadsTo reports whether the route has a share of its requests for a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(share Share) bool { return share.Service == service && share.Weight > 0 })
+}
+
 // Service selects one of the route's services by their weights. draw is a random
 // number in [0, 1).
 func (r *Route) Service(draw float64) string {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -152,10 +152,17 @@
 	if request.LastEventID == "" || request.CopyKey == "" {
 		return
 	}
-	if origin, copied, found := s.relay.options.Copies.Find(ctx, request.CopyKey); found {
-		request.Origin, request.OriginKnown = origin, true
-		s.resumeFrom, s.isRecorded = copied, true
+	origin, copied, found := s.relay.options.Copies.Find(ctx, request.CopyKey)
+	if !found {
+		return
+	}
+	request.Origin, request.OriginKnown = origin, true
+	s.isRecorded = true
+	service := s.relay.options.Servers.ServiceOf(copied.ServerID)
+	if service != request.Service && !request.Route.LeadsTo(service) {
+		return // The route has left the service since.
 	}
+	request.Service, s.resumeFrom = service, copied
 }
 
 // decide returns the final error after a run that did not complete, or nil if the stream is
