Choices of servers follow a rule on versions

While traffic moves to servers of another version, a service has servers of several versions, and the pool chose among them as if they were alike.

A VersionRule divides them: preferred ones, permitted ones, and excluded ones that are used only if no permitted one is listed. Which are excluded depends on the list alone and not on what a VM found down. Copies have the version of the stream's server, unless the stream leaves that version.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -17,6 +17,7 @@
 	Tried     map[string]bool
 	ServerID  string
 	Prefilled bool // Its prompt need not be processed again.
+	Versions  VersionRule
 }
 
 // continues reports whether the stream has run before.
@@ -25,20 +26,29 @@
 }
 
 // AcquireForCall chooses a server for a short call, none of those tried.
-func (p *Pool) AcquireForCall(service string, tried map[string]bool) (lease *Lease, err error) {
+func (p *Pool) AcquireForCall(service string, tried map[string]bool, versions VersionRule) (lease *Lease, err error) {
 	return p.acquire(false, func(now time.Time, withLimit bool) *server {
-		usable, candidates := p.usableServers(service, tried, now, withLimit)
-		at, found := placement.ChooseForCall(candidates, p.options.Draw)
-		if !found {
-			return nil
-		}
-		return usable[at]
+		filter := p.versionFilter(service, versions)
+		usable := p.usableServers(service, tried, filter, now, withLimit)
+		return p.chooseForCall(usable.inOrder(filter))
 	}, func(chosen *server, _ time.Time) *Lease {
 		chosen.calls++
 		return p.newLease(chosen, &Lease{})
 	})
 }
 
+// chooseForCall chooses from the first part with a server that is not avoided, and from the last one
+// if there is none.
+func (p *Pool) chooseForCall(parts []choices) *server {
+	for i, part := range parts {
+		at, found := placement.ChooseForCall(part.candidates, p.options.Draw)
+		if found && (i == len(parts)-1 || !part.candidates[at].Avoided) {
+			return part.servers[at]
+		}
+	}
+	return nil
+}
+
 // AcquireForStream chooses a server for a stream, and one in another failure domain for
 // the copy of its memory; copyHolder is nil if no such server has capacity.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
@@ -77,40 +87,64 @@
 // work or is down.
 func (p *Pool) requestedServer(criteria Criteria, now time.Time) *server {
 	s := p.servers[criteria.ServerID]
-	if s == nil || s.down || !s.terminatedAt.IsZero() || !s.acceptsWork() || s.inBackoff(now) || s.isDenied(now) {
+	if s == nil || !s.takesRequests(now) || !s.terminatedAt.IsZero() || p.versionFilter(criteria.Service, criteria.Versions.unbounded()).excludes(s) {
 		return nil
 	}
 	return s
 }
 
-// chooseForStream chooses among the servers of this VM's cell, and among all servers if
-// those of the cell are down or have no capacity. Called with the lock held.
+// chooseForStream chooses a server of the first part of the choices that has capacity. Called with
+// the lock held.
 func (p *Pool) chooseForStream(criteria Criteria, now time.Time, withLimit bool) *server {
-	usable, candidates := p.usableServers(criteria.Service, criteria.Tried, now, withLimit)
-	cellServers, cellCandidates := p.inCell(usable, candidates)
-	if at, found := placement.ChooseForStream(cellCandidates, criteria.Demand); found && !cellCandidates[at].Avoided && placement.Fits(cellCandidates[at], criteria.Demand) {
-		return cellServers[at]
-	}
-	if at, found := placement.ChooseForStream(candidates, criteria.Demand); found {
-		return usable[at]
+	filter := p.versionFilter(criteria.Service, criteria.Versions)
+	usable := p.usableServers(criteria.Service, criteria.Tried, filter, now, withLimit)
+	parts := usable.inOrder(filter)
+	for i := range parts {
+		chosen, fits := p.chooseFrom(&parts[i], criteria.Demand)
+		if chosen != nil && (fits || i == len(parts)-1) {
+			return chosen
+		}
 	}
 	return nil
 }
 
+// chooseFrom chooses among the servers of this VM's cell, and among all servers if those of
+// the cell are down or have no capacity. Fits reports whether the chosen one is up and has
+// capacity. Called with the lock held.
+func (p *Pool) chooseFrom(usable *choices, demand placement.Demand) (chosen *server, fits bool) {
+	cell := p.inCell(usable)
+	if at, found := placement.ChooseForStream(cell.candidates, demand); found && isFree(cell.candidates[at], demand) {
+		return cell.servers[at], true
+	}
+	if at, found := placement.ChooseForStream(usable.candidates, demand); found {
+		return usable.servers[at], isFree(usable.candidates[at], demand)
+	}
+	return nil, false
+}
+
+func isFree(c placement.Candidate, demand placement.Demand) bool {
+	return !c.Avoided && placement.Fits(c, demand)
+}
+
 // chooseForCopy chooses the holder of a stream's copy in the same way; nil if no server
-// has capacity. Called with the lock held.
+// has capacity. It has the version of the stream's server, unless the stream is to leave that
+// version. Called with the lock held.
 func (p *Pool) chooseForCopy(criteria Criteria, chosen *server, now time.Time) *server {
-	usable, candidates := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, now, true)
-	for i, s := range usable {
+	filter := p.versionFilter(criteria.Service, criteria.Versions.unbounded())
+	usable := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, filter, now, true)
+	if filter != nil && !criteria.Versions.Avoids(chosen.Version) {
+		usable = usable.ofVersion(chosen.Version)
+	}
+	for i, s := range usable.servers {
 		// The stream could not continue there once the limit is reached.
-		candidates[i].Avoided = candidates[i].Avoided || s.limited
+		usable.candidates[i].Avoided = usable.candidates[i].Avoided || s.limited
 	}
-	cellServers, cellCandidates := p.inCell(usable, candidates)
-	if at, found := placement.ChooseCopyHolder(cellCandidates, chosen.FailureDomain, criteria.Demand); found && !cellCandidates[at].Avoided {
-		return cellServers[at]
+	cell := p.inCell(&usable)
+	if at, found := placement.ChooseCopyHolder(cell.candidates, chosen.FailureDomain, criteria.Demand); found && !cell.candidates[at].Avoided {
+		return cell.servers[at]
 	}
-	if at, found := placement.ChooseCopyHolder(candidates, chosen.FailureDomain, criteria.Demand); found && !candidates[at].Avoided {
-		return usable[at]
+	if at, found := placement.ChooseCopyHolder(usable.candidates, chosen.FailureDomain, criteria.Demand); found && !usable.candidates[at].Avoided {
+		return usable.servers[at]
 	}
 	return nil
 }
@@ -118,11 +152,11 @@
 // usableServers lists the servers of a service that may take new work, with a candidate
 // for each. The order is random, so that VMs with the same view don't all choose the
 // first. Called with the lock held.
-func (p *Pool) usableServers(service string, tried map[string]bool, now time.Time, withLimit bool) ([]*server, []placement.Candidate) {
+func (p *Pool) usableServers(service string, tried map[string]bool, filter *versionFilter, now time.Time, withLimit bool) choices {
 	p.forgetExpiredPeers(now)
 	usable := []*server{}
 	for _, s := range p.servers {
-		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] && (withLimit || !s.limited) {
+		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] && (withLimit || !s.limited) && !filter.excludes(s) {
 			usable = append(usable, s)
 		}
 	}
@@ -135,7 +169,7 @@
 	for i, s := range usable {
 		candidates[i] = p.candidate(s, now)
 	}
-	return usable, candidates
+	return choices{usable, candidates}
 }
 
 // candidate describes a server to package placement.
@@ -180,20 +214,19 @@
 
 // inCell returns those of the servers that are in this VM's cell. Called with the lock
 // held.
-func (p *Pool) inCell(usable []*server, candidates []placement.Candidate) (cellServers []*server, cellCandidates []placement.Candidate) {
+func (p *Pool) inCell(usable *choices) (found choices) {
 	if p.cells <= 1 {
-		return usable, candidates
+		return *usable
 	}
 	if p.cellOf == nil {
 		p.assignCells()
 	}
-	for i, s := range usable {
+	for i, s := range usable.servers {
 		if p.cellOf[s.Address] == p.cell {
-			cellServers = append(cellServers, s)
-			cellCandidates = append(cellCandidates, candidates[i])
+			found.add(s, usable.candidates[i])
 		}
 	}
-	return cellServers, cellCandidates
+	return found
 }
 
 // assignCells assigns all listed servers to cells, separately for each service and
--- a/internal/backend/pool/early_test.go
+++ b/internal/backend/pool/early_test.go
@@ -15,7 +15,7 @@
 // sendsAt returns how many calls of 100, without a pause between them, the VM sends to a server.
 func sendsAt(p *pool.Pool, id string) (sends int) {
 	for range 100 {
-		if lease, err := p.AcquireForCall("s", nil); err == nil && lease.Server.ID == id {
+		if lease, err := p.AcquireForCall("s", nil, pool.VersionRule{}); err == nil && lease.Server.ID == id {
 			sends++
 		}
 	}
@@ -47,7 +47,7 @@
 	vm.Update([]pool.Server{server("a2", "a")})
 	for range 10 {
 		f.pass(time.Second)
-		if lease, err := vm.AcquireForCall("s", nil); err == nil {
+		if lease, err := vm.AcquireForCall("s", nil, pool.VersionRule{}); err == nil {
 			vm.ApplyLimit(lease.Server, pool.Reply{Purpose: pool.PurposeCall, Status: 200, Permit: lease.Permit}, pool.ServerNotice{})
 			lease.Release()
 		}
--- a/internal/backend/pool/latency_test.go
+++ b/internal/backend/pool/latency_test.go
@@ -32,7 +32,7 @@
 	const interval = 20 * time.Millisecond
 	for i := range int(length / interval) {
 		now = now.Add(interval)
-		lease, err := p.AcquireForCall("s", nil)
+		lease, err := p.AcquireForCall("s", nil, pool.VersionRule{})
 		if err != nil {
 			continue
 		}
@@ -83,7 +83,7 @@
 	now := time.Unix(1000, 0)
 	p := newSeededPool(&now, server("a1", "a"), server("b1", "b"))
 	for range 4 {
-		slow, err := p.AcquireForCall("s", map[string]bool{"b1": true})
+		slow, err := p.AcquireForCall("s", map[string]bool{"b1": true}, pool.VersionRule{})
 		qt.Assert(t, err, qt.IsNil)
 		slow.RecordCall(500*time.Millisecond, false)
 		slow.Release()
@@ -91,7 +91,7 @@
 	now = now.Add(20 * time.Second)
 	running := map[string]int{}
 	for range 40 { // All are sent before the first is answered.
-		lease, err := p.AcquireForCall("s", nil)
+		lease, err := p.AcquireForCall("s", nil, pool.VersionRule{})
 		qt.Assert(t, err, qt.IsNil)
 		if running[lease.Server.ID]++; lease.Server.ID == "b1" {
 			lease.RecordCall(5*time.Millisecond, false)
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -72,10 +72,20 @@
 	}
 }
 
+// CopyHolder returns the server that was chosen for the stream's copy; ok is false if there is none.
+func (l *Lease) CopyHolder() (holder Server, ok bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	if l.copyHolder == nil {
+		return Server{}, false
+	}
+	return l.copyHolder.Server, true
+}
+
 // ReplaceCopyHolder chooses another holder for the stream's copy; nil if no server has
 // capacity. The channel lost is closed when that holder is lost. CopyLost is about the
 // first holder only.
-func (l *Lease) ReplaceCopyHolder() (holder *Server, lost chan struct{}) {
+func (l *Lease) ReplaceCopyHolder(versions VersionRule) (holder *Server, lost chan struct{}) {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -83,7 +93,7 @@
 		return nil, nil
 	}
 	l.releaseCopyHolder()
-	chosen := p.chooseForCopy(Criteria{Service: l.Server.Service, Demand: l.demand}, l.server, p.options.Now())
+	chosen := p.chooseForCopy(Criteria{Service: l.Server.Service, Demand: l.demand, Versions: versions}, l.server, p.options.Now())
 	if chosen == nil {
 		return nil, nil
 	}
--- a/internal/backend/pool/limit_test.go
+++ b/internal/backend/pool/limit_test.go
@@ -70,9 +70,9 @@
 	limited := server("a1", "a")
 	demand := placement.Demand{PromptTokens: 100}
 	kinds := map[string]func(p *pool.Pool) error{
-		"call": func(p *pool.Pool) error { _, err := p.AcquireForCall("s", nil); return err },
+		"call": func(p *pool.Pool) error { _, err := p.AcquireForCall("s", nil, pool.VersionRule{}); return err },
 		"retry": func(p *pool.Pool) error {
-			_, err := p.AcquireForCall("s", map[string]bool{"other": true})
+			_, err := p.AcquireForCall("s", map[string]bool{"other": true}, pool.VersionRule{})
 			return err
 		},
 		"stream": func(p *pool.Pool) error {
@@ -112,7 +112,7 @@
 	sent := map[string]int{}
 	for i := range 1000 {
 		f.pass(10 * time.Millisecond)
-		lease, err := f.vms[i%len(f.vms)].AcquireForCall("s", nil)
+		lease, err := f.vms[i%len(f.vms)].AcquireForCall("s", nil, pool.VersionRule{})
 		qt.Assert(t, err, qt.IsNil)
 		sent[lease.Server.ID]++
 		lease.Release()
@@ -144,13 +144,13 @@
 	for i := range 600 { // 200 requests a second for 3 s.
 		f.pass(5 * time.Millisecond)
 		vm := f.vms[i%len(f.vms)]
-		lease, err := vm.AcquireForCall("s", nil)
+		lease, err := vm.AcquireForCall("s", nil, pool.VersionRule{})
 		if err == nil {
 			lease.Release()
 			continue
 		}
 		refused++
-		availability := vm.Availability("s")
+		availability := vm.Availability("s", pool.VersionRule{})
 		if availability.BackoffUntil.IsZero() {
 			continue // A permit may be available.
 		}
@@ -216,7 +216,7 @@
 		vm.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: limit}, {ServerID: "b1", Limit: limit}, {ServerID: "c1", Limit: limit}})
 		for range 100 {
 			f.pass(time.Millisecond)
-			if lease, err := vm.AcquireForCall("s", nil); err == nil {
+			if lease, err := vm.AcquireForCall("s", nil, pool.VersionRule{}); err == nil {
 				lease.Release()
 			}
 			qt.Assert(t, vm.ReturnAt("s", f.now).Before(f.now.Add(3*time.Minute)), qt.IsTrue)
@@ -241,7 +241,7 @@
 	p.ApplyPeerLimits([]pool.ServerLimit{{ServerID: "a1", Limit: 2}})
 	for i := range 40 {
 		now = now.Add(time.Second)
-		call, err := p.AcquireForCall("s", nil)
+		call, err := p.AcquireForCall("s", nil, pool.VersionRule{})
 		qt.Assert(t, err, qt.IsNil, qt.Commentf("call %d", i))
 		qt.Check(t, call.Server.ID, qt.Equals, "b1")
 		call.Release()
--- a/internal/backend/pool/notice.go
+++ b/internal/backend/pool/notice.go
@@ -167,14 +167,15 @@
 	BackoffUntil time.Time
 }
 
-// Availability counts the servers of a service by state.
-func (p *Pool) Availability(service string) Availability {
+// Availability counts the servers of a service by state, without those that the rule excludes.
+func (p *Pool) Availability(service string, versions VersionRule) Availability {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
+	filter := p.versionFilter(service, versions)
 	availability := Availability{}
 	for _, s := range p.servers {
-		if s.Service != service || !s.acceptsWork() {
+		if s.Service != service || !s.acceptsWork() || filter.excludes(s) {
 			continue
 		}
 		availability.Listed++
@@ -203,13 +204,15 @@
 	return availability
 }
 
-// HasOther reports whether a server of a service takes requests now, other than the one with an ID.
-func (p *Pool) HasOther(service, serverID string) bool {
+// HasOther reports whether a server of a service takes requests now, other than the one with an ID
+// and those that the rule excludes.
+func (p *Pool) HasOther(service, serverID string, versions VersionRule) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
+	filter := p.versionFilter(service, versions)
 	for _, s := range p.servers {
-		if s.Service == service && s.ID != serverID && s.acceptsWork() && !s.down && !s.inBackoff(now) && !s.isDenied(now) {
+		if s.Service == service && s.ID != serverID && s.takesRequests(now) && !filter.excludes(s) {
 			return true
 		}
 	}
--- a/internal/backend/pool/notice_test.go
+++ b/internal/backend/pool/notice_test.go
@@ -45,7 +45,7 @@
 			case "wait":
 				g.pass(time.Duration(rapid.IntRange(0, 3000).Draw(t, "millis")) * time.Millisecond)
 			}
-			lease, err := g.AcquireForCall("s", map[string]bool{"other": true})
+			lease, err := g.AcquireForCall("s", map[string]bool{"other": true}, pool.VersionRule{})
 			if err != nil {
 				continue
 			}
@@ -87,16 +87,16 @@
 		g.ApplyNotice(server(id, id[:1]), pool.ServerNotice{BackoffUntil: time.Unix(1002+int64(i), 0)})
 	}
 	g.ApplyNotice(server("a1", "a"), pool.ServerNotice{BackoffUntil: time.Unix(1001, 0)})
-	availability := g.Availability("s")
+	availability := g.Availability("s", pool.VersionRule{})
 	qt.Assert(t, availability, qt.DeepEquals, pool.Availability{Listed: 2, Up: 2, BackingOff: 2, BackoffUntil: time.Unix(1002, 0)})
-	_, err := g.AcquireForCall("s", nil)
+	_, err := g.AcquireForCall("s", nil, pool.VersionRule{})
 	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
 	g.pass(2 * time.Second)
-	lease, err := g.AcquireForCall("s", nil)
+	lease, err := g.AcquireForCall("s", nil, pool.VersionRule{})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, lease.Server.ID, qt.Equals, "a1")
-	qt.Assert(t, g.Availability("s").BackoffUntil.IsZero(), qt.IsTrue)
+	qt.Assert(t, g.Availability("s", pool.VersionRule{}).BackoffUntil.IsZero(), qt.IsTrue)
 	g.ApplyNotice(server("b1", "b"), pool.ServerNotice{BackoffUntil: time.Unix(1e9, 0)})
 	g.pass(time.Hour + 2*time.Second)
-	qt.Assert(t, fmt.Sprint(g.Availability("s").BackingOff), qt.Equals, "0")
+	qt.Assert(t, fmt.Sprint(g.Availability("s", pool.VersionRule{}).BackingOff), qt.Equals, "0")
 }
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -6,7 +6,7 @@
 //
 //	servers := pool.New(pool.Options{Check: connections.Check, Now: time.Now, Draw: rand.Float64})
 //	servers.Update(listed)
-//	lease, err := servers.AcquireForCall("booking", tried) // errors.Is(err, pool.ErrNone)
+//	lease, err := servers.AcquireForCall("booking", tried, pool.VersionRule{}) // errors.Is(err, pool.ErrNone)
 //	lease, copyHolder, err := servers.AcquireForStream(criteria)
 //	defer lease.Release()
 //
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -117,16 +117,16 @@
 	g := newRig(leaving)
 	_, _, err := g.AcquireForStream(criteria)
 	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
-	_, err = g.AcquireForCall("s", nil)
+	_, err = g.AcquireForCall("s", nil, pool.VersionRule{})
 	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
 }
 
 func TestServerThatIsNoLongerListedGetsNoNewWork(t *testing.T) {
 	g := newRig(server("a1", "a"))
-	lease, err := g.AcquireForCall("s", nil)
+	lease, err := g.AcquireForCall("s", nil, pool.VersionRule{})
 	qt.Assert(t, err, qt.IsNil)
 	g.Update(nil)
-	_, err = g.AcquireForCall("s", nil)
+	_, err = g.AcquireForCall("s", nil, pool.VersionRule{})
 	qt.Assert(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
 	lease.Release()
 }
@@ -212,7 +212,7 @@
 		lease.Release()
 	}
 	g.pass(10 * time.Second)
-	_, err := g.AcquireForCall("s", map[string]bool{"a1": true, "b1": true, "c1": true})
+	_, err := g.AcquireForCall("s", map[string]bool{"a1": true, "b1": true, "c1": true}, pool.VersionRule{})
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("suspicion must end"))
 }
 
@@ -226,7 +226,7 @@
 	checked := make(chan string, 100)
 	g := newRigWith(pool.Successors{ListedAt: func() time.Time { return time.Unix(1_000_000, 0) }}, servers...)
 	g.onCheck = func(address string) { checked <- address }
-	lease, err := g.AcquireForCall("s", nil)
+	lease, err := g.AcquireForCall("s", nil, pool.VersionRule{})
 	qt.Assert(t, err, qt.IsNil)
 	for _, s := range servers {
 		g.fail(s.Address, syscall.ECONNREFUSED)
@@ -258,7 +258,7 @@
 		g.Recheck(context.Background())
 		time.Sleep(time.Millisecond)
 	}
-	up := g.Availability("s").Up
+	up := g.Availability("s", pool.VersionRule{}).Up
 	qt.Assert(t, up, qt.Equals, 1)
 }
 
@@ -299,7 +299,7 @@
 	failed := 0
 	const calls = 1000
 	for i := range calls {
-		lease, err := p.AcquireForCall("s", nil)
+		lease, err := p.AcquireForCall("s", nil, pool.VersionRule{})
 		qt.Assert(t, err, qt.IsNil)
 		bad := lease.Server.ID == "a1" && i%2 == 0
 		if bad {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -83,7 +83,7 @@
 	if refusal := c.relay.admit(ctx, c.request); refusal != nil {
 		return refusal
 	}
-	lease, err := c.relay.options.Servers.AcquireForCall(c.request.Service, c.tried)
+	lease, err := c.relay.options.Servers.AcquireForCall(c.request.Service, c.tried, pool.VersionRule{})
 	if err != nil {
 		return c.relay.noServer(c.request)
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -314,7 +314,7 @@
 // backoff or at their limits, callers are asked to return when one takes requests again, spread
 // over time.
 func (r *Relay) noServer(request *Request) error {
-	availability := r.options.Servers.Availability(request.Service)
+	availability := r.options.Servers.Availability(request.Service, pool.VersionRule{})
 	refusal := &NotRun{Kind: RefusalNoServer, RetryAt: r.options.Now().Add(retryDelay)}
 	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting, %d of these at their limits", request.Service, availability.Listed, availability.Up, availability.BackingOff, availability.AtLimit)
 	if !availability.BackoffUntil.IsZero() {
--- a/internal/request/relay/retry.go
+++ b/internal/request/relay/retry.go
@@ -36,7 +36,7 @@
 		return s.relay.budgetSpent()
 	case running == nil:
 		return nil
-	case !s.relay.options.Servers.HasOther(service, running.Server.ID):
+	case !s.relay.options.Servers.HasOther(service, running.Server.ID, pool.VersionRule{}):
 		refusal.Kind = RefusalNoServer
 		return refusal
 	case !s.relay.options.Withdraw(service):
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -207,7 +207,7 @@
 // and reports whether one does soon enough for the caller. A request that has not run is refused
 // instead.
 func (s *stream) awaitServer(ctx context.Context) bool {
-	until := s.relay.options.Servers.Availability(s.request.Service).BackoffUntil
+	until := s.relay.options.Servers.Availability(s.request.Service, pool.VersionRule{}).BackoffUntil
 	now := s.relay.options.Now()
 	if s.waitedSince.IsZero() {
 		s.waitedSince = now
