Requests follow the roll-out of their service

A roll-out needs a rule for each choice of a server and the outcome of each send, and its last stage needs old servers without work.

The relay asks Versions.Choose before each choice (first send, retry, hedge, resume, move) and records one outcome for each send: the latency of a complete signed answer or of a stream's first event, a server's own failure, or how long a send had taken when nobody waited for it any more. What the version is not to blame for is recorded as no evidence. A run from a copy processes no prompt and is none either.

A stream at a retired version is moved to a server of a kept one, or ended and resumed there; one that may not be sent again stays, and counts as old work. Copies leave retired versions too, and idle connections to unused servers of these versions are closed. Nil functions leave all as it was.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -28,6 +28,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
@@ -83,6 +84,7 @@
 	spread            *spread.Spread
 	peers             *wire.Pool
 	servers           *pool.Pool
+	rollouts          *rollout.Follower
 	connections       *http1.Pool
 	relay             *relay.Relay
 	copies            *copies.Copies
@@ -167,6 +169,7 @@
 		},
 		Watches: func(group string) bool { return v.spread.Watches(group) },
 	})
+	v.rollouts = rollout.NewFollower(rollout.FollowerOptions{Draw: rand.Float64, OldWork: v.servers.OldWork})
 	v.peers = wire.NewPool(wire.PoolOptions{
 		OnAcks: func(string, []wire.Ack) {},
 		OnDown: func(string) {},
@@ -200,6 +203,7 @@
 			Recheck:     v.crashes.Recheck,
 			IsBlocked:   v.crashes.IsBlocked,
 		},
+		Versions:    relay.Versions{Choose: v.rollouts.Choose, Record: v.rollouts.Record, Retired: v.retiredVersion},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
@@ -553,7 +557,7 @@
 	supervisor.Add(&copyIndex{vm: v})
 	supervisor.Add(v.ambiguous)
 	supervisor.Add(periodic.New("checks", recheckInterval, v.recheck))
-	supervisor.Add(periodic.New("idle connections", idleCheckInterval, func(context.Context) { v.connections.Sweep() }))
+	supervisor.Add(periodic.New("idle connections", idleCheckInterval, v.sweepConnections))
 	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeIdleCallers))
 	supervisor.Add(&readiness{vm: v})
 	return supervisor
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -10,6 +10,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/node/rescue"
 )
@@ -78,14 +79,15 @@
 // start sends the request to one more server.
 func (c *call) start(ctx context.Context, purpose pool.Purpose) error {
 	if len(c.tried) >= maxSends {
-		return c.relay.noServer(c.request)
+		return c.relay.noServer(c.request, pool.VersionRule{})
 	}
 	if refusal := c.relay.admit(ctx, c.request); refusal != nil {
 		return refusal
 	}
-	lease, err := c.relay.options.Servers.AcquireForCall(c.request.Service, c.tried, pool.VersionRule{})
+	versions := c.relay.options.Versions.Choose(c.request.Service, c.sendKind())
+	lease, err := c.relay.options.Servers.AcquireForCall(c.request.Service, c.tried, versions)
 	if err != nil {
-		return c.relay.noServer(c.request)
+		return c.relay.noServer(c.request, versions)
 	}
 	if len(c.tried) > 0 && !c.relay.options.Withdraw(c.request.Service) {
 		lease.Release()
@@ -99,6 +101,14 @@
 	return nil
 }
 
+// sendKind returns what the next send is.
+func (c *call) sendKind() rollout.Send {
+	if len(c.tried) == 0 {
+		return rollout.SendNew
+	}
+	return rollout.SendAgain
+}
+
 // hedge sends the request to a second server if the first has not answered.
 func (c *call) hedge(ctx context.Context) {
 	if !c.mayRetry() || c.inFlight != 1 {
@@ -134,6 +144,7 @@
 		result.answer.Body, result.err = c.relay.readAnswer(ctx, c.delivered, lease, response)
 	}
 	c.reportOutcome(ctx, lease, result, startedAt)
+	c.relay.recordOutcome(c.request, lease.Server, result.outcome(ctx.Err() != nil, lease.IsDown()), c.relay.options.Now().Sub(startedAt))
 	c.log(ctx, result)
 	return result
 }
--- a/internal/request/relay/counts.go
+++ b/internal/request/relay/counts.go
@@ -19,6 +19,7 @@
 	EndReplaced EarlyEnd = "replaced" // Another server has the address.
 	EndInactive EarlyEnd = "silent"   // An event was overdue, or the server was found down.
 	EndBlocked  EarlyEnd = "blocked"  // Requests with its traits crash servers, and it had not begun to answer.
+	EndRetired  EarlyEnd = "retired"  // The server's version keeps no work.
 	EndFailed   EarlyEnd = "failed"   // The server answered with a failure of its own.
 	EndBroken   EarlyEnd = "broken"   // The connection broke.
 )
@@ -41,6 +42,8 @@
 		return EndRefused
 	case e.blocked:
 		return EndBlocked
+	case e.leaving:
+		return EndRetired
 	case e.aborted:
 		return EndInactive
 	case e.notSent:
@@ -52,6 +55,10 @@
 	}
 }
 
+func (r *callResult) isNotSent() bool {
+	return errors.Is(r.err, http1.ErrNotSent)
+}
+
 // earlyEnd returns how a call's exchange ended.
 func (r *callResult) earlyEnd() EarlyEnd {
 	switch {
@@ -59,7 +66,7 @@
 		return EndReplaced
 	case r.verdict.NotRun:
 		return EndRefused
-	case errors.Is(r.err, http1.ErrNotSent):
+	case r.isNotSent():
 		return EndNotSent
 	case r.err != nil:
 		return EndBroken
--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -24,19 +24,21 @@
 	lease  *pool.Lease
 	backup *pool.Server
 	from   Copy
+	rule   pool.VersionRule
 }
 
 // move moves a run that has lost its copy to another server, where it gets a new copy. It
 // pauses the stream for some 10 ms; without it, the loss of the run's server would make the
 // next one read the whole prompt again. It runs concurrently with the relay of events, which
-// ends when the server closes the stream. Done is false if the move should be tried again
-// later, such as when there is no capacity for the run and its copy yet.
-func (s *stream) move(ctx context.Context, lease *pool.Lease) (done bool) {
-	if !s.relay.options.Servers.AcceptsRequests(lease.Server) {
-		return false
-	}
+// ends when the server closes the stream. MayRetry means that the move should be tried again
+// later, such as when there is no capacity for the run and its copy yet. A run that leaves its
+// server's version moves also where it gets no copy.
+func (s *stream) move(ctx context.Context, lease *pool.Lease, versions pool.VersionRule, leaves bool) (moved, mayRetry bool) {
 	if s.relay.options.Move == nil || !lease.CanMove || !s.request.Route.Retryable() {
-		return true
+		return false, false
+	}
+	if !s.relay.options.Servers.AcceptsRequests(lease.Server) {
+		return false, true
 	}
 	demand := s.request.Demand
 	demand.AfterLoss = true
@@ -45,13 +47,14 @@
 		Demand:    demand,
 		Tried:     map[string]bool{lease.Server.ID: true},
 		Prefilled: true,
+		Versions:  versions,
 	})
 	if err != nil {
-		return false
+		return false, true
 	}
-	if backup == nil || !s.relay.options.WithdrawPreventive(s.request.Service) {
+	if (backup == nil && !leaves) || !s.relay.options.WithdrawPreventive(s.request.Service) {
 		target.Release()
-		return false
+		return false, true
 	}
 	ctx, cancel := context.WithTimeout(ctx, moveTimeout)
 	defer cancel()
@@ -62,14 +65,14 @@
 		target.Release()
 		s.relay.options.Refund(s.request.Service)
 		if errors.Is(err, pool.ErrNoPermit) {
-			return false
+			return false, true
 		}
 		s.moveFailures++
 		event.StreamNotMoved.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "to", target.Server.ID, "reason", err.Error())
-		return s.moveFailures >= maxMoveFailures
+		return false, s.moveFailures < maxMoveFailures
 	}
-	s.moves <- movedRun{lease: target, backup: backup, from: from}
-	return true
+	s.moves <- movedRun{lease: target, backup: backup, from: from, rule: versions}
+	return true, false
 }
 
 // isUnstopped reports whether a failed move can't have stopped the run at its server.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -200,6 +200,7 @@
 	LoadReduced func()
 	Copies      Copies
 	Crashes     Crashes
+	Versions    Versions
 }
 
 // ErrNotStopped means that a server has not stopped a run that was to be moved: it runs no such
@@ -244,6 +245,7 @@
 	if options.Counts.Sent == nil {
 		options.Counts.Sent = func(pool.Purpose) {}
 	}
+	options.Versions.setDefaults()
 	return &Relay{options: options}
 }
 
@@ -313,8 +315,8 @@
 // noServer returns the refusal for a request that no server may take. If all servers are in
 // backoff or at their limits, callers are asked to return when one takes requests again, spread
 // over time.
-func (r *Relay) noServer(request *Request) error {
-	availability := r.options.Servers.Availability(request.Service, pool.VersionRule{})
+func (r *Relay) noServer(request *Request, versions pool.VersionRule) error {
+	availability := r.options.Servers.Availability(request.Service, versions)
 	refusal := &NotRun{Kind: RefusalNoServer, RetryAt: r.options.Now().Add(retryDelay)}
 	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting, %d of these at their limits", request.Service, availability.Listed, availability.Up, availability.BackingOff, availability.AtLimit)
 	if !availability.BackoffUntil.IsZero() {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -75,6 +75,7 @@
 	// isUnreachable makes checks of servers time out.
 	isUnreachable atomic.Bool
 	resumed       []bool // For each resume, whether it was from a copy.
+	versions      relay.Versions
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -120,6 +121,7 @@
 	}
 	return relay.New(relay.Options{
 		Renewals:           renewals,
+		Versions:           g.versions,
 		Servers:            servers,
 		Connections:        connections,
 		Logger:             hclog.NewNullLogger(),
--- a/internal/request/relay/retry.go
+++ b/internal/request/relay/retry.go
@@ -36,12 +36,16 @@
 		return s.relay.budgetSpent()
 	case running == nil:
 		return nil
-	case !s.relay.options.Servers.HasOther(service, running.Server.ID, pool.VersionRule{}):
+	}
+	rule := s.chooseElsewhere(running.Server)
+	switch {
+	case !s.relay.options.Servers.HasOther(service, running.Server.ID, rule):
 		refusal.Kind = RefusalNoServer
 		return refusal
 	case !s.relay.options.Withdraw(service):
 		return s.relay.budgetSpent()
 	}
+	s.versions.claimed = &rule
 	return nil
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -76,6 +76,7 @@
 	claimed        bool      // The next send was charged before the run was ended.
 	tried          map[string]bool
 	resumeFrom     Copy
+	versions       runVersions
 	copyFailures   int // Runs from a copy that failed while their server kept the copy.
 	moveFailures   int
 	moves          chan movedRun // The completed move of the current run, if any.
@@ -100,6 +101,7 @@
 	aborted   bool // The watch ended it: it was idle, or the server is down.
 	idle      bool // The watch ended it since an event was overdue.
 	blocked   bool // The watch ended it since requests with its traits crash servers.
+	leaving   bool // The watch ended it since its server's version is retired.
 	moved     bool // Its memory was moved, and it continues at another server.
 	unmarked  bool // It ended between two events, where nothing but its connection marks the end.
 	err       error
@@ -169,6 +171,7 @@
 	s.reason = fmt.Sprint(end.err)
 	if end.moved {
 		s.refundClaim()
+		s.versions.claimed = nil
 		s.chargedRetries++
 		return nil // The budget was charged when the move started.
 	}
@@ -207,7 +210,7 @@
 // and reports whether one does soon enough for the caller. A request that has not run is refused
 // instead.
 func (s *stream) awaitServer(ctx context.Context) bool {
-	until := s.relay.options.Servers.Availability(s.request.Service, pool.VersionRule{}).BackoffUntil
+	until := s.relay.options.Servers.Availability(s.request.Service, s.versions.rule).BackoffUntil
 	now := s.relay.options.Now()
 	if s.waitedSince.IsZero() {
 		s.waitedSince = now
@@ -261,10 +264,12 @@
 func (s *stream) chooseServer() (lease *pool.Lease, backup *pool.Server, from Copy, err error) {
 	select {
 	case m := <-s.moves:
+		s.versions.rule = m.rule
 		return m.lease, m.backup, m.from, nil
 	default:
 	}
-	criteria := pool.Criteria{Service: s.request.Service, Demand: s.request.Demand, Tried: s.tried, ServerID: s.resumeFrom.ServerID}
+	s.versions.rule = s.chooseVersions()
+	criteria := pool.Criteria{Service: s.request.Service, Demand: s.request.Demand, Tried: s.tried, ServerID: s.resumeFrom.ServerID, Versions: s.versions.rule}
 	criteria.Demand.AfterLoss = s.sends > 0
 	lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
 	if errors.Is(err, pool.ErrNone) && len(s.tried) > 0 {
@@ -285,7 +290,7 @@
 func (s *stream) run(ctx context.Context) (end runResult) {
 	lease, backup, from, err := s.chooseServer()
 	if err != nil {
-		return runResult{noServer: true, err: s.relay.noServer(s.request)}
+		return runResult{noServer: true, err: s.relay.noServer(s.request, s.versions.rule)}
 	}
 	defer lease.Release()
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream, Permit: lease.Permit}
@@ -311,6 +316,7 @@
 	defer s.relay.options.LoadReduced()
 	end = s.exchange(ctx, lease, dispatch, resumed)
 	s.reportOutcome(ctx, lease, end, resumed)
+	s.recordRun(lease, end, end.callerErr != nil || ctx.Err() != nil, resumed)
 	switch {
 	case s.renewedCopy != Copy{} && (end.done || end.callerErr != nil || ctx.Err() != nil || end.moved):
 		s.freeCopy(ctx, s.renewedCopy, lease.Server)
@@ -349,7 +355,7 @@
 	case end.notRun || end.answer != nil:
 	case end.notSent:
 		lease.ReportUnreachable(end.err)
-	case end.blocked:
+	case end.blocked || end.leaving:
 	case justBegun && !end.aborted:
 		stopped = !lease.Check(ctx)
 	default:
@@ -363,7 +369,7 @@
 
 // reportInterruption reports a run that may have crashed its server.
 func (s *stream) reportInterruption(ctx context.Context, lease *pool.Lease, end runResult, at time.Time, justBegun bool) (terminated bool) {
-	if end.notSent || end.notRun || end.failure || end.blocked || end.answer != nil {
+	if end.notSent || end.notRun || end.failure || end.blocked || end.leaving || end.answer != nil {
 		return false
 	}
 	return s.relay.reportInterruption(ctx, s.request, lease, s.sentAt, at, justBegun)
@@ -380,6 +386,8 @@
 		s.claimed = s.claimed || watch.claimed
 		s.renewedCopy = watch.renewal.copied
 		end.blocked = watch.blocked.Load() && !end.done && end.callerErr == nil
+		end.leaving = watch.leaving.Load() && !end.done && end.callerErr == nil
+		end.idle = end.idle && !end.leaving
 	}()
 	response, verdict, err := s.relay.send(ctx, dispatch)
 	if err != nil {
@@ -418,6 +426,7 @@
 	s.firstEventAt = s.relay.options.Now()
 	s.relay.options.LoadReduced()
 	watch.started.Store(true)
+	s.recordFirstEvent(lease, dispatch.CopyAddress != "")
 	if s.request.CopyKey == "" {
 		return
 	}
