--- a/internal/backend/rollout/rollout.go
+++ b/internal/backend/rollout/rollout.go
@@ -69,8 +69,15 @@
 	Serial    uint64   `json:"serial" cbor:"4,keyasint"`
 	StartedAt int64    `json:"startedAt" cbor:"5,keyasint"`
 	Deadline  int64    `json:"deadline" cbor:"6,keyasint"`
-	Exposed   int      `json:"exposed" cbor:"7,keyasint,omitempty"` // Credits issued at least.
-	Reason    string   `json:"reason" cbor:"8,keyasint,omitempty"`
+	// Exposed counts the credits that may have been issued: a coordinator reserves some by a write
+	// before it issues them.
+	Exposed int    `json:"exposed" cbor:"7,keyasint,omitempty"`
+	Reason  string `json:"reason" cbor:"8,keyasint,omitempty"`
+	// Writer identifies the Coordinator that wrote this state.
+	Writer uint32 `json:"writer,omitempty" cbor:"9,keyasint,omitempty"`
+	// Rejected are the versions of earlier orders that were replaced or rolled back. They get no
+	// requests.
+	Rejected []string `json:"rejected,omitempty" cbor:"10,keyasint,omitempty"`
 }
 
 // Send is what a request is to be sent for.
@@ -107,11 +114,13 @@
 	Took    time.Duration
 }
 
-// Sample counts the outcomes of one version on one route. Latencies is a histogram; see BucketOf.
+// Sample counts the outcomes of one version on one route. Latencies and Abandoned are histograms of
+// what was answered and of what was abandoned; see BucketOf.
 type Sample struct {
 	Answered  int   `cbor:"1,keyasint,omitempty"`
 	Failed    int   `cbor:"2,keyasint,omitempty"`
 	Latencies []int `cbor:"3,keyasint,omitempty"`
+	Abandoned []int `cbor:"4,keyasint,omitempty"`
 }
 
 // RouteTally has the samples of a route.
@@ -134,6 +143,10 @@
 	// streams and copies at servers that are not of the new version.
 	Serial  uint64 `cbor:"8,keyasint,omitempty"`
 	OldWork int    `cbor:"9,keyasint,omitempty"`
+	// Instance identifies the process of the VM, which counts from 0 when it starts, and Sequence
+	// numbers its tallies.
+	Instance uint64 `cbor:"10,keyasint,omitempty"`
+	Sequence uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 // CreditRequest asks the coordinator of a service for one request to the new version.
@@ -143,13 +156,18 @@
 	Revision uint64 `cbor:"3,keyasint"`
 	VM       string `cbor:"4,keyasint"`
 	Requests int    `cbor:"5,keyasint"` // As in the VM's Tally.
+	Instance uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // CreditReply answers a CreditRequest. Suspended means that there is evidence against the version:
-// the VM sends it nothing until it knows of a later state.
+// the VM sends it nothing until it knows of a later state. Share is the share of its requests for
+// which the VM is to ask for a credit, and Servers the number of servers of the new version among
+// which the request is to choose; 0 for all.
 type CreditReply struct {
-	Granted   bool `cbor:"1,keyasint,omitempty"`
-	Suspended bool `cbor:"2,keyasint,omitempty"`
+	Granted   bool    `cbor:"1,keyasint,omitempty"`
+	Suspended bool    `cbor:"2,keyasint,omitempty"`
+	Share     float64 `cbor:"3,keyasint,omitempty"`
+	Servers   int     `cbor:"4,keyasint,omitempty"`
 }
 
 // FollowerOptions configures a Follower. OldWork counts this VM's work at servers of a service that
