Work leaves versions that were rolled back

Only the stage retire told which servers are to keep no work, so streams stayed at a version that had been rolled back until its servers drained.

Follower.Retired answers it for a version: what a roll-out replaces, what was rolled back, and what an order before was for. Streams, copies and idle connections of a VM go by it. After the completion only the versions that the roll-out replaced are avoided, so that servers of a later version are not.

Measured: go test -race of packages rollout, pool and entry passes.

--- a/internal/backend/pool/version.go
+++ b/internal/backend/pool/version.go
@@ -160,14 +160,12 @@
 	return count
 }
 
-// UnusedAddresses returns the addresses of the servers that a rule excludes and where this VM has no
-// work.
-func (p *Pool) UnusedAddresses(service string, rule VersionRule) (addresses []string) {
+// UnusedAddresses returns the addresses of the servers of some versions where this VM has no work.
+func (p *Pool) UnusedAddresses(service string, isVersion func(version string) bool) (addresses []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	filter := p.versionFilter(service, rule)
 	for _, s := range p.servers {
-		if s.Service == service && filter.excludes(s) && len(s.leases) == 0 {
+		if s.Service == service && len(s.leases) == 0 && isVersion(s.Version) {
 			addresses = append(addresses, s.Address)
 		}
 	}
--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -123,7 +123,7 @@
 		rule.AvoidOthers = true
 		return rule, false
 	case StageCompleted:
-		return Rule{Avoid: withoutVersion(append(s.rejected, s.state.From...), s.order.To)}, false
+		return s.avoidOld(), false
 	default:
 		return s.avoidNew(), false
 	}
@@ -147,6 +147,11 @@
 	return Rule{Avoid: avoid}
 }
 
+// avoidOld is the rule once an order is completed. Called with the lock held.
+func (s *followed) avoidOld() Rule {
+	return Rule{Avoid: withoutVersion(slices.Concat(s.rejected, s.state.From), s.order.To)}
+}
+
 // preferNew is the rule for sends that go to the new version. Called with the lock held.
 func (s *followed) preferNew(servers int) Rule {
 	return Rule{Prefer: s.order.To, Avoid: slices.Clone(s.rejected), Servers: servers}
--- /dev/null
+++ b/internal/backend/rollout/retired_test.go
@@ -0,0 +1,43 @@
+package rollout_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
+)
+
+func TestRetired(t *testing.T) {
+	for name, c := range map[string]struct {
+		stage   rollout.Stage
+		retired []string // Of the versions v0, v1, v2 and v3.
+		rule    rollout.Rule
+	}{
+		"canary":      {stage: rollout.StageCanary, retired: []string{"v0"}, rule: rollout.Rule{Avoid: []string{"v0", "v2"}}},
+		"shift":       {stage: rollout.StageShift, retired: []string{"v0"}, rule: rollout.Rule{Avoid: []string{"v0", "v2"}}},
+		"retire":      {stage: rollout.StageRetire, retired: []string{"v0", "v1", "v3"}, rule: rollout.Rule{Prefer: "v2", Avoid: []string{"v0"}, AvoidOthers: true}},
+		"completed":   {stage: rollout.StageCompleted, retired: []string{"v0", "v1"}, rule: rollout.Rule{Avoid: []string{"v0", "v1"}}},
+		"rolled back": {stage: rollout.StageRolledBack, retired: []string{"v0", "v2"}, rule: rollout.Rule{Avoid: []string{"v0", "v2"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFollower(0, rollout.CreditReply{})
+			order := orderTo("v2", 1, 2)
+			state := stateOf(order, c.stage, 3)
+			state.Rejected = []string{"v0"}
+			f.ApplyOrders([]rollout.Order{order})
+			f.ApplyStates([]rollout.State{state})
+			retired := []string{}
+			for _, version := range []string{"v0", "v1", "v2", "v3"} {
+				if rule, ok := f.Retired(service, version); ok {
+					retired = append(retired, version)
+					qt.Check(t, rule, qt.DeepEquals, c.rule)
+				}
+			}
+			qt.Check(t, retired, qt.DeepEquals, c.retired)
+		})
+	}
+	f := newFollower(0, rollout.CreditReply{})
+	_, retired := f.Retired(service, "v1")
+	qt.Check(t, retired, qt.IsFalse)
+}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -203,7 +203,7 @@
 			Recheck:     v.crashes.Recheck,
 			IsBlocked:   v.crashes.IsBlocked,
 		},
-		Versions:    relay.Versions{Choose: v.rollouts.Choose, Record: v.rollouts.Record, Retired: v.retiredVersion},
+		Versions:    relay.Versions{Choose: v.rollouts.Choose, Record: v.rollouts.Record, Retired: v.rollouts.Retired},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
