Cold servers are no evidence on their version

The servers of a new version have all just started, and are slow for that reason alone.

Server.Cold is read from the server's row, and the outcome of a send to a cold server is recorded as no evidence.

--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -46,6 +46,8 @@
 	Started int64
 	// Version is that of its software; empty if versions make no difference.
 	Version string `cbor:",omitempty"`
+	// Cold means that it is slower than usual, since it has just started.
+	Cold bool `cbor:",omitempty"`
 }
 
 // VersionRule limits a choice to servers of some versions, while a roll-out is under way. The zero
--- a/internal/request/relay/version.go
+++ b/internal/request/relay/version.go
@@ -31,8 +31,12 @@
 	}
 }
 
-// recordOutcome records what a send tells of its server's version.
+// recordOutcome records what a send tells of its server's version. A server that is cold when it is
+// chosen tells nothing.
 func (r *Relay) recordOutcome(request *Request, server pool.Server, outcome rollout.Outcome, took time.Duration) {
+	if server.Cold {
+		outcome = rollout.NoEvidence
+	}
 	r.options.Versions.Record(rollout.Result{Service: request.Service, Route: request.Route.Name, Version: server.Version, Outcome: outcome, Took: took})
 }
 
--- a/internal/request/relay/version_test.go
+++ b/internal/request/relay/version_test.go
@@ -166,6 +166,20 @@
 	}
 }
 
+func TestColdServersAreNoEvidence(t *testing.T) {
+	for name, run := range map[string]script{"answer": respond(200, "good"), "failure": respond(500, "bad")} {
+		t.Run(name, func(t *testing.T) {
+			fake := &rolloutFake{}
+			g := newVersionRig(t, fake, map[string]script{"a-old": run})
+			g.listed[0].Cold = true
+			g.servers.Update(g.listed)
+			_, err := g.relay.Call(context.Background(), request(routing.KindNonIdempotent))
+			qt.Assert(t, err, qt.IsNil)
+			qt.Check(t, fake.ended(t, 1)[0].Outcome, qt.Equals, rollout.NoEvidence)
+		})
+	}
+}
+
 func TestOutcomesOfStreams(t *testing.T) {
 	for name, c := range map[string]struct {
 		run      script
