Orders, states and statuses of roll-outs on the platform's store

Change: settings `contracts`, `exposure_share`, `exposure_slack`, `rollback_ms`, checked only if the contract is named; versions of servers only then too. Rows `rollout/SERVICE` become orders. A row whose service differs from its key, without version or time, or unreadable is no order and withdraws the one before; a row without a service has that of its key. A state and its status are written in one transaction under the row's version: 412 returns the present row, 429 and 503 mean nothing was done, anything else is unknown.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -53,6 +53,7 @@
 	Servers          Table
 	VMs              Table
 	Copies           Table
+	Rollouts         RolloutStore
 	// Codecs of the platform's rows and messages.
 	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
 	DecodeServer        func(id string, raw []byte) (pool.Server, bool)
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
@@ -40,6 +41,14 @@
 	RetryFraction  float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// Rollouts means that operators may order roll-outs; see package rollout. Until a version is
+	// known to be good it gets at most ExposureShare of all requests of its service and
+	// ExposureSlack more. RollbackLimit is the time within which a bad version gets no more
+	// requests.
+	Rollouts      bool
+	ExposureShare float64
+	ExposureSlack int
+	RollbackLimit time.Duration
 }
 
 // Reload applies the settings that may change while the VM runs: the seeds, the grace
@@ -75,6 +84,8 @@
 	addIf(&fromNextStart, "addressKept", before.AddressReuseDelay != next.AddressReuseDelay)
 	retriesChanged := before.RetryFraction != next.RetryFraction || before.RetryAllowance != next.RetryAllowance || before.RetryWindow != next.RetryWindow
 	addIf(&fromNextStart, "repeats", retriesChanged)
+	rolloutsChanged := before.Rollouts != next.Rollouts || before.ExposureShare != next.ExposureShare || before.ExposureSlack != next.ExposureSlack || before.RollbackLimit != next.RollbackLimit
+	addIf(&fromNextStart, "rollouts", rolloutsChanged)
 	return applied, fromNextStart
 }
 
@@ -82,6 +93,14 @@
 // watch requested.
 const ErrHistoryGone = errors.ConstError("the store has dropped its history")
 
+const (
+	// ErrConflict means that a row did not have the version that a write expected.
+	ErrConflict = errors.ConstError("the row has changed")
+	// ErrRefused means that the store did nothing. After any other error a write may have been
+	// performed.
+	ErrRefused = errors.ConstError("the store refused the call")
+)
+
 // Row is one row of a table. Version is the store's version at the row's last change.
 type Row struct {
 	Key     string
@@ -90,19 +109,40 @@
 	Deleted bool
 }
 
-// Rows are rows of a table, as of a version of the store.
+// Rows are rows of a table, as of a version of the store. NowMillis is the time of the store's
+// steady clock in its answer.
 type Rows struct {
-	Rows    []Row
-	Version spread.StoreVersion
+	Rows      []Row
+	Version   spread.StoreVersion
+	NowMillis int64
 }
 
-// Table is one table of the store. Read returns all rows. Watch waits for changes since a
+// Table is one table of the store. Read returns all rows, Get the one with a key. Watch waits for changes since a
 // revision and returns them, or ErrHistoryGone; they are of no use if the era in their version is
 // not that of the revision. Put returns the era in which the row was written. All may fail at any
 // time.
 type Table struct {
 	Read   func(ctx context.Context) (Rows, error)
+	Get    func(ctx context.Context, key string) (Rows, error)
 	Watch  func(ctx context.Context, since uint64, wait time.Duration) (Rows, error)
 	Put    func(ctx context.Context, key string, value []byte) (era uint64, err error)
 	Remove func(ctx context.Context, key string) error
 }
+
+// RolloutStore is what the store holds of roll-outs. DecodeOrder reads an operator's order from a row
+// of the configuration's table. Order is false for other rows; an order that can't be read has only
+// the service, and is withdrawn. States has the states of package rollout, by service. Write puts one
+// there and the status for the operator, in one transaction.
+type RolloutStore struct {
+	DecodeOrder func(row Row) (order rollout.Order, isOrder bool)
+	States      Table
+	Write       func(ctx context.Context, write StateWrite) (Rows, error)
+}
+
+// StateWrite writes a state of a roll-out, with Value as its row, if the row has the version
+// Expected; 0 if there is none. On ErrConflict Write returns the present row.
+type StateWrite struct {
+	State    rollout.State
+	Value    []byte
+	Expected uint64
+}
