Orders, states, tallies and credits of roll-outs between VMs

Change: orders and states are announced when they change, and exchanged by VMs whose digests differ, like crash reports. Tallies are posted to the three VMs that rank first for `rollout/SERVICE`. Of these the first that the store answers coordinates, and grants credits by call; one that doesn't coordinate in its own view, or may be cut off, grants none. Without orders no message has anything of it: a test decodes all of them.

--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -10,7 +10,7 @@
 )
 
 // VMs announce once, without acknowledgement: their loads on servers, the locations of copies,
-// and losses, crashes, departures and limits of servers. An announcement is an optimisation: a VM that
+// losses, crashes, departures and limits of servers, and changes of roll-outs. An announcement is an optimisation: a VM that
 // misses one finds out by itself, so announcements may be lost.
 
 // announcement is one item to send once. Exactly one of the pointers is set. Group is the group
@@ -21,6 +21,7 @@
 	loss         *LossReport
 	departure    *pool.Departure
 	limit        *pool.ServerLimit
+	rollouts     *RolloutNews
 	group        string
 }
 
@@ -123,6 +124,7 @@
 		}
 	}
 	loads.Crashes, loads.Losses, loads.Departures, loads.Limits = toAll.Crashes, toAll.Losses, toAll.Departures, toAll.Limits
+	loads.Rollouts = toAll.Rollouts
 	cellPeers, forwarders := st.members.cellAndForwarders()
 	s.post(cellPeers, &loads)
 	if toAll.hasAnnouncements() {
@@ -147,6 +149,12 @@
 		m.Departures = append(m.Departures, *a.departure)
 	case a.limit != nil:
 		m.Limits = append(m.Limits, *a.limit)
+	case a.rollouts != nil:
+		if m.Rollouts == nil {
+			m.Rollouts = &RolloutNews{}
+		}
+		m.Rollouts.Orders = append(m.Rollouts.Orders, a.rollouts.Orders...)
+		m.Rollouts.States = append(m.Rollouts.States, a.rollouts.States...)
 	}
 }
 
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -63,6 +63,7 @@
 		MembersHash:    st.members.hash(),
 		ServersHash:    st.servers.hash,
 		CrashesHash:    s.options.CrashesHash(),
+		RolloutsHash:   s.options.Rollouts.Digest(),
 	}
 }
 
@@ -119,6 +120,7 @@
 	if len(received.Departures) > 0 {
 		s.options.OnDepartures(received.Departures)
 	}
+	s.applyRollouts(received)
 	s.do(ctx, func(st *state) {
 		s.merge(ctx, st, received)
 		if len(received.Limits) > 0 {
@@ -177,6 +179,11 @@
 		answer := message{From: s.options.Self.ID, PermitReply: &reply}
 		return answer.encode()
 	}
+	if received.Credit != nil {
+		reply := s.grantCredit(*received.Credit)
+		answer := message{From: s.options.Self.ID, CreditReply: &reply}
+		return answer.encode()
+	}
 	if len(received.WantCopies) > 0 {
 		copies, known := s.options.FindCopies(received.WantCopies)
 		if !known {
@@ -214,6 +221,11 @@
 	if received.Summary != nil && received.Summary.CrashesHash != m.Summary.CrashesHash {
 		m.Crashes = s.options.Crashes()
 	}
+	if received.Summary != nil && received.Summary.RolloutsHash != m.Summary.RolloutsHash {
+		if news := s.options.Rollouts.News(); !news.IsEmpty() {
+			m.Rollouts = &news
+		}
+	}
 	m.Members = st.members.byDigests(received.WantMembers)
 	if known := st.members.others[received.From]; known != nil && known.Down {
 		m.Members = append(slices.Clone(m.Members), known.Member) // Lets the peer refute it.
@@ -380,6 +392,7 @@
 	if len(received.Limits) > 0 {
 		s.options.OnLimits(received.Limits)
 	}
+	s.applyRollouts(received)
 	if received.Observation != nil {
 		s.permits.Observe(*received.Observation)
 	}
--- a/internal/peer/spread/kind.go
+++ b/internal/peer/spread/kind.go
@@ -10,6 +10,8 @@
 		return "work"
 	case len(m.Losses)+len(m.Departures)+len(m.Crashes) > 0:
 		return "losses and departures"
+	case m.Rollouts != nil || len(m.Tallies) > 0 || m.Credit != nil || m.CreditReply != nil:
+		return "roll-outs"
 	case len(m.Copies) > 0 || len(m.WantCopies) > 0:
 		return "places of copies"
 	case len(m.Config) > 0:
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
@@ -105,6 +106,7 @@
 	ServersHash    uint64 `cbor:"6,keyasint,omitempty"` // Of the list at ServersVersion.
 	CrashesHash    uint64 `cbor:"7,keyasint,omitempty"`
 	ServersEra     uint64 `cbor:"8,keyasint,omitempty"` // Of ServersVersion.
+	RolloutsHash   uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 func (s *summary) serversVersion() StoreVersion {
@@ -158,10 +160,16 @@
 	Permit      *permit.Request     `cbor:"21,keyasint,omitempty"`
 	PermitReply *permit.Reply       `cbor:"22,keyasint,omitempty"`
 	Observation *permit.Observation `cbor:"23,keyasint,omitempty"`
+	// Rollouts are orders and states of roll-outs, Tallies what a VM has counted for them. Credit
+	// requests a credit from the coordinator of a roll-out, CreditReply is the reply.
+	Rollouts    *RolloutNews           `cbor:"24,keyasint,omitempty"`
+	Tallies     []rollout.Tally        `cbor:"25,keyasint,omitempty"`
+	Credit      *rollout.CreditRequest `cbor:"26,keyasint,omitempty"`
+	CreditReply *rollout.CreditReply   `cbor:"27,keyasint,omitempty"`
 }
 
 func (m *message) hasAnnouncements() bool {
-	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures)+len(m.Limits) > 0
+	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures)+len(m.Limits) > 0 || m.Rollouts != nil
 }
 
 func (m *message) encode() []byte {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -158,6 +158,8 @@
 	OnEra func(era uint64)
 	// OnCell is called when this VM's cell or the number of cells changes.
 	OnCell func(cell, cells int)
+	// Rollouts is empty if the VM follows none.
+	Rollouts Rollouts
 }
 
 // Spread is safe for concurrent use.
@@ -219,6 +221,7 @@
 	if options.OnEra == nil {
 		options.OnEra = func(uint64) {}
 	}
+	options.Rollouts = options.Rollouts.withDefaults()
 	if options.OnCell == nil {
 		options.OnCell = func(int, int) {}
 	}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -31,6 +31,10 @@
 	refuses bool
 	// losesPosts loses all messages without a reply.
 	losesPosts atomic.Bool
+	// rolloutBodies counts the messages and replies that have something of roll-outs, if
+	// countsRollouts was set before the first VM started.
+	countsRollouts bool
+	rolloutBodies  atomic.Int64
 }
 
 type vm struct {
@@ -50,6 +54,7 @@
 	limits         sync.Map // IDs of the servers whose limits it has received, after the servers.
 	servers        atomic.Int64
 	named          atomic.Pointer[pool.ServerLimit] // The limit that a server named to it.
+	rollouts       *rolloutsFake
 }
 
 // findCopies returns the copies whose locations the VM has received.
@@ -83,6 +88,10 @@
 			return nil, errors.Trace(ctx.Err())
 		}
 		answer := to.OnMessage(body)
+		if n.countsRollouts {
+			n.countRollouts(body)
+			n.countRollouts(answer)
+		}
 		n.mu.Lock()
 		n.bytes += len(answer)
 		n.mu.Unlock()
@@ -107,7 +116,7 @@
 }
 
 func (n *network) start(t *testing.T, name string, seeds ...string) *vm {
-	v := &vm{address: name + ":1"}
+	v := &vm{address: name + ":1", rollouts: newRolloutsFake()}
 	call := n.call(v.address)
 	v.crashes = crash.New(crash.Options{Now: time.Now, Announce: func(report crash.Report) { v.AnnounceCrash(report) }})
 	v.Spread = spread.New(spread.Options{
@@ -178,6 +187,7 @@
 		},
 		FindCopies:     func(keys []string) ([]spread.CopyLocation, bool) { return v.findCopies(keys), true },
 		OnServiceUsage: func(string, []spread.ServiceUsage) {},
+		Rollouts:       v.rollouts.connect(),
 	})
 	n.mu.Lock()
 	n.vms[v.address] = v
