VMs follow roll-outs, and the first in rank coordinates them

Events 901 to 910, metrics by service and version. pool.OldWork is a stub; nothing calls chooseVersion and recordResult yet, since package rollout has no behaviour.

--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
@@ -88,6 +89,34 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_permits_total{reply=%q}`, result)).Inc()
 }
 
+// rolloutResult counts the end of a send of a service with a roll-out.
+func (c *counters) rolloutResult(result rollout.Result) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_rollout_sends_total{service=%q,version=%q,outcome=%q}`,
+		result.Service, result.Version, outcomeNames[result.Outcome])).Inc()
+}
+
+// outcomeNames are the outcomes of sends as metrics name them.
+var outcomeNames = map[rollout.Outcome]string{
+	rollout.NoEvidence: "noEvidence",
+	rollout.Answered:   "answered",
+	rollout.Failed:     "failed",
+	rollout.Abandoned:  "abandoned",
+}
+
+// rolloutCredit counts a request for a credit by its reply.
+func (c *counters) rolloutCredit(service string, reply rollout.CreditReply, err error) {
+	result := "denied"
+	switch {
+	case err != nil:
+		result = "noReply"
+	case reply.Suspended:
+		result = "suspended"
+	case reply.Granted:
+		result = "granted"
+	}
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_rollout_credits_total{service=%q,reply=%q}`, service, result)).Inc()
+}
+
 // storeRestored counts a new era of the store.
 func (c *counters) storeRestored() {
 	c.set.GetOrCreateCounter("endivespoke_store_restored_total").Inc()
@@ -147,6 +176,9 @@
 	if snapshot.Configuration != nil {
 		gauge("endivespoke_configuration_version", float64(snapshot.Configuration.Version))
 	}
+	for _, state := range v.rollouts.follower.States() {
+		gauge(fmt.Sprintf(`endivespoke_rollout_stage{service=%q,to=%q,stage=%q}`, state.Order.Service, state.Order.To, state.Stage), 1)
+	}
 	gauges.WritePrometheus(w)
 	v.counters.set.WritePrometheus(w)
 	event.WriteMetrics(w)
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -88,6 +88,7 @@
 	relay             *relay.Relay
 	copies            *copies.Copies
 	crashes           *crash.Record
+	rollouts          *rollouts
 	counters          *counters
 	bodies            *caller.Bodies
 	answers           *caller.Bodies // What servers send, while it is read.
@@ -176,6 +177,7 @@
 	v.copies = copies.New(copies.Options{Now: v.Now})
 	v.crashes = crash.New(v.crashOptions())
 	v.spread = spread.New(v.spreadOptions())
+	v.rollouts = newRollouts(v)
 	v.relay = relay.New(relay.Options{
 		Servers:            v.servers,
 		Connections:        v.connections,
@@ -252,6 +254,7 @@
 		OnServiceUsage:      v.applyServiceUsage,
 		OnCell:              v.cellChanged,
 		OnEra:               v.raiseEra,
+		Rollouts:            v.spreadRollouts(),
 	}
 }
 
@@ -490,7 +493,7 @@
 	if now.Before(v.started.Add(startHold)) && (now.Sub(snapshot.ConfigurationAt) > bound || now.Sub(snapshot.ServersAt) > bound) {
 		return false
 	}
-	return known && v.copyIndexKnown() && !v.IsLeaving()
+	return known && v.copyIndexKnown() && v.rolloutsKnown() && !v.IsLeaving()
 }
 
 // copyIndexKnown reports whether the copies that earlier VMs stored have been read, or the
@@ -557,6 +560,10 @@
 	supervisor.Add(periodic.New("idle connections", idleCheckInterval, func(context.Context) { v.connections.Sweep() }))
 	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeIdleCallers))
 	supervisor.Add(&readiness{vm: v})
+	if v.settings.Load().Rollouts {
+		supervisor.Add(v.rollouts)
+		supervisor.Add(periodic.New("tallies of roll-outs", tallyInterval, v.rollouts.postTallies))
+	}
 	return supervisor
 }
 
--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -303,8 +303,8 @@
 	}
 }
 
-// applyConfiguration applies the operator's configuration row.
-func (v *VM) applyConfiguration(ctx context.Context, rows Rows, _ bool, at time.Time) {
+// applyConfiguration applies the operator's rows: the configuration and the orders of roll-outs.
+func (v *VM) applyConfiguration(ctx context.Context, rows Rows, full bool, at time.Time) {
 	var raw []byte
 	for _, row := range rows.Rows {
 		if row.Key == v.options.ConfigurationKey && !row.Deleted {
@@ -312,6 +312,9 @@
 		}
 	}
 	v.spread.ApplyConfiguration(ctx, raw, at)
+	if v.settings.Load().Rollouts {
+		v.rollouts.applyRows(rows, full, at)
+	}
 }
 
 // applyServers applies rows of backend servers.
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -25,7 +25,7 @@
 
 // The events, grouped by the hundreds of their numbers: 1 process, 2 configuration,
 // 3 membership, 4 generations, 5 actions, 6 backend servers, 7 relayed requests,
-// 8 the platform.
+// 8 the platform, 9 roll-outs.
 var (
 	VMStarted            = define(101, "VM is serving")
 	VMStopping           = define(102, "VM is leaving: it finishes what it runs")
@@ -89,6 +89,16 @@
 	StoreRestored        = define(808, "the platform's store came back from an older copy")
 	StoreRowRewritten    = define(809, "a row was written again to the platform's store")
 	StoreEraOutdated     = define(810, "an answer of the platform's store was of an older copy")
+	RolloutOrdered       = define(901, "an operator ordered a roll-out")
+	RolloutOrderRefused  = define(902, "the order of a roll-out can't be read")
+	RolloutWithdrawn     = define(903, "the order of a roll-out does not hold any more")
+	RolloutStageEntered  = define(904, "a roll-out entered a stage")
+	RolloutCompleted     = define(905, "a roll-out is completed")
+	RolloutRolledBack    = define(906, "a roll-out was rolled back")
+	RolloutCoordinated   = define(907, "this VM coordinates a roll-out")
+	RolloutNotWritten    = define(908, "the state of a roll-out was not written")
+	RolloutSuspended     = define(909, "requests to a new version are suspended")
+	RolloutStateUnread   = define(910, "the stored state of a roll-out can't be read")
 )
 
 var all []Event
