--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -28,7 +28,6 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
-	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
@@ -54,6 +53,7 @@
 	Servers          Table
 	VMs              Table
 	Copies           Table
+	Rollouts         RolloutStore
 	// Codecs of the platform's rows and messages.
 	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
 	DecodeServer        func(id string, raw []byte) (pool.Server, bool)
@@ -84,11 +84,11 @@
 	spread            *spread.Spread
 	peers             *wire.Pool
 	servers           *pool.Pool
-	rollouts          *rollout.Follower
 	connections       *http1.Pool
 	relay             *relay.Relay
 	copies            *copies.Copies
 	crashes           *crash.Record
+	rollouts          *rollouts
 	counters          *counters
 	bodies            *caller.Bodies
 	answers           *caller.Bodies // What servers send, while it is read.
@@ -169,7 +169,6 @@
 		},
 		Watches: func(group string) bool { return v.spread.Watches(group) },
 	})
-	v.rollouts = rollout.NewFollower(rollout.FollowerOptions{Draw: rand.Float64, OldWork: v.servers.OldWork})
 	v.peers = wire.NewPool(wire.PoolOptions{
 		OnAcks: func(string, []wire.Ack) {},
 		OnDown: func(string) {},
@@ -178,6 +177,7 @@
 	v.copies = copies.New(copies.Options{Now: v.Now})
 	v.crashes = crash.New(v.crashOptions())
 	v.spread = spread.New(v.spreadOptions())
+	v.rollouts = newRollouts(v)
 	v.relay = relay.New(relay.Options{
 		Servers:            v.servers,
 		Connections:        v.connections,
@@ -203,7 +203,7 @@
 			Recheck:     v.crashes.Recheck,
 			IsBlocked:   v.crashes.IsBlocked,
 		},
-		Versions:    relay.Versions{Choose: v.rollouts.Choose, Record: v.rollouts.Record, Retired: v.rollouts.Retired},
+		Versions:    relay.Versions{Choose: v.chooseVersion, Record: v.recordResult, Retired: v.rollouts.follower.Retired},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
@@ -255,6 +255,7 @@
 		OnServiceUsage:      v.applyServiceUsage,
 		OnCell:              v.cellChanged,
 		OnEra:               v.raiseEra,
+		Rollouts:            v.spreadRollouts(),
 	}
 }
 
@@ -493,7 +494,7 @@
 	if now.Before(v.started.Add(startHold)) && (now.Sub(snapshot.ConfigurationAt) > bound || now.Sub(snapshot.ServersAt) > bound) {
 		return false
 	}
-	return known && v.copyIndexKnown() && !v.IsLeaving()
+	return known && v.copyIndexKnown() && v.rolloutsKnown() && !v.IsLeaving()
 }
 
 // copyIndexKnown reports whether the copies that earlier VMs stored have been read, or the
@@ -560,6 +561,10 @@
 	supervisor.Add(periodic.New("idle connections", idleCheckInterval, v.sweepConnections))
 	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeIdleCallers))
 	supervisor.Add(&readiness{vm: v})
+	if v.settings.Load().Rollouts {
+		supervisor.Add(v.rollouts)
+		supervisor.Add(periodic.New("tallies of roll-outs", tallyInterval, v.rollouts.postTallies))
+	}
 	return supervisor
 }
 
--- a/internal/node/entry/versions.go
+++ b/internal/node/entry/versions.go
@@ -6,9 +6,9 @@
 // versions that keep no work.
 func (v *VM) sweepConnections(context.Context) {
 	v.connections.Sweep()
-	for _, order := range v.rollouts.Orders() {
+	for _, order := range v.rollouts.follower.Orders() {
 		isRetired := func(version string) bool {
-			_, retired := v.rollouts.Retired(order.Service, version)
+			_, retired := v.rollouts.follower.Retired(order.Service, version)
 			return retired
 		}
 		for _, address := range v.servers.UnusedAddresses(order.Service, isRetired) {
