What was rolled back is avoided also after its order was withdrawn

VMs asked for no rule as soon as no order held, so that a withdrawn order let a rejected version have requests again. The follower knows it still and is asked always; without orders that is one load of a pointer.

Measured: go test -race of package entry passes.

--- a/internal/node/entry/rollouts.go
+++ b/internal/node/entry/rollouts.go
@@ -98,11 +98,9 @@
 	}
 }
 
-// chooseVersion returns the rule for the choice of a server for a send.
+// chooseVersion returns the rule for the choice of a server for a send. What was rolled back is
+// avoided also after its order was withdrawn.
 func (v *VM) chooseVersion(service string, send rollout.Send) rollout.Rule {
-	if !v.rollouts.hasOrders.Load() {
-		return rollout.Rule{}
-	}
 	return v.rollouts.follower.Choose(service, send)
 }
 
