--- a/internal/backend/rollout/histogram.go
+++ b/internal/backend/rollout/histogram.go
@@ -33,3 +33,54 @@
 	histogram[bucket]++
 	return histogram
 }
+
+// addHistogram adds one histogram to another, which it returns.
+func addHistogram(to, from []int) []int {
+	for len(to) < len(from) {
+		to = append(to, 0)
+	}
+	for bucket, count := range from {
+		to[bucket] += count
+	}
+	return to
+}
+
+// subtractHistogram returns what a cumulative histogram counted since an earlier one.
+func subtractHistogram(later, earlier []int) []int {
+	difference := make([]int, len(later))
+	for bucket, count := range later {
+		if bucket < len(earlier) {
+			count -= earlier[bucket]
+		}
+		difference[bucket] = max(count, 0)
+	}
+	return difference
+}
+
+func totalOf(histogram []int) int {
+	total := 0
+	for _, count := range histogram {
+		total += count
+	}
+	return total
+}
+
+// medianBucket returns the bucket of the median.
+func medianBucket(histogram []int) int {
+	half, below := (totalOf(histogram)+1)/2, 0
+	for bucket, count := range histogram {
+		below += count
+		if below >= half {
+			return bucket
+		}
+	}
+	return 0
+}
+
+// countAbove counts the latencies in the buckets above one.
+func countAbove(histogram []int, bucket int) int {
+	if bucket+1 >= len(histogram) {
+		return 0
+	}
+	return totalOf(histogram[bucket+1:])
+}
