--- a/internal/operator/explain/explain.go
+++ b/internal/operator/explain/explain.go
@@ -1,10 +1,12 @@
-// Package explain builds the timeline of one request from the logs of all VMs and
-// determines the cause of its outcome.
+// Package explain builds the timeline of one request or of one roll-out from the logs of all VMs
+// and determines the cause of its outcome.
 //
 // # Usage
 //
 //	found, err := explain.Read(logs, "9c41d07be2a35f68")
 //	found.Print(os.Stdout)
+//	rollout, err := explain.ReadRollout(logs, "booking")
+//	rollout.Print(os.Stdout)
 //
 // Logs are the JSON lines of any number of VMs, in any order. Text before the first
 // brace of a line is skipped, since log collectors may add a prefix.
@@ -53,22 +55,20 @@
 // Read collects the lines of a request. It is an error if there are none.
 func Read(logs io.Reader, request string) (explanation Explanation, err error) {
 	explanation.Request = request
+	lines, err := readLines(logs, func(line Line) bool {
+		return line.Fields["request"] == request || (line.Event != event.RequestEnded.Number && line.Fields["request"] == nil)
+	})
+	if err != nil {
+		return explanation, err
+	}
 	others := []Line{}
-	scanner := bufio.NewScanner(logs)
-	scanner.Buffer(nil, maxLineBytes)
-	for scanner.Scan() {
-		line, ok := parse(scanner.Bytes())
-		switch {
-		case !ok:
-		case line.Fields["request"] == request:
+	for _, line := range lines {
+		if line.Fields["request"] == request {
 			explanation.Lines = append(explanation.Lines, line)
-		case line.Event != event.RequestEnded.Number && line.Fields["request"] == nil:
+		} else {
 			others = append(others, line)
 		}
 	}
-	if err = scanner.Err(); err != nil {
-		return explanation, errors.Annotate(err, "reading the logs")
-	}
 	if len(explanation.Lines) == 0 {
 		return explanation, errors.NotFoundf("request %s in these logs", request)
 	}
@@ -78,6 +78,18 @@
 	return explanation, nil
 }
 
+// readLines returns the lines of logs that are selected.
+func readLines(logs io.Reader, isSelected func(line Line) bool) (lines []Line, err error) {
+	scanner := bufio.NewScanner(logs)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		if line, ok := parse(scanner.Bytes()); ok && isSelected(line) {
+			lines = append(lines, line)
+		}
+	}
+	return lines, errors.Annotate(scanner.Err(), "reading the logs")
+}
+
 func parse(raw []byte) (line Line, ok bool) {
 	start := bytes.IndexByte(raw, '{')
 	if start < 0 {
--- a/internal/operator/terminal/platform.go
+++ b/internal/operator/terminal/platform.go
@@ -58,11 +58,22 @@
 }
 
 type explainCommand struct {
-	Request string `arg:"" help:"Id of the request."`
+	Request string `arg:"" optional:"" help:"Id of the request."`
+	Rollout string `help:"Explain the newest roll-out of this service instead."`
 }
 
-// Run prints the timeline of a request and the cause of its outcome.
+// Run prints the timeline of a request or of a roll-out, and the cause of its outcome.
 func (c *explainCommand) Run(t *terminal) error {
+	if (c.Request == "") == (c.Rollout == "") {
+		return exit(exitUsage, "either the id of a request or --rollout with a service is needed")
+	}
+	if c.Rollout != "" {
+		found, err := explain.ReadRollout(t.in, c.Rollout)
+		if err != nil {
+			return exit(exitFailed, "%v", err)
+		}
+		return found.Print(t.out)
+	}
 	found, err := explain.Read(t.in, c.Request)
 	if err != nil {
 		return exit(exitFailed, "%v", err)
--- a/internal/operator/terminal/terminal.go
+++ b/internal/operator/terminal/terminal.go
@@ -55,7 +55,7 @@
 	Serve    serveCommand    `cmd:"" help:"Run one entry VM. Stops gracefully on SIGTERM."`
 	Entry    entryCommand    `cmd:"" help:"Run one entry VM on the users' platform. Stops gracefully on SIGTERM."`
 	Settings settingsCommand `cmd:"" help:"Check a settings file of the users' platform."`
-	Explain  explainCommand  `cmd:"" help:"Show the timeline of one request from the VMs' logs on standard input."`
+	Explain  explainCommand  `cmd:"" help:"Show the timeline of one request, or of a roll-out, from the VMs' logs on standard input."`
 	Config   configCommand   `cmd:"" help:"Check, publish and show configurations."`
 	Status   statusCommand   `cmd:"" help:"Show one VM's view of the system."`
 	Locate   locateCommand   `cmd:"" help:"List the VMs to use."`
@@ -79,6 +79,7 @@
   endivespoke generate --entry http://10.0.0.1:8080 --model drafting "Crew plan for job 17"
   endivespoke status --output json
   endivespoke explain 9c41d07be2a35f68 < vms.log
+  endivespoke explain --rollout booking < vms.log
 
 Exit codes: 0 success, 1 refused or failed, 2 invalid usage or settings,
 3 invalid configuration, 4 another operator published first, 5 outcome unknown.`
