A run goes on without the store, and follows orders that it finds

Cause: a coordinator that the store does not answer could not roll back: its successor began only with the row, and its own run ended when another VM took over. Sends of a withdrawn order were not limited. Change: a run whose reads fail begins with what the VMs know and announces only a rollback; a run is kept while another VM coordinates; a state found in the row tells its order too. Event 904 only for a new stage. Tallies are compared without their sequence, and an older one replaces none. The first run with -race failed: a new test changed its VM while the VM's event loop ran; the test's VM is idle now.

--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -62,18 +62,25 @@
 	}
 }
 
-// runOf returns the run of an order that this VM coordinates, or nil.
+// runOf returns the run of an order that this VM coordinates, or nil. A run is kept while another VM
+// coordinates: this one may do so again.
 func (r *rollouts) runOf(order rollout.Order) *rolloutRun {
 	_, isSelf := r.vm.spread.Coordinator(order.Service)
 	isSettled := !r.vm.Now().Before(r.vm.started.Add(settleTime)) // Before, this VM may not know the others.
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run := r.runs[order.Service]
-	if order.Withdrawn || !isSelf || !isSettled {
+	if run != nil && run.order != order {
 		delete(r.runs, order.Service)
+		run = nil
+	}
+	if order.Withdrawn || !isSelf || !isSettled {
+		if run != nil {
+			run.isReadDue = true
+		}
 		return nil
 	}
-	if run == nil || run.order != order {
+	if run == nil {
 		run = newRolloutRun(r, order)
 		r.runs[order.Service] = run
 	}
@@ -196,6 +203,7 @@
 	coordinator *rollout.Coordinator
 	decider     decider
 	begun       atomic.Bool // The coordinator has the state that the store held.
+	isBlind     bool        // It has begun with what the VMs know, since the store does not answer.
 	isOutdated  bool        // The row has a state of a later order.
 	isReadDue   bool        // What the row holds is not known.
 	row         spread.StoreVersion
@@ -222,6 +230,7 @@
 // step reads the row if it is not known, and writes the state that is due.
 func (r *rolloutRun) step(ctx context.Context) {
 	if r.needsRead() && !r.read(ctx) {
+		r.decideWithoutStore()
 		return
 	}
 	if r.isOutdated {
@@ -241,6 +250,22 @@
 	return age > storeClockMaxAge && !r.last.Stage.IsFinal()
 }
 
+// decideWithoutStore announces a rollback that is due. Any other step waits for the store.
+func (r *rolloutRun) decideWithoutStore() {
+	if !r.begun.Load() && !r.isBlind {
+		known := r.known()
+		if known == nil {
+			return
+		}
+		r.isBlind = true
+		r.beginWith(nil, known)
+	}
+	next, due := r.decider.decide(r.rollouts.view(r.order))
+	if due && next.Stage == rollout.StageRolledBack {
+		r.rollouts.publish(next)
+	}
+}
+
 // read adopts the state in the row, and reports whether it is known.
 func (r *rolloutRun) read(ctx context.Context) bool {
 	all := r.rollouts
@@ -274,25 +299,37 @@
 // begin gives the coordinator what is known of the order.
 func (r *rolloutRun) begin(found *rollout.State) {
 	all := r.rollouts
-	var known *rollout.State
-	for _, state := range all.follower.States() {
-		if state.Order.Service == r.order.Service {
-			known = &state
-		}
-	}
-	r.decider.begin(r.order, found, known)
-	for _, tally := range all.talliesOf(r.order.Service) {
-		r.coordinator.ApplyTally(tally)
-	}
+	known := r.known()
+	r.beginWith(found, known)
 	isFirst := !r.begun.Swap(true)
 	if isFirst {
 		event.RolloutCoordinated.Info(all.vm.logger, "service", r.order.Service, "to", r.order.To, "revision", r.order.Revision, "era", r.order.Era,
 			"foundStage", stageOf(found), "knownStage", stageOf(known))
 	}
 	r.isOutdated = found != nil && compareOrders(found.Order, r.order) > 0
-	if found != nil && found.Order == r.order {
+	if found == nil {
+		return
+	}
+	if found.Order == r.order {
 		r.last = *found
-		all.publish(*found)
+	}
+	all.publish(*found)
+}
+
+// known returns the newest state that the VMs know; nil if they know none.
+func (r *rolloutRun) known() *rollout.State {
+	for _, state := range r.rollouts.follower.States() {
+		if state.Order.Service == r.order.Service {
+			return &state
+		}
+	}
+	return nil
+}
+
+func (r *rolloutRun) beginWith(found, known *rollout.State) {
+	r.decider.begin(r.order, found, known)
+	for _, tally := range r.rollouts.talliesOf(r.order.Service) {
+		r.coordinator.ApplyTally(tally)
 	}
 }
 
@@ -309,10 +346,12 @@
 		return
 	}
 	r.isOutdated = compareOrders(found.Order, r.order) > 0
-	if found.Order != r.order || isSameState(*found, r.last) {
-		return
+	switch {
+	case found.Order != r.order:
+		r.rollouts.publish(*found) // If its order is later, this run ends.
+	case !isSameState(*found, r.last):
+		r.follow(*found)
 	}
-	r.follow(*found)
 }
 
 // write writes a state and its status for the operator.
@@ -358,9 +397,12 @@
 
 // follow follows a state that the row has come to hold.
 func (r *rolloutRun) follow(state rollout.State) {
+	isNewStage := state.Stage != r.last.Stage
 	r.last = state
 	r.decider.written(state)
-	event.RolloutStageEntered.Info(r.rollouts.vm.logger, "service", state.Order.Service, "to", state.Order.To, "stage", state.Stage,
-		"serial", state.Serial, "reason", state.Reason, "exposed", state.Exposed, "startedAt", state.StartedAt, "deadline", state.Deadline)
+	if isNewStage {
+		event.RolloutStageEntered.Info(r.rollouts.vm.logger, "service", state.Order.Service, "to", state.Order.To, "stage", state.Stage,
+			"serial", state.Serial, "reason", state.Reason, "exposed", state.Exposed, "startedAt", state.StartedAt, "deadline", state.Deadline)
+	}
 	r.rollouts.publish(state)
 }
--- a/internal/node/entry/rolloutrun_test.go
+++ b/internal/node/entry/rolloutrun_test.go
@@ -121,9 +121,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = vm.spread.Serve(ctx) }()
+	vm.rollouts.applyOrders([]rollout.Order{deskOrder}, "peer")
 	g.rolloutRun = newRolloutRun(vm.rollouts, deskOrder)
 	g.decider = decider{
-		begin: func(_ rollout.Order, found, _ *rollout.State) { g.store.say("begin: found %s", describe(found)) },
+		begin: func(_ rollout.Order, found, known *rollout.State) {
+			g.store.say("begin: found %s, known %s", describe(found), describe(known))
+		},
 		decide: func(rollout.View) (rollout.State, bool) {
 			return g.due, g.due.Serial > 0
 		},
@@ -225,6 +228,26 @@
 			g.store.isAway = false
 			g.steps(2)
 		}},
+		{"the version is found bad while the store is away", func(g *runRig) {
+			g.due = canary
+			g.steps(1)
+			g.due, g.store.isAway = deskState(deskOrder, rollout.StageRolledBack, 2), true
+			g.steps(2)
+			g.store.isAway = false
+			g.steps(1)
+		}},
+		{"a successor finds the version bad while the store is away", func(g *runRig) {
+			g.rollouts.applyStates([]rollout.State{canary}, "peer")
+			g.due, g.store.isAway = deskState(deskOrder, rollout.StageRolledBack, 2), true
+			g.steps(2)
+		}},
+		{"a successor finds the version good while the store is away", func(g *runRig) {
+			g.rollouts.applyStates([]rollout.State{canary}, "peer")
+			g.due, g.store.isAway = load, true
+			g.steps(2)
+			g.store.isAway = false
+			g.steps(1)
+		}},
 		{"the store comes back from an older copy", func(g *runRig) {
 			g.due = canary
 			g.steps(1)
@@ -266,7 +289,7 @@
 	} {
 		g := newRunRig(t)
 		c.play(g)
-		fmt.Fprintf(&transcript, "%s:\n\t%s\n\tthe row: %s\n", c.name, strings.Join(g.log, "\n\t"), describe(g.stored()))
+		fmt.Fprintf(&transcript, "%s:\n\t%s\n\tthe row: %s; the VMs know: %s\n", c.name, strings.Join(g.log, "\n\t"), describe(g.stored()), describe(g.known()))
 	}
 	golden.Compare(t, "testdata/runs.golden", transcript.String())
 }
@@ -319,10 +342,10 @@
 	qt.Check(t, millis, qt.Equals, int64(4000))
 }
 
-// TestResultsAreCountedWhileOrdersHold checks that sends are not counted, and not limited to a
-// version, where no order holds.
-func TestResultsAreCountedWhileOrdersHold(t *testing.T) {
-	vm := newRunRig(t).vm()
+// TestResultsAreCountedOnceAnOrderIsKnown checks that sends are not counted, and not limited to a
+// version, before.
+func TestResultsAreCountedOnceAnOrderIsKnown(t *testing.T) {
+	vm := newOrderRig().vm
 	result := rollout.Result{Service: "desk", Route: "book", Version: "v2", Outcome: rollout.Failed}
 	count := func() string {
 		text := strings.Builder{}
@@ -332,7 +355,8 @@
 	vm.recordResult(result)
 	qt.Check(t, vm.chooseVersion("desk", rollout.SendNew), qt.DeepEquals, rollout.Rule{})
 	qt.Check(t, count(), qt.Not(qt.Contains), "rollout_sends")
-	vm.rollouts.hasOrders.Store(true)
+	vm.rollouts.applyOrders([]rollout.Order{deskOrder}, "store")
 	vm.recordResult(result)
+	qt.Check(t, vm.chooseVersion("desk", rollout.SendNew).Avoid, qt.DeepEquals, []string{"v2"})
 	qt.Check(t, count(), qt.Contains, `endivespoke_rollout_sends_total{service="desk",version="v2",outcome="failed"} 1`)
 }
--- a/internal/node/entry/rollouts.go
+++ b/internal/node/entry/rollouts.go
@@ -37,6 +37,7 @@
 	follower  *rollout.Follower
 	store     RolloutStore
 	clock     storeClock
+	knows     atomic.Bool   // Some order is known, which may have been withdrawn.
 	hasOrders atomic.Bool   // There are orders that hold.
 	statesDue atomic.Bool   // The store has an order and no state of it is known.
 	wake      chan struct{} // Holds a value when there is something new to decide on.
@@ -100,15 +101,12 @@
 
 // chooseVersion returns the rule for the choice of a server for a send.
 func (v *VM) chooseVersion(service string, send rollout.Send) rollout.Rule {
-	if !v.rollouts.hasOrders.Load() {
-		return rollout.Rule{}
-	}
 	return v.rollouts.follower.Choose(service, send)
 }
 
 // recordResult counts the end of a send while roll-outs are known.
 func (v *VM) recordResult(result rollout.Result) {
-	if !v.rollouts.hasOrders.Load() {
+	if !v.rollouts.knows.Load() {
 		return
 	}
 	v.counters.rolloutResult(result)
@@ -243,7 +241,7 @@
 // applyNews applies what a peer sent.
 func (r *rollouts) applyNews(news spread.RolloutNews) {
 	r.applyOrders(news.Orders, "peer")
-	r.applyStates(news.States)
+	r.applyStates(news.States, "peer")
 }
 
 // applyOrders returns the orders that are in force now and were not before.
@@ -264,16 +262,22 @@
 		e.Info(r.vm.logger, "service", order.Service, "to", order.To, "durationMillis", order.DurationMillis,
 			"revision", order.Revision, "era", order.Era, "from", from)
 	}
+	r.knows.Store(true)
 	r.hasOrders.Store(slices.ContainsFunc(r.follower.Orders(), func(o rollout.Order) bool { return !o.Withdrawn }))
 	r.wakeUp()
 	return changed
 }
 
-// applyStates reports whether any state is new to this VM.
-func (r *rollouts) applyStates(states []rollout.State) (changed bool) {
+// applyStates reports whether any state, or its order, is new to this VM.
+func (r *rollouts) applyStates(states []rollout.State, from string) (changed bool) {
+	orders := []rollout.Order{}
+	for _, state := range states {
+		orders = append(orders, state.Order)
+	}
+	changed = len(r.applyOrders(orders, from)) > 0
 	before := r.follower.States()
 	if len(states) == 0 || !r.follower.ApplyStates(states) {
-		return false
+		return changed
 	}
 	for _, state := range r.follower.States() {
 		if !state.Stage.IsFinal() || slices.ContainsFunc(before, func(b rollout.State) bool { return isSameState(b, state) }) {
@@ -292,12 +296,12 @@
 
 // isSameState reports whether two states are the same one of the same order.
 func isSameState(a, b rollout.State) bool {
-	return a.Order == b.Order && a.Serial == b.Serial && a.Stage == b.Stage
+	return a.Order == b.Order && a.Serial == b.Serial && a.Stage == b.Stage && a.Writer == b.Writer
 }
 
-// publish applies a state of a roll-out that this VM coordinates, and tells the other VMs.
+// publish applies a state from the store, or one that is due there, and tells the other VMs.
 func (r *rollouts) publish(state rollout.State) {
-	if r.applyStates([]rollout.State{state}) {
+	if r.applyStates([]rollout.State{state}, "store") {
 		r.vm.spread.AnnounceRollouts(spread.RolloutNews{Orders: []rollout.Order{state.Order}, States: []rollout.State{state}})
 	}
 }
@@ -348,19 +352,27 @@
 // applyTallies keeps the tallies of VMs for the coordinator, which may be a later one.
 func (r *rollouts) applyTallies(tallies []rollout.Tally) {
 	for _, tally := range tallies {
-		r.mu.Lock()
-		if r.tallies[tally.Service] == nil {
-			r.tallies[tally.Service] = map[string]rollout.Tally{}
-		}
-		r.tallies[tally.Service][tally.VM] = tally
-		run := r.runs[tally.Service]
-		r.mu.Unlock()
-		if run != nil {
+		if run := r.keepTally(tally); run != nil {
 			run.coordinator.ApplyTally(tally)
 		}
 	}
 }
 
+// keepTally returns the run of the tally's service, nil if there is none here.
+func (r *rollouts) keepTally(tally rollout.Tally) *rolloutRun {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	byVM := r.tallies[tally.Service]
+	if byVM == nil {
+		byVM = map[string]rollout.Tally{}
+		r.tallies[tally.Service] = byVM
+	}
+	if last := byVM[tally.VM]; last.Instance != tally.Instance || last.Sequence < tally.Sequence {
+		byVM[tally.VM] = tally
+	}
+	return r.runs[tally.Service]
+}
+
 // talliesOf returns the tallies of a service's roll-out.
 func (r *rollouts) talliesOf(service string) []rollout.Tally {
 	r.mu.Lock()
@@ -394,7 +406,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last, found := r.posted[next.tally.Service]
-	isKnown := found && reflect.DeepEqual(last.tally, next.tally) && slices.Equal(last.watchers, next.watchers)
+	counts := next.tally
+	counts.Sequence = last.tally.Sequence
+	isKnown := found && reflect.DeepEqual(last.tally, counts) && slices.Equal(last.watchers, next.watchers)
 	if isKnown && next.at.Sub(last.at) < tallyResendInterval {
 		return false
 	}
