--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -203,6 +203,7 @@
 			Recheck:     v.crashes.Recheck,
 			IsBlocked:   v.crashes.IsBlocked,
 		},
+		Versions:    relay.Versions{Choose: v.chooseVersion, Record: v.recordResult, Retired: v.rollouts.follower.Retired},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
@@ -557,7 +558,7 @@
 	supervisor.Add(&copyIndex{vm: v})
 	supervisor.Add(v.ambiguous)
 	supervisor.Add(periodic.New("checks", recheckInterval, v.recheck))
-	supervisor.Add(periodic.New("idle connections", idleCheckInterval, func(context.Context) { v.connections.Sweep() }))
+	supervisor.Add(periodic.New("idle connections", idleCheckInterval, v.sweepConnections))
 	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeIdleCallers))
 	supervisor.Add(&readiness{vm: v})
 	if v.settings.Load().Rollouts {
