Withdrawn orders are rolled back, and runs survive new orders

Change: a run is kept for a service, and takes up each order that replaces the one before. A withdrawn order has one if a state of it is known. Without the store's time nothing is decided. VMs that coordinate nothing under way look each 500 ms.

--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -27,10 +27,12 @@
 // Serve coordinates roll-outs until the context ends. It is idle while there are no orders.
 func (r *rollouts) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r.step(ctx)
 		var next <-chan time.Time
-		if r.hasOrders.Load() || r.isRefused {
+		switch isUnderWay := r.step(ctx); {
+		case isUnderWay || r.isRefused:
 			next = time.After(rolloutInterval)
+		case r.isActive.Load():
+			next = time.After(idleRolloutInterval)
 		}
 		select {
 		case <-ctx.Done():
@@ -41,25 +43,26 @@
 	return ctx.Err()
 }
 
-// step decides on each roll-out that this VM coordinates.
-func (r *rollouts) step(ctx context.Context) {
+// step decides on each roll-out that this VM coordinates, and reports whether one is under way.
+func (r *rollouts) step(ctx context.Context) (isUnderWay bool) {
 	r.withdrawMissing()
 	r.readStates(ctx)
-	called := false
+	isCoordinator := false
 	for _, order := range r.follower.Orders() {
 		run := r.runOf(order)
 		if run == nil {
 			continue
 		}
-		if r.vm.Now().Before(r.retryAt) {
-			return
+		isCoordinator = true
+		if !r.vm.Now().Before(r.retryAt) {
+			run.step(ctx)
 		}
-		called = true
-		run.step(ctx)
+		isUnderWay = isUnderWay || !run.last.Stage.IsFinal()
 	}
-	if !called && r.isRefused {
+	if !isCoordinator && r.isRefused {
 		r.probe(ctx)
 	}
+	return isUnderWay
 }
 
 // runOf returns the run of an order that this VM coordinates, or nil. A run is kept while another VM
@@ -70,23 +73,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run := r.runs[order.Service]
-	if run != nil && run.order != order {
-		delete(r.runs, order.Service)
-		run = nil
-	}
-	if order.Withdrawn || !isSelf || !isSettled {
+	if !isSelf || !isSettled {
 		if run != nil {
 			run.isReadDue = true
 		}
 		return nil
 	}
 	if run == nil {
+		if order.Withdrawn && !r.hasState(order.Service) {
+			return nil // It never began.
+		}
 		run = newRolloutRun(r, order)
 		r.runs[order.Service] = run
 	}
+	if run.order != order {
+		run.replace(order)
+	}
 	return run
 }
 
+func (r *rollouts) hasState(service string) bool {
+	return slices.ContainsFunc(r.follower.States(), func(s rollout.State) bool { return s.Order.Service == service })
+}
+
 // readStates reads the states of all roll-outs once if orders are known without them, as after a loss
 // of all VMs.
 func (r *rollouts) readStates(ctx context.Context) {
@@ -199,7 +208,7 @@
 // themselves for the coordinator one fails.
 type rolloutRun struct {
 	rollouts    *rollouts
-	order       rollout.Order
+	order       rollout.Order // May be withdrawn.
 	coordinator *rollout.Coordinator
 	decider     decider
 	begun       atomic.Bool // The coordinator has the state that the store held.
@@ -222,6 +231,13 @@
 	}
 }
 
+// replace takes up another order, or the same one as the operator wrote it again.
+func (r *rolloutRun) replace(order rollout.Order) {
+	r.order = order
+	r.begun.Store(false)
+	r.isBlind, r.isReadDue = false, true
+}
+
 // isCoordinated reports whether the coordinator may grant credits.
 func (r *rolloutRun) isCoordinated() bool {
 	return r.begun.Load()
@@ -252,6 +268,9 @@
 
 // decideWithoutStore announces a rollback that is due. Any other step waits for the store.
 func (r *rolloutRun) decideWithoutStore() {
+	if !r.rollouts.clock.isSet() {
+		return
+	}
 	if !r.begun.Load() && !r.isBlind {
 		known := r.known()
 		if known == nil {
@@ -310,7 +329,7 @@
 	if found == nil {
 		return
 	}
-	if found.Order == r.order {
+	if !r.isOutdated {
 		r.last = *found
 	}
 	all.publish(*found)
@@ -346,10 +365,7 @@
 		return
 	}
 	r.isOutdated = compareOrders(found.Order, r.order) > 0
-	switch {
-	case found.Order != r.order:
-		r.rollouts.publish(*found) // If its order is later, this run ends.
-	case !isSameState(*found, r.last):
+	if !isSameState(*found, r.last) {
 		r.follow(*found)
 	}
 }
@@ -397,7 +413,7 @@
 
 // follow follows a state that the row has come to hold.
 func (r *rolloutRun) follow(state rollout.State) {
-	isNewStage := state.Stage != r.last.Stage
+	isNewStage := state.Stage != r.last.Stage || state.Order != r.last.Order
 	r.last = state
 	r.decider.written(state)
 	if isNewStage {
--- a/internal/node/entry/rolloutrun_test.go
+++ b/internal/node/entry/rolloutrun_test.go
@@ -238,11 +238,27 @@
 		}},
 		{"a successor finds the version bad while the store is away", func(g *runRig) {
 			g.rollouts.applyStates([]rollout.State{canary}, "peer")
+			g.rollouts.clock.set(1000, 1, g.vm().Now())
 			g.due, g.store.isAway = deskState(deskOrder, rollout.StageRolledBack, 2), true
 			g.steps(2)
 		}},
+		{"a successor that does not know the store's time", func(g *runRig) {
+			g.rollouts.applyStates([]rollout.State{canary}, "peer")
+			g.due, g.store.isAway = deskState(deskOrder, rollout.StageRolledBack, 2), true
+			g.steps(2)
+		}},
+		{"the order is withdrawn", func(g *runRig) {
+			g.due = canary
+			g.steps(1)
+			withdrawn := rollout.Order{Service: "desk", Era: 1, Revision: 12, Withdrawn: true}
+			g.rollouts.applyOrders([]rollout.Order{withdrawn}, "store")
+			g.replace(withdrawn)
+			g.due = deskState(deskOrder, rollout.StageRolledBack, 2)
+			g.steps(2)
+		}},
 		{"a successor finds the version good while the store is away", func(g *runRig) {
 			g.rollouts.applyStates([]rollout.State{canary}, "peer")
+			g.rollouts.clock.set(1000, 1, g.vm().Now())
 			g.due, g.store.isAway = load, true
 			g.steps(2)
 			g.store.isAway = false
--- a/internal/node/entry/rollouts.go
+++ b/internal/node/entry/rollouts.go
@@ -20,8 +20,10 @@
 // are in package rollout, the design is in docs/design/rollouts.md.
 
 const (
-	// rolloutInterval is how often the coordinator of a roll-out decides.
-	rolloutInterval = 100 * time.Millisecond
+	// rolloutInterval is how often the coordinator of a roll-out decides, and idleRolloutInterval how
+	// often a VM checks whether it has become one.
+	rolloutInterval     = 100 * time.Millisecond
+	idleRolloutInterval = 500 * time.Millisecond
 	// tallyInterval is how often a VM sends its tallies, if they changed.
 	tallyInterval = 250 * time.Millisecond
 	// tallyResendInterval is how often it sends them unchanged: messages may be lost.
@@ -38,7 +40,7 @@
 	store     RolloutStore
 	clock     storeClock
 	knows     atomic.Bool   // Some order is known, which may have been withdrawn.
-	hasOrders atomic.Bool   // There are orders that hold.
+	isActive  atomic.Bool   // There are orders that hold, or states.
 	statesDue atomic.Bool   // The store has an order and no state of it is known.
 	wake      chan struct{} // Holds a value when there is something new to decide on.
 
@@ -116,7 +118,7 @@
 
 // rolloutsKnown reports whether this VM knows the state of each order, or has waited long enough.
 func (v *VM) rolloutsKnown() bool {
-	if !v.rollouts.hasOrders.Load() || v.Now().After(v.started.Add(startHold)) {
+	if !v.rollouts.isActive.Load() || v.Now().After(v.started.Add(startHold)) {
 		return true
 	}
 	return !v.rollouts.lacksState()
@@ -264,11 +266,16 @@
 			"revision", order.Revision, "era", order.Era, "from", from)
 	}
 	r.knows.Store(true)
-	r.hasOrders.Store(slices.ContainsFunc(r.follower.Orders(), func(o rollout.Order) bool { return !o.Withdrawn }))
+	r.updateActive()
 	r.wakeUp()
 	return changed
 }
 
+func (r *rollouts) updateActive() {
+	holds := slices.ContainsFunc(r.follower.Orders(), func(o rollout.Order) bool { return !o.Withdrawn })
+	r.isActive.Store(holds || len(r.follower.States()) > 0)
+}
+
 // applyStates reports whether any state, or its order, is new to this VM.
 func (r *rollouts) applyStates(states []rollout.State, from string) (changed bool) {
 	orders := []rollout.Order{}
@@ -291,6 +298,7 @@
 			event.RolloutRolledBack.Warn(r.vm.logger, pairs...)
 		}
 	}
+	r.updateActive()
 	r.wakeUp()
 	return true
 }
@@ -387,7 +395,7 @@
 
 // postTallies sends the tallies that changed to the VMs that watch the roll-outs.
 func (r *rollouts) postTallies(context.Context) {
-	if !r.hasOrders.Load() {
+	if !r.isActive.Load() {
 		return
 	}
 	for _, tally := range r.follower.Tallies() {
@@ -435,6 +443,13 @@
 	c.millis, c.era, c.at = millis, era, at
 }
 
+// isSet reports whether the store has told its time.
+func (c *storeClock) isSet() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.at.IsZero()
+}
+
 // now returns the time of the store's clock, and the age of the answer that it is derived from.
 func (c *storeClock) now(at time.Time) (millis int64, age time.Duration) {
 	c.mu.Lock()
--- a/internal/node/entry/rollouts_test.go
+++ b/internal/node/entry/rollouts_test.go
@@ -112,7 +112,7 @@
 		g := newOrderRig()
 		fmt.Fprintf(&transcript, "%s:\n", c.name)
 		c.play(g)
-		fmt.Fprintf(&transcript, "\t%s; some holds: %t\n", g.known(), g.hasOrders.Load())
+		fmt.Fprintf(&transcript, "\t%s; is active: %t\n", g.known(), g.isActive.Load())
 	}
 	golden.Compare(t, "testdata/orders.golden", transcript.String())
 }
