States that only reserve credits are announced once a second at most

Cause: a coordinator writes a state whenever it reserves credits; each was announced to all VMs. Change: new stages are announced at once, other states once a second.

--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -15,9 +15,14 @@
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
-// storeClockMaxAge is the age of the store's time at which a coordinator reads it again: the clock of
-// a machine that was suspended is behind.
-const storeClockMaxAge = 5 * time.Second
+const (
+	// storeClockMaxAge is the age of the store's time at which a coordinator reads it again: the
+	// clock of a machine that was suspended is behind.
+	storeClockMaxAge = 5 * time.Second
+	// reservationInterval is how often states that only reserve credits are announced. Other VMs
+	// need them for the case that the store loses them.
+	reservationInterval = time.Second
+)
 
 // String names the service in the supervisor's messages.
 func (r *rollouts) String() string {
@@ -217,6 +222,7 @@
 	isReadDue   bool        // What the row holds is not known.
 	row         spread.StoreVersion
 	last        rollout.State // The newest state that the row is known to have held.
+	publishedAt time.Time     // When a state was last announced.
 }
 
 func newRolloutRun(r *rollouts, order rollout.Order) *rolloutRun {
@@ -420,5 +426,8 @@
 		event.RolloutStageEntered.Info(r.rollouts.vm.logger, "service", state.Order.Service, "to", state.Order.To, "stage", state.Stage,
 			"serial", state.Serial, "reason", state.Reason, "exposed", state.Exposed, "startedAt", state.StartedAt, "deadline", state.Deadline)
 	}
-	r.rollouts.publish(state)
+	if now := r.rollouts.vm.Now(); isNewStage || now.Sub(r.publishedAt) >= reservationInterval {
+		r.publishedAt = now
+		r.rollouts.publish(state)
+	}
 }
--- a/internal/node/entry/rolloutrun_test.go
+++ b/internal/node/entry/rolloutrun_test.go
@@ -164,6 +164,14 @@
 		play func(g *runRig)
 	}{
 		{"a new order", func(g *runRig) { g.due = canary; g.steps(2); g.due = load; g.steps(2) }},
+		{"credits are reserved", func(g *runRig) {
+			for serial := range uint64(4) {
+				g.due = deskState(deskOrder, rollout.StageCanary, serial+1)
+				g.due.Exposed = 10 * int(serial)
+				g.steps(1)
+				g.publishedAt = g.vm().Now().Add(time.Hour) // The next announcement is not due.
+			}
+		}},
 		{"a successor", func(g *runRig) { g.store.put(canary); g.steps(1); g.due = load; g.steps(2) }},
 		{"another VM has written before", func(g *runRig) { g.due = canary; g.steps(1); g.due = load; g.store.put(load); g.steps(3) }},
 		{"another VM has decided otherwise", func(g *runRig) {
