--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -15,9 +15,14 @@
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
-// storeClockMaxAge is the age of the store's time at which a coordinator reads it again: the clock of
-// a machine that was suspended is behind.
-const storeClockMaxAge = 5 * time.Second
+const (
+	// storeClockMaxAge is the age of the store's time at which a coordinator reads it again: the
+	// clock of a machine that was suspended is behind.
+	storeClockMaxAge = 5 * time.Second
+	// reservationInterval is how often states that only reserve credits are announced. Other VMs
+	// need them for the case that the store loses them.
+	reservationInterval = time.Second
+)
 
 // String names the service in the supervisor's messages.
 func (r *rollouts) String() string {
@@ -27,10 +32,12 @@
 // Serve coordinates roll-outs until the context ends. It is idle while there are no orders.
 func (r *rollouts) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		r.step(ctx)
 		var next <-chan time.Time
-		if r.hasOrders.Load() || r.isRefused {
+		switch isUnderWay := r.step(ctx); {
+		case isUnderWay || r.isRefused:
 			next = time.After(rolloutInterval)
+		case r.isActive.Load():
+			next = time.After(idleRolloutInterval)
 		}
 		select {
 		case <-ctx.Done():
@@ -41,45 +48,59 @@
 	return ctx.Err()
 }
 
-// step decides on each roll-out that this VM coordinates.
-func (r *rollouts) step(ctx context.Context) {
+// step decides on each roll-out that this VM coordinates, and reports whether one is under way.
+func (r *rollouts) step(ctx context.Context) (isUnderWay bool) {
 	r.withdrawMissing()
 	r.readStates(ctx)
-	called := false
+	isCoordinator := false
 	for _, order := range r.follower.Orders() {
 		run := r.runOf(order)
 		if run == nil {
 			continue
 		}
-		if r.vm.Now().Before(r.retryAt) {
-			return
+		isCoordinator = true
+		if !r.vm.Now().Before(r.retryAt) {
+			run.step(ctx)
 		}
-		called = true
-		run.step(ctx)
+		isUnderWay = isUnderWay || !run.last.Stage.IsFinal()
 	}
-	if !called && r.isRefused {
+	if !isCoordinator && r.isRefused {
 		r.probe(ctx)
 	}
+	return isUnderWay
 }
 
-// runOf returns the run of an order that this VM coordinates, or nil.
+// runOf returns the run of an order that this VM coordinates, or nil. A run is kept while another VM
+// coordinates: this one may do so again.
 func (r *rollouts) runOf(order rollout.Order) *rolloutRun {
 	_, isSelf := r.vm.spread.Coordinator(order.Service)
 	isSettled := !r.vm.Now().Before(r.vm.started.Add(settleTime)) // Before, this VM may not know the others.
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run := r.runs[order.Service]
-	if order.Withdrawn || !isSelf || !isSettled {
-		delete(r.runs, order.Service)
+	if !isSelf || !isSettled {
+		if run != nil {
+			run.isReadDue = true
+		}
 		return nil
 	}
-	if run == nil || run.order != order {
+	if run == nil {
+		if order.Withdrawn && !r.hasState(order.Service) {
+			return nil // It never began.
+		}
 		run = newRolloutRun(r, order)
 		r.runs[order.Service] = run
 	}
+	if run.order != order {
+		run.replace(order)
+	}
 	return run
 }
 
+func (r *rollouts) hasState(service string) bool {
+	return slices.ContainsFunc(r.follower.States(), func(s rollout.State) bool { return s.Order.Service == service })
+}
+
 // readStates reads the states of all roll-outs once if orders are known without them, as after a loss
 // of all VMs.
 func (r *rollouts) readStates(ctx context.Context) {
@@ -192,14 +213,16 @@
 // themselves for the coordinator one fails.
 type rolloutRun struct {
 	rollouts    *rollouts
-	order       rollout.Order
+	order       rollout.Order // May be withdrawn.
 	coordinator *rollout.Coordinator
 	decider     decider
 	begun       atomic.Bool // The coordinator has the state that the store held.
+	isBlind     bool        // It has begun with what the VMs know, since the store does not answer.
 	isOutdated  bool        // The row has a state of a later order.
 	isReadDue   bool        // What the row holds is not known.
 	row         spread.StoreVersion
 	last        rollout.State // The newest state that the row is known to have held.
+	publishedAt time.Time     // When a state was last announced.
 }
 
 func newRolloutRun(r *rollouts, order rollout.Order) *rolloutRun {
@@ -214,6 +237,13 @@
 	}
 }
 
+// replace takes up another order, or the same one as the operator wrote it again.
+func (r *rolloutRun) replace(order rollout.Order) {
+	r.order = order
+	r.begun.Store(false)
+	r.isBlind, r.isReadDue = false, true
+}
+
 // isCoordinated reports whether the coordinator may grant credits.
 func (r *rolloutRun) isCoordinated() bool {
 	return r.begun.Load()
@@ -222,6 +252,7 @@
 // step reads the row if it is not known, and writes the state that is due.
 func (r *rolloutRun) step(ctx context.Context) {
 	if r.needsRead() && !r.read(ctx) {
+		r.decideWithoutStore()
 		return
 	}
 	if r.isOutdated {
@@ -241,6 +272,25 @@
 	return age > storeClockMaxAge && !r.last.Stage.IsFinal()
 }
 
+// decideWithoutStore announces a rollback that is due. Any other step waits for the store.
+func (r *rolloutRun) decideWithoutStore() {
+	if !r.rollouts.clock.isSet() {
+		return
+	}
+	if !r.begun.Load() && !r.isBlind {
+		known := r.known()
+		if known == nil {
+			return
+		}
+		r.isBlind = true
+		r.beginWith(nil, known)
+	}
+	next, due := r.decider.decide(r.rollouts.view(r.order))
+	if due && next.Stage == rollout.StageRolledBack {
+		r.rollouts.publish(next)
+	}
+}
+
 // read adopts the state in the row, and reports whether it is known.
 func (r *rolloutRun) read(ctx context.Context) bool {
 	all := r.rollouts
@@ -274,25 +324,37 @@
 // begin gives the coordinator what is known of the order.
 func (r *rolloutRun) begin(found *rollout.State) {
 	all := r.rollouts
-	var known *rollout.State
-	for _, state := range all.follower.States() {
-		if state.Order.Service == r.order.Service {
-			known = &state
-		}
-	}
-	r.decider.begin(r.order, found, known)
-	for _, tally := range all.talliesOf(r.order.Service) {
-		r.coordinator.ApplyTally(tally)
-	}
+	known := r.known()
+	r.beginWith(found, known)
 	isFirst := !r.begun.Swap(true)
 	if isFirst {
 		event.RolloutCoordinated.Info(all.vm.logger, "service", r.order.Service, "to", r.order.To, "revision", r.order.Revision, "era", r.order.Era,
 			"foundStage", stageOf(found), "knownStage", stageOf(known))
 	}
 	r.isOutdated = found != nil && compareOrders(found.Order, r.order) > 0
-	if found != nil && found.Order == r.order {
+	if found == nil {
+		return
+	}
+	if !r.isOutdated {
 		r.last = *found
-		all.publish(*found)
+	}
+	all.publish(*found)
+}
+
+// known returns the newest state that the VMs know; nil if they know none.
+func (r *rolloutRun) known() *rollout.State {
+	for _, state := range r.rollouts.follower.States() {
+		if state.Order.Service == r.order.Service {
+			return &state
+		}
+	}
+	return nil
+}
+
+func (r *rolloutRun) beginWith(found, known *rollout.State) {
+	r.decider.begin(r.order, found, known)
+	for _, tally := range r.rollouts.talliesOf(r.order.Service) {
+		r.coordinator.ApplyTally(tally)
 	}
 }
 
@@ -309,10 +371,9 @@
 		return
 	}
 	r.isOutdated = compareOrders(found.Order, r.order) > 0
-	if found.Order != r.order || isSameState(*found, r.last) {
-		return
+	if !isSameState(*found, r.last) {
+		r.follow(*found)
 	}
-	r.follow(*found)
 }
 
 // write writes a state and its status for the operator.
@@ -358,9 +419,15 @@
 
 // follow follows a state that the row has come to hold.
 func (r *rolloutRun) follow(state rollout.State) {
+	isNewStage := state.Stage != r.last.Stage || state.Order != r.last.Order
 	r.last = state
 	r.decider.written(state)
-	event.RolloutStageEntered.Info(r.rollouts.vm.logger, "service", state.Order.Service, "to", state.Order.To, "stage", state.Stage,
-		"serial", state.Serial, "reason", state.Reason, "exposed", state.Exposed, "startedAt", state.StartedAt, "deadline", state.Deadline)
-	r.rollouts.publish(state)
+	if isNewStage {
+		event.RolloutStageEntered.Info(r.rollouts.vm.logger, "service", state.Order.Service, "to", state.Order.To, "stage", state.Stage,
+			"serial", state.Serial, "reason", state.Reason, "exposed", state.Exposed, "startedAt", state.StartedAt, "deadline", state.Deadline)
+	}
+	if now := r.rollouts.vm.Now(); isNewStage || now.Sub(r.publishedAt) >= reservationInterval {
+		r.publishedAt = now
+		r.rollouts.publish(state)
+	}
 }
