--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -6,7 +6,7 @@
 //
 //	servers := pool.New(pool.Options{Check: connections.Check, Now: time.Now, Draw: rand.Float64})
 //	servers.Update(listed)
-//	lease, err := servers.AcquireForCall("booking", tried) // errors.Is(err, pool.ErrNone)
+//	lease, err := servers.AcquireForCall("booking", tried, pool.VersionRule{}) // errors.Is(err, pool.ErrNone)
 //	lease, copyHolder, err := servers.AcquireForStream(criteria)
 //	defer lease.Release()
 //
@@ -46,6 +46,8 @@
 	Started int64
 	// Version is that of its software; empty if versions make no difference.
 	Version string `cbor:",omitempty"`
+	// Cold means that it is slower than usual, since it has just started.
+	Cold bool `cbor:",omitempty"`
 }
 
 // VersionRule limits a choice to servers of some versions, while a roll-out is under way. The zero
