--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -22,6 +22,10 @@
 	// reservationInterval is how often states that only reserve credits are announced. Other VMs
 	// need them for the case that the store loses them.
 	reservationInterval = time.Second
+	// refusedAfter is how long the store answers no call about states until another VM is to
+	// coordinate. Single answers may be lost, and each change of the coordinator costs the credits
+	// that it has reserved.
+	refusedAfter = 1500 * time.Millisecond
 )
 
 // String names the service in the supervisor's messages.
@@ -64,10 +68,14 @@
 		}
 		isUnderWay = isUnderWay || !run.last.Stage.IsFinal()
 	}
-	if !isCoordinator && r.isRefused {
+	if isCoordinator {
+		return isUnderWay
+	}
+	r.failingSince = time.Time{}
+	if r.isRefused {
 		r.probe(ctx)
 	}
-	return isUnderWay
+	return false
 }
 
 // runOf returns the run of an order that this VM coordinates, or nil. A run is kept while another VM
@@ -129,8 +137,8 @@
 }
 
 // recordCall records the result of a call of the store. The error is that of the call, or
-// errOlderEra. After a failure the next call waits, and the other VMs are told: another one
-// coordinates then.
+// errOlderEra. After a failure the next call waits. If failures last, the other VMs are told, and
+// another one coordinates.
 func (r *rollouts) recordCall(ctx context.Context, rows Rows, err error) error {
 	isAnswered := err == nil || errors.Is(err, ErrConflict)
 	if isAnswered {
@@ -140,11 +148,14 @@
 	}
 	if isAnswered {
 		r.clock.set(rows.NowMillis, rows.Version.Era, r.vm.Now())
-		r.retryDelay = 0
+		r.retryDelay, r.failingSince = 0, time.Time{}
 		r.setRefused(ctx, false)
 		return err
 	}
-	if ctx.Err() == nil {
+	if r.failingSince.IsZero() {
+		r.failingSince = r.vm.Now()
+	}
+	if ctx.Err() == nil && r.vm.Now().Sub(r.failingSince) >= refusedAfter {
 		r.setRefused(ctx, true)
 	}
 	r.retryDelay = min(max(2*r.retryDelay, minRetryDelay), maxRetryDelay)
@@ -383,7 +394,7 @@
 	if err != nil {
 		panic(err) // Strings and numbers can always be encoded as JSON.
 	}
-	wasRefused := all.isRefused
+	wasFailing := !all.failingSince.IsZero()
 	rows, err := all.store.Write(ctx, StateWrite{State: next, Value: value, Expected: r.row.Rev})
 	err = all.recordCall(ctx, rows, err)
 	switch {
@@ -398,7 +409,7 @@
 	default:
 		r.isReadDue = true // It may have been written, or may be later.
 	}
-	if !wasRefused {
+	if !wasFailing {
 		event.RolloutNotWritten.Info(all.vm.logger, "service", r.order.Service, "to", r.order.To, "stage", next.Stage, "serial", next.Serial,
 			"isKnown", !r.isReadDue, "error", err)
 	}
--- a/internal/node/entry/rolloutrun_test.go
+++ b/internal/node/entry/rolloutrun_test.go
@@ -336,7 +336,10 @@
 	ctx := context.Background()
 	isUnreachable := func() bool { return g.vm().spread.Snapshot().Self.StoreUnreachable }
 	g.store.isAway = true
-	g.steps(2)
+	g.steps(1)
+	qt.Check(t, isUnreachable(), qt.IsFalse)
+	all.failingSince = all.failingSince.Add(-refusedAfter)
+	g.steps(1)
 	qt.Check(t, isUnreachable(), qt.IsTrue)
 	qt.Check(t, all.retryAt.After(g.vm().Now()), qt.IsTrue)
 	all.retryAt = time.Time{}
--- a/internal/node/entry/rollouts.go
+++ b/internal/node/entry/rollouts.go
@@ -55,9 +55,10 @@
 	suspended map[string]rollout.Order // By service: the order whose exposure was last suspended.
 
 	// Owned by the goroutine of Serve.
-	isRefused  bool // The store failed at the last call about states.
-	retryAt    time.Time
-	retryDelay time.Duration
+	failingSince time.Time // When a call about states first failed since one succeeded.
+	isRefused    bool      // Failures have lasted, and the other VMs know.
+	retryAt      time.Time
+	retryDelay   time.Duration
 }
 
 // postedTally is a tally as it was last sent.
