A new stream can require room on its server

Cause: when no engine fits, the pool takes the one with the least memory used, without bound, and engines preempt what runs there.

Change: placement.HasRoom decides on memory at the end with the reserve, slots, and prompts that wait against the time of the first event. The pool learns how fast prompts are read and how long streams hold memory. Criteria.RequireRoom limits the choice to servers of the cell with room, and gets ErrNoRoom if servers are up and none has any. Criteria.WithoutCopy saves the room for a copy. Pool.Room and HeldByAccount describe the cell for admission, and OnRoom signals what ends. Without RequireRoom nothing differs.

Result: tests of both packages pass with -race; by property, a server that is chosen without regard to room and has room is chosen with it too.

--- /dev/null
+++ b/internal/backend/placement/room_test.go
@@ -0,0 +1,62 @@
+package placement_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/lab/property"
+)
+
+func TestHasRoom(t *testing.T) {
+	room := placement.Room{Demand: placement.Demand{PromptTokens: 5200, OutputTokens: 1000}, ReadTokens: 20_000}
+	for name, test := range map[string]struct {
+		server placement.Candidate
+		room   placement.Room
+		has    bool
+	}{
+		"empty":                      {placement.Candidate{CacheTokens: 55_000, Slots: 32}, room, true},
+		"plain service":              {placement.Candidate{MemoryTokens: 1 << 40, Slots: 4}, room, true},
+		"memory is left":             {placement.Candidate{CacheTokens: 55_000, Slots: 32, MemoryTokens: 43_000}, room, true},
+		"only the reserve is left":   {placement.Candidate{CacheTokens: 55_000, Slots: 32, MemoryTokens: 46_000}, room, false},
+		"slots are used":             {placement.Candidate{CacheTokens: 55_000, Slots: 4, Running: 3, PendingTokens: 5200, MemoryTokens: 20_000}, room, false},
+		"prompts are read in time":   {placement.Candidate{CacheTokens: 55_000, Slots: 32, PendingTokens: 14_000, MemoryTokens: 20_000}, room, true},
+		"prompts are read too late":  {placement.Candidate{CacheTokens: 55_000, Slots: 32, PendingTokens: 16_000, MemoryTokens: 20_000}, room, false},
+		"reading rate is unknown":    {placement.Candidate{CacheTokens: 55_000, Slots: 32, PendingTokens: 30_000, MemoryTokens: 40_000}, placement.Room{Demand: room.Demand}, true},
+		"long prompt, empty server":  {placement.Candidate{CacheTokens: 55_000, Slots: 32}, placement.Room{Demand: placement.Demand{PromptTokens: 53_000}, ReadTokens: 20_000}, true},
+		"long prompt, another reads": {placement.Candidate{CacheTokens: 55_000, Slots: 32, PendingTokens: 1}, placement.Room{Demand: placement.Demand{PromptTokens: 30_000}, ReadTokens: 20_000}, false},
+		"larger than the memory":     {placement.Candidate{CacheTokens: 55_000, Slots: 32}, placement.Room{Demand: placement.Demand{PromptTokens: 60_000}}, false},
+	} {
+		qt.Check(t, placement.HasRoom(test.server, test.room), qt.Equals, test.has, qt.Commentf(name))
+	}
+}
+
+// TestChoiceWithRoomIsTheChoiceWithout draws servers and streams. If the server that is chosen
+// without regard to room has room, it is also chosen with it.
+func TestChoiceWithRoomIsTheChoiceWithout(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		candidates := make([]placement.Candidate, rapid.IntRange(1, 6).Draw(t, "servers"))
+		for i := range candidates {
+			candidates[i] = placement.Candidate{
+				CacheTokens:   55_000,
+				Slots:         12,
+				Avoided:       rapid.Bool().Draw(t, "avoided"),
+				PendingTokens: rapid.IntRange(0, 30_000).Draw(t, "pending"),
+				Running:       rapid.IntRange(0, 12).Draw(t, "running"),
+				MemoryTokens:  rapid.IntRange(0, 55_000).Draw(t, "memory"),
+			}
+		}
+		room := placement.Room{Demand: placement.Demand{PromptTokens: 5200, OutputTokens: 1000}, ReadTokens: rapid.IntRange(0, 30_000).Draw(t, "read")}
+		without, _ := placement.ChooseForStream(candidates, room.Demand)
+		with, found, isUp := placement.ChooseWithRoom(candidates, room)
+		if found {
+			property.Assert(t, isUp && placement.HasRoom(candidates[with], room) && placement.Fits(candidates[with], room.Demand), qt.IsTrue)
+		}
+		if !candidates[without].Avoided && placement.HasRoom(candidates[without], room) {
+			property.Assert(t, found, qt.IsTrue)
+			property.Assert(t, with, qt.Equals, without)
+		}
+	})
+}
--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
@@ -17,6 +19,13 @@
 	Tried     map[string]bool
 	ServerID  string
 	Prefilled bool // Its prompt need not be processed again.
+	// RequireRoom limits the choice to servers with room for a new stream whose first event is due
+	// at FirstEventBy. WithoutCopy saves the room for a copy of its memory.
+	RequireRoom  bool
+	FirstEventBy time.Time
+	WithoutCopy  bool
+	Account      string
+	Rank         int
 }
 
 // continues reports whether the stream has run before.
@@ -40,27 +49,38 @@
 }
 
 // AcquireForStream chooses a server for a stream, and one in another failure domain for
-// the copy of its memory; copyHolder is nil if no such server has capacity.
+// the copy of its memory; copyHolder is nil if no such server has capacity. The error is ErrNone,
+// or ErrNoRoom for criteria that require it.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
+	lacksRoom := false
 	lease, err = p.acquire(criteria.continues(), func(now time.Time, withLimit bool) *server {
 		if chosen := p.requestedServer(criteria, now); chosen != nil && (withLimit || !chosen.limited) {
 			return chosen
 		}
+		if criteria.RequireRoom {
+			if chosen, isUp := p.chooseWithRoom(criteria, now, withLimit); isUp {
+				lacksRoom = chosen == nil
+				return chosen
+			}
+		}
 		return p.chooseForStream(criteria, now, withLimit)
 	}, func(chosen *server, now time.Time) (lease *Lease) {
 		lease, copyHolder = p.leaseForStream(criteria, chosen, now)
 		return lease
 	})
+	if lacksRoom && errors.Is(err, ErrNone) {
+		return nil, nil, errors.Trace(ErrNoRoom)
+	}
 	return lease, copyHolder, err
 }
 
 // leaseForStream places a stream on a server, and its copy on another one. Called with the
 // lock held.
 func (p *Pool) leaseForStream(criteria Criteria, chosen *server, now time.Time) (lease *Lease, copyHolder *Server) {
-	lease = p.newLease(chosen, &Lease{stream: true, demand: criteria.Demand, started: criteria.ServerID != "" || criteria.Prefilled, Load: p.candidate(chosen, now)})
+	lease = p.newLease(chosen, &Lease{stream: true, demand: criteria.Demand, started: criteria.ServerID != "" || criteria.Prefilled, Load: p.candidate(chosen, now), account: criteria.Account, chosenAt: now})
 	capacity := p.capacities[criteria.Service]
 	lease.CanMove = capacity.SupportsMoves && capacity.SupportsCopies
-	if !capacity.SupportsCopies {
+	if !capacity.SupportsCopies || criteria.WithoutCopy {
 		return lease, nil
 	}
 	lease.copyHolder = p.chooseForCopy(criteria, chosen, now)
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -45,6 +45,8 @@
 	downClosed     bool // Down is closed.
 	copyLostClosed bool // copyLost is closed.
 	released       bool
+	account        string
+	chosenAt       time.Time
 }
 
 func (p *Pool) newLease(s *server, lease *Lease) *Lease {
@@ -120,6 +122,7 @@
 func (l *Lease) MarkStarted() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
+	l.recordRead(l.pool.options.Now())
 	l.started = true
 }
 
@@ -134,12 +137,20 @@
 
 // Release returns the capacity that the lease holds. Further calls have no effect.
 func (l *Lease) Release() {
+	l.release()
+	if l.stream {
+		l.pool.options.OnRoom()
+	}
+}
+
+func (l *Lease) release() {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
 	if l.released {
 		return
 	}
 	l.released = true
+	l.recordEnd(l.pool.options.Now())
 	delete(l.server.leases, l)
 	if !l.stream {
 		l.server.calls--
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -93,6 +93,9 @@
 	// for each server with a limit, with the requests that this VM sent to it since.
 	OnLimit func(change LimitChange)
 	OnSent  func(sent Sent)
+	// OnRoom is called when memory of servers may have been freed: a stream of this VM or of a
+	// peer has ended.
+	OnRoom func()
 	// HasIdle reports whether an idle connection to an address is open.
 	HasIdle    func(address string) bool
 	Successors Successors
@@ -105,15 +108,16 @@
 	mu         sync.Mutex
 	servers    map[string]*server
 	peers      map[string]peerLoads
-	peerTotals map[string]Load        // The load of all peers, by server ID.
-	capacities map[string]Capacity    // By service.
-	lossAt     map[string]time.Time   // By group.
-	departures map[string]departure   // By server ID.
-	returnAt   map[string]time.Time   // When the last refused caller of a service is to return.
-	early      map[string]earlyNotice // By server id.
-	cell       int                    // The cell of this VM.
-	cells      int                    // 0 and 1 for a fleet that is not split.
-	cellOf     map[string]int         // The cells of the servers, by address; nil until needed.
+	peerTotals map[string]Load            // The load of all peers, by server ID.
+	capacities map[string]Capacity        // By service.
+	lossAt     map[string]time.Time       // By group.
+	departures map[string]departure       // By server ID.
+	returnAt   map[string]time.Time       // When the last refused caller of a service is to return.
+	early      map[string]earlyNotice     // By server id.
+	averages   map[string]*streamAverages // By service.
+	cell       int                        // The cell of this VM.
+	cells      int                        // 0 and 1 for a fleet that is not split.
+	cellOf     map[string]int             // The cells of the servers, by address; nil until needed.
 
 	recheckedAt    time.Time
 	sentReportedAt time.Time
@@ -204,10 +208,13 @@
 	if options.OnSent == nil {
 		options.OnSent = func(Sent) {}
 	}
+	if options.OnRoom == nil {
+		options.OnRoom = func() {}
+	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}}
 }
 
 // Update replaces the list of servers. The state of servers that stay in the list is
@@ -299,11 +306,14 @@
 
 // Capacity describes what each server of a service offers to streams: its memory in
 // tokens, whether it holds copies of other servers' streams, and whether it can move
-// streams.
+// streams. UrgentRank and UrgentObjective are the most urgent rank of its streams, and their
+// latency objective; 0 if that is not known.
 type Capacity struct {
-	CacheTokens    int
-	SupportsCopies bool
-	SupportsMoves  bool
+	CacheTokens     int
+	UrgentRank      int
+	UrgentObjective time.Duration
+	SupportsCopies  bool
+	SupportsMoves   bool
 }
 
 // SetCapacities sets the capacity of each service.
--- /dev/null
+++ b/internal/backend/pool/room.go
@@ -0,0 +1,147 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+)
+
+// ErrNoRoom means that servers are up, and that none of them has room for a new stream.
+const ErrNoRoom = errors.ConstError("no backend server has room")
+
+const (
+	// newestStreamWeight is the weight of the newest stream in the averages of a service.
+	newestStreamWeight = 0.1
+	// lessUrgentFraction of the objective of the most urgent streams is the time in which a server
+	// is to read the prompts of all others. The rest is left for the urgent ones.
+	lessUrgentFraction = 0.5
+)
+
+// Need is what a new stream needs: memory for its demand, and its first event at a time, with a
+// rank, of which lower ones are more urgent.
+type Need struct {
+	Demand       placement.Demand
+	Rank         int
+	FirstEventBy time.Time
+}
+
+// Room describes the room for new streams on the servers of a service in this VM's cell.
+type Room struct {
+	// Streams is the number of streams of the given demand that fit.
+	Streams int
+	// FreedPerSecond is the rate in tokens at which memory is freed there; 0 if it is not known.
+	FreedPerSecond float64
+}
+
+// streamAverages are moving averages over the streams of a service on this VM; 0 before the
+// first one.
+type streamAverages struct {
+	readPerSecond float64 // Tokens of prompts that a server reads.
+	heldSeconds   float64 // From the choice of the server to the end of the run.
+}
+
+func average(before, sample float64) float64 {
+	if before == 0 {
+		return sample
+	}
+	return before + newestStreamWeight*(sample-before)
+}
+
+// averagesOf returns the averages of a service. Called with the lock held.
+func (p *Pool) averagesOf(service string) *streamAverages {
+	known := p.averages[service]
+	if known == nil {
+		known = &streamAverages{}
+		p.averages[service] = known
+	}
+	return known
+}
+
+// recordRead records that a prompt has been read, after those that were pending when the server
+// was chosen. Called with the lock held.
+func (l *Lease) recordRead(now time.Time) {
+	took := now.Sub(l.chosenAt).Seconds()
+	if l.started || took <= 0 || l.demand.PromptTokens == 0 {
+		return
+	}
+	averages := l.pool.averagesOf(l.Server.Service)
+	averages.readPerSecond = average(averages.readPerSecond, float64(l.Load.PendingTokens+l.demand.PromptTokens)/took)
+}
+
+// recordEnd records how long a stream held its memory. Called with the lock held.
+func (l *Lease) recordEnd(now time.Time) {
+	if !l.stream || !l.started {
+		return
+	}
+	averages := l.pool.averagesOf(l.Server.Service)
+	averages.heldSeconds = average(averages.heldSeconds, now.Sub(l.chosenAt).Seconds())
+}
+
+// roomFor returns what package placement needs to know of a new stream. Prompts that wait at a
+// server go before those that come later, so that only some of the less urgent may wait there.
+//
+// The number of prompts is rounded at random: VMs with slightly different reading rates would
+// otherwise differ in whether they see any room. Called with the lock held.
+func (p *Pool) roomFor(service string, need Need, now time.Time) placement.Room {
+	room := placement.Room{Demand: need.Demand}
+	capacity := p.capacities[service]
+	readBy := need.FirstEventBy
+	if latest := now.Add(time.Duration(lessUrgentFraction * float64(capacity.UrgentObjective))); need.Rank > capacity.UrgentRank && capacity.UrgentObjective > 0 && latest.Before(readBy) {
+		readBy = latest
+	}
+	if rate := p.averagesOf(service).readPerSecond; rate > 0 && !readBy.IsZero() {
+		rounding := (p.options.Draw() - 0.5) * float64(need.Demand.PromptTokens)
+		room.ReadTokens = max(int(rate*readBy.Sub(now).Seconds()+rounding), 1)
+	}
+	return room
+}
+
+// chooseWithRoom chooses a server of this VM's cell with room for a new stream. Of other cells
+// the loads are not known. IsUp is false if no server of the cell is up, or if the stream exceeds
+// the memory of a server: room is then no criterion. Called with the lock held.
+func (p *Pool) chooseWithRoom(criteria Criteria, now time.Time, withLimit bool) (chosen *server, isUp bool) {
+	if p.capacities[criteria.Service].CacheTokens < criteria.Demand.Tokens() {
+		return nil, false
+	}
+	servers, candidates := p.inCell(p.usableServers(criteria.Service, criteria.Tried, now, withLimit))
+	at, found, isUp := placement.ChooseWithRoom(candidates, p.roomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now))
+	if !found {
+		return nil, isUp
+	}
+	return servers[at], true
+}
+
+// Room returns the room for new streams with a need.
+func (p *Pool) Room(service string, need Need) Room {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	_, candidates := p.inCell(p.usableServers(service, nil, now, true))
+	streams, memoryTokens := placement.CountStreams(candidates, p.roomFor(service, need, now))
+	room := Room{Streams: streams}
+	if held := p.averagesOf(service).heldSeconds; held > 0 {
+		room.FreedPerSecond = float64(memoryTokens) / held // Little's law.
+	}
+	return room
+}
+
+// HeldByAccount returns the memory in tokens that the streams of each client account on this VM
+// hold.
+func (p *Pool) HeldByAccount(service string) map[string]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	held := map[string]int{}
+	for _, s := range p.servers {
+		if s.Service != service {
+			continue
+		}
+		for lease := range s.leases {
+			if lease.stream {
+				held[lease.account] += lease.demand.Tokens()
+			}
+		}
+	}
+	return held
+}
--- /dev/null
+++ b/internal/backend/pool/room_test.go
@@ -0,0 +1,97 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+var demandOfTest = placement.Demand{PromptTokens: 40_000, OutputTokens: 2000}
+
+// TestNewStreamNeedsRoom fills two servers. A further new stream gets ErrNoRoom until one ends, a
+// stream that has run before goes to a full server.
+func TestNewStreamNeedsRoom(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "x", Slots: 8})
+	criteria := pool.Criteria{Service: "s", Demand: demandOfTest, RequireRoom: true, FirstEventBy: g.now.Add(time.Minute), Account: "acme"}
+	leases := []*pool.Lease{}
+	for range 4 {
+		lease, _, err := g.AcquireForStream(criteria)
+		qt.Assert(t, err, qt.IsNil)
+		leases = append(leases, lease)
+	}
+	qt.Check(t, g.Room("s", pool.Need{Demand: demandOfTest, FirstEventBy: criteria.FirstEventBy}), qt.Equals, pool.Room{})
+	qt.Check(t, g.HeldByAccount("s"), qt.DeepEquals, map[string]int{"acme": 4 * 42_000})
+	_, _, err := g.AcquireForStream(criteria)
+	qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	resumed, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest})
+	qt.Assert(t, err, qt.IsNil)
+	resumed.Release()
+	leases[0].Release()
+	again, _, err := g.AcquireForStream(criteria)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, again.Server.ID, qt.Equals, leases[0].Server.ID)
+}
+
+// TestRoomIsNoCriterionWithoutServers: servers that are down, a service without servers and a
+// stream larger than any server get the same answer as without RequireRoom.
+func TestRoomIsNoCriterionWithoutServers(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 200_000}, RequireRoom: true}
+	_, _, err := g.AcquireForStream(large)
+	qt.Check(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "other", RequireRoom: true})
+	qt.Check(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
+	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest})
+	qt.Assert(t, err, qt.IsNil)
+	lease.ReportUnreachable(errors.New("refused"))
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest, RequireRoom: true})
+	qt.Check(t, err, qt.IsNil, qt.Commentf("a server that is down may be back"))
+}
+
+// TestRoomLearnsFromStreams: the time to a first event tells how fast prompts are read, and the
+// time to the end how fast memory is freed. A stream whose prompt would be read after its first
+// event is due has no room then.
+func TestRoomLearnsFromStreams(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
+	short := placement.Demand{PromptTokens: 4000, OutputTokens: 1000}
+	first, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true})
+	qt.Assert(t, err, qt.IsNil)
+	g.now = g.now.Add(time.Second)
+	first.MarkStarted()
+	g.now = g.now.Add(3 * time.Second)
+	first.Release()
+	second, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, g.Room("s", pool.Need{Demand: short, FirstEventBy: g.now.Add(2600 * time.Millisecond)}), qt.Equals, pool.Room{Streams: 1, FreedPerSecond: 1250})
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
+	qt.Check(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	second.Release()
+}
+
+// TestRoomSignal: the end of a stream here, and reports of peers, signal room.
+func TestRoomSignal(t *testing.T) {
+	signals := 0
+	p := pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }, OnRoom: func() { signals++ }})
+	p.Update([]pool.Server{{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}})
+	lease, _, err := p.AcquireForStream(pool.Criteria{Service: "s"})
+	qt.Assert(t, err, qt.IsNil)
+	lease.Release()
+	qt.Check(t, signals, qt.Equals, 1)
+	p.MergePeerLoads("peer", nil)
+	p.ForgetPeers([]string{"peer"})
+	qt.Check(t, signals, qt.Equals, 3)
+}
+
+// TestStreamWithoutCopy: it has no holder, and is not told that it lost one.
+func TestStreamWithoutCopy(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "y", Slots: 8})
+	lease, holder, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest, WithoutCopy: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, holder, qt.IsNil)
+	qt.Check(t, isClosed(lease.CopyLost), qt.IsFalse)
+}
