Admission of new streams by order, shares and expected wait

Cause: the platform's path sends each stream to some engine at once; more load gives less service.

Change: Admitter and Queue let new streams wait, by rank, then what the account holds in the cell, then deadline. VMs report what waits to their cell and each takes a share of the free room, less what goes before it elsewhere. The expected wait follows from what the cell holds and how long streams hold it; who would wait too long is refused on arrival, with a time to return that is spread over the room that becomes free. A twentieth of the rounds serve a random rank first. Gate and Queue share the order and the expected wait; the Gate's tests are unchanged.

--- /dev/null
+++ b/internal/request/admission/admitter.go
@@ -0,0 +1,167 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// AdmitterOptions configures an Admitter. Room and Held describe the servers of a service.
+// OnChange is called when the waiting streams of this VM change in a way that its peers have to
+// know, OnAdmitted when a stream got a server, with the time since which it waited, zero if it
+// did not, and OnRefused when one was refused.
+type AdmitterOptions struct {
+	Now        func() time.Time
+	Draw       func() float64
+	Room       func(service string, stream Stream) Room
+	Held       func(service string) map[string]int
+	OnChange   func()
+	OnAdmitted func(service string, since time.Time)
+	OnRefused  func(service string, reason Reason)
+}
+
+// NoRoom is the error of a stream that was refused.
+type NoRoom struct {
+	Refusal
+}
+
+// Error implements error.
+func (e *NoRoom) Error() string {
+	return fmt.Sprintf("no room on backend servers in time (%s)", e.Reason)
+}
+
+// Admitter lets new streams wait until servers have room for them. It is safe for concurrent use.
+type Admitter struct {
+	options AdmitterOptions
+
+	mu     sync.Mutex
+	queues map[string]*Queue // By service.
+}
+
+// NewAdmitter returns an Admitter.
+func NewAdmitter(options AdmitterOptions) *Admitter {
+	return &Admitter{options: options, queues: map[string]*Queue{}}
+}
+
+// Admit calls take when a stream may look for a server with room. Take reports whether it has
+// one; if it has none and no error, the stream goes on waiting. The error is that of take, a
+// *NoRoom, or that of the context.
+func (a *Admitter) Admit(ctx context.Context, service string, stream Stream, take func(copied bool) (taken bool, err error)) error {
+	q := a.queue(service)
+	if q.IsIdle(stream.Rank) {
+		taken, err := take(q.GetsCopy(stream.Rank))
+		if taken || err != nil {
+			q.Took(stream, taken)
+			a.options.OnAdmitted(service, time.Time{})
+			return err
+		}
+	}
+	w, refusal := q.Join(stream)
+	if refusal != nil {
+		a.options.OnRefused(service, refusal.Reason)
+		return &NoRoom{Refusal: *refusal}
+	}
+	a.options.OnChange()
+	defer a.options.OnChange()
+	defer q.Leave(w)
+	return a.await(ctx, service, q, w, take)
+}
+
+// await waits for the turn of a stream.
+func (a *Admitter) await(ctx context.Context, service string, q *Queue, w *Waiter, take func(copied bool) (taken bool, err error)) error {
+	for {
+		if q.MayTake(w) {
+			taken, err := take(q.GetsCopy(w.Rank))
+			q.Took(w.Stream, taken)
+			if taken || err != nil {
+				a.options.OnAdmitted(service, w.since)
+				return err
+			}
+		}
+		if refusal := q.Recheck(w); refusal != nil {
+			a.options.OnRefused(service, refusal.Reason)
+			return &NoRoom{Refusal: *refusal}
+		}
+		timer := time.NewTimer(q.NextCheck(w).Sub(a.options.Now()))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return context.Cause(ctx)
+		case <-w.Wake:
+		case <-timer.C:
+		}
+		timer.Stop()
+	}
+}
+
+func (a *Admitter) queue(service string) *Queue {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	q := a.queues[service]
+	if q == nil {
+		room := func(stream Stream) Room { return a.options.Room(service, stream) }
+		held := func() map[string]int { return a.options.Held(service) }
+		q = NewQueue(a.options.Now, a.options.Draw, room, held)
+		a.queues[service] = q
+	}
+	return q
+}
+
+// services returns the services with a queue, sorted.
+func (a *Admitter) services() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	services := []string{}
+	for service := range a.queues {
+		services = append(services, service)
+	}
+	slices.SortFunc(services, strings.Compare)
+	return services
+}
+
+// Wake lets the first streams look for room.
+func (a *Admitter) Wake() {
+	for _, service := range a.services() {
+		a.queue(service).Wake()
+	}
+}
+
+// Reports returns what this VM tells its cell; empty while nothing waits there.
+func (a *Admitter) Reports() []Report {
+	reports := []Report{}
+	for _, service := range a.services() {
+		if report, found := a.queue(service).Report(service); found {
+			reports = append(reports, report)
+		}
+	}
+	return reports
+}
+
+// MergeReports replaces what is known of a peer.
+func (a *Admitter) MergeReports(peer string, reports []Report) {
+	for _, service := range a.services() {
+		if !slices.ContainsFunc(reports, func(r Report) bool { return r.Service == service }) {
+			a.queue(service).ForgetPeer(peer)
+		}
+	}
+	for _, report := range reports {
+		if a.queue(report.Service).MergeReport(peer, report) {
+			a.options.OnChange() // The peer needs to know what accounts hold here.
+		}
+	}
+}
+
+// ForgetPeers drops the reports of VMs that went down.
+func (a *Admitter) ForgetPeers(peers []string) {
+	for _, peer := range peers {
+		a.MergeReports(peer, nil)
+	}
+}
+
+// Waiting returns the number of streams of a service that wait on this VM.
+func (a *Admitter) Waiting(service string) int {
+	return a.queue(service).Len()
+}
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -10,12 +10,22 @@
 //	<-ticket.Granted                 // or give up at the deadline with ticket.Release()
 //	defer ticket.Release()
 //
-// Each account has a rate limit, a concurrency limit and a weight. Queued requests
+// New streams for servers whose memory is known wait in an Admitter instead, which all VMs of a
+// cell report to each other:
+//
+//	admitter := admission.NewAdmitter(admission.AdmitterOptions{...})
+//	err := admitter.Admit(ctx, service, stream, take) // *NoRoom, or what take returned
+//
+// At a Gate, each account has a rate limit, a concurrency limit and a weight. Queued requests
 // are served by rank, and within a rank by start-time fair queueing (Goyal, Vin,
 // Cheng 1996), so that an account gets the share of its weight no matter how much
 // it requests. A fraction of the capacity is reserved for lookups. A request that
 // can't be served before its deadline is refused on arrival, not after waiting in
 // the queue.
+//
+// An Admitter orders streams by rank, then by what their accounts hold of the servers' memory in
+// the cell, and then by deadline. A stream that is expected to wait too long for its latency
+// objective is refused on arrival, and one that waits as soon as that shows; see queue.go.
 package admission
 
 import (
@@ -54,8 +64,32 @@
 	WouldMissDeadline
 	// QueueFull means that the VM's queue is full.
 	QueueFull
+	// Overtaken means that what goes before a waiting stream grew until it could not be in time.
+	Overtaken
+	// WaitedTooLong means that a stream found no room until it had to have a server.
+	WaitedTooLong
 )
 
+// String returns the reason's name in logs and counters.
+func (r Reason) String() string {
+	switch r {
+	case RateExceeded:
+		return "rateExceeded"
+	case ConcurrencyExceeded:
+		return "concurrencyExceeded"
+	case WouldMissDeadline:
+		return "wouldMissDeadline"
+	case QueueFull:
+		return "queueFull"
+	case Overtaken:
+		return "overtaken"
+	case WaitedTooLong:
+		return "waitedTooLong"
+	default:
+		return "unset"
+	}
+}
+
 // Refusal is a final answer: the request did not run. RetryAt is a
 // suggested time for a retry.
 type Refusal struct {
@@ -208,7 +242,7 @@
 		}
 	}
 	rounds := math.Ceil(float64(ahead) / float64(max(g.limits.Capacity, 1)))
-	return time.Duration(rounds * float64(g.serviceTime))
+	return expectedWait(rounds, 1, g.serviceTime)
 }
 
 // fits reports whether there is free capacity for a request. The reserved fraction
@@ -288,14 +322,12 @@
 func (h ticketHeap) Len() int { return len(h) }
 
 func (h ticketHeap) Less(i, j int) bool {
-	a, b := h[i], h[j]
-	if a.request.Rank != b.request.Rank {
-		return a.request.Rank < b.request.Rank
-	}
-	if a.startTag != b.startTag {
-		return a.startTag < b.startTag
-	}
-	return a.sequence < b.sequence
+	return h[i].place().isBefore(h[j].place())
+}
+
+// place ignores the deadline: the accounts' shares go before it.
+func (t *Ticket) place() place {
+	return place{rank: t.request.Rank, usage: t.startTag, sequence: t.sequence}
 }
 
 func (h ticketHeap) Swap(i, j int) {
--- /dev/null
+++ b/internal/request/admission/queue.go
@@ -0,0 +1,391 @@
+package admission
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// roundInterval is the time between two divisions of the free room among the VMs of a cell.
+	// Within it they receive what the others have taken.
+	roundInterval = 25 * time.Millisecond
+	// recheckInterval is how often a waiting stream is checked for whether it is still in time.
+	recheckInterval = 100 * time.Millisecond
+	// arrivalFraction of the time that a stream may wait is what it is expected to wait at most
+	// when it arrives. The rest is for more urgent ones that arrive later.
+	arrivalFraction = 0.5
+	// rankFraction of the rounds serve a random rank of those that wait first, so that a more
+	// urgent rank that takes all room does not starve the others.
+	rankFraction = 0.05
+	// newestWeight is the weight of the newest stream in what each rank lately got.
+	newestWeight = 0.05
+	// minRetryDelay and maxRetryDelay bound the time after which a refused caller is asked to
+	// return.
+	minRetryDelay = 500 * time.Millisecond
+	maxRetryDelay = 5 * time.Second
+)
+
+// Stream is a new stream that needs room on a server. It is refused if it has no server until
+// StartBy.
+type Stream struct {
+	Account      string
+	Rank         int
+	PromptTokens int
+	OutputTokens int
+	FirstEventBy time.Time
+	StartBy      time.Time
+}
+
+// Tokens returns the memory that the stream occupies at its end.
+func (s *Stream) Tokens() int {
+	return max(s.PromptTokens+s.OutputTokens, 1)
+}
+
+// Room is the room on the servers of a VM's cell: the number of streams like the given one that
+// fit, and the rate in tokens at which memory is freed, 0 if that is not known.
+type Room struct {
+	Streams        int
+	FreedPerSecond float64
+}
+
+// Waiter is a stream that waits for room. Wake receives a value when it may be its turn.
+type Waiter struct {
+	Stream
+	Wake      chan struct{}
+	since     time.Time
+	recheckAt time.Time
+	sequence  int
+}
+
+// Queue decides which of the streams of one service on one VM gets room, and when. The VMs of a
+// cell report to each other what waits there, and each takes a share of the room that becomes
+// free. Queue is safe for concurrent use. Room and Held describe the cell and this VM; both may
+// be called with Queue's lock held.
+type Queue struct {
+	Now  func() time.Time
+	Draw func() float64 // Random numbers in [0, 1).
+	Room func(Stream) Room
+	Held func() map[string]int // Tokens of the running streams of this VM, by account.
+
+	mu           sync.Mutex
+	waiting      []*Waiter
+	peers        map[string]peerReport
+	lastSequence int
+	held         map[string]int // Tokens of the running streams of the cell, by account.
+	freed        float64        // Room.FreedPerSecond of the last round.
+	roundUntil   time.Time
+	allotment    int  // Streams that this VM may still send in this round.
+	isReordered  bool // In this round the rank preferred goes first.
+	preferred    int
+	retryAt      time.Time
+	served       map[int]float64 // Tokens of the latest streams that got a server, by rank.
+}
+
+// NewQueue returns an empty queue.
+func NewQueue(now func() time.Time, draw func() float64, room func(Stream) Room, held func() map[string]int) *Queue {
+	return &Queue{Now: now, Draw: draw, Room: room, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, served: map[int]float64{}}
+}
+
+// IsIdle reports whether nothing waits in the cell that goes before a new stream of a rank.
+func (q *Queue) IsIdle(rank int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range q.waiting {
+		if w.Rank <= rank {
+			return false
+		}
+	}
+	for _, entry := range q.peerWaiting(q.Now()) {
+		if entry.Rank <= rank {
+			return false
+		}
+	}
+	return true
+}
+
+// GetsCopy reports whether a stream of a rank that begins now gets a copy of its memory. While
+// others wait, the least urgent ones get none, since a copy takes as much room as a stream.
+func (q *Queue) GetsCopy(rank int) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	waits, least := false, 0
+	for _, entry := range append(q.ownWaiting(), q.peerWaiting(q.Now())...) {
+		least = max(least, entry.Rank)
+		waits = true
+	}
+	return !waits || rank < least
+}
+
+// Join queues a stream, or refuses it if it is expected to wait too long.
+func (q *Queue) Join(stream Stream) (*Waiter, *Refusal) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	room := q.Room(stream)
+	q.freed = room.FreedPerSecond
+	q.updateHeld(now)
+	q.lastSequence++
+	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), since: now, recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
+	wait := q.expectedWait(w, room.Streams, now)
+	if float64(wait) > arrivalFraction*float64(stream.StartBy.Sub(now)) {
+		return nil, q.refuse(w, WouldMissDeadline, wait, now)
+	}
+	q.waiting = append(q.waiting, w)
+	return w, nil
+}
+
+// MayTake reports whether it is the stream's turn to look for a server with room.
+func (q *Queue) MayTake(w *Waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if now := q.Now(); !now.Before(q.roundUntil) {
+		q.startRound(now)
+	}
+	if q.first() != w {
+		q.wakeFirst()
+		return false
+	}
+	return q.allotment > 0
+}
+
+// Took records whether a stream found a server when it looked for one.
+func (q *Queue) Took(stream Stream, taken bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !taken {
+		q.allotment = 0
+		return
+	}
+	q.allotment = max(q.allotment-1, 0)
+	q.held[stream.Account] += stream.Tokens()
+	for rank := range q.served {
+		q.served[rank] *= 1 - newestWeight
+	}
+	q.served[stream.Rank] += float64(stream.Tokens())
+}
+
+// Recheck returns the refusal of a waiting stream that can't get room in time any more, and nil
+// if it goes on waiting.
+func (q *Queue) Recheck(w *Waiter) *Refusal {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.Now()
+	if now.Before(w.recheckAt) && now.Before(w.StartBy) {
+		return nil
+	}
+	w.recheckAt = now.Add(recheckInterval)
+	wait := q.expectedWait(w, 0, now)
+	switch {
+	case !now.Before(w.StartBy):
+		return q.refuse(w, WaitedTooLong, wait, now)
+	case q.first() != w && now.Add(wait).After(w.StartBy):
+		return q.refuse(w, Overtaken, wait, now)
+	default:
+		return nil
+	}
+}
+
+// Leave removes a stream from the queue, whether it has a server or not.
+func (q *Queue) Leave(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if at := slices.Index(q.waiting, w); at >= 0 {
+		q.waiting = slices.Delete(q.waiting, at, at+1)
+	}
+	q.wakeFirst()
+}
+
+// Wake lets the first stream look for room, for instance since some was freed.
+func (q *Queue) Wake() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.wakeFirst()
+}
+
+// NextCheck returns when a waiting stream is to be looked at again, unless it is woken before.
+func (q *Queue) NextCheck(w *Waiter) time.Time {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	next := w.recheckAt
+	if w.StartBy.Before(next) {
+		next = w.StartBy
+	}
+	if q.first() == w && q.roundUntil.Before(next) {
+		next = q.roundUntil
+	}
+	return next
+}
+
+// Len returns the number of waiting streams.
+func (q *Queue) Len() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.waiting)
+}
+
+func (q *Queue) wakeFirst() {
+	if len(q.waiting) == 0 {
+		return
+	}
+	select {
+	case q.first().Wake <- struct{}{}:
+	default: // It is woken already.
+	}
+}
+
+// first returns the waiter whose turn it is on this VM; nil if none waits.
+func (q *Queue) first() *Waiter {
+	var first *Waiter
+	for _, w := range q.waiting {
+		if first == nil || q.goesBefore(w, first) {
+			first = w
+		}
+	}
+	return first
+}
+
+func (q *Queue) goesBefore(a, b *Waiter) bool {
+	if q.isReordered && a.Rank != b.Rank && (a.Rank == q.preferred || b.Rank == q.preferred) {
+		return a.Rank == q.preferred
+	}
+	return q.placeOf(a).isBefore(q.placeOf(b))
+}
+
+func (q *Queue) placeOf(w *Waiter) place {
+	return place{rank: w.Rank, usage: float64(q.held[w.Account]), deadline: w.StartBy, sequence: w.sequence}
+}
+
+// startRound decides which stream of this VM is the first, and how many it may send until the next
+// round. It leaves as much room as those need that go before the first one at other VMs, and
+// shares the rest with their equals there. What is left over by all of them is divided in the
+// next round.
+func (q *Queue) startRound(now time.Time) {
+	q.roundUntil = now.Add(roundInterval)
+	q.allotment = 0
+	q.updateHeld(now)
+	if len(q.waiting) == 0 {
+		return
+	}
+	q.isReordered = q.Draw() < rankFraction
+	q.preferred = q.waiting[int(q.Draw()*float64(len(q.waiting)))].Rank
+	first := q.first()
+	room := q.Room(first.Stream)
+	q.freed = room.FreedPerSecond
+	elsewhere := q.aheadOf(first, q.peerWaiting(now), 0)
+	before := elsewhere.urgent + elsewhere.inRank
+	if q.isReordered {
+		before = elsewhere.inRank
+	}
+	own := 0
+	for _, w := range q.waiting {
+		if w.Rank == first.Rank {
+			own += w.Tokens()
+		}
+	}
+	left := float64(room.Streams) - float64(before)/float64(first.Tokens())
+	if left <= 0 {
+		return
+	}
+	share := left * float64(own) / float64(own+elsewhere.equal)
+	q.allotment = int(share)
+	if q.Draw() < share-float64(q.allotment) {
+		q.allotment++
+	}
+}
+
+// ahead is what goes before a stream, in tokens: streams of more urgent ranks and of its own rank.
+// Equal are those of its own rank that don't.
+type ahead struct {
+	urgent int
+	inRank int
+	equal  int
+}
+
+// aheadOf sorts what waits by whether it goes before a stream whose account holds lead tokens more
+// than now. Of another account those go before it that raise what that account holds up to what
+// its own holds.
+func (q *Queue) aheadOf(w *Waiter, waiting []WaitingTokens, lead int) (sum ahead) {
+	for _, entry := range waiting {
+		switch {
+		case entry.Rank < w.Rank:
+			sum.urgent += entry.Tokens
+		case entry.Rank > w.Rank:
+		case entry.Account == w.Account:
+			sum.equal += entry.Tokens
+		default:
+			before := min(max(q.held[w.Account]+lead-q.held[entry.Account], 0), entry.Tokens)
+			sum.inRank += before
+			sum.equal += entry.Tokens - before
+		}
+	}
+	return sum
+}
+
+// expectedWait estimates how long a stream waits if there is room for some streams already.
+func (q *Queue) expectedWait(w *Waiter, free int, now time.Time) time.Duration {
+	sameAccount := 0
+	for _, other := range q.waiting {
+		if other != w && other.Rank == w.Rank && other.Account == w.Account && q.placeOf(other).isBefore(q.placeOf(w)) {
+			sameAccount += other.Tokens()
+		}
+	}
+	fromPeers := q.peerWaiting(now)
+	for _, entry := range fromPeers {
+		if entry.Rank == w.Rank && entry.Account == w.Account {
+			sameAccount += int(w.earlierFraction(now) * float64(entry.Tokens))
+		}
+	}
+	sum := q.aheadOf(w, append(q.ownWaiting(), fromPeers...), sameAccount+w.Tokens())
+	inRank := sum.inRank + sameAccount + w.Tokens()
+	left := sum.urgent + inRank - free*w.Tokens()
+	if left <= 0 || q.freed <= 0 {
+		return 0
+	}
+	inTurn := expectedWait(float64(left), q.freed*q.leftFor(w.Rank), time.Second)
+	reordered := expectedWait(float64(inRank), rankFraction*q.freed, time.Second)
+	return min(inTurn, reordered)
+}
+
+// leftFor returns the fraction of the freed room that streams more urgent than a rank leave to it,
+// as far as they lately did.
+func (q *Queue) leftFor(rank int) float64 {
+	total, urgent := 0.0, 0.0
+	for r, tokens := range q.served {
+		total += tokens
+		if r < rank {
+			urgent += tokens
+		}
+	}
+	if total == 0 {
+		return 1
+	}
+	return max(1-urgent/total, rankFraction)
+}
+
+// earlierFraction estimates the fraction of what waits elsewhere that arrived before the stream:
+// arrivals are taken to be even over the time that a stream may wait.
+func (w *Waiter) earlierFraction(now time.Time) float64 {
+	whole, left := w.StartBy.Sub(w.since), w.StartBy.Sub(now)
+	if whole <= 0 || left <= 0 {
+		return 0
+	}
+	return float64(left) / float64(whole)
+}
+
+// refuse returns the refusal of a stream that would have to wait for a time. Callers are asked to
+// return when room is expected for them, spread over the room that becomes free.
+func (q *Queue) refuse(w *Waiter, reason Reason, wait time.Duration, now time.Time) *Refusal {
+	at := now.Add(max(wait-w.StartBy.Sub(w.since), minRetryDelay))
+	if q.freed > 0 {
+		gap := expectedWait(float64(w.Tokens()*(1+len(q.peers))), q.freed, time.Second)
+		if next := q.retryAt.Add(gap); next.After(at) {
+			at = next
+		}
+	}
+	if latest := now.Add(maxRetryDelay); at.After(latest) {
+		at = latest
+	}
+	q.retryAt = at
+	return &Refusal{Reason: reason, RetryAt: at.Add(time.Duration(q.Draw() * float64(minRetryDelay)))}
+}
