New streams on the platform's path wait for an engine with room

Cause: the relay sent each new stream to some engine at once, also where no memory was left.

Change: the first send of a new stream asks the Admitter; what continues a stream or was sent before does not wait. VMs send their cell what waits there and what accounts hold, with the loads and only while something waits.

Result: tests of the packages touched pass with -race.

--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -14,6 +14,7 @@
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
@@ -48,6 +49,19 @@
 	}
 }
 
+// admitted counts a new stream that got a server with room.
+func (c *counters) admitted(waited time.Duration, hasWaited bool) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_admission_admitted_total{waited="%t"}`, hasWaited)).Inc()
+	if hasWaited {
+		c.set.GetOrCreateHistogram("endivespoke_admission_wait_seconds").Update(waited.Seconds())
+	}
+}
+
+// refusedRoom counts a new stream for which no server had room in time.
+func (c *counters) refusedRoom(reason admission.Reason) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_admission_refused_total{reason=%q}`, reason)).Inc()
+}
+
 // deniedFor returns the name of the reason for which a request was denied, "" if it was not.
 func deniedFor(err error) (reason string) {
 	switch {
@@ -142,6 +156,7 @@
 	gauge("endivespoke_store_answers", boolGauge(!v.storeUnreachable.Load()))
 	gauge("endivespoke_ready", boolGauge(v.Ready()))
 	gauge("endivespoke_requests_running", float64(v.running()))
+	gauge("endivespoke_admission_waiting", float64(v.admitter.Len()))
 	gauge("endivespoke_request_bodies_bytes", float64(v.bodies.Held()))
 	gauge("endivespoke_caller_connections_idle", float64(v.callers.Idle()))
 	if snapshot.Configuration != nil {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -37,6 +37,7 @@
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/copies"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
@@ -85,6 +86,8 @@
 	servers           *pool.Pool
 	connections       *http1.Pool
 	relay             *relay.Relay
+	admitter          *admission.Admitter
+	overloads         overloads
 	copies            *copies.Copies
 	crashes           *crash.Record
 	counters          *counters
@@ -122,6 +125,7 @@
 		localStreams: localStreams{running: map[string]map[*relay.Request]spread.CopyLocation{}},
 		budgets:      map[string]*budget.Shared{},
 		counters:     newCounters(),
+		overloads:    overloads{byService: map[string]*overload{}},
 		started:      time.Now(),
 		firstReady:   make(chan struct{}),
 	}
@@ -138,7 +142,9 @@
 		ReturnMemory: v.answers.Return,
 		OnOpen:       func(string) { v.counters.connections.Inc() },
 	})
+	v.admitter = v.newAdmitter()
 	v.servers = pool.New(pool.Options{
+		OnRoom:        v.admitter.Wake,
 		Now:           v.Now,
 		Draw:          rand.Float64,
 		Check:         v.connections.Check,
@@ -177,6 +183,7 @@
 	v.spread = spread.New(v.spreadOptions())
 	v.relay = relay.New(relay.Options{
 		Servers:            v.servers,
+		Admitter:           v.admitter,
 		Connections:        v.connections,
 		Logger:             v.logger,
 		Now:                v.Now,
@@ -235,13 +242,15 @@
 		OnServers:           v.servers.Update,
 		Loads:               v.servers.Loads,
 		OnLoads:             v.servers.MergePeerLoads,
+		Admission:           v.admitter.Reports,
+		OnAdmission:         v.admitter.MergeReports,
 		Copies:              v.recentCopyLocations,
 		OnCopies:            v.mergeCopies,
 		OnCrashes:           v.crashes.Merge,
 		CrashesHash:         v.crashes.Digest,
 		Crashes:             v.crashes.Recurring,
 		OnLosses:            func(reports []spread.LossReport) { spread.ApplyLossReports(v.servers, reports) },
-		OnMembersLost:       v.servers.ForgetPeers,
+		OnMembersLost:       v.forgetPeers,
 		FindCopies:          v.findCopyLocations,
 		Departures:          v.servers.Departures,
 		OnDepartures:        v.servers.ApplyPeerDepartures,
@@ -254,6 +263,12 @@
 	}
 }
 
+// forgetPeers drops what VMs reported that went down.
+func (v *VM) forgetPeers(peers []string) {
+	v.servers.ForgetPeers(peers)
+	v.admitter.ForgetPeers(peers)
+}
+
 func (v *VM) callPeer(ctx context.Context, peer, address string, body []byte) ([]byte, error) {
 	reply, err := v.peers.Call(ctx, peer, address, wire.Frame{Sync: body})
 	if err != nil {
@@ -276,7 +291,9 @@
 func (v *VM) configurationChanged(configuration *routing.Configuration) {
 	capacities := map[string]pool.Capacity{}
 	for _, service := range configuration.Services {
-		capacities[service.Name] = pool.Capacity{CacheTokens: service.CacheTokens, SupportsCopies: service.SupportsCopies, SupportsMoves: service.SupportsMoves}
+		capacity := pool.Capacity{CacheTokens: service.CacheTokens, SupportsCopies: service.SupportsCopies, SupportsMoves: service.SupportsMoves}
+		capacity.UrgentRank, capacity.UrgentObjective = configuration.MostUrgent(service.Name)
+		capacities[service.Name] = capacity
 	}
 	v.servers.SetCapacities(capacities)
 }
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -94,7 +94,7 @@
 
 // loadsMessage returns a message with this VM's current loads and service usage.
 func (s *Spread) loadsMessage(st *state) message {
-	return message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads(), ServiceUsage: s.options.ServiceUsage()}
+	return message{From: st.members.self.ID, HasLoads: true, Loads: s.options.Loads(), ServiceUsage: s.options.ServiceUsage(), Admission: s.options.Admission()}
 }
 
 // sendLoads sends this VM's loads to its cell peers, and the queued announcements to the VMs
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -361,6 +361,7 @@
 	}
 	if received.HasLoads {
 		s.options.OnLoads(received.From, received.Loads)
+		s.options.OnAdmission(received.From, received.Admission)
 	}
 	if len(received.ServiceUsage) > 0 {
 		s.options.OnServiceUsage(received.From, received.ServiceUsage)
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
@@ -158,6 +159,8 @@
 	Permit      *permit.Request     `cbor:"21,keyasint,omitempty"`
 	PermitReply *permit.Reply       `cbor:"22,keyasint,omitempty"`
 	Observation *permit.Observation `cbor:"23,keyasint,omitempty"`
+	// Admission is sent with the loads; empty if no stream waits for room in the cell.
+	Admission []admission.Report `cbor:"26,keyasint,omitempty"`
 }
 
 func (m *message) hasAnnouncements() bool {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -33,6 +33,7 @@
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -131,6 +132,9 @@
 	OnServers       func(servers []pool.Server)
 	Loads           func() []pool.Load
 	OnLoads         func(peer string, loads []pool.Load)
+	// Admission returns what this VM tells its cell of the streams that wait for room.
+	Admission   func() []admission.Report
+	OnAdmission func(peer string, reports []admission.Report)
 	// Copies returns those of the streams that run here. They are sent to VMs that join the cell.
 	Copies    func() []CopyLocation // Of the streams that run or lately ran on this VM.
 	OnCopies  func(locations []CopyLocation)
@@ -207,6 +211,12 @@
 	if options.OnMembersLost == nil {
 		options.OnMembersLost = func([]string) {}
 	}
+	if options.Admission == nil {
+		options.Admission = func() []admission.Report { return nil }
+	}
+	if options.OnAdmission == nil {
+		options.OnAdmission = func(string, []admission.Report) {}
+	}
 	if options.CrashesHash == nil {
 		options.CrashesHash = func() uint64 { return 0 }
 	}
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -165,3 +165,12 @@
 func (a *Admitter) Waiting(service string) int {
 	return a.queue(service).Len()
 }
+
+// Len returns the number of all streams that wait on this VM.
+func (a *Admitter) Len() int {
+	waiting := 0
+	for _, service := range a.services() {
+		waiting += a.Waiting(service)
+	}
+	return waiting
+}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -31,6 +31,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -130,6 +131,7 @@
 	RefusalCrashes         Refusal = "crashesServers"
 	RefusalPart            Refusal = "partCrashesServers"
 	RefusalDeadline        Refusal = "timeIsUp"
+	RefusalNoRoom          Refusal = "noRoom"
 )
 
 // NotRun means that no server has run the request or ever will. RetryAt is when a server
@@ -163,7 +165,9 @@
 
 // Options configures a Relay.
 type Options struct {
-	Servers     *pool.Pool
+	Servers *pool.Pool
+	// Admitter lets new streams wait until a server has room; nil sends them at once.
+	Admitter    *admission.Admitter
 	Connections *http1.Pool
 	Logger      hclog.Logger
 	Now         func() time.Time
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	nodecaller "github.com/endivespoke/endivespoke/internal/node/caller"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
@@ -75,6 +76,7 @@
 	// isUnreachable makes checks of servers time out.
 	isUnreachable atomic.Bool
 	resumed       []bool // For each resume, whether it was from a copy.
+	admitter      *admission.Admitter
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -121,6 +123,7 @@
 	return relay.New(relay.Options{
 		Renewals:           renewals,
 		Servers:            servers,
+		Admitter:           g.admitter,
 		Connections:        connections,
 		Logger:             hclog.NewNullLogger(),
 		Now:                func() time.Time { return time.Now().Add(time.Duration(g.paused.Load())) },
--- /dev/null
+++ b/internal/request/relay/room_test.go
@@ -0,0 +1,104 @@
+package relay_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+// largeDemand leaves no room for a second stream of its kind on a server of these tests.
+var largeDemand = placement.Demand{PromptTokens: 60_000, OutputTokens: 1000}
+
+// admit lets the rig's relay admit new streams.
+func (g *rig) admit() {
+	g.admitter = admission.NewAdmitter(admission.AdmitterOptions{
+		Now:  time.Now,
+		Draw: func() float64 { return 0.5 },
+		Room: func(service string, stream admission.Stream) admission.Room {
+			demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
+			return admission.Room(g.servers.Room(service, pool.Need{Demand: demand, FirstEventBy: stream.FirstEventBy}))
+		},
+		Held:       g.servers.HeldByAccount,
+		OnChange:   func() {},
+		OnAdmitted: func(string, time.Time) {},
+		OnRefused:  func(string, admission.Reason) {},
+	})
+	g.relay = g.vm(g.servers)
+}
+
+func largeRequest(objective time.Duration) *relay.Request {
+	r := request(routing.KindStreaming)
+	r.Demand, r.Route.LatencyObjective = largeDemand, objective
+	return r
+}
+
+// TestNewStreamIsRefusedWithoutRoom fills the only server. A new stream waits for half of its
+// objective, and is refused without having been sent.
+func TestNewStreamIsRefusedWithoutRoom(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	g.admit()
+	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
+	qt.Assert(t, err, qt.IsNil)
+	defer other.Release()
+	c := &caller{}
+	err = g.relay.Stream(context.Background(), largeRequest(100*time.Millisecond), c.sink())
+	var refusal *relay.NotRun
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalNoRoom)
+	qt.Check(t, refusal.RetryAt.IsZero(), qt.IsFalse)
+	qt.Check(t, g.seen(), qt.HasLen, 0)
+}
+
+// TestNewStreamWaitsForRoom: it is sent once the stream ends that fills the only server.
+func TestNewStreamWaitsForRoom(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	g.admit()
+	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
+	qt.Assert(t, err, qt.IsNil)
+	time.AfterFunc(50*time.Millisecond, other.Release)
+	c := &caller{}
+	qt.Assert(t, g.relay.Stream(context.Background(), largeRequest(time.Minute), c.sink()), qt.IsNil)
+	qt.Check(t, c.words(), qt.Equals, wordsTo(3))
+}
+
+// TestContinuedStreamNeedsNoRoom: a caller that returns for the rest of its stream is sent to a
+// full server.
+func TestContinuedStreamNeedsNoRoom(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	g.admit()
+	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
+	qt.Assert(t, err, qt.IsNil)
+	defer other.Release()
+	r := largeRequest(100 * time.Millisecond)
+	r.LastEventID = "1"
+	c := &caller{}
+	qt.Assert(t, g.relay.Stream(context.Background(), r, c.sink()), qt.IsNil)
+	qt.Check(t, c.words(), qt.Equals, "word2 word3")
+}
+
+// TestCallerThatLeavesFreesItsPlace: a caller that leaves while it waits is not sent, and nothing
+// waits any more.
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	g.admit()
+	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
+	qt.Assert(t, err, qt.IsNil)
+	defer other.Release()
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	c := &caller{}
+	err = g.relay.Stream(ctx, largeRequest(time.Minute), c.sink())
+	var refusal *relay.NotRun
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, g.admitter.Len(), qt.Equals, 0)
+	qt.Check(t, g.seen(), qt.HasLen, 0)
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -258,7 +258,7 @@
 
 // chooseServer returns the server of the next run, the one for the copy of its memory, and
 // the copy that the run continues from, if any.
-func (s *stream) chooseServer() (lease *pool.Lease, backup *pool.Server, from Copy, err error) {
+func (s *stream) chooseServer(ctx context.Context) (lease *pool.Lease, backup *pool.Server, from Copy, err error) {
 	select {
 	case m := <-s.moves:
 		return m.lease, m.backup, m.from, nil
@@ -266,11 +266,11 @@
 	}
 	criteria := pool.Criteria{Service: s.request.Service, Demand: s.request.Demand, Tried: s.tried, ServerID: s.resumeFrom.ServerID}
 	criteria.Demand.AfterLoss = s.sends > 0
-	lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
+	lease, backup, err = s.acquire(ctx, criteria)
 	if errors.Is(err, pool.ErrNone) && len(s.tried) > 0 {
 		s.tried = map[string]bool{} // Servers that have failed are permitted if there is no other.
 		criteria.Tried = s.tried
-		lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
+		lease, backup, err = s.acquire(ctx, criteria)
 	}
 	if err != nil {
 		return nil, nil, Copy{}, err
@@ -283,9 +283,9 @@
 
 // run sends the request to one server and relays the answer.
 func (s *stream) run(ctx context.Context) (end runResult) {
-	lease, backup, from, err := s.chooseServer()
+	lease, backup, from, err := s.chooseServer(ctx)
 	if err != nil {
-		return runResult{noServer: true, err: s.relay.noServer(s.request)}
+		return runResult{noServer: true, err: s.noServer(err)}
 	}
 	defer lease.Release()
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream, Permit: lease.Permit}
