Within an account's priority the route decides, and older waiters go first

Averages over 10 streams followed an overload too slowly.

Change: Route.Rank orders by priority of the request, then of the route. VMs report the mean age of what waits, and a VM's share of the free room grows with the age of its waiters. A caller that returns with less time than its route gives counts as waiting since then, while it can still be in time. The averages follow the latest four streams or so.

--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -13,7 +13,7 @@
 
 const (
 	// newestStreamWeight is the weight of the newest stream in the averages of a service.
-	newestStreamWeight = 0.1
+	newestStreamWeight = 0.25
 	// lessUrgentFraction of the objective of the most urgent streams is the time in which a server
 	// is to read the prompts of all others. The rest is left for the urgent ones.
 	lessUrgentFraction = 0.5
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -210,7 +210,7 @@
 	v.counters.refused(err)
 	pairs := []any{"request", id, "outcome", outcome, "millis", took.Milliseconds(), "status", status}
 	if request != nil {
-		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "service", request.Service, "servers", request.Servers, "content", request.Content, "parts", request.PromptParts)
+		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "priority", request.Priority, "service", request.Service, "servers", request.Servers, "content", request.Content, "parts", request.PromptParts)
 	}
 	if err != nil {
 		snapshot := v.spread.Snapshot()
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -72,12 +72,13 @@
 
 // await waits for the turn of a stream.
 func (a *Admitter) await(ctx context.Context, service string, q *Queue, w *Waiter, take func(copied bool) (taken bool, err error)) error {
+	since := a.options.Now()
 	for {
 		if q.MayTake(w) {
 			taken, err := take(q.GetsCopy(w.Rank))
 			q.Took(w.Stream, taken)
 			if taken || err != nil {
-				a.options.OnAdmitted(service, w.since)
+				a.options.OnAdmitted(service, since)
 				return err
 			}
 		}
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -24,7 +24,7 @@
 // the queue.
 //
 // An Admitter orders streams by rank, then by what their accounts hold of the servers' memory in
-// the cell, and then by deadline. A stream that is expected to wait too long for its latency
+// the cell, and then by how long their callers have waited. A stream that is expected to wait too long for its latency
 // objective is refused on arrival, and one that waits as soon as that shows; see queue.go.
 package admission
 
@@ -325,7 +325,7 @@
 	return h[i].place().isBefore(h[j].place())
 }
 
-// place ignores the deadline: the accounts' shares go before it.
+// place leaves out the time: the accounts' shares go before it.
 func (t *Ticket) place() place {
 	return place{rank: t.request.Rank, usage: t.startTag, sequence: t.sequence}
 }
--- a/internal/request/admission/order.go
+++ b/internal/request/admission/order.go
@@ -3,11 +3,11 @@
 import "time"
 
 // place is a request's position in the order in which requests are served: by rank, then by what
-// its account has had already, then by deadline, and then by arrival.
+// its account has had already, then by when its caller began to wait, and then by arrival.
 type place struct {
 	rank     int
 	usage    float64
-	deadline time.Time
+	since    time.Time
 	sequence int
 }
 
@@ -17,8 +17,8 @@
 		return p.rank < other.rank
 	case p.usage != other.usage:
 		return p.usage < other.usage
-	case !p.deadline.Equal(other.deadline):
-		return p.deadline.Before(other.deadline)
+	case !p.since.Equal(other.since):
+		return p.since.Before(other.since)
 	default:
 		return p.sequence < other.sequence
 	}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -12,7 +12,7 @@
 	roundInterval = 25 * time.Millisecond
 	// recheckInterval is how often a waiting stream is checked for whether it is still in time.
 	recheckInterval = 100 * time.Millisecond
-	// arrivalFraction of the time that a stream may wait is what it is expected to wait at most
+	// arrivalFraction of the time that a caller waits is what its stream is expected to wait at most
 	// when it arrives. The rest is for more urgent ones that arrive later.
 	arrivalFraction = 0.5
 	// rankFraction of the rounds serve a random rank of those that wait first, so that a more
@@ -27,7 +27,7 @@
 )
 
 // Stream is a new stream that needs room on a server. It is refused if it has no server until
-// StartBy.
+// StartBy. Since is when its caller began to wait, which may be before this attempt.
 type Stream struct {
 	Account      string
 	Rank         int
@@ -35,6 +35,7 @@
 	OutputTokens int
 	FirstEventBy time.Time
 	StartBy      time.Time
+	Since        time.Time
 }
 
 // Tokens returns the memory that the stream occupies at its end.
@@ -53,7 +54,6 @@
 type Waiter struct {
 	Stream
 	Wake      chan struct{}
-	since     time.Time
 	recheckAt time.Time
 	sequence  int
 }
@@ -126,9 +126,9 @@
 	q.freed = room.FreedPerSecond
 	q.updateHeld(now)
 	q.lastSequence++
-	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), since: now, recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
+	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
 	wait := q.expectedWait(w, room.Streams, now)
-	if float64(wait) > arrivalFraction*float64(stream.StartBy.Sub(now)) {
+	if limit := time.Duration(arrivalFraction * float64(stream.StartBy.Sub(stream.Since))); wait > min(limit, stream.StartBy.Sub(now)) {
 		return nil, q.refuse(w, WouldMissDeadline, wait, now)
 	}
 	q.waiting = append(q.waiting, w)
@@ -253,7 +253,7 @@
 }
 
 func (q *Queue) placeOf(w *Waiter) place {
-	return place{rank: w.Rank, usage: float64(q.held[w.Account]), deadline: w.StartBy, sequence: w.sequence}
+	return place{rank: w.Rank, usage: float64(q.held[w.Account]), since: w.Since, sequence: w.sequence}
 }
 
 // startRound decides which stream of this VM is the first, and how many it may send until the next
@@ -277,17 +277,15 @@
 	if q.isReordered {
 		before = elsewhere.inRank
 	}
-	own := 0
-	for _, w := range q.waiting {
-		if w.Rank == first.Rank {
-			own += w.Tokens()
-		}
-	}
 	left := float64(room.Streams) - float64(before)/float64(first.Tokens())
 	if left <= 0 {
 		return
 	}
-	share := left * float64(own) / float64(own+elsewhere.equal)
+	own, others := q.claims(first.Rank, now)
+	if sum := elsewhere.inRank + elsewhere.equal; sum > 0 {
+		others *= float64(elsewhere.equal) / float64(sum)
+	}
+	share := left * own / (own + others)
 	q.allotment = int(share)
 	if q.Draw() < share-float64(q.allotment) {
 		q.allotment++
@@ -366,7 +364,7 @@
 // earlierFraction estimates the fraction of what waits elsewhere that arrived before the stream:
 // arrivals are taken to be even over the time that a stream may wait.
 func (w *Waiter) earlierFraction(now time.Time) float64 {
-	whole, left := w.StartBy.Sub(w.since), w.StartBy.Sub(now)
+	whole, left := w.StartBy.Sub(w.Since), w.StartBy.Sub(now)
 	if whole <= 0 || left <= 0 {
 		return 0
 	}
@@ -376,7 +374,7 @@
 // refuse returns the refusal of a stream that would have to wait for a time. Callers are asked to
 // return when room is expected for them, spread over the room that becomes free.
 func (q *Queue) refuse(w *Waiter, reason Reason, wait time.Duration, now time.Time) *Refusal {
-	at := now.Add(max(wait-w.StartBy.Sub(w.since), minRetryDelay))
+	at := now.Add(max(wait-w.StartBy.Sub(now), minRetryDelay))
 	if q.freed > 0 {
 		gap := expectedWait(float64(w.Tokens()*(1+len(q.peers))), q.freed, time.Second)
 		if next := q.retryAt.Add(gap); next.After(at) {
--- a/internal/request/admission/report.go
+++ b/internal/request/admission/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -10,11 +11,17 @@
 // between two reports of a VM on which something waits.
 const reportTTL = 4 * time.Second
 
-// WaitingTokens is what the streams of an account and rank that wait on a VM need.
+// claimExponent is how the claim of a waiting stream grows with its age.
+const claimExponent = 3
+
+// WaitingTokens is what the streams of an account and rank that wait on a VM need, and how long
+// they have waited on average.
 type WaitingTokens struct {
 	Rank    int    `cbor:"1,keyasint,omitempty"`
 	Account string `cbor:"2,keyasint,omitempty"`
 	Tokens  int    `cbor:"3,keyasint"`
+	// MeanAgeMillis is as of the report: VMs share no clock.
+	MeanAgeMillis int64 `cbor:"4,keyasint,omitempty"`
 }
 
 // AccountTokens is what the running streams of an account on a VM hold.
@@ -32,6 +39,7 @@
 
 type peerReport struct {
 	report     Report
+	receivedAt time.Time
 	validUntil time.Time
 }
 
@@ -54,7 +62,7 @@
 	defer q.mu.Unlock()
 	now := q.Now()
 	wasCalm := len(q.peerWaiting(now)) == 0
-	q.peers[peer] = peerReport{report: report, validUntil: now.Add(reportTTL)}
+	q.peers[peer] = peerReport{report: report, receivedAt: now, validUntil: now.Add(reportTTL)}
 	return wasCalm && len(report.Waiting) > 0
 }
 
@@ -71,9 +79,10 @@
 
 // ownWaiting returns what waits on this VM, by rank and account.
 func (q *Queue) ownWaiting() []WaitingTokens {
+	now := q.Now()
 	return sumWaiting(func(add func(WaitingTokens)) {
 		for _, w := range q.waiting {
-			add(WaitingTokens{Rank: w.Rank, Account: w.Account, Tokens: w.Tokens()})
+			add(WaitingTokens{Rank: w.Rank, Account: w.Account, Tokens: w.Tokens(), MeanAgeMillis: now.Sub(w.Since).Milliseconds()})
 		}
 	})
 }
@@ -94,16 +103,45 @@
 	})
 }
 
+// claims returns how strongly the streams of a rank claim the free room: here, and on the other
+// VMs. A claim grows with the time that a stream has waited, so that those that arrived first on
+// any VM mostly go first.
+func (q *Queue) claims(rank int, now time.Time) (own, elsewhere float64) {
+	for _, w := range q.waiting {
+		if w.Rank == rank {
+			own += claim(w.Tokens(), now.Sub(w.Since))
+		}
+	}
+	for _, p := range q.peers {
+		for _, entry := range p.report.Waiting {
+			if entry.Rank == rank && now.Before(p.validUntil) {
+				elsewhere += claim(entry.Tokens, time.Duration(entry.MeanAgeMillis)*time.Millisecond+now.Sub(p.receivedAt))
+			}
+		}
+	}
+	return own, elsewhere
+}
+
+func claim(tokens int, age time.Duration) float64 {
+	return float64(tokens) * math.Pow((age+roundInterval).Seconds(), claimExponent)
+}
+
 func sumWaiting(addAll func(add func(WaitingTokens))) []WaitingTokens {
 	type key struct {
 		rank    int
 		account string
 	}
-	sums := map[key]int{}
-	addAll(func(entry WaitingTokens) { sums[key{entry.Rank, entry.Account}] += entry.Tokens })
+	sums := map[key]WaitingTokens{}
+	addAll(func(entry WaitingTokens) {
+		k := key{entry.Rank, entry.Account}
+		sum := sums[k]
+		entry.MeanAgeMillis = (int64(sum.Tokens)*sum.MeanAgeMillis + int64(entry.Tokens)*entry.MeanAgeMillis) / int64(max(sum.Tokens+entry.Tokens, 1))
+		entry.Tokens += sum.Tokens
+		sums[k] = entry
+	})
 	waiting := []WaitingTokens{}
-	for k, tokens := range sums {
-		waiting = append(waiting, WaitingTokens{Rank: k.rank, Account: k.account, Tokens: tokens})
+	for _, entry := range sums {
+		waiting = append(waiting, entry)
 	}
 	slices.SortFunc(waiting, func(a, b WaitingTokens) int {
 		return cmp.Or(cmp.Compare(a.Rank, b.Rank), cmp.Compare(a.Account, b.Account))
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -10,8 +10,8 @@
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 )
 
-// waitFraction of the latency objective is how long a new stream waits for a server with room at
-// most. The rest is for its prompt, which is read beside others.
+// waitFraction of the time until its first event is due is how long a new stream waits for a server
+// with room at most. The rest is for its prompt, which is read beside others.
 const waitFraction = 0.5
 
 // acquire acquires a server for the next run. A new stream may have to wait for one with room. One
@@ -21,15 +21,17 @@
 	if s.relay.options.Admitter == nil || s.sends > 0 || s.lastEventID != "" {
 		return s.relay.options.Servers.AcquireForStream(criteria)
 	}
-	firstEventBy := s.request.Received.Add(s.request.Route.LatencyObjective)
-	criteria.RequireRoom, criteria.FirstEventBy, criteria.Rank = true, firstEventBy, s.request.Priority
+	since, firstEventBy := waitingSince(s.request)
+	rank := s.request.Route.Rank(s.request.Priority)
+	criteria.RequireRoom, criteria.FirstEventBy, criteria.Rank = true, firstEventBy, rank
 	stream := admission.Stream{
 		Account:      s.request.Account,
-		Rank:         s.request.Priority,
+		Rank:         rank,
 		PromptTokens: s.request.Demand.PromptTokens,
 		OutputTokens: s.request.Demand.OutputTokens,
 		FirstEventBy: firstEventBy,
-		StartBy:      s.request.Received.Add(time.Duration(waitFraction * float64(s.request.Route.LatencyObjective))),
+		StartBy:      s.request.Received.Add(time.Duration(waitFraction * float64(firstEventBy.Sub(s.request.Received)))),
+		Since:        since,
 	}
 	err = s.relay.options.Admitter.Admit(ctx, s.request.Service, stream, func(copied bool) (taken bool, err error) {
 		criteria.WithoutCopy = !copied
@@ -42,6 +44,17 @@
 	return lease, backup, err
 }
 
+// waitingSince returns when the caller of a request began to wait, and when its first event is due.
+// A caller that returns after a refusal has less time left than the route's timeout. It goes before
+// others as long as it can still be served within the objective.
+func waitingSince(request *Request) (since, firstEventBy time.Time) {
+	objective := request.Route.LatencyObjective
+	if since = request.Deadline.Add(-request.Route.Timeout); since.Before(request.Received) && since.Add(objective).After(request.Received) {
+		return since, since.Add(objective)
+	}
+	return request.Received, request.Received.Add(objective)
+}
+
 // noServer returns the refusal of a stream that got no server because of err.
 func (s *stream) noServer(err error) error {
 	var refusal *admission.NoRoom
--- /dev/null
+++ b/internal/request/relay/since_test.go
@@ -0,0 +1,29 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/config/routing"
+)
+
+// TestReturningCallerHasWaited: a caller with less time left than the route gives has waited since
+// then, unless its first event is overdue by now.
+func TestReturningCallerHasWaited(t *testing.T) {
+	received := time.Unix(1000, 0)
+	for _, test := range []struct {
+		left, waited, due time.Duration // due is counted from the request's arrival.
+	}{
+		{25 * time.Second, 0, 10 * time.Second},
+		{30 * time.Second, 0, 10 * time.Second},
+		{21 * time.Second, 4 * time.Second, 6 * time.Second},
+		{14 * time.Second, 0, 10 * time.Second},
+	} {
+		route := &routing.Route{Timeout: 25 * time.Second, LatencyObjective: 10 * time.Second}
+		since, firstEventBy := waitingSince(&Request{Received: received, Deadline: received.Add(test.left), Route: route})
+		qt.Check(t, received.Sub(since), qt.Equals, test.waited)
+		qt.Check(t, firstEventBy.Sub(received), qt.Equals, test.due)
+	}
+}
