Large streams reserve memory; waiters of any place are refused once overtaken

The first waiter of a VM was kept although more urgent ones elsewhere left it no time. At each round a VM sorted and shuffled all servers to count the room of its cell.

Change: pool.Reserve holds a large stream's memory on the server with the most left, as part of the VM's reported load. Recheck refuses any waiter that can't be in time. Room counts the cell's servers only, without an order. Tests of the queue's decisions.

--- a/internal/backend/placement/room.go
+++ b/internal/backend/placement/room.go
@@ -51,6 +51,13 @@
 	return at, found, isUp
 }
 
+// ChooseLeastMemory chooses the server with the least memory in use that is not avoided.
+func ChooseLeastMemory(candidates []Candidate) (at int, found bool) {
+	return cheapest(candidates, func(c Candidate) (cost float64, fits bool) {
+		return float64(c.MemoryTokens), !c.Avoided
+	})
+}
+
 // CountStreams returns the number of such streams that the servers have room for, and the memory
 // that is in use on them.
 func CountStreams(candidates []Candidate, room Room) (streams, memoryTokens int) {
--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -24,8 +24,10 @@
 	RequireRoom  bool
 	FirstEventBy time.Time
 	WithoutCopy  bool
-	Account      string
-	Rank         int
+	// Reservation is of the server that the stream waits for; nil if it takes any.
+	Reservation *Reservation
+	Account     string
+	Rank        int
 }
 
 // continues reports whether the stream has run before.
--- a/internal/backend/pool/loads.go
+++ b/internal/backend/pool/loads.go
@@ -98,7 +98,7 @@
 }
 
 func (s *server) load() Load {
-	load := Load{MemoryTokens: s.copyTokens}
+	load := Load{MemoryTokens: s.copyTokens + s.reservedTokens}
 	for lease := range s.leases {
 		if !lease.stream {
 			continue
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -7,7 +7,7 @@
 //	servers := pool.New(pool.Options{Check: connections.Check, Now: time.Now, Draw: rand.Float64})
 //	servers.Update(listed)
 //	lease, err := servers.AcquireForCall("booking", tried) // errors.Is(err, pool.ErrNone)
-//	lease, copyHolder, err := servers.AcquireForStream(criteria)
+//	lease, copyHolder, err := servers.AcquireForStream(criteria) // errors.Is(err, pool.ErrNoRoom) if they require room
 //	defer lease.Release()
 //
 // A server whose connection broke is checked by opening a new one. If that fails, the
@@ -168,6 +168,7 @@
 	dropAt          time.Time
 	leases          map[*Lease]bool
 	copyTokens      int // Tokens of the copies that this VM placed there.
+	reservedTokens  int // Tokens that streams of this VM reserved there.
 	calls           int
 	failureRate     float64
 	failureAt       time.Time
--- /dev/null
+++ b/internal/backend/pool/reservation.go
@@ -0,0 +1,74 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+)
+
+// Small streams take the room of a full fleet as soon as some is free on any server, so that there
+// is never enough for a large one. It reserves its memory on one server instead, where others then
+// see less room, and begins there when the streams that fill it have ended.
+
+// largeFactor is how many times the usual memory a stream needs to be large.
+const largeFactor = 1.5
+
+// Reservation is the memory that a large stream reserves on a server while it waits.
+type Reservation struct {
+	pool     *Pool
+	server   *server
+	tokens   int
+	released bool
+}
+
+// Reserve reserves the memory of a large stream on the server of this VM's cell that has the most
+// left; nil if the stream is not large, or no such server is up.
+func (p *Pool) Reserve(criteria Criteria) *Reservation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	usual, tokens := p.averagesOf(criteria.Service).tokens, criteria.Demand.Tokens()
+	if usual == 0 || float64(tokens) < largeFactor*usual || p.capacities[criteria.Service].CacheTokens < tokens {
+		return nil
+	}
+	servers, candidates := p.inCell(p.usableServers(criteria.Service, criteria.Tried, p.options.Now(), false))
+	at, found := placement.ChooseLeastMemory(candidates)
+	if !found {
+		return nil
+	}
+	servers[at].reservedTokens += tokens
+	return &Reservation{pool: p, server: servers[at], tokens: tokens}
+}
+
+// Release gives the memory back. Further calls have no effect.
+func (r *Reservation) Release() {
+	if r == nil {
+		return
+	}
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	r.release()
+}
+
+func (r *Reservation) release() {
+	if !r.released {
+		r.released = true
+		r.server.reservedTokens -= r.tokens
+	}
+}
+
+// takeReserved returns the reserved server if it has room now, and nil otherwise. The lease takes
+// the place of the reservation. Called with the lock held.
+func (p *Pool) takeReserved(criteria Criteria, now time.Time) *server {
+	r := criteria.Reservation
+	if r == nil || r.released || p.servers[r.server.ID] != r.server || !r.server.acceptsWork() || r.server.inBackoff(now) || r.server.limited {
+		return nil
+	}
+	candidate := p.candidate(r.server, now)
+	candidate.MemoryTokens -= r.tokens
+	room := p.roomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now)
+	if candidate.Avoided || !placement.HasRoom(candidate, room) {
+		return nil
+	}
+	r.release()
+	return r.server
+}
--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -40,6 +40,7 @@
 type streamAverages struct {
 	readPerSecond float64 // Tokens of prompts that a server reads.
 	heldSeconds   float64 // From the choice of the server to the end of the run.
+	tokens        float64 // Of the memory at the end, for new streams.
 }
 
 func average(before, sample float64) float64 {
@@ -76,6 +77,7 @@
 		return
 	}
 	averages := l.pool.averagesOf(l.Server.Service)
+	averages.tokens = average(averages.tokens, float64(l.demand.Tokens()))
 	averages.heldSeconds = average(averages.heldSeconds, now.Sub(l.chosenAt).Seconds())
 }
 
@@ -105,6 +107,9 @@
 	if p.capacities[criteria.Service].CacheTokens < criteria.Demand.Tokens() {
 		return nil, false
 	}
+	if reserved := p.takeReserved(criteria, now); reserved != nil {
+		return reserved, true
+	}
 	servers, candidates := p.inCell(p.usableServers(criteria.Service, criteria.Tried, now, withLimit))
 	at, found, isUp := placement.ChooseWithRoom(candidates, p.roomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now))
 	if !found {
@@ -118,7 +123,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
-	_, candidates := p.inCell(p.usableServers(service, nil, now, true))
+	p.forgetExpiredPeers(now)
+	candidates := []placement.Candidate{}
+	for _, s := range p.servers {
+		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && p.isInCell(s) {
+			candidates = append(candidates, p.candidate(s, now))
+		}
+	}
 	streams, memoryTokens := placement.CountStreams(candidates, p.roomFor(service, need, now))
 	room := Room{Streams: streams}
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
@@ -127,6 +138,17 @@
 	return room
 }
 
+// isInCell reports whether a server is in this VM's cell. Called with the lock held.
+func (p *Pool) isInCell(s *server) bool {
+	if p.cells <= 1 {
+		return true
+	}
+	if p.cellOf == nil {
+		p.assignCells()
+	}
+	return p.cellOf[s.Address] == p.cell
+}
+
 // HeldByAccount returns the memory in tokens that the streams of each client account on this VM
 // hold.
 func (p *Pool) HeldByAccount(service string) map[string]int {
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/room_test.go
@@ -95,3 +95,38 @@
 	qt.Check(t, holder, qt.IsNil)
 	qt.Check(t, isClosed(lease.CopyLost), qt.IsFalse)
 }
+
+// TestLargeStreamReservesRoom: small streams leave it no room on any of two servers, until it
+// reserves some. They see less room there then, and it begins when enough of them have ended.
+func TestLargeStreamReservesRoom(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "x", Slots: 8})
+	small := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}, RequireRoom: true}
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireRoom: true}
+	qt.Assert(t, g.Reserve(large), qt.IsNil, qt.Commentf("it is not known what is usual"))
+	leases := map[string][]*pool.Lease{}
+	for range 6 {
+		lease, _, err := g.AcquireForStream(small)
+		qt.Assert(t, err, qt.IsNil)
+		g.now = g.now.Add(time.Second)
+		lease.MarkStarted()
+		leases[lease.Server.ID] = append(leases[lease.Server.ID], lease)
+	}
+	leases["a"][0].Release()
+	qt.Check(t, g.Reserve(small), qt.IsNil)
+	large.Reservation = g.Reserve(large)
+	qt.Assert(t, large.Reservation, qt.IsNotNil)
+	for range 2 {
+		_, _, err := g.AcquireForStream(small)
+		qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+		_, _, err = g.AcquireForStream(large)
+		qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	}
+	leases["a"][1].Release()
+	lease, _, err := g.AcquireForStream(large)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, lease.Server.ID, qt.Equals, "a")
+	large.Reservation.Release()
+	lease.Release()
+	leases["a"][2].Release()
+	qt.Check(t, g.Loads(), qt.HasLen, 1, qt.Commentf("nothing is left reserved"))
+}
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -46,13 +46,20 @@
 	return &Admitter{options: options, queues: map[string]*Queue{}}
 }
 
-// Admit calls take when a stream may look for a server with room. Take reports whether it has
-// one; if it has none and no error, the stream goes on waiting. The error is that of take, a
-// *NoRoom, or that of the context.
-func (a *Admitter) Admit(ctx context.Context, service string, stream Stream, take func(copied bool) (taken bool, err error)) error {
+// Attempt is how a stream gets a server. Take looks for one with room and reports whether there is
+// one; if there is none and no error, the stream goes on waiting. Reserve reserves the memory of a
+// server for a stream that needs much of it, and reports whether it did; Take uses it.
+type Attempt struct {
+	Take    func(copied bool) (taken bool, err error)
+	Reserve func() (reserved bool)
+}
+
+// Admit calls attempt.Take when a stream may look for a server with room. The error is that of
+// Take, a *NoRoom, or that of the context.
+func (a *Admitter) Admit(ctx context.Context, service string, stream Stream, attempt Attempt) error {
 	q := a.queue(service)
 	if q.IsIdle(stream.Rank) {
-		taken, err := take(q.GetsCopy(stream.Rank))
+		taken, err := attempt.Take(q.GetsCopy(stream.Rank))
 		if taken || err != nil {
 			q.Took(stream, taken)
 			a.options.OnAdmitted(service, time.Time{})
@@ -67,21 +74,25 @@
 	a.options.OnChange()
 	defer a.options.OnChange()
 	defer q.Leave(w)
-	return a.await(ctx, service, q, w, take)
+	return a.await(ctx, service, q, w, attempt)
 }
 
 // await waits for the turn of a stream.
-func (a *Admitter) await(ctx context.Context, service string, q *Queue, w *Waiter, take func(copied bool) (taken bool, err error)) error {
+func (a *Admitter) await(ctx context.Context, service string, q *Queue, w *Waiter, attempt Attempt) error {
 	since := a.options.Now()
 	for {
 		if q.MayTake(w) {
-			taken, err := take(q.GetsCopy(w.Rank))
+			taken, err := attempt.Take(q.GetsCopy(w.Rank))
 			q.Took(w.Stream, taken)
 			if taken || err != nil {
 				a.options.OnAdmitted(service, since)
 				return err
 			}
 		}
+		if q.LacksRoom(w) && attempt.Reserve() {
+			q.Reserved(w)
+			a.options.OnChange()
+		}
 		if refusal := q.Recheck(w); refusal != nil {
 			a.options.OnRefused(service, refusal.Reason)
 			return &NoRoom{Refusal: *refusal}
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -14,7 +14,7 @@
 // cell report to each other:
 //
 //	admitter := admission.NewAdmitter(admission.AdmitterOptions{...})
-//	err := admitter.Admit(ctx, service, stream, take) // *NoRoom, or what take returned
+//	err := admitter.Admit(ctx, service, stream, attempt) // *NoRoom, or what attempt.Take returned
 //
 // At a Gate, each account has a rate limit, a concurrency limit and a weight. Queued requests
 // are served by rank, and within a rank by start-time fair queueing (Goyal, Vin,
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -58,6 +58,8 @@
 	output  float64
 	started bool
 	tokens  int
+	// reservation is of the memory that a large stream waits for.
+	reservation *pool.Reservation
 }
 
 // site is a cell of VMs and engines on a clock of its own.
@@ -160,7 +162,8 @@
 func (v *entryVM) take(r *run, stream admission.Stream) bool {
 	demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
 	lease, _, err := v.servers.AcquireForStream(pool.Criteria{
-		Service: "llm", Demand: demand, RequireRoom: true, FirstEventBy: stream.FirstEventBy, Account: stream.Account, Rank: stream.Rank, WithoutCopy: !v.queue.GetsCopy(stream.Rank),
+		Service: "llm", Demand: demand, RequireRoom: true, FirstEventBy: stream.FirstEventBy, Account: stream.Account, Rank: stream.Rank,
+		WithoutCopy: !v.queue.GetsCopy(stream.Rank), Reservation: r.reservation,
 	})
 	if errors.Is(err, pool.ErrNoRoom) {
 		return false
@@ -180,6 +183,7 @@
 		ends := v.look(w)
 		if ends {
 			v.queue.Leave(w.Waiter)
+			w.run.reservation.Release()
 			v.announce(reducedLag)
 		}
 		return ends
@@ -195,6 +199,13 @@
 			return true
 		}
 	}
+	if v.queue.LacksRoom(w.Waiter) {
+		demand := placement.Demand{PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens}
+		if w.run.reservation = v.servers.Reserve(pool.Criteria{Service: "llm", Demand: demand}); w.run.reservation != nil {
+			v.queue.Reserved(w.Waiter)
+			v.announce(addedLag)
+		}
+	}
 	if v.queue.Recheck(w.Waiter) == nil {
 		return false
 	}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -56,6 +56,8 @@
 	Wake      chan struct{}
 	recheckAt time.Time
 	sequence  int
+	// reserved means that memory of a server is reserved for it, which it tries at each check.
+	reserved bool
 }
 
 // Queue decides which of the streams of one service on one VM gets room, and when. The VMs of a
@@ -75,6 +77,7 @@
 	held         map[string]int // Tokens of the running streams of the cell, by account.
 	freed        float64        // Room.FreedPerSecond of the last round.
 	roundUntil   time.Time
+	lacksRoom    bool // No server has room for the first stream in this round.
 	allotment    int  // Streams that this VM may still send in this round.
 	isReordered  bool // In this round the rank preferred goes first.
 	preferred    int
@@ -144,9 +147,24 @@
 	}
 	if q.first() != w {
 		q.wakeFirst()
-		return false
+		return w.reserved
 	}
-	return q.allotment > 0
+	return q.allotment > 0 || w.reserved
+}
+
+// LacksRoom reports whether it is the stream's turn, but no server of the cell has room for it. It
+// may then reserve memory.
+func (q *Queue) LacksRoom(w *Waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !w.reserved && q.first() == w && q.lacksRoom
+}
+
+// Reserved records that memory is reserved for a stream.
+func (q *Queue) Reserved(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	w.reserved = true
 }
 
 // Took records whether a stream found a server when it looked for one.
@@ -179,7 +197,7 @@
 	switch {
 	case !now.Before(w.StartBy):
 		return q.refuse(w, WaitedTooLong, wait, now)
-	case q.first() != w && now.Add(wait).After(w.StartBy):
+	case now.Add(wait).After(w.StartBy):
 		return q.refuse(w, Overtaken, wait, now)
 	default:
 		return nil
@@ -272,6 +290,7 @@
 	first := q.first()
 	room := q.Room(first.Stream)
 	q.freed = room.FreedPerSecond
+	q.lacksRoom = room.Streams == 0
 	elsewhere := q.aheadOf(first, q.peerWaiting(now), 0)
 	before := elsewhere.urgent + elsewhere.inRank
 	if q.isReordered {
--- /dev/null
+++ b/internal/request/admission/queue_test.go
@@ -0,0 +1,174 @@
+package admission_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+)
+
+// cellOfTest is the view of one queue: a clock, a cell with some room, and a draw that gives each
+// VM no more than its whole shares and never reorders ranks.
+type cellOfTest struct {
+	clock
+	room admission.Room
+	held map[string]int
+}
+
+func newQueue() (*admission.Queue, *cellOfTest) {
+	c := &cellOfTest{clock: clock{at: time.Unix(1000, 0)}, held: map[string]int{}}
+	q := admission.NewQueue(c.now, func() float64 { return 0.999 }, func(admission.Stream) admission.Room { return c.room }, func() map[string]int { return c.held })
+	return q, c
+}
+
+// newStream returns a stream of 1,000 tokens that may wait for 4 s.
+func (c *cellOfTest) newStream(account string, rank int) admission.Stream {
+	return admission.Stream{Account: account, Rank: rank, PromptTokens: 900, OutputTokens: 100, FirstEventBy: c.at.Add(8 * time.Second), StartBy: c.at.Add(4 * time.Second), Since: c.at}
+}
+
+func join(t *testing.T, q *admission.Queue, stream admission.Stream) *admission.Waiter {
+	t.Helper()
+	w, refusal := q.Join(stream)
+	qt.Assert(t, refusal, qt.IsNil)
+	return w
+}
+
+// nextRound gives the VM new free room.
+func (c *cellOfTest) nextRound(streams int) {
+	c.at = c.at.Add(30 * time.Millisecond)
+	c.room.Streams = streams
+}
+
+// TestOrderOfWaiters: rank goes first, then the account that holds less, then the older stream.
+func TestOrderOfWaiters(t *testing.T) {
+	q, c := newQueue()
+	c.held["large"] = 50_000
+	late := join(t, q, c.newStream("large", 2))
+	c.at = c.at.Add(time.Millisecond)
+	older := join(t, q, c.newStream("small", 2))
+	c.at = c.at.Add(time.Millisecond)
+	newer := join(t, q, c.newStream("small", 2))
+	urgent := join(t, q, c.newStream("large", 1))
+	for _, w := range []*admission.Waiter{urgent, older, newer, late} {
+		c.nextRound(1)
+		for _, other := range []*admission.Waiter{late, newer, older, urgent} {
+			qt.Check(t, q.MayTake(other), qt.Equals, other == w)
+		}
+		q.Took(w.Stream, true)
+		q.Leave(w)
+	}
+}
+
+// TestRoomIsHeldBackForMoreUrgentWaitersElsewhere: they have more room than is free, then less.
+func TestRoomIsHeldBackForMoreUrgentWaitersElsewhere(t *testing.T) {
+	q, c := newQueue()
+	w := join(t, q, c.newStream("a", 2))
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Account: "b", Tokens: 2000}}})
+	c.nextRound(2)
+	qt.Check(t, q.MayTake(w), qt.IsFalse)
+	c.nextRound(3)
+	qt.Check(t, q.MayTake(w), qt.IsTrue)
+	c.nextRound(2)
+	q.ForgetPeer("peer")
+	qt.Check(t, q.MayTake(w), qt.IsTrue)
+}
+
+// TestReportsOfSilentVMsExpire: a VM that was frozen holds back room for some seconds only.
+func TestReportsOfSilentVMsExpire(t *testing.T) {
+	q, c := newQueue()
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Tokens: 1_000_000}}})
+	qt.Check(t, q.IsIdle(2), qt.IsFalse)
+	qt.Check(t, q.IsIdle(0), qt.IsTrue)
+	c.at = c.at.Add(4 * time.Second)
+	qt.Check(t, q.IsIdle(2), qt.IsTrue)
+}
+
+// TestEqualsShareTheRoom: of two VMs with the same waiters each takes half, and the one whose
+// waiters are older takes nearly all.
+func TestEqualsShareTheRoom(t *testing.T) {
+	for _, test := range []struct {
+		ageElsewhere time.Duration
+		taken        int
+	}{{0, 2}, {10 * time.Second, 0}} {
+		q, c := newQueue()
+		waiters := []*admission.Waiter{}
+		for range 4 {
+			waiters = append(waiters, join(t, q, c.newStream("a", 2)))
+		}
+		q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Account: "a", Tokens: 4000, MeanAgeMillis: test.ageElsewhere.Milliseconds()}}})
+		c.nextRound(4)
+		taken := 0
+		for _, w := range waiters {
+			if q.MayTake(w) {
+				q.Took(w.Stream, true)
+				q.Leave(w)
+				taken++
+			}
+		}
+		qt.Check(t, taken, qt.Equals, test.taken)
+	}
+}
+
+// TestHopelessStreamsAreRefused: a second of the room that becomes free is needed by each stream,
+// and callers wait for 4 s at most. The third on arrival would wait too long already, and those that
+// wait do once more urgent ones have come.
+func TestHopelessStreamsAreRefused(t *testing.T) {
+	q, c := newQueue()
+	c.room.FreedPerSecond = 1000
+	first := join(t, q, c.newStream("a", 2))
+	second := join(t, q, c.newStream("a", 2))
+	_, refusal := q.Join(c.newStream("a", 2))
+	qt.Assert(t, refusal, qt.IsNotNil)
+	qt.Check(t, refusal.Reason, qt.Equals, admission.WouldMissDeadline)
+	_, next := q.Join(c.newStream("a", 2))
+	qt.Check(t, next.RetryAt.Sub(refusal.RetryAt) >= time.Second, qt.IsTrue, qt.Commentf("callers return as room becomes free"))
+	c.nextRound(0)
+	c.at = c.at.Add(time.Second)
+	qt.Check(t, q.Recheck(first), qt.IsNil)
+	qt.Check(t, q.Recheck(second), qt.IsNil)
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Tokens: 10_000}}})
+	c.at = c.at.Add(time.Second)
+	for _, w := range []*admission.Waiter{first, second} {
+		refusal = q.Recheck(w)
+		qt.Assert(t, refusal, qt.IsNotNil)
+		qt.Check(t, refusal.Reason, qt.Equals, admission.Overtaken)
+	}
+}
+
+// TestWithoutRatesNothingIsRefusedOnArrival: a VM that has just started knows no rates. Its
+// streams wait until they have to have a server.
+func TestWithoutRatesNothingIsRefusedOnArrival(t *testing.T) {
+	q, c := newQueue()
+	w := join(t, q, c.newStream("a", 2))
+	for range 20 {
+		join(t, q, c.newStream("a", 2))
+	}
+	c.at = c.at.Add(3900 * time.Millisecond)
+	qt.Check(t, q.Recheck(w), qt.IsNil)
+	c.at = c.at.Add(100 * time.Millisecond)
+	qt.Assert(t, q.Recheck(w), qt.IsNotNil)
+}
+
+// TestLeastUrgentStreamsGetNoCopyWhileOthersWait: also if those wait at another VM.
+func TestLeastUrgentStreamsGetNoCopyWhileOthersWait(t *testing.T) {
+	q, _ := newQueue()
+	qt.Check(t, q.GetsCopy(2), qt.IsTrue)
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Tokens: 1000}}})
+	qt.Check(t, q.GetsCopy(1), qt.IsTrue)
+	qt.Check(t, q.GetsCopy(2), qt.IsFalse)
+}
+
+// TestReportsOnlyWhileSomethingWaits: also a VM without waiters reports what its accounts hold then.
+func TestReportsOnlyWhileSomethingWaits(t *testing.T) {
+	q, c := newQueue()
+	c.held["a"] = 7000
+	_, found := q.Report("llm")
+	qt.Check(t, found, qt.IsFalse)
+	isFirst := q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Tokens: 1000}}})
+	qt.Check(t, isFirst, qt.IsTrue)
+	report, found := q.Report("llm")
+	qt.Check(t, found, qt.IsTrue)
+	qt.Check(t, report, qt.DeepEquals, admission.Report{Service: "llm", Waiting: []admission.WaitingTokens{}, Held: []admission.AccountTokens{{Account: "a", Tokens: 7000}}})
+}
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -33,13 +33,20 @@
 		StartBy:      s.request.Received.Add(time.Duration(waitFraction * float64(firstEventBy.Sub(s.request.Received)))),
 		Since:        since,
 	}
-	err = s.relay.options.Admitter.Admit(ctx, s.request.Service, stream, func(copied bool) (taken bool, err error) {
-		criteria.WithoutCopy = !copied
-		lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
-		if errors.Is(err, pool.ErrNoRoom) {
-			return false, nil
-		}
-		return err == nil, err
+	defer func() { criteria.Reservation.Release() }()
+	err = s.relay.options.Admitter.Admit(ctx, s.request.Service, stream, admission.Attempt{
+		Take: func(copied bool) (taken bool, err error) {
+			criteria.WithoutCopy = !copied
+			lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
+			if errors.Is(err, pool.ErrNoRoom) {
+				return false, nil
+			}
+			return err == nil, err
+		},
+		Reserve: func() (reserved bool) {
+			criteria.Reservation = s.relay.options.Servers.Reserve(criteria)
+			return criteria.Reservation != nil
+		},
 	})
 	return lease, backup, err
 }
