--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -18,6 +18,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -50,6 +51,8 @@
 	limits         sync.Map // IDs of the servers whose limits it has received, after the servers.
 	servers        atomic.Int64
 	named          atomic.Pointer[pool.ServerLimit] // The limit that a server named to it.
+	waits          atomic.Pointer[admission.Report] // What waits here for room.
+	waitsElsewhere sync.Map                         // The last reports of each VM.
 }
 
 // findCopies returns the copies whose locations the VM has received.
@@ -149,6 +152,14 @@
 			}
 			return nil
 		},
+		Admission: func() []admission.Report {
+			if report := v.waits.Load(); report != nil {
+				return []admission.Report{*report}
+			}
+			return nil
+		},
+		OnAdmission: func(peer string, reports []admission.Report) { v.waitsElsewhere.Store(peer, reports) },
+
 		Loads:   func() []pool.Load { return nil },
 		OnLoads: func(peer string, _ []pool.Load) { v.loadsReceived.Add(1); v.loadsFrom.Store(peer, true) },
 		Copies: func() []spread.CopyLocation {
--- /dev/null
+++ b/internal/request/admission/admitter_test.go
@@ -0,0 +1,109 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+)
+
+// door is an Admitter with a number of free places.
+type door struct {
+	*admission.Admitter
+	places  chan struct{}
+	refused []admission.Reason
+	waited  int
+}
+
+func newDoor(places int) *door {
+	d := &door{places: make(chan struct{}, 10)}
+	for range places {
+		d.places <- struct{}{}
+	}
+	d.Admitter = admission.NewAdmitter(admission.AdmitterOptions{
+		Now:      time.Now,
+		Draw:     func() float64 { return 0.999 },
+		Room:     func(string, admission.Stream) admission.Room { return admission.Room{Streams: len(d.places)} },
+		Held:     func(string) map[string]int { return nil },
+		OnChange: func() {},
+		OnAdmitted: func(_ string, since time.Time) {
+			if !since.IsZero() {
+				d.waited++
+			}
+		},
+		OnRefused: func(_ string, reason admission.Reason) { d.refused = append(d.refused, reason) },
+	})
+	return d
+}
+
+// enter lets a stream wait until a place is free.
+func (d *door) enter(ctx context.Context, startBy time.Time) error {
+	stream := admission.Stream{Account: "a", PromptTokens: 10, StartBy: startBy, Since: time.Now()}
+	return d.Admit(ctx, "llm", stream, admission.Attempt{
+		Take: func(bool) (bool, error) {
+			select {
+			case <-d.places:
+				return true, nil
+			default:
+				return false, nil
+			}
+		},
+		Reserve: func() bool { return false },
+	})
+}
+
+// TestAdmitterWaitsForRoom: with room a stream enters at once. Without, it waits until a place is
+// free.
+func TestAdmitterWaitsForRoom(t *testing.T) {
+	d := newDoor(1)
+	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
+	qt.Check(t, d.waited, qt.Equals, 0)
+	time.AfterFunc(20*time.Millisecond, func() {
+		d.places <- struct{}{}
+		d.Wake()
+	})
+	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
+	qt.Check(t, d.waited, qt.Equals, 1)
+	qt.Check(t, d.Len(), qt.Equals, 0)
+	qt.Check(t, d.Reports(), qt.HasLen, 0)
+}
+
+// TestAdmitterRefuses: a stream that found no room until it had to have a server gets the reason
+// and a time to return.
+func TestAdmitterRefuses(t *testing.T) {
+	d := newDoor(0)
+	err := d.enter(context.Background(), time.Now().Add(30*time.Millisecond))
+	var refusal *admission.NoRoom
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, refusal.Reason, qt.Equals, admission.WaitedTooLong)
+	qt.Check(t, refusal.RetryAt.After(time.Now()), qt.IsTrue)
+	qt.Check(t, d.refused, qt.DeepEquals, []admission.Reason{admission.WaitedTooLong})
+}
+
+// TestAdmitterForgetsCallersThatLeave: their error is that of their context, and peers are told of
+// nothing more.
+func TestAdmitterForgetsCallersThatLeave(t *testing.T) {
+	d := newDoor(0)
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(20*time.Millisecond, cancel)
+	qt.Assert(t, errors.Is(d.enter(ctx, time.Now().Add(time.Minute)), context.Canceled), qt.IsTrue)
+	qt.Check(t, d.Len(), qt.Equals, 0)
+}
+
+// TestAdmitterMergesReports: what waits at a peer goes before an equal here until the peer is
+// known to be down.
+func TestAdmitterMergesReports(t *testing.T) {
+	d := newDoor(1)
+	d.MergeReports("peer", []admission.Report{{Service: "llm", Waiting: []admission.WaitingTokens{{Rank: 0, Account: "b", Tokens: 1_000_000, MeanAgeMillis: 60_000}}}})
+	qt.Check(t, d.Reports(), qt.HasLen, 1)
+	err := d.enter(context.Background(), time.Now().Add(60*time.Millisecond))
+	var refusal *admission.NoRoom
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+	d.ForgetPeers([]string{"peer"})
+	qt.Check(t, d.Reports(), qt.HasLen, 0)
+	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
+}
