--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -12,6 +12,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
@@ -166,6 +167,8 @@
 	Tallies     []rollout.Tally        `cbor:"25,keyasint,omitempty"`
 	Credit      *rollout.CreditRequest `cbor:"26,keyasint,omitempty"`
 	CreditReply *rollout.CreditReply   `cbor:"27,keyasint,omitempty"`
+	// Admission is sent with the loads; empty if no stream waits for room in the cell.
+	Admission []admission.Report `cbor:"28,keyasint,omitempty"`
 }
 
 func (m *message) hasAnnouncements() bool {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -23,6 +23,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	nodecaller "github.com/endivespoke/endivespoke/internal/node/caller"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
@@ -76,6 +77,7 @@
 	isUnreachable atomic.Bool
 	resumed       []bool // For each resume, whether it was from a copy.
 	versions      relay.Versions
+	admitter      *admission.Admitter
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -123,6 +125,7 @@
 		Renewals:           renewals,
 		Versions:           g.versions,
 		Servers:            servers,
+		Admitter:           g.admitter,
 		Connections:        connections,
 		Logger:             hclog.NewNullLogger(),
 		Now:                func() time.Time { return time.Now().Add(time.Duration(g.paused.Load())) },
--- /dev/null
+++ b/internal/request/relay/room.go
@@ -0,0 +1,72 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/request/admission"
+)
+
+// waitFraction of the time until its first event is due is how long a new stream waits for a server
+// with room at most. The rest is for its prompt, which is read beside others.
+const waitFraction = 0.5
+
+// acquire acquires a server for the next run. A new stream may have to wait for one with room. One
+// that continues something has waited before, and would cost more if it were given up.
+func (s *stream) acquire(ctx context.Context, criteria pool.Criteria) (lease *pool.Lease, backup *pool.Server, err error) {
+	criteria.Account = s.request.Account
+	if s.relay.options.Admitter == nil || s.sends > 0 || s.lastEventID != "" {
+		return s.relay.options.Servers.AcquireForStream(criteria)
+	}
+	since, firstEventBy := waitingSince(s.request)
+	rank := s.request.Route.Rank(s.request.Priority)
+	criteria.RequireRoom, criteria.FirstEventBy, criteria.Rank = true, firstEventBy, rank
+	stream := admission.Stream{
+		Account:      s.request.Account,
+		Rank:         rank,
+		PromptTokens: s.request.Demand.PromptTokens,
+		OutputTokens: s.request.Demand.OutputTokens,
+		FirstEventBy: firstEventBy,
+		StartBy:      s.request.Received.Add(time.Duration(waitFraction * float64(firstEventBy.Sub(s.request.Received)))),
+		Since:        since,
+	}
+	defer func() { criteria.Reservation.Release() }()
+	err = s.relay.options.Admitter.Admit(ctx, s.request.Service, stream, admission.Attempt{
+		Take: func(copied bool) (taken bool, err error) {
+			criteria.WithoutCopy = !copied
+			lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
+			if errors.Is(err, pool.ErrNoRoom) {
+				return false, nil
+			}
+			return err == nil, err
+		},
+		Reserve: func() (reserved bool) {
+			criteria.Reservation = s.relay.options.Servers.Reserve(criteria)
+			return criteria.Reservation != nil
+		},
+	})
+	return lease, backup, err
+}
+
+// waitingSince returns when the caller of a request began to wait, and when its first event is due.
+// A caller that returns after a refusal has less time left than the route's timeout. It goes before
+// others as long as it can still be served within the objective.
+func waitingSince(request *Request) (since, firstEventBy time.Time) {
+	objective := request.Route.LatencyObjective
+	if since = request.Deadline.Add(-request.Route.Timeout); since.Before(request.Received) && since.Add(objective).After(request.Received) {
+		return since, since.Add(objective)
+	}
+	return request.Received, request.Received.Add(objective)
+}
+
+// noServer returns the refusal of a stream that got no server because of err.
+func (s *stream) noServer(err error) error {
+	var refusal *admission.NoRoom
+	if errors.As(err, &refusal) {
+		return &NotRun{Kind: RefusalNoRoom, Reason: refusal.Error(), RetryAt: refusal.RetryAt}
+	}
+	return s.relay.noServer(s.request, s.versions.rule)
+}
