Connections, heads, bodies and unread answers of callers are bounded by port

What callers hold of a VM had no common limit: connections and heads were unbounded, a body could stop for ever, an answer could stay unread for ever.

Each port takes a part of the descriptors (max_fds less 200 for files, which is decoded now and checked to be 300 or more) and of the memory. Beyond it the least deserving connection makes room, never one whose request is with a server. Heads are counted as they arrive, at what they cost once parsed, also those that net/http reads ahead. Bodies that make no progress make room for others, and have to be complete at the request's deadline (408). A connection that was closed while its request arrived is noticed before the request is passed on. A head inside the configuration's limit got 431, since a space was counted that is optional.

Events 720 and 721, endivespoke_connections_open, ..._connections_closed_total and endivespoke_request_heads_bytes.

--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -11,6 +11,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
+	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
@@ -69,6 +70,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_runs_ended_early_total{how=%q}`, how)).Inc()
 }
 
+// closed counts connections that were closed for a reason.
+func (c *counters) closed(port string, reason caller.Closure, count int) {
+	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_connections_closed_total{port=%q,reason=%q}`, port, reason)).Add(count)
+}
+
 // sent counts a request that is sent to a server.
 func (c *counters) sent(purpose pool.Purpose) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_server_requests_total{purpose=%q}`, purpose)).Inc()
@@ -143,7 +149,11 @@
 	gauge("endivespoke_ready", boolGauge(v.Ready()))
 	gauge("endivespoke_requests_running", float64(v.running()))
 	gauge("endivespoke_request_bodies_bytes", float64(v.bodies.Held()))
+	gauge("endivespoke_request_heads_bytes", float64(v.ports.HeldByHeads()))
 	gauge("endivespoke_caller_connections_idle", float64(v.callers.Idle()))
+	for port, open := range v.ports.Open() {
+		gauge(fmt.Sprintf("endivespoke_connections_open{port=%q}", port), float64(open))
+	}
 	if snapshot.Configuration != nil {
 		gauge("endivespoke_configuration_version", float64(snapshot.Configuration.Version))
 	}
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,7 +14,6 @@
 	"context"
 	cryptorand "crypto/rand"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -91,6 +90,7 @@
 	bodies            *caller.Bodies
 	answers           *caller.Bodies // What servers send, while it is read.
 	callers           *caller.Connections
+	ports             *caller.Ports
 	unreachableTables atomic.Int64
 	storeUnreachable  atomic.Bool
 	ranked            rankCache
@@ -130,9 +130,11 @@
 	v.settings.Store(&options.Settings)
 	v.stopContext, v.cancelRequests = context.WithCancelCause(context.Background())
 	v.bodies = caller.NewBodies(int64(bodiesFraction * float64(options.Settings.MemoryBytes)))
+	v.bodies.FreeBytes = freeBodyBytes
 	v.answers = caller.NewBodies(int64(answersFraction * float64(options.Settings.MemoryBytes)))
 	v.answers.FreeBytes = freeAnswerBytes
 	v.callers = caller.NewConnections(v.Now)
+	v.ports = caller.NewPorts(v.Now, int64(headsFraction*float64(options.Settings.MemoryBytes)))
 	v.connections = http1.New(http1.Options{
 		TakeMemory:   v.answers.Take,
 		ReturnMemory: v.answers.Return,
@@ -505,19 +507,6 @@
 	return v.stop != nil
 }
 
-// TrackCaller is the ConnState hook of the http.Server for callers.
-func (v *VM) TrackCaller(connection net.Conn, state http.ConnState) {
-	v.callers.Track(connection, state)
-}
-
-// closeIdleCallers closes caller connections that exceed the idle timeout of the
-// configuration in force.
-func (v *VM) closeIdleCallers(context.Context) {
-	if configuration := v.spread.Snapshot().Configuration; configuration != nil {
-		v.callers.CloseIdle(configuration.Limits.IdleTimeout)
-	}
-}
-
 // recheck checks servers that are down, and runs that were interrupted.
 func (v *VM) recheck(ctx context.Context) {
 	v.servers.Recheck(ctx)
@@ -554,7 +543,8 @@
 	supervisor.Add(v.ambiguous)
 	supervisor.Add(periodic.New("checks", recheckInterval, v.recheck))
 	supervisor.Add(periodic.New("idle connections", idleCheckInterval, func(context.Context) { v.connections.Sweep() }))
-	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeIdleCallers))
+	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeOverdue))
+	supervisor.Add(periodic.New("closed connections", closedReportInterval, v.reportClosed))
 	supervisor.Add(&readiness{vm: v})
 	return supervisor
 }
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/juju/errors"
@@ -29,6 +30,9 @@
 	// answersFraction bounds the share for what servers send, until callers have it. A server
 	// that sends endless responses may do so to many requests at once.
 	answersFraction = 0.15
+	// freeBodyBytes is the size up to which a body needs no part of bodiesFraction. It is part of
+	// what counts for a connection.
+	freeBodyBytes = 4 << 10
 	// freeAnswerBytes is the size up to which an answer needs no part of that share: answers of
 	// sound servers are mostly small, and have to reach their callers beside endless ones.
 	freeAnswerBytes = 4 << 10
@@ -46,26 +50,36 @@
 // ErrBodyRead means that the request body could not be read to its end.
 const ErrBodyRead = errors.ConstError("the body could not be read")
 
+// ErrBodyLate means that the request body was not complete at the request's deadline.
+const ErrBodyLate = errors.ConstError("the body was not complete in time")
+
+// BodyDeadline returns when the body of a request has to be complete.
+func (v *VM) BodyDeadline(incoming accept.Incoming) time.Time {
+	return accept.Deadline(v.spread.Snapshot().Configuration, incoming)
+}
+
 // ReadBody reads a request's body within the limits of the configuration and of
-// the VM's memory. Call release once the request is answered; it is never nil. The
-// error is meant for the caller.
-func (v *VM) ReadBody(id string, from io.Reader, received time.Time) (body []byte, release func(), err error) {
+// the VM's memory. Stop makes the read fail soon. Call release once the request is answered; it is
+// never nil. The error is meant for the caller.
+func (v *VM) ReadBody(incoming accept.Incoming, from io.Reader, stop func()) (body []byte, release func(), err error) {
 	limit := int64(defaultBodyLimit)
 	if c := v.spread.Snapshot().Configuration; c != nil && c.Limits.BodyBytes > 0 {
 		limit = c.Limits.BodyBytes
 	}
-	if body, release, err = v.bodies.Read(from, limit); err == nil {
+	if body, release, err = v.bodies.ReadFrom(caller.Body{From: from, Limit: limit, Stop: stop}); err == nil {
 		return body, release, nil
 	}
 	switch {
 	case errors.Is(err, caller.ErrTooLong):
 		err = errors.Trace(accept.ErrTooLarge)
-	case errors.Is(err, caller.ErrNoMemory):
+	case errors.Is(err, caller.ErrNoMemory), errors.Is(err, caller.ErrStalled):
 		err = &relay.NotRun{Kind: relay.RefusalMemory, Reason: err.Error(), RetryAt: v.Now().Add(bodiesRetryDelay)}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errors.Trace(ErrBodyLate)
 	default:
 		err = errors.Annotate(ErrBodyRead, err.Error())
 	}
-	v.logRequest(id, nil, received, err, 0)
+	v.logRequest(incoming.ID, nil, incoming.Received, err, 0)
 	return nil, release, err
 }
 
@@ -235,7 +249,7 @@
 	case *relay.Interrupted:
 		return "cut"
 	default:
-		if errors.Is(err, ErrBodyRead) {
+		if errors.Is(err, ErrBodyRead) || errors.Is(err, ErrBodyLate) {
 			return "unread"
 		}
 		if deniedFor(err) != "" {
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -23,6 +23,8 @@
 	Seeds          []string
 	StoreAddress   string
 	MemoryBytes    int64
+	// MaxDescriptors is the limit of the process's open files; 0 if there is none.
+	MaxDescriptors int
 	// Grace is the time between SIGTERM and SIGKILL.
 	Grace time.Duration
 	// MaxLocateTTL is the longest TTL of a locate answer that callers honour.
@@ -71,6 +73,7 @@
 	addIf(&fromNextStart, "locateAddress", before.LocateAddress != next.LocateAddress)
 	addIf(&fromNextStart, "storeAddress", before.StoreAddress != next.StoreAddress)
 	addIf(&fromNextStart, "memoryBytes", before.MemoryBytes != next.MemoryBytes)
+	addIf(&fromNextStart, "maxDescriptors", before.MaxDescriptors != next.MaxDescriptors)
 	addIf(&fromNextStart, "serverHeartbeat", before.ServerHeartbeat != next.ServerHeartbeat)
 	addIf(&fromNextStart, "addressKept", before.AddressReuseDelay != next.AddressReuseDelay)
 	retriesChanged := before.RetryFraction != next.RetryFraction || before.RetryAllowance != next.RetryAllowance || before.RetryWindow != next.RetryWindow
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -79,6 +79,8 @@
 	TraitSuspected       = define(713, "one of several things that requests share crashes servers")
 	TraitTried           = define(714, "one request that may crash servers is sent to find out")
 	EqualStreams         = define(715, "streams of equal requests run: none goes on from a copy at another VM")
+	ConnectionsClosed    = define(720, "callers' connections were closed to bound memory, descriptors or time")
+	PortBounded          = define(721, "a port takes a bounded number of connections")
 	StoreLost            = define(801, "the platform's store does not answer")
 	StoreRegained        = define(802, "the platform's store answers again")
 	SettingsReloaded     = define(803, "settings were read again")
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -157,6 +157,17 @@
 	return &relay.NotRun{Kind: relay.RefusalOutdated, Reason: reason.Error() + ", but the configuration may be outdated", RetryAt: now.Add(RetryDelay)}
 }
 
+// Deadline returns when a request has to be answered, also of one that will be refused. The
+// configuration may be nil.
+func Deadline(c *routing.Configuration, in Incoming) time.Time {
+	if c != nil {
+		if route, found := c.Match(in.Host, in.Path); found {
+			return deadline(in, route)
+		}
+	}
+	return deadline(in, &routing.Route{})
+}
+
 // deadline returns the earlier of the caller's deadline and the end of the route's timeout.
 func deadline(in Incoming, route *routing.Route) time.Time {
 	at := in.Deadline
