Fuzzing of the callers' side: heads, bodies, chunks and trailers

FuzzRequests sends bytes in pieces to a port: each head that reaches the handler has to be counted, and nothing may be held afterwards.

--- a/Makefile
+++ b/Makefile
@@ -38,6 +38,7 @@
 	$(GO) test ./internal/request/generation -run '^$$' -fuzz FuzzCursor -fuzztime $(FUZZ_TIME)
 	$(GO) test ./internal/peer/wire -run '^$$' -fuzz FuzzFrame -fuzztime $(FUZZ_TIME)
 	$(GO) test ./internal/config/object -run '^$$' -fuzz FuzzParse -fuzztime $(FUZZ_TIME)
+	$(GO) test ./internal/node/caller -run '^$$' -fuzz FuzzRequests -fuzztime $(FUZZ_TIME) -fuzzminimizetime 10x
 	$(GO) test ./platform -run '^$$' -fuzz FuzzDecoders -fuzztime $(FUZZ_TIME)
 
 SEED ?= 100
