Connections, heads and bodies of the own interface are bounded by port

Its listeners had no limits at all. Bodies are read from one account, within a minute; those that get no memory are refused with overloaded, notRun. The sizes of a port's part and the times of overdue connections move from package entry to package caller.

Partial: with TLS heads are counted by bytes only, and a connection whose caller doesn't read its answer is closed after a minute, but makes no room before.

--- a/internal/caller/openai/openai.go
+++ b/internal/caller/openai/openai.go
@@ -15,7 +15,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -27,6 +26,7 @@
 	"github.com/endivespoke/endivespoke/internal/caller/bearer"
 	"github.com/endivespoke/endivespoke/internal/caller/problem"
 	"github.com/endivespoke/endivespoke/internal/config/object"
+	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/control"
 	"github.com/endivespoke/endivespoke/internal/node/trace"
 	"github.com/endivespoke/endivespoke/internal/request/generation"
@@ -65,7 +65,7 @@
 		problem.Write(w, p)
 		return
 	}
-	body, p := ReadBody(w, r)
+	body, p := ReadBody(r)
 	if p != nil {
 		problem.Write(w, p)
 		return
@@ -121,17 +121,22 @@
 	h.answer(ctx, w, g, account, stream, len(g.Spec().Messages) > 0, cursor)
 }
 
+// bodiesRetryDelay is the retry delay for callers when bodies use all the memory for them.
+const bodiesRetryDelay = time.Second
+
 // ReadBody reads a request's body of at most problem.MaxBodyBytes.
-func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, problem.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+func ReadBody(r *http.Request) ([]byte, *problem.Problem) {
+	body, err := caller.ReadAll(r, problem.MaxBodyBytes)
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, caller.ErrTooLong):
 		return nil, &problem.Problem{Code: problem.BodyTooLarge, Outcome: problem.NotRun, Detail: "the body is larger than 4 MiB"}
-	}
-	if err != nil {
+	case errors.Is(err, caller.ErrNoMemory), errors.Is(err, caller.ErrStalled):
+		return nil, &problem.Problem{Code: problem.Overloaded, Outcome: problem.NotRun, Detail: err.Error(), RetryAt: time.Now().Add(bodiesRetryDelay)}
+	default:
 		return nil, badRequest("body: " + err.Error())
 	}
-	return body, nil
 }
 
 func (h *Handler) cursor(r *http.Request, account *object.ClientAccount) (*generation.Cursor, *problem.Problem) {
--- a/internal/caller/services/services.go
+++ b/internal/caller/services/services.go
@@ -143,7 +143,7 @@
 		return request{}, p
 	}
 	parsed.call = service.Call{Method: r.Method, Path: path, Query: r.URL.RawQuery, ContentType: r.Header.Get("Content-Type")}
-	if parsed.call.Body, p = openai.ReadBody(w, r); p != nil {
+	if parsed.call.Body, p = openai.ReadBody(r); p != nil {
 		return request{}, p
 	}
 	if parsed.call.Key, p = h.key(r, parsed.operation); p != nil {
--- a/internal/node/caller/ports.go
+++ b/internal/node/caller/ports.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -36,6 +37,10 @@
 	ConnectionBytes = 32 << 10
 	// readBufferBytes is the size of the buffer in which net/http reads ahead.
 	readBufferBytes = 4 << 10
+	// headSlack is added to the limit of the time for a head, for its way.
+	headSlack = time.Second
+	// notReadTimeout is how long a caller may take no part of an answer.
+	notReadTimeout = time.Minute
 	// untakenTime is how long a caller has taken no part of an answer when its connection may be
 	// closed for another one.
 	untakenTime = time.Second
@@ -123,17 +128,18 @@
 	return closed
 }
 
-// Sweep closes connections whose head began before headSince and is not complete, and those whose
-// caller has taken no part of an answer since writeSince. A zero time closes none.
-func (p *Ports) Sweep(headSince, writeSince time.Time) {
+// Sweep closes connections whose head has not been complete for longer than headLimit, 0 for no limit,
+// and those whose caller has taken no part of an answer for notReadTimeout.
+func (p *Ports) Sweep(headLimit time.Duration) {
+	now := p.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, port := range p.ports {
 		for c := range port.open {
 			switch {
-			case c.phase == phaseHead && c.since.Before(headSince):
+			case c.phase == phaseHead && headLimit > 0 && now.Sub(c.since) > headLimit+headSlack:
 				c.end(ClosedSlowHead)
-			case !c.writingSince.IsZero() && c.writingSince.Before(writeSince):
+			case !c.writingSince.IsZero() && now.Sub(c.writingSince) > notReadTimeout:
 				c.end(ClosedNotRead)
 			}
 		}
@@ -208,14 +214,16 @@
 
 // Track is the ConnState hook of the port's http.Server.
 func (p *Port) Track(connection net.Conn, state http.ConnState) {
-	c, ok := connection.(*Connection)
-	if !ok {
-		return
+	c, isPlain := connection.(*Connection)
+	if encrypted, ok := connection.(*tls.Conn); ok {
+		c, _ = encrypted.NetConn().(*Connection)
 	}
-	switch state {
-	case http.StateIdle:
+	switch {
+	case c == nil:
+		return
+	case state == http.StateIdle:
 		c.awaitRequest()
-	case http.StateHijacked:
+	case state == http.StateHijacked, state == http.StateActive && !isPlain:
 		c.upgrade()
 	}
 }
@@ -227,7 +235,8 @@
 	return context.WithValue(ctx, contextKey{}, connection)
 }
 
-// ConnectionOf returns the connection of a request, nil if no Port accepted it.
+// ConnectionOf returns the connection of a request, nil if no Port accepted it or it is encrypted: several
+// requests may share such a connection.
 func ConnectionOf(ctx context.Context) *Connection {
 	c, _ := ctx.Value(contextKey{}).(*Connection)
 	return c
@@ -256,7 +265,7 @@
 	head         headCounter
 	held         int64     // Of the memory for heads.
 	bodyLeft     int64     // What has not been read of the body; -1 if its length is not known.
-	isUpgraded   bool      // It carries no more requests.
+	isUpgraded   bool      // What it carries is not read as heads and bodies.
 	writingSince time.Time // The last progress of the write that is waiting; zero if none is.
 	isClosed     bool
 }
@@ -457,7 +466,7 @@
 	c.port.ports.mu.Lock()
 	defer c.port.ports.mu.Unlock()
 	c.begin(phaseIdle)
-	if c.head.ahead == 0 {
+	if c.isUpgraded = false; c.head.ahead == 0 {
 		c.head = headCounter{}
 	}
 	if !c.takeHeads() {
--- a/internal/node/caller/ports_test.go
+++ b/internal/node/caller/ports_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -224,9 +225,9 @@
 	<-r.serves
 	r.waitOpen(2)
 	r.advance(5 * time.Second)
-	r.ports.Sweep(time.Unix(1000, 0), time.Time{})
+	r.ports.Sweep(5 * time.Second)
 	qt.Assert(t, r.ports.Open(), qt.DeepEquals, map[string]int{"test": 2})
-	r.ports.Sweep(time.Unix(1003, 0), time.Unix(1003, 0))
+	r.ports.Sweep(3 * time.Second)
 	qt.Assert(t, slow.status(), qt.Equals, "closed")
 	r.end()
 	qt.Assert(t, served.status(), qt.Equals, "200 OK")
@@ -245,14 +246,15 @@
 			_, err := accepted.Write(make([]byte, 100_000))
 			ended <- err
 		}()
-		time.Sleep(2 * time.Second)
+		time.Sleep(40 * time.Second)
 		_, err = io.ReadFull(theirs, make([]byte, 40_000)) // Progress.
 		qt.Assert(t, err, qt.IsNil)
-		ports.Sweep(time.Time{}, time.Now().Add(-time.Second))
+		time.Sleep(40 * time.Second)
+		ports.Sweep(0)
 		synctest.Wait()
 		qt.Assert(t, ports.Open()["test"], qt.Equals, 1)
-		time.Sleep(2 * time.Second)
-		ports.Sweep(time.Time{}, time.Now().Add(-time.Second))
+		time.Sleep(40 * time.Second)
+		ports.Sweep(0)
 		qt.Assert(t, <-ended, qt.IsNotNil)
 		qt.Assert(t, ports.Open()["test"], qt.Equals, 0)
 	})
@@ -311,3 +313,51 @@
 	qt.Assert(t, errors.Is(<-ended, caller.ErrStalled), qt.IsTrue)
 	qt.Assert(t, bodies.Held(), qt.Equals, int64(0))
 }
+
+// TestPortsTakeTheirPartOfMemoryAndDescriptors has VMs of 64 MB.
+func TestPortsTakeTheirPartOfMemoryAndDescriptors(t *testing.T) {
+	part := caller.Part{Name: "test", Descriptors: 0.25, Memory: 0.5}
+	qt.Check(t, part.Connections(64<<20, 0), qt.Equals, 1024)
+	qt.Check(t, part.Connections(64<<20, 1200), qt.Equals, 250)
+	qt.Check(t, part.Connections(64<<20, 210), qt.Equals, 8)
+}
+
+// TestBodiesOfHandlersShareTheLimit uses two handlers, one of which holds its body.
+func TestBodiesOfHandlersShareTheLimit(t *testing.T) {
+	bodies := caller.NewBodies(30_000)
+	holds, finish := make(chan bool), make(chan bool)
+	server := httptest.NewServer(caller.BodyHandler(bodies, time.Minute, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := caller.ReadAll(r, 10_000)
+		if r.URL.Path == "/hold" {
+			holds <- true
+			<-finish
+		}
+		_, _ = fmt.Fprint(w, len(body), " ", errors.Cause(err)) // Fails only if the caller has disconnected.
+	})))
+	defer server.Close()
+	post := func(path string, length int) string {
+		response, err := http.Post(server.URL+path, "text/plain", strings.NewReader(strings.Repeat("a", length)))
+		qt.Assert(t, err, qt.IsNil)
+		defer response.Body.Close()
+		answer, err := io.ReadAll(response.Body)
+		qt.Assert(t, err, qt.IsNil)
+		return string(answer)
+	}
+	qt.Assert(t, post("/", 10_000), qt.Equals, "10000 <nil>")
+	qt.Assert(t, post("/", 10_001), qt.Equals, "0 "+caller.ErrTooLong.Error())
+	qt.Assert(t, post("/", 0), qt.Equals, "0 <nil>")
+	held := make(chan string)
+	go func() { held <- post("/hold", 10_000) }()
+	<-holds
+	go func() { held <- post("/hold", 10_000) }()
+	<-holds
+	qt.Assert(t, post("/", 10_000), qt.Equals, "0 "+caller.ErrNoMemory.Error())
+	close(finish)
+	qt.Assert(t, <-held, qt.Equals, "10000 <nil>")
+	qt.Assert(t, <-held, qt.Equals, "10000 <nil>")
+	qt.Assert(t, bodies.Held(), qt.Equals, int64(0))
+
+	body, err := caller.ReadAll(httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("a", 10_000))), 10_000)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.HasLen, 10_000)
+}
--- a/internal/node/entry/callers.go
+++ b/internal/node/entry/callers.go
@@ -22,51 +22,25 @@
 	PortMetrics
 )
 
-const (
-	// reservedDescriptors are left for files. Connections that the VM opens and those that its ports
-	// accept share the others.
-	reservedDescriptors = 200
-	// headsFraction bounds the share of the VM's memory for the heads of requests.
-	headsFraction = 0.06
-	// minConnections is the least number of connections of a port.
-	minConnections = 8
-	// notReadTimeout is how long a caller may take no part of an answer.
-	notReadTimeout = time.Minute
-	// headSlack is added to the configuration's limit of the time for a head, for its way.
-	headSlack = time.Second
-	// closedReportInterval is the least time between two reports of closed connections.
-	closedReportInterval = time.Second
-)
-
-// portParts are the parts of a VM's descriptors and memory that the connections of its ports may
-// take. What is left of the descriptors is for connections to servers, peers and the store.
-var portParts = []struct {
-	port                Port
-	name                string
-	descriptors, memory float64
-}{
-	{PortCallers, "callers", 0.35, 0.12},
-	{PortLocate, "locate", 0.08, 0.03},
-	{PortPeers, "peers", 0.15, 0.1},
-	{PortReady, "ready", 0.02, 0.01},
-	{PortMetrics, "metrics", 0.01, 0.01},
-}
+// closedReportInterval is the least time between two reports of closed connections.
+const closedReportInterval = time.Second
 
-// Connections returns the name of a port and how many connections it takes.
-func (s *Settings) Connections(port Port) (name string, connections int) {
-	part := portParts[port]
-	connections = int(part.memory*float64(s.MemoryBytes)) / caller.ConnectionBytes
-	if s.MaxDescriptors > 0 {
-		connections = min(connections, int(part.descriptors*float64(s.MaxDescriptors-reservedDescriptors)))
-	}
-	return part.name, max(connections, minConnections)
+// portParts are the parts of the ports. What is left of the descriptors is for connections to servers,
+// peers and the store.
+var portParts = map[Port]caller.Part{
+	PortCallers: {Name: "callers", Descriptors: 0.35, Memory: 0.12},
+	PortLocate:  {Name: "locate", Descriptors: 0.08, Memory: 0.03},
+	PortPeers:   {Name: "peers", Descriptors: 0.15, Memory: 0.1},
+	PortReady:   {Name: "ready", Descriptors: 0.02, Memory: 0.01},
+	PortMetrics: {Name: "metrics", Descriptors: 0.01, Memory: 0.01},
 }
 
 // Bound bounds the connections of a listener.
 func (v *VM) Bound(listener net.Listener, port Port) *caller.Port {
-	name, connections := v.options.Settings.Connections(port)
-	event.PortBounded.Info(v.logger, "port", name, "address", listener.Addr().String(), "connections", connections)
-	return v.ports.Listen(listener, name, connections)
+	part := portParts[port]
+	connections := part.Connections(v.options.Settings.MemoryBytes, v.options.Settings.MaxDescriptors)
+	event.PortBounded.Info(v.logger, "port", part.Name, "address", listener.Addr().String(), "connections", connections)
+	return v.ports.Listen(listener, part.Name, connections)
 }
 
 // TrackCaller is the ConnState hook of the http.Server for callers.
@@ -77,15 +51,12 @@
 // closeOverdue closes caller connections that exceed the idle timeout or the time for a head of the
 // configuration in force, and those whose callers don't read.
 func (v *VM) closeOverdue(context.Context) {
-	now := v.Now()
-	headSince := time.Time{}
+	headLimit := time.Duration(0)
 	if configuration := v.spread.Snapshot().Configuration; configuration != nil {
 		v.callers.CloseIdle(configuration.Limits.IdleTimeout)
-		if configuration.Limits.HeaderTimeout > 0 {
-			headSince = now.Add(-configuration.Limits.HeaderTimeout - headSlack)
-		}
+		headLimit = configuration.Limits.HeaderTimeout
 	}
-	v.ports.Sweep(headSince, now.Add(-notReadTimeout))
+	v.ports.Sweep(headLimit)
 }
 
 // reportClosed counts and logs the connections that were closed since the last report, one line for
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -134,7 +134,7 @@
 	v.answers = caller.NewBodies(int64(answersFraction * float64(options.Settings.MemoryBytes)))
 	v.answers.FreeBytes = freeAnswerBytes
 	v.callers = caller.NewConnections(v.Now)
-	v.ports = caller.NewPorts(v.Now, int64(headsFraction*float64(options.Settings.MemoryBytes)))
+	v.ports = caller.NewPorts(v.Now, int64(caller.HeadsFraction*float64(options.Settings.MemoryBytes)))
 	v.connections = http1.New(http1.Options{
 		TakeMemory:   v.answers.Take,
 		ReturnMemory: v.answers.Return,
--- a/internal/node/settings/settings.go
+++ b/internal/node/settings/settings.go
@@ -16,6 +16,7 @@
 	"net/url"
 	"os"
 	"regexp"
+	"strconv"
 	"time"
 )
 
@@ -37,6 +38,8 @@
 	DrainLimit       string `help:"How long a stopping VM waits for running requests." env:"ENDIVESPOKE_DRAIN_LIMIT" default:"15m"`
 	TLSCertificate   string `help:"PEM file with the certificate for callers and operators." env:"ENDIVESPOKE_TLS_CERTIFICATE"`
 	TLSKey           string `help:"PEM file with its key." env:"ENDIVESPOKE_TLS_KEY"`
+	MemoryMB         string `help:"Memory of this VM in MB, for the limits of what callers hold. If empty, 1024 and no limit of its own use." env:"ENDIVESPOKE_MEMORY_MB"`
+	MaxDescriptors   string `help:"Limit of this VM's open files, 200 of which are left for files; none if empty." env:"ENDIVESPOKE_MAX_DESCRIPTORS"`
 	LogLevel         string `help:"One of trace, debug, info, warn, error." env:"ENDIVESPOKE_LOG_LEVEL" default:"info"`
 	LogJSON          bool   `help:"Log in JSON." env:"ENDIVESPOKE_LOG_JSON"`
 	TraceEndpoint    string `help:"URL of an OTLP/HTTP collector. Empty disables tracing." env:"ENDIVESPOKE_TRACE_ENDPOINT"`
@@ -52,8 +55,17 @@
 	Grace      time.Duration
 	LeaveWait  time.Duration
 	DrainLimit time.Duration
+
+	MemoryBytes    int64 // 0 if it is not set.
+	MaxDescriptors int   // 0 if there is no limit.
 }
 
+// minMemoryMB and minDescriptors are what a VM needs.
+const (
+	minMemoryMB    = 64
+	minDescriptors = 300
+)
+
 // Fault is one invalid value.
 type Fault struct {
 	Flag     string
@@ -107,6 +119,8 @@
 	checked.Grace = c.duration("grace", "GRACE", s.Grace)
 	checked.LeaveWait = c.duration("leave-wait", "LEAVE_WAIT", s.LeaveWait)
 	checked.DrainLimit = c.duration("drain-limit", "DRAIN_LIMIT", s.DrainLimit)
+	checked.MemoryBytes = int64(c.number("memory-mb", "MEMORY_MB", s.MemoryMB, minMemoryMB)) << 20
+	checked.MaxDescriptors = c.number("max-descriptors", "MAX_DESCRIPTORS", s.MaxDescriptors, minDescriptors)
 	c.tls(s)
 	c.match("log-level", "LOG_LEVEL", s.LogLevel, levels, "one of trace, debug, info, warn, error")
 	c.match("baseline-recovery", "BASELINE_RECOVERY", s.BaselineRecovery, baselines, "one of none, restart, timer")
@@ -158,6 +172,19 @@
 	return parsed
 }
 
+// number returns a number that may be left empty, 0 then.
+func (c *checker) number(flag, variable, value string, least int) int {
+	if value == "" {
+		return 0
+	}
+	parsed, err := strconv.Atoi(value)
+	if err != nil || parsed < least {
+		c.add(flag, variable, value, fmt.Sprintf("a whole number from %d on, or empty", least))
+		return 0
+	}
+	return parsed
+}
+
 func (c *checker) tls(s Serve) {
 	if (s.TLSCertificate == "") != (s.TLSKey == "") {
 		c.add("tls-certificate", "TLS_CERTIFICATE", s.TLSCertificate, "set together with --tls-key or not at all")
--- a/internal/node/settings/settings_test.go
+++ b/internal/node/settings/settings_test.go
@@ -28,6 +28,8 @@
 		LeaveWait:        "-1s",
 		DrainLimit:       "15",
 		TLSCertificate:   "certificate.pem",
+		MemoryMB:         "63",
+		MaxDescriptors:   "many",
 		LogLevel:         "loud",
 		TraceEndpoint:    "collector",
 		BaselineRecovery: "some",
--- a/internal/node/vm/listener.go
+++ b/internal/node/vm/listener.go
@@ -7,6 +7,8 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/node/caller"
 )
 
 // listener serves HTTP on one address as a supervised service. The address is bound
@@ -15,6 +17,7 @@
 	name    string
 	address string
 	handler http.Handler
+	accept  func(net.Listener) *caller.Port // Bounds the connections.
 
 	mu          sync.Mutex
 	bound       net.Listener
@@ -48,16 +51,17 @@
 	if bound, err = l.boundListener(); err != nil {
 		return errors.Trace(err)
 	}
-	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout}
+	port := l.accept(bound)
+	server := &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, ConnState: port.Track, ConnContext: port.Context}
 	l.mu.Lock()
 	l.server = server
 	l.mu.Unlock()
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // Closes the connections that are still open.
 	defer stop()
 	if l.certificate != "" {
-		err = server.ServeTLS(bound, l.certificate, l.key)
+		err = server.ServeTLS(port, l.certificate, l.key)
 	} else {
-		err = server.Serve(bound)
+		err = server.Serve(port)
 	}
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -12,10 +12,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -91,6 +93,8 @@
 	caller    *listener
 	peer      *listener
 	operator  *listener
+	ports     *caller.Ports
+	bodies    *caller.Bodies // Of requests.
 
 	// FaultPoint, when set before Serve, is called before each step of an action.
 	FaultPoint func(op action.Op)
@@ -148,7 +152,10 @@
 	v.gate = admission.New(admission.Options{Now: time.Now})
 	v.shares = admission.NewShares(time.Now)
 	v.store = replica.New()
-	memory := caller.NewBodies(answersBytes)
+	v.ports = caller.NewPorts(time.Now, int64(caller.HeadsFraction*float64(v.memoryBytes())))
+	v.bodies = caller.NewBodies(int64(bodiesFraction * float64(v.memoryBytes())))
+	v.bodies.FreeBytes = freeBodyBytes
+	memory := caller.NewBodies(min(answersBytes, int64(answersFraction*float64(v.memoryBytes()))))
 	memory.FreeBytes = freeAnswerBytes
 	v.engines = engine.New(&http.Client{Transport: singleUseConnections()})
 	v.engines.Memory = memory
@@ -288,6 +295,9 @@
 	if stopTracing, err = trace.Start(ctx, v.settings.TraceEndpoint, v.settings.ID); err != nil {
 		return errors.Trace(err)
 	}
+	if v.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(v.settings.MemoryBytes)))
+	}
 	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	ended := v.supervisor().ServeBackground(running)
@@ -330,9 +340,9 @@
 	supervisor := suture.New("vm", suture.Spec{EventHook: func(e suture.Event) {
 		event.ServiceRestarted.Warn(v.logger, "detail", e.String())
 	}})
-	v.caller.handler = v.callerRoutes()
-	v.peer.handler = v.peerRoutes()
-	v.operator.handler = v.operatorRoutes()
+	v.caller.handler, v.caller.accept = v.readsBodies(v.callerRoutes()), v.bound(callersPart)
+	v.peer.handler, v.peer.accept = v.readsBodies(v.peerRoutes()), v.bound(peersPart)
+	v.operator.handler, v.operator.accept = v.readsBodies(v.operatorRoutes()), v.bound(operatorsPart)
 	v.caller.useTLS(v.settings.TLSCertificate, v.settings.TLSKey)
 	v.operator.useTLS(v.settings.TLSCertificate, v.settings.TLSKey)
 	supervisor.Add(v.loop)
@@ -340,6 +350,8 @@
 	supervisor.Add(periodic.New("limits", limitsInterval, v.updateLimits))
 	supervisor.Add(periodic.New("loads", loadsInterval, v.readLoads))
 	supervisor.Add(periodic.New("orders", order.CheckInterval, v.orders.CheckAll))
+	supervisor.Add(periodic.New("overdue connections", overdueInterval, v.closeOverdue))
+	supervisor.Add(periodic.New("closed connections", closedReportInterval, v.reportClosed))
 	supervisor.Add(v.peer)
 	supervisor.Add(v.operator)
 	supervisor.Add(v.caller)
@@ -408,6 +420,11 @@
 	gauge("endivespoke_copies_held", float64(v.store.Len()))
 	gauge("endivespoke_admission_running", float64(running))
 	gauge("endivespoke_admission_waiting", float64(waiting))
+	gauge("endivespoke_request_heads_bytes", float64(v.ports.HeldByHeads()))
+	gauge("endivespoke_request_bodies_bytes", float64(v.bodies.Held()))
+	for port, open := range v.ports.Open() {
+		gauge(fmt.Sprintf("endivespoke_connections_open{port=%q}", port), float64(open))
+	}
 	gauge("endivespoke_peer_sent_bytes", float64(v.pool.SentBytes()))
 	gauge("endivespoke_configuration_revision", float64(v.loop.Snapshot().Head.Revision))
 	set.WritePrometheus(w)
--- a/internal/operator/admin/admin.go
+++ b/internal/operator/admin/admin.go
@@ -90,7 +90,7 @@
 
 // read parses and validates the configuration in a request's body.
 func (h *Handler) read(w http.ResponseWriter, r *http.Request) (set object.Set, p *problem.Problem) {
-	body, p := openai.ReadBody(w, r)
+	body, p := openai.ReadBody(r)
 	if p != nil {
 		return object.Set{}, p
 	}
