A VM that is leaving lets no stream wait

Cause: a stream that was accepted just after SIGTERM could wait for seconds and then be cut by the end of the grace period.

Change: Admitter.Stop refuses what waits, as not run and to be retried at once, and what finds no room from then on.

--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -72,6 +72,7 @@
 	v.mu.Lock()
 	v.stop = stop
 	v.mu.Unlock()
+	v.admitter.Stop()
 	event.VMStopping.Info(v.logger, "vm", settings.Name, "running", v.running())
 	v.spread.SetSelf(ctx, func(self *spread.Member) { self.Ready, self.Leaving = false, true })
 	if v.written.has(settings.PeerAddress) {
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
@@ -37,8 +38,9 @@
 type Admitter struct {
 	options AdmitterOptions
 
-	mu     sync.Mutex
-	queues map[string]*Queue // By service.
+	mu        sync.Mutex
+	queues    map[string]*Queue // By service.
+	isStopped bool
 }
 
 // NewAdmitter returns an Admitter.
@@ -68,8 +70,7 @@
 	}
 	w, refusal := q.Join(stream)
 	if refusal != nil {
-		a.options.OnRefused(service, refusal.Reason)
-		return &NoRoom{Refusal: *refusal}
+		return a.refuse(service, refusal)
 	}
 	a.options.OnChange()
 	defer a.options.OnChange()
@@ -77,6 +78,30 @@
 	return a.await(ctx, service, q, w, attempt)
 }
 
+// Stop refuses the waiting streams within recheckInterval, and from now on those without room at
+// once: a VM that is leaving may not outlast them, and others can take them.
+func (a *Admitter) Stop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isStopped = true
+}
+
+// stopped returns the refusal of a stream that may not wait since this VM is leaving.
+func (a *Admitter) stopped() *Refusal {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.isStopped {
+		return nil
+	}
+	return &Refusal{Reason: Stopped, RetryAt: a.options.Now()}
+}
+
+// refuse reports a refusal and returns its error.
+func (a *Admitter) refuse(service string, refusal *Refusal) error {
+	a.options.OnRefused(service, refusal.Reason)
+	return &NoRoom{Refusal: *refusal}
+}
+
 // await waits for the turn of a stream.
 func (a *Admitter) await(ctx context.Context, service string, q *Queue, w *Waiter, attempt Attempt) error {
 	since := a.options.Now()
@@ -93,9 +118,8 @@
 			q.Reserved(w)
 			a.options.OnChange()
 		}
-		if refusal := q.Recheck(w); refusal != nil {
-			a.options.OnRefused(service, refusal.Reason)
-			return &NoRoom{Refusal: *refusal}
+		if refusal := cmp.Or(a.stopped(), q.Recheck(w)); refusal != nil {
+			return a.refuse(service, refusal)
 		}
 		timer := time.NewTimer(q.NextCheck(w).Sub(a.options.Now()))
 		select {
--- a/internal/request/admission/admitter_test.go
+++ b/internal/request/admission/admitter_test.go
@@ -107,3 +107,18 @@
 	qt.Check(t, d.Reports(), qt.HasLen, 0)
 	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
 }
+
+// TestStoppedAdmitterRefusesWhatWaits: a VM that is leaving refuses those that wait, and those
+// without room at once. With room a stream enters.
+func TestStoppedAdmitterRefusesWhatWaits(t *testing.T) {
+	d := newDoor(0)
+	time.AfterFunc(20*time.Millisecond, d.Stop)
+	for range 2 {
+		err := d.enter(context.Background(), time.Now().Add(time.Minute))
+		var refusal *admission.NoRoom
+		qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+		qt.Check(t, refusal.Reason, qt.Equals, admission.Stopped)
+	}
+	d.places <- struct{}{}
+	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
+}
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -68,6 +68,8 @@
 	Overtaken
 	// WaitedTooLong means that a stream found no room until it had to have a server.
 	WaitedTooLong
+	// Stopped means that the VM is leaving and lets no stream wait any more.
+	Stopped
 )
 
 // String returns the reason's name in logs and counters.
@@ -85,6 +87,8 @@
 		return "overtaken"
 	case WaitedTooLong:
 		return "waitedTooLong"
+	case Stopped:
+		return "stopped"
 	default:
 		return "unset"
 	}
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -65,7 +65,10 @@
 // noServer returns the refusal of a stream that got no server because of err.
 func (s *stream) noServer(err error) error {
 	var refusal *admission.NoRoom
-	if errors.As(err, &refusal) {
+	if errors.As(err, &refusal) && refusal.Reason == admission.Stopped {
+		return &NotRun{Kind: RefusalLeaving, Reason: "this VM is leaving, and no server has room now", RetryAt: refusal.RetryAt}
+	}
+	if refusal != nil {
 		return &NotRun{Kind: RefusalNoRoom, Reason: refusal.Error(), RetryAt: refusal.RetryAt}
 	}
 	return s.relay.noServer(s.request)
