A stream waits no longer than its caller's deadline leaves; failed attempts are not counted

Cause: a caller with a deadline before the objective's end waited until it passed, and an attempt that failed for want of any server counted as admitted.

--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -62,9 +62,11 @@
 	q := a.queue(service)
 	if q.IsIdle(stream.Rank) {
 		taken, err := attempt.Take(q.GetsCopy(stream.Rank))
-		if taken || err != nil {
-			q.Took(stream, taken)
+		if taken {
+			q.Took(stream, true)
 			a.options.OnAdmitted(service, time.Time{})
+		}
+		if taken || err != nil {
 			return err
 		}
 	}
@@ -109,8 +111,10 @@
 		if q.MayTake(w) {
 			taken, err := attempt.Take(q.GetsCopy(w.Rank))
 			q.Took(w.Stream, taken)
-			if taken || err != nil {
+			if taken {
 				a.options.OnAdmitted(service, since)
+			}
+			if taken || err != nil {
 				return err
 			}
 		}
--- a/internal/request/admission/admitter_test.go
+++ b/internal/request/admission/admitter_test.go
@@ -17,6 +17,8 @@
 	places  chan struct{}
 	refused []admission.Reason
 	waited  int
+	// onAdmitted is called for each admitted stream, if set.
+	onAdmitted func()
 }
 
 func newDoor(places int) *door {
@@ -31,6 +33,9 @@
 		Held:     func(string) map[string]int { return nil },
 		OnChange: func() {},
 		OnAdmitted: func(_ string, since time.Time) {
+			if d.onAdmitted != nil {
+				d.onAdmitted()
+			}
 			if !since.IsZero() {
 				d.waited++
 			}
@@ -122,3 +127,15 @@
 	d.places <- struct{}{}
 	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
 }
+
+// TestFailedAttemptIsNoAdmission: the error of the attempt is returned, and nothing is counted.
+func TestFailedAttemptIsNoAdmission(t *testing.T) {
+	d := newDoor(1)
+	admitted := 0
+	d.onAdmitted = func() { admitted++ }
+	err := d.Admit(context.Background(), "llm", admission.Stream{StartBy: time.Now().Add(time.Minute), Since: time.Now()}, admission.Attempt{
+		Take: func(bool) (bool, error) { return false, errors.New("no server is listed") },
+	})
+	qt.Check(t, err, qt.ErrorMatches, "no server is listed")
+	qt.Check(t, admitted, qt.Equals, 0)
+}
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -30,7 +30,7 @@
 		PromptTokens: s.request.Demand.PromptTokens,
 		OutputTokens: s.request.Demand.OutputTokens,
 		FirstEventBy: firstEventBy,
-		StartBy:      s.request.Received.Add(time.Duration(waitFraction * float64(firstEventBy.Sub(s.request.Received)))),
+		StartBy:      startBy(s.request, firstEventBy),
 		Since:        since,
 	}
 	defer func() { criteria.Reservation.Release() }()
@@ -62,6 +62,15 @@
 	return request.Received, request.Received.Add(objective)
 }
 
+// startBy returns when a new stream has to have a server, so that its first event is in time for the
+// objective and the caller's deadline.
+func startBy(request *Request, firstEventBy time.Time) time.Time {
+	if request.Deadline.Before(firstEventBy) {
+		firstEventBy = request.Deadline
+	}
+	return request.Received.Add(time.Duration(waitFraction * float64(firstEventBy.Sub(request.Received))))
+}
+
 // noServer returns the refusal of a stream that got no server because of err.
 func (s *stream) noServer(err error) error {
 	var refusal *admission.NoRoom
--- a/internal/request/relay/since_test.go
+++ b/internal/request/relay/since_test.go
@@ -27,3 +27,12 @@
 		qt.Check(t, firstEventBy.Sub(received), qt.Equals, test.due)
 	}
 }
+
+// TestStreamStartsBeforeTheDeadline: the time to wait is half of what is left to the first event, or
+// to the deadline if that is earlier.
+func TestStreamStartsBeforeTheDeadline(t *testing.T) {
+	received := time.Unix(1000, 0)
+	request := &Request{Received: received, Deadline: received.Add(6 * time.Second)}
+	qt.Check(t, startBy(request, received.Add(10*time.Second)), qt.Equals, received.Add(3*time.Second))
+	qt.Check(t, startBy(request, received.Add(4*time.Second)), qt.Equals, received.Add(2*time.Second))
+}
