Streams keep their copies while servers are being lost

Cause: while anything waited, streams of the least urgent rank began without a copy. Change: where a server was lost within the time that a stream lasts, copies are withheld only while streams of the rank are refused. Room tells whether one was.

--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"strings"
 	"time"
 
 	"github.com/juju/errors"
@@ -34,6 +35,8 @@
 	Streams int
 	// FreedPerSecond is the rate in tokens at which memory is freed there; 0 if it is not known.
 	FreedPerSecond float64
+	// LostLately means that a server of the service was lost within the time that a stream lasts.
+	LostLately bool
 }
 
 // streamAverages are moving averages over the streams of a service on this VM; 0 before the
@@ -142,10 +145,21 @@
 	room := Room{Streams: streams}
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
 		room.FreedPerSecond = float64(memoryTokens) / held // Little's law.
+		room.LostLately = p.hasLossSince(service, now.Add(-time.Duration(held*float64(time.Second))))
 	}
 	return room
 }
 
+// hasLossSince reports whether a server of a service was lost since a time. Called with the lock held.
+func (p *Pool) hasLossSince(service string, since time.Time) bool {
+	for group, at := range p.lossAt {
+		if strings.HasPrefix(group, service+"/") && at.After(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // isInCell reports whether a server is in this VM's cell. Called with the lock held.
 func (p *Pool) isInCell(s *server) bool {
 	if p.cells <= 1 {
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -61,7 +61,7 @@
 func (a *Admitter) Admit(ctx context.Context, service string, stream Stream, attempt Attempt) error {
 	q := a.queue(service)
 	if q.IsIdle(stream.Rank) {
-		taken, err := attempt.Take(q.GetsCopy(stream.Rank))
+		taken, err := attempt.Take(q.GetsCopy(stream))
 		if taken {
 			q.Took(stream, true)
 			a.options.OnAdmitted(service, time.Time{})
@@ -109,7 +109,7 @@
 	since := a.options.Now()
 	for {
 		if q.MayTake(w) {
-			taken, err := attempt.Take(q.GetsCopy(w.Rank))
+			taken, err := attempt.Take(q.GetsCopy(w.Stream))
 			q.Took(w.Stream, taken)
 			if taken {
 				a.options.OnAdmitted(service, since)
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -163,7 +163,7 @@
 	demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
 	lease, _, err := v.servers.AcquireForStream(pool.Criteria{
 		Service: "llm", Demand: demand, RequireRoom: true, FirstEventBy: stream.FirstEventBy, Account: stream.Account, Rank: stream.Rank,
-		WithoutCopy: !v.queue.GetsCopy(stream.Rank), Reservation: r.reservation,
+		WithoutCopy: !v.queue.GetsCopy(stream), Reservation: r.reservation,
 	})
 	if errors.Is(err, pool.ErrNoRoom) {
 		return false
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -48,6 +48,7 @@
 type Room struct {
 	Streams        int
 	FreedPerSecond float64
+	LostLately     bool // A server was lost within the time that a stream lasts.
 }
 
 // Waiter is a stream that waits for room. Wake receives a value when it may be its turn.
@@ -107,17 +108,34 @@
 	return true
 }
 
-// GetsCopy reports whether a stream of a rank that begins now gets a copy of its memory. While
-// others wait, the least urgent ones get none, since a copy takes as much room as a stream.
-func (q *Queue) GetsCopy(rank int) bool {
+// GetsCopy reports whether a stream that begins now gets a copy of its memory, which takes as much
+// room as a stream. While others wait, the least urgent ones get none. Where servers are being lost
+// they do, unless streams of their rank are refused meanwhile: a copy protects one stream only.
+func (q *Queue) GetsCopy(stream Stream) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := q.Now()
 	waits, least := false, 0
-	for _, entry := range append(q.ownWaiting(), q.peerWaiting(q.Now())...) {
+	for _, entry := range append(q.ownWaiting(), q.peerWaiting(now)...) {
 		least = max(least, entry.Rank)
 		waits = true
 	}
-	return !waits || rank < least
+	if !waits || stream.Rank < least {
+		return true
+	}
+	if !q.Room(stream).LostLately {
+		return false
+	}
+	stream.StartBy = now.Add(stream.StartBy.Sub(stream.Since))
+	stream.Since = now
+	w := &Waiter{Stream: stream, sequence: q.lastSequence + 1}
+	return !q.isTooLate(w, q.expectedWait(w, 0, now), now)
+}
+
+// isTooLate reports whether a stream that arrives now would wait longer than is of use.
+func (q *Queue) isTooLate(w *Waiter, wait time.Duration, now time.Time) bool {
+	limit := time.Duration(arrivalFraction * float64(w.StartBy.Sub(w.Since)))
+	return wait > min(limit, w.StartBy.Sub(now))
 }
 
 // Join queues a stream, or refuses it if it is expected to wait too long.
@@ -131,7 +149,7 @@
 	q.lastSequence++
 	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
 	wait := q.expectedWait(w, room.Streams, now)
-	if limit := time.Duration(arrivalFraction * float64(stream.StartBy.Sub(stream.Since))); wait > min(limit, stream.StartBy.Sub(now)) {
+	if q.isTooLate(w, wait, now) {
 		return nil, q.refuse(w, WouldMissDeadline, wait, now)
 	}
 	q.waiting = append(q.waiting, w)
--- a/internal/request/admission/queue_test.go
+++ b/internal/request/admission/queue_test.go
@@ -153,11 +153,26 @@
 
 // TestLeastUrgentStreamsGetNoCopyWhileOthersWait: also if those wait at another VM.
 func TestLeastUrgentStreamsGetNoCopyWhileOthersWait(t *testing.T) {
-	q, _ := newQueue()
-	qt.Check(t, q.GetsCopy(2), qt.IsTrue)
+	q, c := newQueue()
+	qt.Check(t, q.GetsCopy(c.newStream("a", 2)), qt.IsTrue)
 	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Tokens: 1000}}})
-	qt.Check(t, q.GetsCopy(1), qt.IsTrue)
-	qt.Check(t, q.GetsCopy(2), qt.IsFalse)
+	qt.Check(t, q.GetsCopy(c.newStream("a", 1)), qt.IsTrue)
+	qt.Check(t, q.GetsCopy(c.newStream("a", 2)), qt.IsFalse)
+}
+
+// TestStreamsGetCopiesWhereServersAreLost: a wait that a stream can bear costs no copy then, but
+// copies cause no refusals.
+func TestStreamsGetCopiesWhereServersAreLost(t *testing.T) {
+	q, c := newQueue()
+	c.room = admission.Room{FreedPerSecond: 1000, LostLately: true}
+	q.Leave(join(t, q, c.newStream("a", 2)))
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Account: "a", Tokens: 500}}})
+	qt.Check(t, q.GetsCopy(c.newStream("a", 2)), qt.IsTrue)
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Account: "a", Tokens: 5000}}})
+	qt.Check(t, q.GetsCopy(c.newStream("a", 1)), qt.IsTrue)
+	qt.Check(t, q.GetsCopy(c.newStream("a", 2)), qt.IsFalse)
+	_, refusal := q.Join(c.newStream("a", 2))
+	qt.Check(t, refusal, qt.IsNotNil)
 }
 
 // TestReportsOnlyWhileSomethingWaits: also a VM without waiters reports what its accounts hold then.
