--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -18,6 +18,8 @@
 	// lessUrgentFraction of the objective of the most urgent streams is the time in which a server
 	// is to read the prompts of all others. The rest is left for the urgent ones.
 	lessUrgentFraction = 0.5
+	// lossMemory is how long after a loss more are expected: losses with one cause come in series.
+	lossMemory = 30 * time.Second
 )
 
 // Need is what a new stream needs: memory for its demand, and its first event at a time, with a
@@ -35,7 +37,7 @@
 	Streams int
 	// FreedPerSecond is the rate in tokens at which memory is freed there; 0 if it is not known.
 	FreedPerSecond float64
-	// LostLately means that a server of the service was lost within the time that a stream lasts.
+	// LostLately means that a server of the service was lost within lossMemory.
 	LostLately bool
 }
 
@@ -145,8 +147,8 @@
 	room := Room{Streams: streams}
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
 		room.FreedPerSecond = float64(memoryTokens) / held // Little's law.
-		room.LostLately = p.hasLossSince(service, now.Add(-time.Duration(held*float64(time.Second))))
 	}
+	room.LostLately = p.hasLossSince(service, now.Add(-lossMemory))
 	return room
 }
 
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -48,7 +48,7 @@
 type Room struct {
 	Streams        int
 	FreedPerSecond float64
-	LostLately     bool // A server was lost within the time that a stream lasts.
+	LostLately     bool // A server was lost lately, so that more may be.
 }
 
 // Waiter is a stream that waits for room. Wake receives a value when it may be its turn.
