--- a/internal/backend/rollout/credits.go
+++ b/internal/backend/rollout/credits.go
@@ -6,8 +6,8 @@
 	// canaryPart and loadPart are the parts of the allowed exposure that may be used until the end
 	// of the stages canary and load. The rest is for what goes to the new version in the stage
 	// shift before a version that turns bad there is judged.
-	canaryPart = 0.7
-	loadPart   = 0.9
+	canaryPart = 0.65
+	loadPart   = 0.8
 	// maxCreditRate bounds the credits, and so the calls for them, that all VMs together need in a
 	// second.
 	maxCreditRate = 100.0
--- a/internal/backend/rollout/follower.go
+++ b/internal/backend/rollout/follower.go
@@ -19,7 +19,7 @@
 	minShare = 1.0 / 64
 	// controlShare is the share of first sends that stay with the old version in the stage shift,
 	// so that the versions can be compared.
-	controlShare = 0.1
+	controlShare = 0.3
 )
 
 // Follower is one VM's view of the roll-outs. It is safe for concurrent use.
--- a/internal/backend/rollout/times.go
+++ b/internal/backend/rollout/times.go
@@ -6,12 +6,12 @@
 	canaryMark   = 0.35 // Evidence for the new version counts from here on in the stage canary.
 	canaryEnd    = 0.55 // The earliest.
 	canaryLatest = 0.58
-	idleEnd      = 0.75 // For a version that has answered nothing yet.
+	idleEnd      = 0.7 // For a version that has answered nothing yet.
 	loadMin      = 0.04
 	loadTime     = 0.06 // The longest.
 	loadEnd      = canaryLatest + loadTime
-	shiftMin     = 0.02
-	shiftTime    = 0.03
+	shiftMin     = 0.03
+	shiftTime    = 0.05
 	// serverlessTime is how long a version may have no server that accepts work after it had some.
 	serverlessTime = 0.25
 )
