A finished roll-out takes the order's identity in a newer era

After the store came back from an older copy, the row named the order as it was written before. The row is written once more under the newer identity, and never under an older one.

--- a/internal/backend/rollout/coordinator_test.go
+++ b/internal/backend/rollout/coordinator_test.go
@@ -150,6 +150,26 @@
 	qt.Assert(t, d.at(2000).Serial, qt.Equals, serial)
 }
 
+// TestCoordinatorOrderAgainInNewerEra checks that an order that was written again keeps its end, and that
+// the same order given once more begins.
+func TestCoordinatorOrderAgainInNewerEra(t *testing.T) {
+	found := stateOf(orderTo("v2", 1, 7), rollout.StageRolledBack, 5)
+	d := newDesk(orderTo("v2", 2, 3), &found, nil)
+	for range 2 {
+		state := d.at(1000)
+		qt.Assert(t, state.Stage, qt.Equals, rollout.StageRolledBack)
+		qt.Assert(t, state.Serial, qt.Equals, uint64(6))
+	}
+	late := newDesk(orderTo("v2", 1, 7), d.row, nil) // It has not heard of the new era.
+	qt.Assert(t, late.at(1500).Serial, qt.Equals, uint64(6))
+
+	d.coordinator.Begin(orderTo("v2", 2, 4), d.row, nil)
+	state := d.at(2000)
+	qt.Assert(t, state.Stage, qt.Equals, rollout.StageCanary)
+	qt.Assert(t, state.Order, qt.Equals, orderTo("v2", 2, 4))
+	qt.Assert(t, state.Serial, qt.Equals, uint64(7))
+}
+
 func TestCoordinatorWaitsForVMs(t *testing.T) {
 	order := orderTo("v2", 1, 1)
 	found := retireState(order)
--- a/internal/backend/rollout/stages.go
+++ b/internal/backend/rollout/stages.go
@@ -26,7 +26,7 @@
 	if next, due = c.next(); !due {
 		return State{}, false
 	}
-	if !c.order.Withdrawn {
+	if !c.order.Withdrawn && c.order.isNewerThan(next.Order) {
 		next.Order = c.order
 	}
 	next.Serial = c.nextSerial()
@@ -104,10 +104,13 @@
 	return *c.state, c.isRowBehind()
 }
 
-// isRowBehind reports whether the row does not hold the newest state: the store came back from an
-// older copy. Called with the lock held.
+// isRowBehind reports whether the row does not hold the newest state, or holds it under the order as it
+// was written before: the store came back from an older copy. Called with the lock held.
 func (c *Coordinator) isRowBehind() bool {
-	return c.row == nil || !c.concerns(*c.row) || c.state.isNewerThan(*c.row)
+	if c.row == nil || !c.concerns(*c.row) || c.state.isNewerThan(*c.row) {
+		return true
+	}
+	return !c.order.Withdrawn && c.order.isNewerThan(c.row.Order)
 }
 
 // begin returns the first state of the order. Called with the lock held.
