--- a/internal/backend/rollout/judgement_test.go
+++ b/internal/backend/rollout/judgement_test.go
@@ -28,6 +28,7 @@
 	badFrom  float64
 	badRoute bool    // The new version is bad on the first route only.
 	lag      float64 // How much later answers come than failures.
+	newFrom  float64 // Before this, all requests go to the old version.
 	overload bool    // From 0.2 to 0.4, 7 of 10 answers of both versions fail, and the others take 8 times as long.
 }
 
@@ -87,7 +88,7 @@
 // send draws the outcome of one request: a failure comes now, an answer later.
 func (r trial) send(random *rand.Rand, elapsed float64, now, later *outcomes) {
 	n := random.IntN(r.routes)
-	isNew := random.Float64() < r.share
+	isNew := random.Float64() < r.share && elapsed >= r.newFrom
 	isBad := isNew && elapsed >= r.badFrom && (n == 0 || !r.badRoute)
 	failing, took := r.failing, 0.030*math.Exp(0.35*random.NormFloat64()) // 1 in 40 is slow by nature.
 	if r.overload && elapsed >= 0.2 && elapsed < 0.4 {
@@ -208,6 +209,28 @@
 	})
 }
 
+// TestGoodVersionIsKeptBesideOldOnes checks cases in which a new version that is not bad differs from the
+// old one, or its outcomes come at other times.
+func TestGoodVersionIsKeptBesideOldOnes(t *testing.T) {
+	const runs = 30
+	cases := map[string]trial{
+		"servers are somewhat slower":              {slower: 1.3},
+		"a few answers fail":                       {worse: 0.02},
+		"share rises while old answers still come": {failing: 0.14, newFrom: 0.3, lag: 0.25, share: 0.3},
+	}
+	for name, r := range cases {
+		t.Run(name, func(t *testing.T) {
+			r.rate, r.seconds, r.routes = 180, 12, 1
+			if r.share == 0 {
+				r.share = 0.1
+			}
+			s := r.summary(runs, 8)
+			t.Log(s)
+			qt.Assert(t, s.rate(s.rolledBack) <= falseRollbackRate, qt.IsTrue)
+		})
+	}
+}
+
 // TestBadVersionIsFound checks how often versions that are bad in different ways are found in time, by
 // traffic, and after how many bad answers. At 4 requests a second the new version gets 9 of them.
 func TestBadVersionIsFound(t *testing.T) {
