VMs tell each other the time of the store with roll-outs

Change: news of roll-outs carry the time of the store's clock as the sender estimates it; a VM that has none of that era takes it.

--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -279,7 +279,7 @@
 	if r.isReadDue || r.row.Era != r.rollouts.vm.storeEra.Load() {
 		return true
 	}
-	_, age := r.rollouts.clock.now(r.rollouts.vm.Now())
+	age := r.rollouts.clock.age(r.rollouts.vm.Now())
 	return age > storeClockMaxAge && !r.last.Stage.IsFinal()
 }
 
--- a/internal/node/entry/rolloutrun_test.go
+++ b/internal/node/entry/rolloutrun_test.go
@@ -351,13 +351,27 @@
 	qt.Check(t, isUnreachable(), qt.IsFalse)
 }
 
+// TestSuccessorKnowsTheTimeFromItsPeers has a VM that the store has never answered.
+func TestSuccessorKnowsTheTimeFromItsPeers(t *testing.T) {
+	teller, learner := newOrderRig(), newOrderRig()
+	teller.apply(1, 9, true, orderRowOf("desk", "v2", 5))
+	teller.clock.set(7000, 1, teller.vm.Now())
+	qt.Check(t, learner.clock.isSet(), qt.IsFalse)
+	learner.applyNews(teller.news())
+	millis, era := learner.clock.now(learner.vm.Now())
+	qt.Check(t, millis >= 7000, qt.IsTrue)
+	qt.Check(t, era, qt.Equals, uint64(1))
+}
+
 func TestStoreClock(t *testing.T) {
 	start := time.Unix(100, 0)
 	c := storeClock{}
 	c.set(5000, 1, start)
-	millis, age := c.now(start.Add(2 * time.Second))
+	c.learn(9999, 1, start.Add(time.Second)) // The store's own answer goes before what a peer tells.
+	millis, era := c.now(start.Add(2 * time.Second))
 	qt.Check(t, millis, qt.Equals, int64(7000))
-	qt.Check(t, age, qt.Equals, 2*time.Second)
+	qt.Check(t, era, qt.Equals, uint64(1))
+	qt.Check(t, c.age(start.Add(2*time.Second)), qt.Equals, 2*time.Second)
 	c.set(6500, 1, start.Add(2*time.Second)) // A delayed answer.
 	millis, _ = c.now(start.Add(2 * time.Second))
 	qt.Check(t, millis, qt.Equals, int64(7000))
--- a/internal/node/entry/rollouts.go
+++ b/internal/node/entry/rollouts.go
@@ -126,7 +126,20 @@
 }
 
 func (r *rollouts) news() spread.RolloutNews {
-	return spread.RolloutNews{Orders: r.follower.Orders(), States: r.follower.States()}
+	return r.withTime(spread.RolloutNews{Orders: r.follower.Orders(), States: r.follower.States()})
+}
+
+// withTime adds the time of the store's clock: a successor of the coordinator may not reach the store.
+func (r *rollouts) withTime(news spread.RolloutNews) spread.RolloutNews {
+	if r.clock.isSet() {
+		news.NowMillis, news.Era = r.clock.now(r.vm.Now())
+	}
+	return news
+}
+
+// announce tells the other VMs of changes.
+func (r *rollouts) announce(orders []rollout.Order, states []rollout.State) {
+	r.vm.spread.AnnounceRollouts(r.withTime(spread.RolloutNews{Orders: orders, States: states}))
 }
 
 // lacksState reports whether the state of some order is not known.
@@ -160,7 +173,7 @@
 	}
 	r.markListed(listed)
 	changed := r.applyOrders(orders, "store")
-	r.vm.spread.AnnounceRollouts(spread.RolloutNews{Orders: changed})
+	r.announce(changed, nil)
 	if len(changed) > 0 && r.lacksState() {
 		r.statesDue.Store(true)
 		r.wakeUp()
@@ -239,11 +252,14 @@
 	}
 	r.mu.Unlock()
 	changed := r.applyOrders(orders, "end of the wait for its return")
-	r.vm.spread.AnnounceRollouts(spread.RolloutNews{Orders: changed})
+	r.announce(changed, nil)
 }
 
 // applyNews applies what a peer sent.
 func (r *rollouts) applyNews(news spread.RolloutNews) {
+	if news.NowMillis > 0 {
+		r.clock.learn(news.NowMillis, news.Era, r.vm.Now())
+	}
 	r.applyOrders(news.Orders, "peer")
 	r.applyStates(news.States, "peer")
 }
@@ -312,7 +328,7 @@
 // publish applies a state from the store, or one that is due there, and tells the other VMs.
 func (r *rollouts) publish(state rollout.State) {
 	if r.applyStates([]rollout.State{state}, "store") {
-		r.vm.spread.AnnounceRollouts(spread.RolloutNews{Orders: []rollout.Order{state.Order}, States: []rollout.State{state}})
+		r.announce([]rollout.Order{state.Order}, []rollout.State{state})
 	}
 }
 
@@ -451,11 +467,27 @@
 	return !c.at.IsZero()
 }
 
-// now returns the time of the store's clock, and the age of the answer that it is derived from.
-func (c *storeClock) now(at time.Time) (millis int64, age time.Duration) {
+// learn records the time that a peer has told, for a VM that has no answer of the store in that era.
+func (c *storeClock) learn(millis int64, era uint64, at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.at.IsZero() || era > c.era {
+		c.millis, c.era, c.at = millis, era, at
+	}
+}
+
+// now returns the time of the store's clock, and the era in which the store told it.
+func (c *storeClock) now(at time.Time) (millis int64, era uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.estimate(at), c.era
+}
+
+// age returns how long ago the time was told.
+func (c *storeClock) age(at time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.estimate(at), at.Sub(c.at)
+	return at.Sub(c.at)
 }
 
 func (c *storeClock) estimate(at time.Time) int64 {
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -155,6 +155,7 @@
 		}
 		m.Rollouts.Orders = append(m.Rollouts.Orders, a.rollouts.Orders...)
 		m.Rollouts.States = append(m.Rollouts.States, a.rollouts.States...)
+		m.Rollouts.NowMillis, m.Rollouts.Era = a.rollouts.NowMillis, a.rollouts.Era
 	}
 }
 
--- a/internal/peer/spread/rollouts.go
+++ b/internal/peer/spread/rollouts.go
@@ -18,10 +18,13 @@
 // version, so its caller only waits for the reply.
 const creditTimeout = 60 * time.Millisecond
 
-// RolloutNews are orders and states of roll-outs.
+// RolloutNews are orders and states of roll-outs. NowMillis is the time of the store's steady clock
+// in an era as the sender estimates it; 0 if it does not know it.
 type RolloutNews struct {
-	Orders []rollout.Order `cbor:"1,keyasint,omitempty"`
-	States []rollout.State `cbor:"2,keyasint,omitempty"`
+	Orders    []rollout.Order `cbor:"1,keyasint,omitempty"`
+	States    []rollout.State `cbor:"2,keyasint,omitempty"`
+	NowMillis int64           `cbor:"3,keyasint,omitempty"`
+	Era       uint64          `cbor:"4,keyasint,omitempty"` // Of NowMillis.
 }
 
 // IsEmpty reports whether there are none.
