Requests that get blocked while they wait are not sent; slow first events alone refuse nothing

Cause: the crash record was asked before a stream waits for room, so that a content that was blocked meanwhile reached servers: soak had 5 sends after the bound, once, in a run of the whole package platform. A VM that is slow itself sees late first events, took engines for slow readers and refused streams although their memory was free.

Change: the crash record is asked again before each look for a server. The reading rate falls slowly and rises quickly. Up to half of a server's memory is filled without regard to its waiting prompts.

Result: tests of the packages touched pass with -race; a test of a stream that is blocked while it waits; the soak of alone passes once.

--- a/internal/backend/placement/room.go
+++ b/internal/backend/placement/room.go
@@ -8,9 +8,13 @@
 	ReadTokens int
 }
 
+// lightLoadFraction of a server's memory is filled without regard to the prompts that wait there:
+// with so little work, slow first events have another cause than a full server.
+const lightLoadFraction = 0.5
+
 // HasRoom reports whether a server serves a new stream without harm to those that it has: the
 // memory of the stream fits at its end, a slot is free, and the prompts that wait there are read
-// before the stream's first event is due. A prompt that is too long to be read in time is read on
+// before the stream's first event is due, unless most of its memory is free. A prompt that is too long to be read in time is read on
 // a server without other prompts, and a stream that needs nearly all memory gets an empty server.
 func HasRoom(c Candidate, room Room) bool {
 	return streamsThatFit(c, room) > 0
@@ -37,7 +41,8 @@
 	if c.PendingTokens == 0 {
 		readable = max(readable, 1)
 	}
-	return max(min(fit, readable), 0)
+	light := (int(lightLoadFraction*float64(c.CacheTokens)) - c.MemoryTokens) / max(room.Demand.Tokens(), 1)
+	return max(min(fit, max(readable, light)), 0)
 }
 
 // ChooseWithRoom chooses among the servers that have room for a new stream as ChooseForStream
--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -14,6 +14,8 @@
 const (
 	// newestStreamWeight is the weight of the newest stream in the averages of a service.
 	newestStreamWeight = 0.25
+	// slowStreamWeight is the same for a reading rate below the average.
+	slowStreamWeight = 0.02
 	// lessUrgentFraction of the objective of the most urgent streams is the time in which a server
 	// is to read the prompts of all others. The rest is left for the urgent ones.
 	lessUrgentFraction = 0.5
@@ -68,7 +70,13 @@
 		return
 	}
 	averages := l.pool.averagesOf(l.Server.Service)
-	averages.readPerSecond = average(averages.readPerSecond, float64(l.Load.PendingTokens+l.demand.PromptTokens)/took)
+	rate := float64(l.Load.PendingTokens+l.demand.PromptTokens) / took
+	if rate >= averages.readPerSecond {
+		averages.readPerSecond = average(averages.readPerSecond, rate)
+		return
+	}
+	// Work that this VM does not know of, or a pause of its own, delays first events too.
+	averages.readPerSecond += slowStreamWeight * (rate - averages.readPerSecond)
 }
 
 // recordEnd records how long a stream held its memory. Called with the lock held.
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/room_test.go
@@ -58,6 +58,7 @@
 // event is due has no room then.
 func TestRoomLearnsFromStreams(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
+	g.SetCapacities(map[string]pool.Capacity{"s": {CacheTokens: 15_000}})
 	short := placement.Demand{PromptTokens: 4000, OutputTokens: 1000}
 	first, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true})
 	qt.Assert(t, err, qt.IsNil)
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -14,6 +14,9 @@
 // with room at most. The rest is for its prompt, which is read beside others.
 const waitFraction = 0.5
 
+// errBlocked means that requests with the traits of the stream crash servers.
+const errBlocked = errors.ConstError("requests with its traits crash servers")
+
 // acquire acquires a server for the next run. A new stream may have to wait for one with room. One
 // that continues something has waited before, and would cost more if it were given up.
 func (s *stream) acquire(ctx context.Context, criteria pool.Criteria) (lease *pool.Lease, backup *pool.Server, err error) {
@@ -36,6 +39,9 @@
 	defer func() { criteria.Reservation.Release() }()
 	err = s.relay.options.Admitter.Admit(ctx, s.request.Service, stream, admission.Attempt{
 		Take: func(copied bool) (taken bool, err error) {
+			if _, blocked := s.relay.options.Crashes.IsBlocked(s.request.Traits...); blocked {
+				return false, errors.Trace(errBlocked) // It was not when the stream began to wait.
+			}
 			criteria.WithoutCopy = !copied
 			lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
 			if errors.Is(err, pool.ErrNoRoom) {
@@ -72,7 +78,13 @@
 }
 
 // noServer returns the refusal of a stream that got no server because of err.
-func (s *stream) noServer(err error) error {
+func (s *stream) noServer(ctx context.Context, err error) error {
+	if errors.Is(err, errBlocked) {
+		if blocked := s.relay.admit(ctx, s.request); blocked != nil {
+			return blocked
+		}
+		return &NotRun{Kind: RefusalCrashes, Reason: err.Error(), RetryAt: s.relay.options.Now().Add(retryDelay)}
+	}
 	var refusal *admission.NoRoom
 	if errors.As(err, &refusal) && refusal.Reason == admission.Stopped {
 		return &NotRun{Kind: RefusalLeaving, Reason: "this VM is leaving, and no server has room now", RetryAt: refusal.RetryAt}
--- a/internal/request/relay/room_test.go
+++ b/internal/request/relay/room_test.go
@@ -102,3 +102,24 @@
 	qt.Check(t, g.admitter.Len(), qt.Equals, 0)
 	qt.Check(t, g.seen(), qt.HasLen, 0)
 }
+
+// TestStreamThatIsBlockedWhileItWaitsIsNotSent: servers crash under a part of its prompt while it
+// waits for room.
+func TestStreamThatIsBlockedWhileItWaitsIsNotSent(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete)})
+	g.admit()
+	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
+	qt.Assert(t, err, qt.IsNil)
+	time.AfterFunc(30*time.Millisecond, func() {
+		g.blockPart()
+		other.Release()
+	})
+	r := requestWithPart(routing.KindStreaming)
+	r.Demand, r.Route.LatencyObjective = largeDemand, time.Minute
+	c := &caller{}
+	err = g.relay.Stream(context.Background(), r, c.sink())
+	var refusal *relay.NotRun
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalPart)
+	qt.Check(t, g.seen(), qt.HasLen, 0)
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -285,7 +285,7 @@
 func (s *stream) run(ctx context.Context) (end runResult) {
 	lease, backup, from, err := s.chooseServer(ctx)
 	if err != nil {
-		return runResult{noServer: true, err: s.noServer(err)}
+		return runResult{noServer: true, err: s.noServer(ctx, err)}
 	}
 	defer lease.Release()
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream, Permit: lease.Permit}
