A trial of blocked traits is sent although they are blocked

Change: what is blocked already when it begins to wait has a permit, and is not checked.

Result: tests of relay pass with -race; the three tests of parts of prompts pass once. The cause is read from the code: the failure did not show in two further runs without the change.

--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -36,10 +36,12 @@
 		StartBy:      startBy(s.request, firstEventBy),
 		Since:        since,
 	}
+	// A request that is blocked already has a permit as a trial.
+	_, isTrial := s.relay.options.Crashes.IsBlocked(s.request.Traits...)
 	defer func() { criteria.Reservation.Release() }()
 	err = s.relay.options.Admitter.Admit(ctx, s.request.Service, stream, admission.Attempt{
 		Take: func(copied bool) (taken bool, err error) {
-			if _, blocked := s.relay.options.Crashes.IsBlocked(s.request.Traits...); blocked {
+			if _, blocked := s.relay.options.Crashes.IsBlocked(s.request.Traits...); blocked && !isTrial {
 				return false, errors.Trace(errBlocked) // It was not when the stream began to wait.
 			}
 			criteria.WithoutCopy = !copied
