Goodput at a load is compared with what was asked at it

Cause: arrivals are drawn, and at once the capacity 425 streams were asked where the model serves up to 513; all 425 were served in time, and the test failed (425 of 513). Change: the bound of 0.85 is of the best or of what was asked, whichever is less. At two to five times the capacity it is as before.

--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -306,7 +306,7 @@
 // streams are served, nothing that has begun is preempted, and at most one in ten waits in vain.
 func TestGoodputStaysFlat(t *testing.T) {
 	best := 0
-	served := map[float64]int{}
+	asked, served := map[float64]int{}, map[float64]int{}
 	for _, load := range []float64{0.5, 1, 2, 3, 5} {
 		s := newSite(uint64(10 * load))
 		urgent := &class{account: "a", rank: 0, perSecond: 0.1 * capacityOfTest, objective: 4 * time.Second}
@@ -326,7 +326,7 @@
 			sum.refusedLate += o.refusedLate
 			sum.preempted += o.preempted
 		}
-		served[load] = sum.inTime
+		asked[load], served[load] = sum.asked, sum.inTime
 		best = max(best, sum.inTime)
 		t.Logf("load %v: %+v urgent %+v", load, sum, *s.outcomes[urgent])
 		u := s.outcomes[urgent]
@@ -338,7 +338,8 @@
 		}
 	}
 	for load, inTime := range served {
-		qt.Check(t, load < 1 || float64(inTime) >= 0.85*float64(best), qt.IsTrue, qt.Commentf("%v of %v at load %v", inTime, best, load))
+		possible := min(best, asked[load])
+		qt.Check(t, load < 1 || float64(inTime) >= 0.85*float64(possible), qt.IsTrue, qt.Commentf("%v of %v at load %v", inTime, possible, load))
 	}
 }
 
