The rule of a send is made current when its lease is taken

A send chose its rule, and took its lease later: a call after a request for a credit or a permit, a stream after its wait for room. A VM that learned of the stage retire in between told the coordinator that it had no old work, and the send then went to an old server: completed could be written and the send be cut. In the same way a stream that waited for room went to a new server if it had chosen before the order was known, or to a version that had been rolled back meanwhile.

The pool asks for what the rule is now under the lock that OldWork counts with, and again after the wait for a permit.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -38,7 +38,7 @@
 
 // AcquireForCall chooses a server for a short call, none of those tried.
 func (p *Pool) AcquireForCall(service string, tried map[string]bool, versions VersionRule) (lease *Lease, err error) {
-	return p.acquire(false, func(now time.Time, withLimit bool) *server {
+	return p.acquire(false, versions, func(now time.Time, withLimit bool) *server {
 		filter := p.versionFilter(service, versions)
 		usable := p.usableServers(service, tried, filter, now, withLimit)
 		return p.chooseForCall(usable.inOrder(filter))
@@ -65,7 +65,7 @@
 // or ErrNoRoom for criteria that require it.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
 	lacksRoom := false
-	lease, err = p.acquire(criteria.continues(), func(now time.Time, withLimit bool) *server {
+	lease, err = p.acquire(criteria.continues(), criteria.Versions, func(now time.Time, withLimit bool) *server {
 		if chosen := p.requestedServer(criteria, now); chosen != nil && (withLimit || !chosen.limited) {
 			return chosen
 		}
@@ -154,7 +154,7 @@
 func (p *Pool) chooseForCopy(criteria Criteria, chosen *server, now time.Time) *server {
 	filter := p.versionFilter(criteria.Service, criteria.Versions.unbounded())
 	usable := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, filter, now, true)
-	if filter != nil && !criteria.Versions.Avoids(chosen.Version) {
+	if filter != nil && !filter.rule.Avoids(chosen.Version) {
 		usable = usable.ofVersion(chosen.Version)
 	}
 	for i, s := range usable.servers {
--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -125,17 +125,17 @@
 // acquire takes a lease on the server that choose returns, once there is a permit for it. Both
 // functions are called with the lock held. A server that is denied is no candidate the next time,
 // and none with a limit is once the time for permits is over.
-func (p *Pool) acquire(urgent bool, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquire(urgent bool, versions VersionRule, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	until := p.options.Now().Add(permitTimeout)
 	for requests := 0; requests < maxPermitRequests && !p.options.Now().After(until); requests++ {
-		if lease, err = p.acquireOnce(urgent, true, choose, begin); !errors.Is(err, ErrNoPermit) {
+		if lease, err = p.acquireOnce(urgent, true, versions, choose, begin); !errors.Is(err, ErrNoPermit) {
 			return lease, err
 		}
 	}
-	return p.acquireOnce(urgent, false, choose, begin)
+	return p.acquireOnce(urgent, false, versions, choose, begin)
 }
 
-func (p *Pool) acquireOnce(urgent, withLimit bool, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquireOnce(urgent, withLimit bool, versions VersionRule, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
@@ -154,7 +154,8 @@
 		if serial, err = p.applyPermit(chosen, request, reply); err != nil {
 			return nil, err
 		}
-		if p.servers[chosen.ID] != chosen || !chosen.acceptsWork() || chosen.down || chosen.inBackoff(now) {
+		isExcluded := p.versionFilter(chosen.Service, versions.unbounded()).excludes(chosen)
+		if isExcluded || p.servers[chosen.ID] != chosen || !chosen.acceptsWork() || chosen.down || chosen.inBackoff(now) {
 			return nil, errors.Trace(ErrNoPermit) // It changed meanwhile. The permit is lost.
 		}
 	}
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -99,8 +99,12 @@
 	// peer has ended.
 	OnRoom func()
 	// HasIdle reports whether an idle connection to an address is open.
-	HasIdle    func(address string) bool
-	Successors Successors
+	HasIdle func(address string) bool
+	// CurrentRule returns what a rule for the servers of a service is to be now: requests wait between
+	// the choice of their rule and that of a server. It is called with the lock of the pool held; nil
+	// keeps rules as they are.
+	CurrentRule func(service string, rule VersionRule) VersionRule
+	Successors  Successors
 }
 
 // Pool is safe for concurrent use.
@@ -195,6 +199,9 @@
 	if options.HasIdle == nil {
 		options.HasIdle = func(string) bool { return false }
 	}
+	if options.CurrentRule == nil {
+		options.CurrentRule = func(_ string, rule VersionRule) VersionRule { return rule }
+	}
 	if options.OnDeparture == nil {
 		options.OnDeparture = func(Server) {}
 	}
--- a/internal/backend/pool/version.go
+++ b/internal/backend/pool/version.go
@@ -42,9 +42,10 @@
 	bound map[*server]bool
 }
 
-// versionFilter returns the filter of a rule, nil if it excludes and prefers no server. Called with
-// the lock held.
+// versionFilter returns the filter of what a rule is now, nil if it excludes and prefers no server.
+// Called with the lock held.
 func (p *Pool) versionFilter(service string, rule VersionRule) *versionFilter {
+	rule = p.options.CurrentRule(service, rule)
 	if rule.IsZero() {
 		return nil
 	}
--- a/internal/backend/pool/version_test.go
+++ b/internal/backend/pool/version_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 )
 
 func versionServer(id, domain, version string) pool.Server {
@@ -287,3 +288,26 @@
 	qt.Check(t, withVersions, qt.DeepEquals, without)
 	qt.Check(t, draws, qt.Equals, drawsWithout)
 }
+
+// TestRuleThatChangesDuringTheWaitForAPermit has an old server with a limit: while a call waits for its
+// permit, the old version comes to be avoided.
+func TestRuleThatChangesDuringTheWaitForAPermit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	current := pool.VersionRule{Avoid: []string{"v2"}}
+	p := pool.New(pool.Options{
+		Now:         func() time.Time { return now },
+		Draw:        func() float64 { return 0 },
+		CurrentRule: func(string, pool.VersionRule) pool.VersionRule { return current },
+		TakePermit: func(permit.Request) permit.Reply {
+			current = pool.VersionRule{Avoid: []string{"v1"}}
+			return permit.Reply{Granted: true, Serial: 1}
+		},
+		ObservePermit: func(permit.Observation) {},
+	})
+	p.Update([]pool.Server{versionServer("a-old", "a", "v1"), versionServer("a-new", "a", "v2")})
+	p.ApplyLimit(versionServer("a-old", "a", "v1"), pool.Reply{}, named)
+	lease, err := p.AcquireForCall("s", nil, pool.VersionRule{})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, current.Avoid, qt.DeepEquals, []string{"v1"}, qt.Commentf("a permit was asked for"))
+	qt.Check(t, lease.Server.Version, qt.Equals, "v2")
+}
--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -119,9 +119,7 @@
 		return s.preferNew(0), false
 	case StageRetire:
 		s.exposed++
-		rule = s.preferNew(0)
-		rule.AvoidOthers = true
-		return rule, false
+		return s.onlyNew(), false
 	case StageCompleted:
 		return s.avoidOld(), false
 	default:
@@ -157,6 +155,13 @@
 	return Rule{Prefer: s.order.To, Avoid: slices.Clone(s.rejected), Servers: servers}
 }
 
+// onlyNew is the rule of the stage retire. Called with the lock held.
+func (s *followed) onlyNew() Rule {
+	rule := s.preferNew(0)
+	rule.AvoidOthers = true
+	return rule
+}
+
 func (s *followed) creditRequest(vm string, instance uint64) CreditRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/backend/rollout/retired.go
+++ b/internal/backend/rollout/retired.go
@@ -18,9 +18,7 @@
 	defer s.mu.Unlock()
 	switch s.stage() {
 	case StageRetire:
-		rule = s.preferNew(0)
-		rule.AvoidOthers = true
-		return rule, version != s.order.To
+		return s.onlyNew(), version != s.order.To
 	case StageCompleted:
 		return s.avoidOld(), s.avoidOld().Avoids(version)
 	case StageRolledBack:
@@ -29,3 +27,31 @@
 		return s.avoidNew(), slices.Contains(s.rejected, version)
 	}
 }
+
+// CurrentRule returns what a rule that Choose or Retired returned is to be now: the stage may have
+// changed since. A rule for the new version is kept while the version may get requests, so that a
+// send without a credit does not become one to it before the stage retire. It takes no credit and
+// does not block, so that it can be called as a server is chosen.
+func (f *Follower) CurrentRule(service string, rule Rule) Rule {
+	s := f.service(service)
+	if s == nil {
+		return rule
+	}
+	return s.currentRule(rule)
+}
+
+func (s *followed) currentRule(rule Rule) Rule {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch stage := s.stage(); stage {
+	case StageRetire:
+		return s.onlyNew()
+	case StageCompleted:
+		return s.avoidOld()
+	case StageCanary, StageLoad, StageShift:
+		if rule.Prefer == s.order.To && rule.Prefer != "" && !s.suspended {
+			return s.preferNew(rule.Servers)
+		}
+	}
+	return s.avoidNew()
+}
--- /dev/null
+++ b/internal/node/entry/versions_test.go
@@ -0,0 +1,70 @@
+package entry
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/backend/placement"
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
+)
+
+func (g *orderRig) enter(stage rollout.Stage, serial uint64) {
+	order, _ := g.order("desk")
+	state := deskState(order, stage, serial)
+	state.From = []string{"v1"}
+	g.applyNews(spread.RolloutNews{States: []rollout.State{state}})
+}
+
+// TestRuleIsCurrentWhenALeaseIsTaken has sends whose rule was chosen before the VM learned of another
+// stage, and that get their servers after it.
+func TestRuleIsCurrentWhenALeaseIsTaken(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after rollout.Stage
+		want          string
+	}{
+		"chosen before the order":       {after: rollout.StageCanary, want: "v1"},
+		"of the control group":          {before: rollout.StageCanary, after: rollout.StageRetire, want: "v2"},
+		"completed meanwhile":           {before: rollout.StageCanary, after: rollout.StageCompleted, want: "v2"},
+		"rolled back meanwhile":         {before: rollout.StageRetire, after: rollout.StageRolledBack, want: "v1"},
+		"that waits from retire to end": {before: rollout.StageRetire, after: rollout.StageCompleted, want: "v2"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newOrderRig()
+			servers := []pool.Server{}
+			for _, version := range []string{"v1", "v2"} {
+				for _, domain := range []string{"a", "b"} {
+					servers = append(servers, pool.Server{ID: version + domain, Address: version + domain, Service: "desk", Version: version, FailureDomain: domain, Slots: 4})
+				}
+			}
+			g.vm.servers.SetCapacities(map[string]pool.Capacity{"desk": {CacheTokens: 100_000, SupportsCopies: true, SupportsMoves: true}})
+			g.vm.servers.Update(servers)
+			if c.before != "" {
+				g.apply(1, 9, true, orderRowOf("desk", "v2", 5))
+				g.enter(c.before, 1)
+			}
+			rule := g.vm.chooseVersion("desk", rollout.SendAgain)
+			if c.before == "" {
+				g.apply(1, 9, true, orderRowOf("desk", "v2", 5))
+			}
+			g.enter(c.after, 2)
+			for range 20 {
+				call, err := g.vm.servers.AcquireForCall("desk", nil, rule)
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, call.Server.Version, qt.Equals, c.want)
+				stream, holder, err := g.vm.servers.AcquireForStream(pool.Criteria{Service: "desk", Demand: placement.Demand{PromptTokens: 10}, Versions: rule})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Check(t, stream.Server.Version, qt.Equals, c.want)
+				qt.Assert(t, holder, qt.IsNotNil)
+				qt.Check(t, holder.Version, qt.Equals, c.want)
+				if c.after == rollout.StageRetire {
+					qt.Check(t, g.vm.servers.OldWork("desk", "v2"), qt.Equals, 0)
+				}
+				call.Release()
+				stream.Release()
+			}
+		})
+	}
+}
