Nothing returns to old servers in retire before a rollback is written

A coordinator whose write of completed had no answer, and that then found a reason to roll back while the store did not answer or refused, told the VMs rolledBack. They sent to the old servers again, the delayed write was performed, and the old servers stopped: the row said completed and the VMs kept rolledBack. VMs that learned of a withdrawal in retire returned to the old servers in the same way, before their coordinator had.

Both now wait for the row in the stage retire; before it nothing changes. The two new cases of TestGoldenRuns ended with 'the row: completed 2, the VMs know: rolledBack 2' and 'the row: retire 1, the VMs know: rolledBack 2' before, and TestWithdrawnOrderStaysInRetire failed; all pass, with the packages rollout and node/entry.

--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -127,13 +127,18 @@
 	}
 }
 
-// stage returns the stage to keep to. An order that was withdrawn before it was completed, or whose
-// state is not known, has none. Called with the lock held.
+// stage returns the stage to keep to. An order whose state is not known has none, and one that was
+// withdrawn neither, unless it has come to retire: completed may just be written, and until the
+// rollback is, nothing may return to servers that would then stop. Called with the lock held.
 func (s *followed) stage() Stage {
-	if s.state == nil || (s.newest.Withdrawn && !s.state.Stage.IsFinal()) {
+	if s.state == nil {
+		return ""
+	}
+	stage := s.state.Stage
+	if s.newest.Withdrawn && !stage.IsFinal() && stage != StageRetire {
 		return ""
 	}
-	return s.state.Stage
+	return stage
 }
 
 // avoidNew is the rule for sends that go to the old version. Called with the lock held.
--- a/internal/backend/rollout/retired_test.go
+++ b/internal/backend/rollout/retired_test.go
@@ -41,3 +41,17 @@
 	_, retired := f.Retired(service, "v1")
 	qt.Check(t, retired, qt.IsFalse)
 }
+
+// TestWithdrawnOrderStaysInRetire checks that VMs do not return to old servers before the rollback is
+// written: the coordinator may just be writing that the roll-out is completed.
+func TestWithdrawnOrderStaysInRetire(t *testing.T) {
+	f := newFollower(0, rollout.CreditReply{})
+	order := orderTo("v2", 1, 2)
+	f.ApplyOrders([]rollout.Order{order})
+	f.ApplyStates([]rollout.State{stateOf(order, rollout.StageRetire, 3)})
+	withdrawn := rollout.Order{Service: service, Era: 1, Revision: 4, Withdrawn: true}
+	f.ApplyOrders([]rollout.Order{withdrawn})
+	qt.Check(t, f.Choose(service, rollout.SendNew), qt.DeepEquals, rollout.Rule{Prefer: "v2", AvoidOthers: true})
+	f.ApplyStates([]rollout.State{stateOf(order, rollout.StageRolledBack, 4)})
+	qt.Check(t, f.Choose(service, rollout.SendNew), qt.DeepEquals, rollout.Rule{Avoid: []string{"v2"}})
+}
--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -297,7 +297,18 @@
 		r.beginWith(nil, known)
 	}
 	next, due := r.decider.decide(r.rollouts.view(r.order))
-	if due && next.Stage == rollout.StageRolledBack {
+	if due {
+		r.publishEarly(next)
+	}
+}
+
+// publishEarly announces a rollback before it is written: the other VMs need not wait for the store to
+// stop sending to the version. In the stage retire they must: a write of completed may still be performed,
+// and stop the servers that they would send to.
+func (r *rolloutRun) publishEarly(next rollout.State) {
+	known := r.known()
+	isRetiring := known != nil && known.Stage == rollout.StageRetire
+	if next.Stage == rollout.StageRolledBack && !isRetiring {
 		r.rollouts.publish(next)
 	}
 }
@@ -413,8 +424,8 @@
 		event.RolloutNotWritten.Info(all.vm.logger, "service", r.order.Service, "to", r.order.To, "stage", next.Stage, "serial", next.Serial,
 			"isKnown", !r.isReadDue, "error", err)
 	}
-	if next.Stage == rollout.StageRolledBack && !errors.Is(err, ErrConflict) {
-		all.publish(next) // The other VMs need not wait for the store to stop sending to the version.
+	if !errors.Is(err, ErrConflict) {
+		r.publishEarly(next)
 	}
 }
 
--- a/internal/node/entry/rolloutrun_test.go
+++ b/internal/node/entry/rolloutrun_test.go
@@ -255,6 +255,24 @@
 			g.due, g.store.isAway = deskState(deskOrder, rollout.StageRolledBack, 2), true
 			g.steps(2)
 		}},
+		{"the version is found bad in retire while the store is away", func(g *runRig) {
+			g.due = deskState(deskOrder, rollout.StageRetire, 1)
+			g.steps(1)
+			g.due, g.store.delaysWrites = deskState(deskOrder, rollout.StageCompleted, 2), true
+			g.steps(1)
+			g.due, g.store.isAway = deskState(deskOrder, rollout.StageRolledBack, 2), true
+			g.steps(2)
+			g.store.isAway, g.store.delaysWrites = false, false
+			_, err := g.store.write(context.Background(), *g.store.delayed)
+			g.store.say("the delayed write: %v", err)
+			g.steps(1)
+		}},
+		{"the store refuses a rollback in retire", func(g *runRig) {
+			g.due = deskState(deskOrder, rollout.StageRetire, 1)
+			g.steps(1)
+			g.due, g.store.isRefusing = deskState(deskOrder, rollout.StageRolledBack, 2), true
+			g.steps(1)
+		}},
 		{"the order is withdrawn", func(g *runRig) {
 			g.due = canary
 			g.steps(1)
