A VM that no peer answers reads the states of roll-outs from the store

A VM that was cut off from all others, but reached the store and the servers, read the orders itself after 0.9 s and never the states: in shift and retire it went on to send seven tenths or all of its requests to a version that had been rolled back, for as long as the cut lasted. It now reads the rows once a second while a roll-out is under way as far as it knows. VMs that hear of their peers make no call more.

TestIsolatedVMReadsStates and TestIsolatedVMReadsOnlyWhileARollOutIsUnderWay fail without the new read and pass with it, as does the package node/entry.

--- a/internal/node/entry/rolloutrun.go
+++ b/internal/node/entry/rolloutrun.go
@@ -26,6 +26,8 @@
 	// coordinate. Single answers may be lost, and each change of the coordinator costs the credits
 	// that it has reserved.
 	refusedAfter = 1500 * time.Millisecond
+	// isolatedReadInterval is how often a VM reads the states while no peer answers it.
+	isolatedReadInterval = time.Second
 )
 
 // String names the service in the supervisor's messages.
@@ -110,11 +112,14 @@
 }
 
 // readStates reads the states of all roll-outs once if orders are known without them, as after a loss
-// of all VMs.
+// of all VMs, and again and again while a roll-out is under way and this VM is isolated.
 func (r *rollouts) readStates(ctx context.Context) {
-	if !r.statesDue.Load() || r.vm.Now().Before(r.retryAt) {
+	now := r.vm.Now()
+	isStale := r.isUnderWay() && r.isIsolated() && now.Sub(r.statesReadAt) >= isolatedReadInterval
+	if (!isStale && !r.statesDue.Load()) || now.Before(r.retryAt) {
 		return
 	}
+	r.statesReadAt = now
 	rows, err := r.store.States.Read(ctx)
 	if err = r.recordCall(ctx, rows, err); err != nil {
 		return
@@ -127,6 +132,11 @@
 	}
 }
 
+// isUnderWay reports whether some order has not come to its end as far as this VM knows.
+func (r *rollouts) isUnderWay() bool {
+	return r.lacksState() || slices.ContainsFunc(r.follower.States(), func(s rollout.State) bool { return !s.Stage.IsFinal() })
+}
+
 // probe finds out whether the store answers this VM again.
 func (r *rollouts) probe(ctx context.Context) {
 	if r.vm.Now().Before(r.retryAt) {
--- a/internal/node/entry/rollouts.go
+++ b/internal/node/entry/rollouts.go
@@ -54,7 +54,11 @@
 	posted    map[string]postedTally   // By service.
 	suspended map[string]rollout.Order // By service: the order whose exposure was last suspended.
 
+	// isIsolated reports whether no peer answers this VM, so that it hears of no states.
+	isIsolated func() bool
+
 	// Owned by the goroutine of Serve.
+	statesReadAt time.Time
 	failingSince time.Time // When a call about states first failed since one succeeded.
 	isRefused    bool      // Failures have lasted, and the other VMs know.
 	retryAt      time.Time
@@ -79,6 +83,9 @@
 		posted:    map[string]postedTally{},
 		suspended: map[string]rollout.Order{},
 	}
+	r.isIsolated = func() bool {
+		return len(vm.spread.Snapshot().Live) > 1 && vm.Now().Sub(vm.spread.LastPeerReplyAt()) > isolatedAfter
+	}
 	r.follower = rollout.NewFollower(rollout.FollowerOptions{
 		VM:         vm.spread.Snapshot().Self.ID,
 		Draw:       rand.Float64,
--- a/internal/node/entry/versions_test.go
+++ b/internal/node/entry/versions_test.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -68,3 +70,40 @@
 		})
 	}
 }
+
+// TestIsolatedVMReadsStates has a VM that no peer answers while the store does: the coordinator has
+// rolled the version back, and the VM would go on to send most requests to it.
+func TestIsolatedVMReadsStates(t *testing.T) {
+	g := newRunRig(t)
+	all := g.rollouts
+	ctx := context.Background()
+	g.store.put(deskState(deskOrder, rollout.StageRolledBack, 3))
+	g.vm().started = g.vm().Now().Add(time.Hour) // It does not coordinate yet.
+	all.applyStates([]rollout.State{deskState(deskOrder, rollout.StageShift, 2)}, "peer")
+	all.step(ctx)
+	qt.Check(t, g.log, qt.HasLen, 0, qt.Commentf("a VM that is alone has no peers that should have answered"))
+	all.isIsolated = func() bool { return true }
+	all.step(ctx)
+	all.step(ctx)
+	qt.Check(t, g.log, qt.DeepEquals, []string{"read: version 11"})
+	qt.Check(t, g.known().Stage, qt.Equals, rollout.StageRolledBack)
+}
+
+// TestIsolatedVMReadsOnlyWhileARollOutIsUnderWay also checks how often it reads.
+func TestIsolatedVMReadsOnlyWhileARollOutIsUnderWay(t *testing.T) {
+	g := newRunRig(t)
+	all := g.rollouts
+	ctx := context.Background()
+	g.vm().started = g.vm().Now().Add(time.Hour)
+	all.isIsolated = func() bool { return true }
+	g.store.put(deskState(deskOrder, rollout.StageShift, 2))
+	all.step(ctx)
+	all.step(ctx)
+	qt.Check(t, g.log, qt.HasLen, 1)
+	all.statesReadAt = all.statesReadAt.Add(-isolatedReadInterval)
+	g.store.put(deskState(deskOrder, rollout.StageCompleted, 3))
+	all.step(ctx)
+	all.statesReadAt = all.statesReadAt.Add(-isolatedReadInterval)
+	all.step(ctx)
+	qt.Check(t, g.log, qt.HasLen, 2)
+}
