Orders are applied before the configuration of the same read

A starting VM that read the store itself applied the configuration first and the orders after it. Readiness is polled meanwhile: the VM could become ready before it knew of the orders, and take requests without their states.

--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -311,10 +311,10 @@
 			raw = row.Value
 		}
 	}
-	v.spread.ApplyConfiguration(ctx, raw, at)
 	if v.settings.Load().Rollouts {
-		v.rollouts.applyRows(rows, full, at)
+		v.rollouts.applyRows(rows, full, at) // First: with a configuration the VM may be ready.
 	}
+	v.spread.ApplyConfiguration(ctx, raw, at)
 }
 
 // applyServers applies rows of backend servers.
--- a/internal/node/entry/versions_test.go
+++ b/internal/node/entry/versions_test.go
@@ -6,10 +6,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/backend/rollout"
+	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
@@ -107,3 +109,25 @@
 	all.step(ctx)
 	qt.Check(t, g.log, qt.HasLen, 2)
 }
+
+// TestOrdersAreKnownBeforeTheConfiguration checks that a VM does not become ready between the two, and
+// send requests to both versions.
+func TestOrdersAreKnownBeforeTheConfiguration(t *testing.T) {
+	vm := New(Options{
+		Settings: Settings{Name: "vm-1", Rollouts: true}, Logger: hclog.NewNullLogger(), ConfigurationKey: "config",
+		DecodeConfiguration: func([]byte) (*routing.Configuration, error) { return routing.New(routing.Content{Version: 1}), nil },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() { _ = vm.spread.Serve(ctx) }()
+	isConfigured := func() bool { return vm.spread.Snapshot().Configuration != nil }
+	decoded := 0
+	vm.rollouts.store.DecodeOrder = func(Row) (rollout.Order, bool) {
+		decoded++
+		qt.Check(t, isConfigured(), qt.IsFalse)
+		return rollout.Order{}, false
+	}
+	vm.applyConfiguration(ctx, Rows{Version: spread.StoreVersion{Era: 1, Rev: 3}, Rows: []Row{{Key: "config", Value: []byte("x"), Version: 3}}}, true, vm.Now())
+	qt.Check(t, isConfigured(), qt.IsTrue)
+	qt.Check(t, decoded, qt.Equals, 1)
+}
