A version whose completion a VM has missed is not kept rejected

A VM that did not hear that an order was completed, and then heard of the next one, took the first version for given up. It stayed on the VM's list for good, although the state of the new order does not list it. With the first order's old servers gone no version was left that the rule permits, so that the VM sent without a rule: to the new version too, without credits.

A version that was only assumed to be rejected, served when the new order began and is not listed in its state is permitted again. TestMissedCompletionDoesNotRejectTheVersion failed in one of four cases and passes, with the package. TestFollowerNewOrderReplaces is as it was: a first form of this change failed it, since a state that neither lists the version nor has it among those that served tells nothing.

--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -19,8 +19,9 @@
 	order     Order  // The newest that was not; zero if there is none.
 	state     *State // Of order; nil if it is not known.
 	rejected  []string
-	share     float64 // Of first sends for which a credit is asked.
-	suspended bool    // No credits until a later state is known.
+	assumed   []string // Those of rejected of whose orders this VM knows no end.
+	share     float64  // Of first sends for which a credit is asked.
+	suspended bool     // No credits until a later state is known.
 
 	requests int
 	exposed  int
@@ -55,6 +56,9 @@
 	} else {
 		s.rejected = append(s.rejected, s.order.To)
 	}
+	if s.state == nil || !s.state.Stage.IsFinal() {
+		s.assumed = append(s.assumed, s.order.To)
+	}
 	s.rejected = withoutVersion(s.rejected, order.To)
 	s.newest, s.order, s.state = order, order, nil
 	s.share, s.suspended = initialShare, false
@@ -75,10 +79,21 @@
 		s.suspended = false
 	}
 	s.state = &state
-	s.rejected = withoutVersion(append(s.rejected, state.Rejected...), s.order.To)
+	s.reject(state)
 	return true
 }
 
+// reject notes the versions that a state of the order lists as rejected. One that was assumed to be,
+// served when the order began and is not listed has been completed meanwhile: the state's writer knew
+// how the order before had ended. Called with the lock held.
+func (s *followed) reject(state State) {
+	wasCompleted := func(version string) bool {
+		return slices.Contains(s.assumed, version) && slices.Contains(state.From, version)
+	}
+	known := slices.DeleteFunc(slices.Clone(s.rejected), wasCompleted)
+	s.rejected, s.assumed = withoutVersion(append(known, state.Rejected...), s.order.To), nil
+}
+
 func (s *followed) newestOrder() Order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/backend/rollout/follower_test.go
+++ b/internal/backend/rollout/follower_test.go
@@ -294,3 +294,31 @@
 	}
 	qt.Assert(t, asked > 0, qt.IsTrue)
 }
+
+// TestMissedCompletionDoesNotRejectTheVersion has a VM that was away as an order was completed and the
+// next one given. The state of the next one tells that the version was not given up.
+func TestMissedCompletionDoesNotRejectTheVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		first    []rollout.State
+		rejected []string // By the second order's state.
+		avoid    []string
+	}{
+		"completed":   {first: []rollout.State{stateOf(orderTo("v2", 1, 1), rollout.StageShift, 4)}, avoid: []string{"v3"}},
+		"replaced":    {first: []rollout.State{stateOf(orderTo("v2", 1, 1), rollout.StageShift, 4)}, rejected: []string{"v2"}, avoid: []string{"v2", "v3"}},
+		"not begun":   {rejected: []string{"v2"}, avoid: []string{"v2", "v3"}},
+		"rolled back": {first: []rollout.State{stateOf(orderTo("v2", 1, 1), rollout.StageRolledBack, 4)}, avoid: []string{"v2", "v3"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFollower(0.9, rollout.CreditReply{})
+			f.ApplyOrders([]rollout.Order{orderTo("v2", 1, 1)})
+			f.ApplyStates(c.first)
+			next := orderTo("v3", 1, 2)
+			f.ApplyOrders([]rollout.Order{next})
+			qt.Check(t, f.Choose(service, rollout.SendNew).Avoid, qt.DeepEquals, []string{"v2", "v3"}, qt.Commentf("as long as nothing is known"))
+			state := stateOf(next, rollout.StageCanary, 5)
+			state.From, state.Rejected = []string{"v2"}, c.rejected
+			f.ApplyStates([]rollout.State{state})
+			qt.Check(t, f.Choose(service, rollout.SendNew).Avoid, qt.DeepEquals, c.avoid)
+		})
+	}
+}
