An order that is replaced in retire is kept to until the next one has begun

VMs that learned of a new order while the one before it was in retire returned to the old servers at once. The VMs now keep to retire until they know the new order's first state: it is written under the condition on the row, so that completed can't be written after it.

TestOrderThatIsReplacedInRetireIsKeptTo failed before and passes; TestWithdrawnOrderEndsWhatItReplaced passed before too. The packages rollout, pool and node/entry pass.

--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -20,6 +20,7 @@
 	state     *State // Of order; nil if it is not known.
 	rejected  []string
 	assumed   []string // Those of rejected of whose orders this VM knows no end.
+	retiring  string   // The version of an order that was replaced in the stage retire; empty once order has a state.
 	share     float64  // Of first sends for which a credit is asked.
 	suspended bool     // No credits until a later state is known.
 
@@ -59,6 +60,9 @@
 	if s.state == nil || !s.state.Stage.IsFinal() {
 		s.assumed = append(s.assumed, s.order.To)
 	}
+	if s.state != nil && s.state.Stage == StageRetire {
+		s.retiring = s.order.To
+	}
 	s.rejected = withoutVersion(s.rejected, order.To)
 	s.newest, s.order, s.state = order, order, nil
 	s.share, s.suspended = initialShare, false
@@ -78,7 +82,7 @@
 	if s.state == nil || s.state.Serial != state.Serial {
 		s.suspended = false
 	}
-	s.state = &state
+	s.state, s.retiring = &state, ""
 	s.reject(state)
 	return true
 }
@@ -156,8 +160,17 @@
 	return stage
 }
 
+// isKeepingRetire reports whether this VM keeps to the stage retire of an order that was replaced: it may
+// still be written as completed, until the state of the new order is. Called with the lock held.
+func (s *followed) isKeepingRetire() bool {
+	return s.retiring != "" && s.state == nil && !s.newest.Withdrawn
+}
+
 // avoidNew is the rule for sends that go to the old version. Called with the lock held.
 func (s *followed) avoidNew() Rule {
+	if s.isKeepingRetire() {
+		return Rule{Prefer: s.retiring, Avoid: withoutVersion(s.rejected, s.retiring), AvoidOthers: true}
+	}
 	avoid := slices.Clone(s.rejected)
 	if s.order.To != "" {
 		avoid = append(avoid, s.order.To)
--- a/internal/backend/rollout/retired.go
+++ b/internal/backend/rollout/retired.go
@@ -24,6 +24,9 @@
 	case StageRolledBack:
 		return s.avoidNew(), s.avoidNew().Avoids(version)
 	default:
+		if s.isKeepingRetire() {
+			return s.avoidNew(), version != s.retiring
+		}
 		return s.avoidNew(), slices.Contains(s.rejected, version)
 	}
 }
--- a/internal/backend/rollout/retired_test.go
+++ b/internal/backend/rollout/retired_test.go
@@ -55,3 +55,39 @@
 	f.ApplyStates([]rollout.State{stateOf(order, rollout.StageRolledBack, 4)})
 	qt.Check(t, f.Choose(service, rollout.SendNew), qt.DeepEquals, rollout.Rule{Avoid: []string{"v2"}})
 }
+
+// TestOrderThatIsReplacedInRetireIsKeptTo checks that VMs do not return to old servers before the state of
+// the next order is written: until then the order before it may still be written as completed.
+func TestOrderThatIsReplacedInRetireIsKeptTo(t *testing.T) {
+	f := newFollower(0, rollout.CreditReply{})
+	f.ApplyStates([]rollout.State{stateOf(orderTo("v2", 1, 1), rollout.StageRetire, 3)})
+	before := f.Choose(service, rollout.SendNew)
+	next := orderTo("v3", 1, 2)
+	f.ApplyOrders([]rollout.Order{next})
+	only := rollout.Rule{Prefer: "v2", AvoidOthers: true}
+	qt.Check(t, before, qt.DeepEquals, only)
+	qt.Check(t, f.Choose(service, rollout.SendNew), qt.DeepEquals, only)
+	qt.Check(t, f.Choose(service, rollout.SendAgain), qt.DeepEquals, only)
+	qt.Check(t, f.CurrentRule(service, rollout.Rule{Prefer: "v3"}), qt.DeepEquals, only)
+	for _, version := range []string{"v1", "v2", "v3"} {
+		rule, retired := f.Retired(service, version)
+		qt.Check(t, rule, qt.DeepEquals, only)
+		qt.Check(t, retired, qt.Equals, version != "v2")
+	}
+	state := stateOf(next, rollout.StageCanary, 4)
+	state.Rejected = []string{"v2"}
+	f.ApplyStates([]rollout.State{state})
+	qt.Check(t, f.Choose(service, rollout.SendAgain), qt.DeepEquals, rollout.Rule{Avoid: []string{"v2", "v3"}})
+	_, retired := f.Retired(service, "v1")
+	qt.Check(t, retired, qt.IsFalse)
+}
+
+// TestWithdrawnOrderEndsWhatItReplaced has a new order that is withdrawn before it has begun: none will
+// be written for it.
+func TestWithdrawnOrderEndsWhatItReplaced(t *testing.T) {
+	f := newFollower(0, rollout.CreditReply{})
+	f.ApplyStates([]rollout.State{stateOf(orderTo("v2", 1, 1), rollout.StageRetire, 3)})
+	f.ApplyOrders([]rollout.Order{orderTo("v3", 1, 2)})
+	f.ApplyOrders([]rollout.Order{{Service: service, Era: 1, Revision: 3, Withdrawn: true}})
+	qt.Check(t, f.Choose(service, rollout.SendNew), qt.DeepEquals, rollout.Rule{Avoid: []string{"v2", "v3"}})
+}
