--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -19,8 +19,10 @@
 	order     Order  // The newest that was not; zero if there is none.
 	state     *State // Of order; nil if it is not known.
 	rejected  []string
-	share     float64 // Of first sends for which a credit is asked.
-	suspended bool    // No credits until a later state is known.
+	assumed   []string // Those of rejected of whose orders this VM knows no end.
+	retiring  string   // The version of an order that was replaced in the stage retire; empty once order has a state.
+	share     float64  // Of first sends for which a credit is asked.
+	suspended bool     // No credits until a later state is known.
 
 	requests int
 	exposed  int
@@ -55,6 +57,12 @@
 	} else {
 		s.rejected = append(s.rejected, s.order.To)
 	}
+	if s.state == nil || !s.state.Stage.IsFinal() {
+		s.assumed = append(s.assumed, s.order.To)
+	}
+	if s.state != nil && s.state.Stage == StageRetire {
+		s.retiring = s.order.To
+	}
 	s.rejected = withoutVersion(s.rejected, order.To)
 	s.newest, s.order, s.state = order, order, nil
 	s.share, s.suspended = initialShare, false
@@ -74,11 +82,22 @@
 	if s.state == nil || s.state.Serial != state.Serial {
 		s.suspended = false
 	}
-	s.state = &state
-	s.rejected = withoutVersion(append(s.rejected, state.Rejected...), s.order.To)
+	s.state, s.retiring = &state, ""
+	s.reject(state)
 	return true
 }
 
+// reject notes the versions that a state of the order lists as rejected. One that was assumed to be,
+// served when the order began and is not listed has been completed meanwhile: the state's writer knew
+// how the order before had ended. Called with the lock held.
+func (s *followed) reject(state State) {
+	wasCompleted := func(version string) bool {
+		return slices.Contains(s.assumed, version) && slices.Contains(state.From, version)
+	}
+	known := slices.DeleteFunc(slices.Clone(s.rejected), wasCompleted)
+	s.rejected, s.assumed = withoutVersion(append(known, state.Rejected...), s.order.To), nil
+}
+
 func (s *followed) newestOrder() Order {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -119,9 +138,7 @@
 		return s.preferNew(0), false
 	case StageRetire:
 		s.exposed++
-		rule = s.preferNew(0)
-		rule.AvoidOthers = true
-		return rule, false
+		return s.onlyNew(), false
 	case StageCompleted:
 		return s.avoidOld(), false
 	default:
@@ -129,17 +146,31 @@
 	}
 }
 
-// stage returns the stage to keep to. An order that was withdrawn before it was completed, or whose
-// state is not known, has none. Called with the lock held.
+// stage returns the stage to keep to. An order whose state is not known has none, and one that was
+// withdrawn neither, unless it has come to retire: completed may just be written, and until the
+// rollback is, nothing may return to servers that would then stop. Called with the lock held.
 func (s *followed) stage() Stage {
-	if s.state == nil || (s.newest.Withdrawn && !s.state.Stage.IsFinal()) {
+	if s.state == nil {
 		return ""
 	}
-	return s.state.Stage
+	stage := s.state.Stage
+	if s.newest.Withdrawn && !stage.IsFinal() && stage != StageRetire {
+		return ""
+	}
+	return stage
+}
+
+// isKeepingRetire reports whether this VM keeps to the stage retire of an order that was replaced: it may
+// still be written as completed, until the state of the new order is. Called with the lock held.
+func (s *followed) isKeepingRetire() bool {
+	return s.retiring != "" && s.state == nil && !s.newest.Withdrawn
 }
 
 // avoidNew is the rule for sends that go to the old version. Called with the lock held.
 func (s *followed) avoidNew() Rule {
+	if s.isKeepingRetire() {
+		return Rule{Prefer: s.retiring, Avoid: withoutVersion(s.rejected, s.retiring), AvoidOthers: true}
+	}
 	avoid := slices.Clone(s.rejected)
 	if s.order.To != "" {
 		avoid = append(avoid, s.order.To)
@@ -157,6 +188,13 @@
 	return Rule{Prefer: s.order.To, Avoid: slices.Clone(s.rejected), Servers: servers}
 }
 
+// onlyNew is the rule of the stage retire. Called with the lock held.
+func (s *followed) onlyNew() Rule {
+	rule := s.preferNew(0)
+	rule.AvoidOthers = true
+	return rule
+}
+
 func (s *followed) creditRequest(vm string, instance uint64) CreditRequest {
 	s.mu.Lock()
 	defer s.mu.Unlock()
