Waiting streams are sent when their cell is down

Once streams waited, they looked for a server only while Room counted some room. If all servers of the VM's cell went down, or the first waiter was larger than any server, none looked again until all were refused as waitedTooLong, though servers of other cells were up; new streams joined them. Room now says that it is no criterion (Unbounded) in the cases in which pool chooses without regard to it, and waiters then take at once.

TestWaitingStreamsAreSentWhenTheCellIsDown, TestRoomIsUnboundedWithoutServers and TestWaitersTakeWhereRoomIsNoCriterion failed before and pass.

--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,9 @@
 	FreedPerSecond float64
 	// LostLately means that a server of the service was lost within lossMemory.
 	LostLately bool
+	// Unbounded means that room is no criterion: no server of the cell is up, or the stream exceeds
+	// the memory of a server.
+	Unbounded bool
 }
 
 // streamAverages are moving averages over the streams of a service on this VM; 0 before the
@@ -153,6 +157,8 @@
 	}
 	streams, memoryTokens := placement.CountStreams(candidates, p.roomFor(service, need, now))
 	room := Room{Streams: streams}
+	isUp := slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Avoided })
+	room.Unbounded = !isUp || p.capacities[service].CacheTokens < need.Demand.Tokens()
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
 		room.FreedPerSecond = float64(memoryTokens) / held // Little's law.
 	}
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/room_test.go
@@ -131,3 +131,17 @@
 	leases["a"][2].Release()
 	qt.Check(t, g.Loads(), qt.HasLen, 1, qt.Commentf("nothing is left reserved"))
 }
+
+// TestRoomIsUnboundedWithoutServers: streams that wait are told that room is no criterion in the same
+// cases as those that arrive.
+func TestRoomIsUnboundedWithoutServers(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
+	need := pool.Need{Demand: demandOfTest}
+	qt.Check(t, g.Room("s", need).Unbounded, qt.IsFalse)
+	qt.Check(t, g.Room("s", pool.Need{Demand: placement.Demand{PromptTokens: 200_000}}).Unbounded, qt.IsTrue)
+	qt.Check(t, g.Room("other", need).Unbounded, qt.IsTrue)
+	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest})
+	qt.Assert(t, err, qt.IsNil)
+	lease.ReportUnreachable(errors.New("refused"))
+	qt.Check(t, g.Room("s", need).Unbounded, qt.IsTrue)
+}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -49,6 +49,7 @@
 	Streams        int
 	FreedPerSecond float64
 	LostLately     bool // A server was lost lately, so that more may be.
+	Unbounded      bool // Streams needn't wait for room: no server is up, or none could ever fit one.
 }
 
 // Waiter is a stream that waits for room. Wake receives a value when it may be its turn.
@@ -149,7 +150,7 @@
 	q.lastSequence++
 	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
 	wait := q.expectedWait(w, room.Streams, now)
-	if q.isTooLate(w, wait, now) {
+	if !room.Unbounded && q.isTooLate(w, wait, now) {
 		return nil, q.refuse(w, WouldMissDeadline, wait, now)
 	}
 	q.waiting = append(q.waiting, w)
@@ -308,7 +309,11 @@
 	first := q.first()
 	room := q.Room(first.Stream)
 	q.freed = room.FreedPerSecond
-	q.lacksRoom = room.Streams == 0
+	q.lacksRoom = room.Streams == 0 && !room.Unbounded
+	if room.Unbounded {
+		q.allotment = len(q.waiting)
+		return
+	}
 	elsewhere := q.aheadOf(first, q.peerWaiting(now), 0)
 	before := elsewhere.urgent + elsewhere.inRank
 	if q.isReordered {
--- a/internal/request/admission/queue_test.go
+++ b/internal/request/admission/queue_test.go
@@ -187,3 +187,21 @@
 	qt.Check(t, found, qt.IsTrue)
 	qt.Check(t, report, qt.DeepEquals, admission.Report{Service: "llm", Waiting: []admission.WaitingTokens{}, Held: []admission.AccountTokens{{Account: "a", Tokens: 7000}}})
 }
+
+// TestWaitersTakeWhereRoomIsNoCriterion: the servers of the cell went down while streams waited, or
+// the first of them is larger than any server. They look for a server in the next round.
+func TestWaitersTakeWhereRoomIsNoCriterion(t *testing.T) {
+	q, c := newQueue()
+	first, second := join(t, q, c.newStream("a", 2)), join(t, q, c.newStream("a", 2))
+	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Tokens: 1_000_000}}})
+	c.nextRound(0)
+	qt.Check(t, q.MayTake(first), qt.IsFalse)
+	c.room.Unbounded = true
+	c.nextRound(0)
+	for _, w := range []*admission.Waiter{first, second} {
+		qt.Check(t, q.MayTake(w), qt.IsTrue)
+		qt.Check(t, q.LacksRoom(w), qt.IsFalse)
+		q.Took(w.Stream, true)
+		q.Leave(w)
+	}
+}
--- a/internal/request/relay/room_test.go
+++ b/internal/request/relay/room_test.go
@@ -123,3 +123,19 @@
 	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalPart)
 	qt.Check(t, g.seen(), qt.HasLen, 0)
 }
+
+// TestWaitingStreamsAreSentWhenTheCellIsDown: the only server of the VM's cell is full, and then
+// lost, while a stream waits. Servers of other cells are up and take it.
+func TestWaitingStreamsAreSentWhenTheCellIsDown(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete), "a2": events(3, complete)})
+	g.servers.SetCell(0, 2)
+	g.admit()
+	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
+	qt.Assert(t, err, qt.IsNil)
+	defer other.Release()
+	time.AfterFunc(30*time.Millisecond, func() { other.ReportUnreachable(errors.New("connection refused")) })
+	c := &caller{}
+	qt.Assert(t, g.relay.Stream(context.Background(), largeRequest(2*time.Second), c.sink()), qt.IsNil)
+	qt.Check(t, c.words(), qt.Equals, wordsTo(3))
+	qt.Check(t, g.seen(), qt.HasLen, 1)
+}
