Looking for room counts no send of a roll-out

Admission asked the follower of roll-outs for the rule of sends that go again to count the room, some 40 times a second for each service with waiters and at each stream that joins them. In the stages shift and retire each of these counted as a send to the new version, by which the coordinator weighs its evidence. Follower.Usual returns the same rule and counts nothing.

TestFollowerUsualCountsNothing fails if Usual is Choose(SendAgain), and passes. Packages rollout and node/entry pass.

--- a/internal/backend/rollout/followed.go
+++ b/internal/backend/rollout/followed.go
@@ -110,22 +110,37 @@
 	switch stage := s.stage(); stage {
 	case StageCanary, StageLoad:
 		needsCredit = send == SendNew && !s.suspended && draw() < s.share
-		return s.avoidNew(), needsCredit
 	case StageShift:
 		if send == SendNew && draw() < controlShare {
 			return s.avoidNew(), false
 		}
 		s.exposed++
-		return s.preferNew(0), false
 	case StageRetire:
 		s.exposed++
-		rule = s.preferNew(0)
+	}
+	return s.usualRule(), needsCredit
+}
+
+func (s *followed) usual() Rule {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.usualRule()
+}
+
+// usualRule returns the rule of sends without a credit that are not in the control group. Called with
+// the lock held.
+func (s *followed) usualRule() Rule {
+	switch s.stage() {
+	case StageShift:
+		return s.preferNew(0)
+	case StageRetire:
+		rule := s.preferNew(0)
 		rule.AvoidOthers = true
-		return rule, false
+		return rule
 	case StageCompleted:
-		return s.avoidOld(), false
+		return s.avoidOld()
 	default:
-		return s.avoidNew(), false
+		return s.avoidNew()
 	}
 }
 
--- a/internal/backend/rollout/follower.go
+++ b/internal/backend/rollout/follower.go
@@ -175,6 +175,16 @@
 	return s.applyCredit(request, f.options.TakeCredit(request))
 }
 
+// Usual returns the rule that most sends of a service follow. It is no send: nothing is counted, and
+// no credit is asked for.
+func (f *Follower) Usual(service string) Rule {
+	s := f.service(service)
+	if s == nil {
+		return Rule{}
+	}
+	return s.usual()
+}
+
 // Record counts the end of a send.
 func (f *Follower) Record(result Result) {
 	if result.Outcome == NoEvidence {
--- a/internal/backend/rollout/follower_test.go
+++ b/internal/backend/rollout/follower_test.go
@@ -294,3 +294,23 @@
 	}
 	qt.Assert(t, asked > 0, qt.IsTrue)
 }
+
+// TestFollowerUsualCountsNothing: it is the rule of sends that go again, and is no send itself. The
+// judgement of a roll-out depends on the part of the sends that were exposed.
+func TestFollowerUsualCountsNothing(t *testing.T) {
+	for _, stage := range []rollout.Stage{rollout.StageCanary, rollout.StageLoad, rollout.StageShift, rollout.StageRetire, rollout.StageCompleted, rollout.StageRolledBack} {
+		f := newFollower(0, rollout.CreditReply{Granted: true, Servers: 2, Share: 0.3})
+		f.ApplyOrders([]rollout.Order{orderTo("v2", 1, 1)})
+		f.ApplyStates([]rollout.State{stateOf(orderTo("v2", 1, 1), stage, 1)})
+		before := f.Tallies()
+		usual := f.Usual(service)
+		after := f.Tallies()
+		qt.Assert(t, after, qt.HasLen, len(before))
+		for i := range after {
+			qt.Check(t, after[i].Exposed, qt.Equals, before[i].Exposed, qt.Commentf("%s", stage))
+			qt.Check(t, after[i].Requests, qt.Equals, before[i].Requests, qt.Commentf("%s", stage))
+		}
+		qt.Check(t, usual, qt.DeepEquals, f.Choose(service, rollout.SendAgain), qt.Commentf("%s", stage))
+	}
+	qt.Check(t, newFollower(0, rollout.CreditReply{}).Usual(service), qt.DeepEquals, rollout.Rule{})
+}
--- a/internal/node/entry/admission.go
+++ b/internal/node/entry/admission.go
@@ -7,7 +7,6 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
-	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 )
@@ -35,7 +34,7 @@
 		Draw: rand.Float64,
 		Room: func(service string, stream admission.Stream) admission.Room {
 			demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
-			return admission.Room(v.servers.Room(service, pool.Need{Demand: demand, Rank: stream.Rank, FirstEventBy: stream.FirstEventBy, Versions: v.rollouts.follower.Choose(service, rollout.SendAgain)}))
+			return admission.Room(v.servers.Room(service, pool.Need{Demand: demand, Rank: stream.Rank, FirstEventBy: stream.FirstEventBy, Versions: v.rollouts.follower.Usual(service)}))
 		},
 		Held:       func(service string) map[string]int { return v.servers.HeldByAccount(service) },
 		OnChange:   func() { v.spread.AnnounceLoadsLater() },
