Reservations of large streams end with their server and don't block each other

A large stream that had reserved memory on a server kept the reservation when the server was lost or taken out of the list, and never reserved another one. Reservations were made without regard to others on the same server: two that exceed it together each kept the other out even of an empty server, until both were refused. A reservation is now given up with its server and made again elsewhere, and is made only where it fits beside those that are there; peers report theirs (Load.ReservedTokens, sent only while something is reserved). The release of one signals room.

TestReservationsLeaveEachOtherRoom and TestReservationOfALostServerEnds fail without the change and pass; TestLostReservationIsMadeAgain is new with its function.

--- a/internal/backend/pool/loads.go
+++ b/internal/backend/pool/loads.go
@@ -22,6 +22,8 @@
 	PendingTokens int    `cbor:"2,keyasint,omitempty"`
 	Running       int    `cbor:"3,keyasint,omitempty"`
 	MemoryTokens  int    `cbor:"4,keyasint,omitempty"`
+	// ReservedTokens is the part of MemoryTokens that waiting streams have reserved.
+	ReservedTokens int `cbor:"5,keyasint,omitempty"`
 }
 
 type peerLoads struct {
@@ -65,6 +67,7 @@
 	sum.PendingTokens += sign * load.PendingTokens
 	sum.Running += sign * load.Running
 	sum.MemoryTokens += sign * load.MemoryTokens
+	sum.ReservedTokens += sign * load.ReservedTokens
 	p.peerTotals[load.ServerID] = sum
 	if sum == (Load{}) {
 		delete(p.peerTotals, load.ServerID)
@@ -98,7 +101,7 @@
 }
 
 func (s *server) load() Load {
-	load := Load{MemoryTokens: s.copyTokens + s.reservedTokens}
+	load := Load{MemoryTokens: s.copyTokens + s.reservedTokens, ReservedTokens: s.reservedTokens}
 	for lease := range s.leases {
 		if !lease.stream {
 			continue
--- a/internal/backend/pool/reservation.go
+++ b/internal/backend/pool/reservation.go
@@ -32,6 +32,7 @@
 	}
 	usable := p.usableServers(criteria.Service, criteria.Tried, p.versionFilter(criteria.Service, criteria.Versions), p.options.Now(), false)
 	cell := p.inCell(&usable)
+	cell = p.reservable(&cell, criteria.Demand)
 	at, found := placement.ChooseLeastMemory(cell.candidates)
 	if !found {
 		return nil
@@ -40,11 +41,35 @@
 	return &Reservation{pool: p, server: cell.servers[at], tokens: tokens}
 }
 
+// reservable returns the servers on which the demand fits beside what is reserved there: streams whose
+// reservations exceed a server together would wait for each other. Called with the lock held.
+func (p *Pool) reservable(usable *choices, demand placement.Demand) (found choices) {
+	for i, s := range usable.servers {
+		reserved := s.reservedTokens + p.peerTotals[s.ID].ReservedTokens
+		if reserved == 0 || placement.Fits(placement.Candidate{MemoryTokens: reserved, CacheTokens: usable.candidates[i].CacheTokens}, demand) {
+			found.add(s, usable.candidates[i])
+		}
+	}
+	return found
+}
+
+// IsHeld reports whether memory is still reserved. It is not if the server was lost since, or takes no
+// more work.
+func (r *Reservation) IsHeld() bool {
+	if r == nil {
+		return false
+	}
+	r.pool.mu.Lock()
+	defer r.pool.mu.Unlock()
+	return !r.released
+}
+
 // Release gives the memory back. Further calls have no effect.
 func (r *Reservation) Release() {
 	if r == nil {
 		return
 	}
+	defer r.pool.options.OnRoom()
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	r.release()
@@ -58,13 +83,19 @@
 }
 
 // takeReserved returns the reserved server if it has room now, and nil otherwise. The lease takes
-// the place of the reservation. Called with the lock held.
+// the place of the reservation, which ends if the server is lost or takes no more work. Called with the
+// lock held.
 func (p *Pool) takeReserved(criteria Criteria, now time.Time) *server {
 	r := criteria.Reservation
-	if r == nil || r.released || p.servers[r.server.ID] != r.server || !r.server.acceptsWork() || r.server.inBackoff(now) || r.server.limited {
+	if r == nil || r.released {
+		return nil
+	}
+	isListed := p.servers[r.server.ID] == r.server && r.server.acceptsWork()
+	if !isListed || r.server.down || p.versionFilter(criteria.Service, criteria.Versions).excludes(r.server) {
+		r.release()
 		return nil
 	}
-	if p.versionFilter(criteria.Service, criteria.Versions).excludes(r.server) {
+	if r.server.inBackoff(now) || r.server.limited {
 		return nil
 	}
 	candidate := p.candidate(r.server, now)
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/room_test.go
@@ -145,3 +145,57 @@
 	lease.ReportUnreachable(errors.New("refused"))
 	qt.Check(t, g.Room("s", need).Unbounded, qt.IsTrue)
 }
+
+// TestReservationsLeaveEachOtherRoom: two large streams that each fill most of a server don't reserve
+// the same one, where neither could begin.
+func TestReservationsLeaveEachOtherRoom(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
+	usual, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}, RequireRoom: true})
+	qt.Assert(t, err, qt.IsNil)
+	usual.MarkStarted()
+	usual.Release()
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireRoom: true}
+	first := large
+	first.Reservation = g.Reserve(large)
+	qt.Assert(t, first.Reservation, qt.IsNotNil)
+	qt.Check(t, g.Reserve(large), qt.IsNil)
+	lease, _, err := g.AcquireForStream(first)
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("the server is empty"))
+	lease.Release()
+	second := g.Reserve(large)
+	qt.Assert(t, second, qt.IsNotNil)
+	second.Release()
+	g.MergePeerLoads("peer", []pool.Load{{ServerID: "a", MemoryTokens: 50_000, ReservedTokens: 50_000}})
+	qt.Check(t, g.Reserve(large), qt.IsNil, qt.Commentf("a peer's reservation"))
+	g.ForgetPeers([]string{"peer"})
+	qt.Check(t, g.Reserve(large), qt.IsNotNil)
+	qt.Check(t, g.Loads(), qt.DeepEquals, []pool.Load{{ServerID: "a", MemoryTokens: 50_000, ReservedTokens: 50_000}})
+}
+
+// TestReservationOfALostServerEnds: its stream may then reserve on another one, and nothing is left
+// reserved on the first.
+func TestReservationOfALostServerEnds(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "y", Slots: 8})
+	small := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}}
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireRoom: true}
+	leases := map[string]*pool.Lease{}
+	for range 6 {
+		lease, _, err := g.AcquireForStream(small)
+		qt.Assert(t, err, qt.IsNil)
+		g.now = g.now.Add(time.Second)
+		lease.MarkStarted()
+		leases[lease.Server.ID] = lease
+	}
+	leases["a"].Release()
+	large.Reservation = g.Reserve(large)
+	qt.Assert(t, large.Reservation.IsHeld(), qt.IsTrue)
+	leases["a"].Release()
+	other, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 10}, ServerID: "a"})
+	qt.Assert(t, err, qt.IsNil)
+	other.ReportUnreachable(errors.New("connection refused"))
+	_, _, err = g.AcquireForStream(large)
+	qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, large.Reservation.IsHeld(), qt.IsFalse)
+	large.Reservation = g.Reserve(large)
+	qt.Check(t, large.Reservation.IsHeld(), qt.IsTrue)
+}
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -50,10 +50,12 @@
 
 // Attempt is how a stream gets a server. Take looks for one with room and reports whether there is
 // one; if there is none and no error, the stream goes on waiting. Reserve reserves the memory of a
-// server for a stream that needs much of it, and reports whether it did; Take uses it.
+// server for a stream that needs much of it, and reports whether it did; Take uses it. IsReserved
+// reports whether that memory is still reserved.
 type Attempt struct {
-	Take    func(copied bool) (taken bool, err error)
-	Reserve func() (reserved bool)
+	Take       func(copied bool) (taken bool, err error)
+	Reserve    func() (reserved bool)
+	IsReserved func() (reserved bool)
 }
 
 // Admit calls attempt.Take when a stream may look for a server with room. The error is that of
@@ -118,8 +120,11 @@
 				return err
 			}
 		}
+		if q.HasReserved(w) && !attempt.IsReserved() {
+			q.Reserved(w, false)
+		}
 		if q.LacksRoom(w) && attempt.Reserve() {
-			q.Reserved(w)
+			q.Reserved(w, true)
 			a.options.OnChange()
 		}
 		if refusal := cmp.Or(a.stopped(), q.Recheck(w)); refusal != nil {
--- a/internal/request/admission/admitter_test.go
+++ b/internal/request/admission/admitter_test.go
@@ -139,3 +139,21 @@
 	qt.Check(t, err, qt.ErrorMatches, "no server is listed")
 	qt.Check(t, admitted, qt.Equals, 0)
 }
+
+// TestLostReservationIsMadeAgain: the server is lost on which a stream has reserved memory. The stream
+// reserves again.
+func TestLostReservationIsMadeAgain(t *testing.T) {
+	d := newDoor(0)
+	isReserved, reserved := false, 0
+	err := d.Admit(context.Background(), "llm", admission.Stream{PromptTokens: 10, StartBy: time.Now().Add(time.Minute), Since: time.Now()}, admission.Attempt{
+		Take: func(bool) (bool, error) { return reserved == 2, nil },
+		Reserve: func() bool {
+			reserved++
+			isReserved = reserved == 2
+			return true
+		},
+		IsReserved: func() bool { return isReserved },
+	})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, reserved, qt.Equals, 2)
+}
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -202,7 +202,7 @@
 	if v.queue.LacksRoom(w.Waiter) {
 		demand := placement.Demand{PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens}
 		if w.run.reservation = v.servers.Reserve(pool.Criteria{Service: "llm", Demand: demand}); w.run.reservation != nil {
-			v.queue.Reserved(w.Waiter)
+			v.queue.Reserved(w.Waiter, true)
 			v.announce(addedLag)
 		}
 	}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -179,11 +179,18 @@
 	return !w.reserved && q.first() == w && q.lacksRoom
 }
 
-// Reserved records that memory is reserved for a stream.
-func (q *Queue) Reserved(w *Waiter) {
+// Reserved records whether memory is reserved for a stream.
+func (q *Queue) Reserved(w *Waiter, reserved bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w.reserved = true
+	w.reserved = reserved
+}
+
+// HasReserved reports whether memory is reserved for a stream, as far as is recorded.
+func (q *Queue) HasReserved(w *Waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return w.reserved
 }
 
 // Took records whether a stream found a server when it looked for one.
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -53,6 +53,7 @@
 			criteria.Reservation = s.relay.options.Servers.Reserve(criteria)
 			return criteria.Reservation != nil
 		},
+		IsReserved: func() (reserved bool) { return criteria.Reservation.IsHeld() },
 	})
 	return lease, backup, err
 }
