Urgent callers aren't asked to return after less urgent ones; a reserved stream leaves the round alone

The time is now kept by rank; a caller returns after those of its own and more urgent ranks. A stream that looked for its reserved memory out of turn and found none ended the round of the first waiter; only the first one's miss does now (Missed).

TestRetryOfUrgentCallersIsNotBehindOthers and TestReservedStreamLeavesTheRoundToTheFirst failed before and pass.

--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -65,7 +65,7 @@
 	if q.IsIdle(stream.Rank) {
 		taken, err := attempt.Take(q.GetsCopy(stream))
 		if taken {
-			q.Took(stream, true)
+			q.Took(stream)
 			a.options.OnAdmitted(service, time.Time{})
 		}
 		if taken || err != nil {
@@ -112,13 +112,14 @@
 	for {
 		if q.MayTake(w) {
 			taken, err := attempt.Take(q.GetsCopy(w.Stream))
-			q.Took(w.Stream, taken)
 			if taken {
+				q.Took(w.Stream)
 				a.options.OnAdmitted(service, since)
 			}
 			if taken || err != nil {
 				return err
 			}
+			q.Missed(w)
 		}
 		if q.HasReserved(w) && !attempt.IsReserved() {
 			q.Reserved(w, false)
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -147,7 +147,7 @@
 	r := &run{class: c, began: v.site.now}
 	stream := streamOf(c, v.site.now)
 	if v.queue.IsIdle(c.rank) && v.take(r, stream) {
-		v.queue.Took(stream, true)
+		v.queue.Took(stream)
 		return
 	}
 	w, refusal := v.queue.Join(stream)
@@ -193,11 +193,11 @@
 // look reports whether a waiting stream has a server now or is refused.
 func (v *entryVM) look(w waitingRun) (ends bool) {
 	if v.queue.MayTake(w.Waiter) {
-		taken := v.take(w.run, w.Stream)
-		v.queue.Took(w.Stream, taken)
-		if taken {
+		if v.take(w.run, w.Stream) {
+			v.queue.Took(w.Stream)
 			return true
 		}
+		v.queue.Missed(w.Waiter)
 	}
 	if v.queue.LacksRoom(w.Waiter) {
 		demand := placement.Demand{PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -83,13 +83,13 @@
 	allotment    int  // Streams that this VM may still send in this round.
 	isReordered  bool // In this round the rank preferred goes first.
 	preferred    int
-	retryAt      time.Time
-	served       map[int]float64 // Tokens of the latest streams that got a server, by rank.
+	retryAt      map[int]time.Time // When the caller that was refused last is to return, by rank.
+	served       map[int]float64   // Tokens of the latest streams that got a server, by rank.
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(now func() time.Time, draw func() float64, room func(Stream) Room, held func() map[string]int) *Queue {
-	return &Queue{Now: now, Draw: draw, Room: room, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, served: map[int]float64{}}
+	return &Queue{Now: now, Draw: draw, Room: room, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, retryAt: map[int]time.Time{}, served: map[int]float64{}}
 }
 
 // IsIdle reports whether nothing waits in the cell that goes before a new stream of a rank.
@@ -193,14 +193,10 @@
 	return w.reserved
 }
 
-// Took records whether a stream found a server when it looked for one.
-func (q *Queue) Took(stream Stream, taken bool) {
+// Took records that a stream found a server.
+func (q *Queue) Took(stream Stream) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !taken {
-		q.allotment = 0
-		return
-	}
 	q.allotment = max(q.allotment-1, 0)
 	q.held[stream.Account] += stream.Tokens()
 	for rank := range q.served {
@@ -209,6 +205,15 @@
 	q.served[stream.Rank] += float64(stream.Tokens())
 }
 
+// Missed records that a waiting stream found no server when it looked for one.
+func (q *Queue) Missed(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.first() == w {
+		q.allotment = 0
+	}
+}
+
 // Recheck returns the refusal of a waiting stream that can't get room in time any more, and nil
 // if it goes on waiting.
 func (q *Queue) Recheck(w *Waiter) *Refusal {
@@ -421,18 +426,21 @@
 }
 
 // refuse returns the refusal of a stream that would have to wait for a time. Callers are asked to
-// return when room is expected for them, spread over the room that becomes free.
+// return when room is expected for them, spread over the room that becomes free: after those of their own
+// rank and more urgent ones that were refused before.
 func (q *Queue) refuse(w *Waiter, reason Reason, wait time.Duration, now time.Time) *Refusal {
 	at := now.Add(max(wait-w.StartBy.Sub(now), minRetryDelay))
 	if q.freed > 0 {
 		gap := expectedWait(float64(w.Tokens()*(1+len(q.peers))), q.freed, time.Second)
-		if next := q.retryAt.Add(gap); next.After(at) {
-			at = next
+		for rank, last := range q.retryAt {
+			if next := last.Add(gap); rank <= w.Rank && next.After(at) {
+				at = next
+			}
 		}
 	}
 	if latest := now.Add(maxRetryDelay); at.After(latest) {
 		at = latest
 	}
-	q.retryAt = at
+	q.retryAt[w.Rank] = at
 	return &Refusal{Reason: reason, RetryAt: at.Add(time.Duration(q.Draw() * float64(minRetryDelay)))}
 }
--- a/internal/request/admission/queue_test.go
+++ b/internal/request/admission/queue_test.go
@@ -56,7 +56,7 @@
 		for _, other := range []*admission.Waiter{late, newer, older, urgent} {
 			qt.Check(t, q.MayTake(other), qt.Equals, other == w)
 		}
-		q.Took(w.Stream, true)
+		q.Took(w.Stream)
 		q.Leave(w)
 	}
 }
@@ -102,7 +102,7 @@
 		taken := 0
 		for _, w := range waiters {
 			if q.MayTake(w) {
-				q.Took(w.Stream, true)
+				q.Took(w.Stream)
 				q.Leave(w)
 				taken++
 			}
@@ -201,7 +201,43 @@
 	for _, w := range []*admission.Waiter{first, second} {
 		qt.Check(t, q.MayTake(w), qt.IsTrue)
 		qt.Check(t, q.LacksRoom(w), qt.IsFalse)
-		q.Took(w.Stream, true)
+		q.Took(w.Stream)
 		q.Leave(w)
 	}
 }
+
+// TestRetryOfUrgentCallersIsNotBehindOthers: many less urgent callers were refused, and are to return
+// one after the other. A more urgent one that is refused then returns before them, and a further one
+// of those after both.
+func TestRetryOfUrgentCallersIsNotBehindOthers(t *testing.T) {
+	q, c := newQueue()
+	c.room.FreedPerSecond = 1000
+	for range 2 {
+		join(t, q, c.newStream("a", 0))
+	}
+	less := &admission.Refusal{}
+	for range 3 {
+		_, less = q.Join(c.newStream("a", 2))
+		qt.Assert(t, less, qt.IsNotNil)
+	}
+	_, urgent := q.Join(c.newStream("a", 0))
+	qt.Assert(t, urgent, qt.IsNotNil)
+	qt.Check(t, urgent.RetryAt.Sub(c.at) < 1500*time.Millisecond, qt.IsTrue, qt.Commentf("%v", urgent.RetryAt.Sub(c.at)))
+	_, next := q.Join(c.newStream("a", 2))
+	qt.Check(t, next.RetryAt.After(less.RetryAt), qt.IsTrue)
+}
+
+// TestReservedStreamLeavesTheRoundToTheFirst: one that looks for the memory that it has reserved, while
+// it is another's turn, takes nothing of what that one may send.
+func TestReservedStreamLeavesTheRoundToTheFirst(t *testing.T) {
+	q, c := newQueue()
+	large := join(t, q, c.newStream("a", 2))
+	q.Reserved(large, true)
+	urgent := join(t, q, c.newStream("a", 1))
+	c.nextRound(1)
+	qt.Check(t, q.MayTake(large), qt.IsTrue)
+	q.Missed(large)
+	qt.Check(t, q.MayTake(urgent), qt.IsTrue)
+	q.Missed(urgent)
+	qt.Check(t, q.MayTake(urgent), qt.IsFalse)
+}
