A stream that nearly fits is not refused in calm

The expected wait of a stream without room was that for its whole memory, at the rate at which memory is freed. With little work little is freed, so a stream that needs most of a server was refused on arrival though a server lacked a small part of it. What the emptiest server has free is now taken off (Room.FreeTokens).

TestLargeStreamWaitsForTheRestInCalm and TestRoomTellsOfTheLargestFreePart failed before and pass. Two tests of pool compare the whole Room and now state the new field too.

--- a/internal/backend/placement/room.go
+++ b/internal/backend/placement/room.go
@@ -75,3 +75,13 @@
 	}
 	return streams, memoryTokens
 }
+
+// LargestFree returns the most memory that one of the servers has left for streams.
+func LargestFree(candidates []Candidate) (tokens int) {
+	for _, c := range candidates {
+		if !c.Avoided {
+			tokens = max(tokens, int(memoryFraction*float64(c.CacheTokens))-c.MemoryTokens)
+		}
+	}
+	return tokens
+}
--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -42,6 +42,8 @@
 	FreedPerSecond float64
 	// LostLately means that a server of the service was lost within lossMemory.
 	LostLately bool
+	// FreeTokens is the most free memory of a server that is up.
+	FreeTokens int
 	// Unbounded means that room is no criterion: no server of the cell is up, or the stream exceeds
 	// the memory of a server.
 	Unbounded bool
@@ -156,7 +158,7 @@
 		}
 	}
 	streams, memoryTokens := placement.CountStreams(candidates, p.roomFor(service, need, now))
-	room := Room{Streams: streams}
+	room := Room{Streams: streams, FreeTokens: placement.LargestFree(candidates)}
 	isUp := slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Avoided })
 	room.Unbounded = !isUp || p.capacities[service].CacheTokens < need.Demand.Tokens()
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/room_test.go
@@ -24,7 +24,7 @@
 		qt.Assert(t, err, qt.IsNil)
 		leases = append(leases, lease)
 	}
-	qt.Check(t, g.Room("s", pool.Need{Demand: demandOfTest, FirstEventBy: criteria.FirstEventBy}), qt.Equals, pool.Room{})
+	qt.Check(t, g.Room("s", pool.Need{Demand: demandOfTest, FirstEventBy: criteria.FirstEventBy}), qt.Equals, pool.Room{FreeTokens: 6000})
 	qt.Check(t, g.HeldByAccount("s"), qt.DeepEquals, map[string]int{"acme": 4 * 42_000})
 	_, _, err := g.AcquireForStream(criteria)
 	qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
@@ -68,7 +68,7 @@
 	first.Release()
 	second, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, g.Room("s", pool.Need{Demand: short, FirstEventBy: g.now.Add(2600 * time.Millisecond)}), qt.Equals, pool.Room{Streams: 1, FreedPerSecond: 1250})
+	qt.Check(t, g.Room("s", pool.Need{Demand: short, FirstEventBy: g.now.Add(2600 * time.Millisecond)}), qt.Equals, pool.Room{Streams: 1, FreedPerSecond: 1250, FreeTokens: 8500})
 	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
 	qt.Check(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
 	second.Release()
@@ -199,3 +199,15 @@
 	large.Reservation = g.Reserve(large)
 	qt.Check(t, large.Reservation.IsHeld(), qt.IsTrue)
 }
+
+// TestRoomTellsOfTheLargestFreePart: a stream that does not fit waits for the rest only.
+func TestRoomTellsOfTheLargestFreePart(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "x", Slots: 8})
+	for _, tokens := range []int{30_000, 20_000} {
+		_, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: tokens}})
+		qt.Assert(t, err, qt.IsNil)
+	}
+	room := g.Room("s", pool.Need{Demand: placement.Demand{PromptTokens: 80_000}})
+	qt.Check(t, room.Streams, qt.Equals, 0)
+	qt.Check(t, room.FreeTokens, qt.Equals, 70_000)
+}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -49,6 +49,7 @@
 	Streams        int
 	FreedPerSecond float64
 	LostLately     bool // A server was lost lately, so that more may be.
+	FreeTokens     int  // The most free memory of a server.
 	Unbounded      bool // Streams needn't wait for room: no server is up, or none could ever fit one.
 }
 
@@ -78,6 +79,7 @@
 	lastSequence int
 	held         map[string]int // Tokens of the running streams of the cell, by account.
 	freed        float64        // Room.FreedPerSecond of the last round.
+	freeTokens   int            // Room.FreeTokens of the last round.
 	roundUntil   time.Time
 	lacksRoom    bool // No server has room for the first stream in this round.
 	allotment    int  // Streams that this VM may still send in this round.
@@ -145,7 +147,7 @@
 	defer q.mu.Unlock()
 	now := q.Now()
 	room := q.Room(stream)
-	q.freed = room.FreedPerSecond
+	q.freed, q.freeTokens = room.FreedPerSecond, room.FreeTokens
 	q.updateHeld(now)
 	q.lastSequence++
 	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
@@ -320,7 +322,7 @@
 	q.preferred = q.waiting[int(q.Draw()*float64(len(q.waiting)))].Rank
 	first := q.first()
 	room := q.Room(first.Stream)
-	q.freed = room.FreedPerSecond
+	q.freed, q.freeTokens = room.FreedPerSecond, room.FreeTokens
 	q.lacksRoom = room.Streams == 0 && !room.Unbounded
 	if room.Unbounded {
 		q.allotment = len(q.waiting)
@@ -391,6 +393,9 @@
 	sum := q.aheadOf(w, append(q.ownWaiting(), fromPeers...), sameAccount+w.Tokens())
 	inRank := sum.inRank + sameAccount + w.Tokens()
 	left := sum.urgent + inRank - free*w.Tokens()
+	if free == 0 && q.freeTokens < w.Tokens() {
+		left -= q.freeTokens // It lacks the rest only.
+	}
 	if left <= 0 || q.freed <= 0 {
 		return 0
 	}
--- a/internal/request/admission/queue_test.go
+++ b/internal/request/admission/queue_test.go
@@ -241,3 +241,16 @@
 	q.Missed(urgent)
 	qt.Check(t, q.MayTake(urgent), qt.IsFalse)
 }
+
+// TestLargeStreamWaitsForTheRestInCalm: a server with little work lacks a fifth of what a stream needs,
+// and frees that within a second. Its memory as a whole would take more than the stream may wait.
+func TestLargeStreamWaitsForTheRestInCalm(t *testing.T) {
+	q, c := newQueue()
+	c.room = admission.Room{FreedPerSecond: 200, FreeTokens: 800}
+	w := join(t, q, c.newStream("a", 2))
+	c.at = c.at.Add(200 * time.Millisecond)
+	qt.Check(t, q.MayTake(w), qt.IsFalse)
+	qt.Check(t, q.Recheck(w), qt.IsNil)
+	_, refusal := q.Join(c.newStream("a", 2))
+	qt.Check(t, refusal, qt.IsNotNil, qt.Commentf("the free part is for the first"))
+}
