A stream that waited for room follows the roll-out's rule of now

The rule for versions was chosen before the wait, which may last for half of the objective. A version that was rolled back or retired meanwhile still got the stream. If the usual rule has changed since, the stream now takes that one; a canary's credit is kept while nothing changes, and no further one is asked for.

TestWaitingStreamFollowsTheRollOut failed before and passes. Packages relay, node/entry and pool pass.

--- a/internal/backend/pool/version.go
+++ b/internal/backend/pool/version.go
@@ -23,6 +23,11 @@
 	return r.Prefer == "" && len(r.Avoid) == 0 && !r.AvoidOthers
 }
 
+// Equal reports whether two rules are the same.
+func (r VersionRule) Equal(other VersionRule) bool {
+	return r.Prefer == other.Prefer && r.AvoidOthers == other.AvoidOthers && r.Servers == other.Servers && slices.Equal(r.Avoid, other.Avoid)
+}
+
 // unbounded returns the rule without its bound on servers, for the memory of a stream: it is little
 // load, and a stream whose copy is out of bounds would have its prompt processed again.
 func (r VersionRule) unbounded() VersionRule {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -212,7 +212,7 @@
 			Recheck:     v.crashes.Recheck,
 			IsBlocked:   v.crashes.IsBlocked,
 		},
-		Versions:    relay.Versions{Choose: v.chooseVersion, Record: v.recordResult, Retired: v.rollouts.follower.Retired},
+		Versions:    relay.Versions{Choose: v.chooseVersion, Usual: v.rollouts.follower.Usual, Record: v.recordResult, Retired: v.rollouts.follower.Retired},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/room.go
@@ -42,7 +42,7 @@
 			if _, blocked := s.relay.options.Crashes.IsBlocked(s.request.Traits...); blocked {
 				return false, errors.Trace(errBlocked) // It was not when the stream began to wait.
 			}
-			criteria.WithoutCopy = !copied
+			criteria.WithoutCopy, criteria.Versions = !copied, s.renewVersions()
 			lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
 			if errors.Is(err, pool.ErrNoRoom) {
 				return false, nil
--- a/internal/request/relay/room_test.go
+++ b/internal/request/relay/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/rollout"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
@@ -139,3 +141,41 @@
 	qt.Check(t, c.words(), qt.Equals, wordsTo(3))
 	qt.Check(t, g.seen(), qt.HasLen, 1)
 }
+
+// TestWaitingStreamFollowsTheRollOut: the version that a stream was to go to is rolled back while it
+// waits for room. It goes to the other one.
+func TestWaitingStreamFollowsTheRollOut(t *testing.T) {
+	g := newRig(t, map[string]script{"a1": events(3, complete), "b1": events(3, complete)})
+	for i := range g.listed {
+		g.listed[i].Version = map[string]string{"a1": "v2", "b1": "v1"}[g.listed[i].ID]
+	}
+	g.servers.Update(g.listed)
+	var isRolledBack atomic.Bool
+	g.versions = relay.Versions{
+		Choose: func(string, rollout.Send) pool.VersionRule { return pool.VersionRule{Prefer: "v2"} },
+		Usual: func(string) pool.VersionRule {
+			if isRolledBack.Load() {
+				return pool.VersionRule{Avoid: []string{"v2"}}
+			}
+			return pool.VersionRule{Prefer: "v2"}
+		},
+	}
+	g.admit()
+	leases := map[string]*pool.Lease{}
+	for range 2 {
+		lease, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand, WithoutCopy: true, RequireRoom: true})
+		qt.Assert(t, err, qt.IsNil)
+		leases[lease.Server.ID] = lease
+	}
+	time.AfterFunc(50*time.Millisecond, func() {
+		isRolledBack.Store(true)
+		for _, lease := range leases {
+			lease.Release()
+		}
+	})
+	c := &caller{}
+	qt.Assert(t, g.relay.Stream(context.Background(), largeRequest(time.Minute), c.sink()), qt.IsNil)
+	arrivals := g.seen()
+	qt.Assert(t, arrivals, qt.HasLen, 1)
+	qt.Check(t, arrivals[0].server, qt.Equals, "b1")
+}
--- a/internal/request/relay/version.go
+++ b/internal/request/relay/version.go
@@ -11,10 +11,12 @@
 
 // Versions decides which versions of servers requests go to while a roll-out is under way; see
 // package rollout. Nil functions limit nothing. Choose is called before each choice of a server, and
-// Record at the end of each send. Retired reports whether a version of a service is to keep no work,
+// Record at the end of each send. Usual returns the rule of most sends, which changes with the stages of
+// a roll-out. Retired reports whether a version of a service is to keep no work,
 // and returns the rule for what leaves it.
 type Versions struct {
 	Choose  func(service string, send rollout.Send) pool.VersionRule
+	Usual   func(service string) pool.VersionRule
 	Record  func(result rollout.Result)
 	Retired func(service, version string) (rule pool.VersionRule, retired bool)
 }
@@ -23,6 +25,9 @@
 	if v.Choose == nil {
 		v.Choose = func(string, rollout.Send) pool.VersionRule { return pool.VersionRule{} }
 	}
+	if v.Usual == nil {
+		v.Usual = func(string) pool.VersionRule { return pool.VersionRule{} }
+	}
 	if v.Record == nil {
 		v.Record = func(rollout.Result) {}
 	}
@@ -93,10 +98,11 @@
 	s.relay.recordOutcome(s.request, lease.Server, outcome, s.firstEventAt.Sub(s.sentAt))
 }
 
-// runVersions has the rule of a stream's current run, and the one by which its next send was claimed,
-// if it was.
+// runVersions has the rule of a stream's current run, with the usual one of then, and the one by which
+// its next send was claimed, if it was.
 type runVersions struct {
 	rule    pool.VersionRule
+	usual   pool.VersionRule
 	claimed *pool.VersionRule
 }
 
@@ -110,6 +116,7 @@
 
 // chooseVersions returns the rule for a send of the stream: the one by which it was claimed, if any.
 func (s *stream) chooseVersions() pool.VersionRule {
+	s.versions.usual = s.relay.options.Versions.Usual(s.request.Service)
 	if rule := s.versions.claimed; rule != nil {
 		s.versions.claimed = nil
 		return *rule
@@ -172,3 +179,12 @@
 	w.leaving.Store(false)
 	return false
 }
+
+// renewVersions returns the rule for a stream that has waited since the last choice: the usual one if
+// that has changed meanwhile, since the roll-out is at another stage.
+func (s *stream) renewVersions() pool.VersionRule {
+	if usual := s.relay.options.Versions.Usual(s.request.Service); !usual.Equal(s.versions.usual) {
+		s.versions.rule, s.versions.usual = usual, usual
+	}
+	return s.versions.rule
+}
