The slots of an engine are counted in streams, not in prompt tokens

The streams that wait for their first event were estimated by dividing the prompt tokens that wait there by the prompt of the new stream. Beside one prompt of 5,200 tokens a stream of 100 tokens found 52 slots taken and no room on any engine, in calm too, and a long stream found slots free that short ones held. VMs now report the number (Load.Pending).

--- a/internal/backend/placement/placement.go
+++ b/internal/backend/placement/placement.go
@@ -22,8 +22,9 @@
 	Slots         int    `json:"slots"`
 	// Avoided servers are chosen only if there is no other.
 	Avoided bool `json:"avoided"`
-	// PendingTokens is the number of tokens of prompts that were sent and have no first
-	// event yet.
+	// Pending is the number of streams that were sent and have no first event yet, and PendingTokens
+	// the number of tokens of their prompts.
+	Pending       int `json:"pending"`
 	PendingTokens int `json:"pendingTokens"`
 	// Running is the number of streams after their first event.
 	Running int `json:"running"`
--- a/internal/backend/placement/room.go
+++ b/internal/backend/placement/room.go
@@ -31,8 +31,7 @@
 	}
 	prompt := max(room.Demand.PromptTokens, 1)
 	if c.Slots > 0 {
-		waiting := (c.PendingTokens + prompt - 1) / prompt
-		fit = min(fit, c.Slots-c.Running-waiting)
+		fit = min(fit, c.Slots-c.Running-c.Pending)
 	}
 	if room.ReadTokens == 0 {
 		return max(fit, 0)
--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -200,12 +200,14 @@
 	fromPeers := p.peerTotals[s.ID]
 	load.PendingTokens += fromPeers.PendingTokens
 	load.Running += fromPeers.Running
+	load.Pending += fromPeers.Pending
 	load.MemoryTokens += fromPeers.MemoryTokens
 	return placement.Candidate{
 		ID:            s.ID,
 		FailureDomain: s.FailureDomain,
 		Slots:         s.Slots,
 		Avoided:       s.down || now.Before(s.avoidUntil) || now.Sub(s.terminatedAt) < terminationTTL || p.isSuspect(s, now),
+		Pending:       load.Pending,
 		PendingTokens: load.PendingTokens,
 		Running:       load.Running,
 		MemoryTokens:  load.MemoryTokens,
--- a/internal/backend/pool/loads.go
+++ b/internal/backend/pool/loads.go
@@ -24,6 +24,8 @@
 	MemoryTokens  int    `cbor:"4,keyasint,omitempty"`
 	// ReservedTokens is the part of MemoryTokens that waiting streams have reserved.
 	ReservedTokens int `cbor:"5,keyasint,omitempty"`
+	// Pending is the number of streams without a first event, whose prompts are PendingTokens.
+	Pending int `cbor:"6,keyasint,omitempty"`
 }
 
 type peerLoads struct {
@@ -66,6 +68,7 @@
 	sum := p.peerTotals[load.ServerID]
 	sum.PendingTokens += sign * load.PendingTokens
 	sum.Running += sign * load.Running
+	sum.Pending += sign * load.Pending
 	sum.MemoryTokens += sign * load.MemoryTokens
 	sum.ReservedTokens += sign * load.ReservedTokens
 	p.peerTotals[load.ServerID] = sum
@@ -110,6 +113,7 @@
 		if lease.started {
 			load.Running++
 		} else {
+			load.Pending++
 			load.PendingTokens += lease.demand.PromptTokens
 		}
 	}
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/room_test.go
@@ -211,3 +211,18 @@
 	qt.Check(t, room.Streams, qt.Equals, 0)
 	qt.Check(t, room.FreeTokens, qt.Equals, 70_000)
 }
+
+// TestSlotsAreCountedInStreams: a long prompt that is being read takes one slot, also if a peer has sent
+// it, however short the prompts are that come next.
+func TestSlotsAreCountedInStreams(t *testing.T) {
+	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 4})
+	need := pool.Need{Demand: placement.Demand{PromptTokens: 100}}
+	g.MergePeerLoads("peer", []pool.Load{{ServerID: "a", Pending: 1, PendingTokens: 5000, MemoryTokens: 6000}})
+	qt.Check(t, g.Room("s", need).Streams, qt.Equals, 3)
+	_, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 5000}, RequireRoom: true})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, g.Room("s", need).Streams, qt.Equals, 2)
+	qt.Check(t, g.Loads(), qt.DeepEquals, []pool.Load{{ServerID: "a", Pending: 1, PendingTokens: 5000, MemoryTokens: 5000}})
+	g.ForgetPeers([]string{"peer"})
+	qt.Check(t, g.Room("s", need).Streams, qt.Equals, 3)
+}
