The expected wait costs nothing while no rate is known

A VM that knows no rate of freed memory refuses none on arrival, so many may wait there. Each check of one of them summed up all.

No result changes.

--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -378,6 +378,9 @@
 
 // expectedWait estimates how long a stream waits if there is room for some streams already.
 func (q *Queue) expectedWait(w *Waiter, free int, now time.Time) time.Duration {
+	if q.freed <= 0 {
+		return 0
+	}
 	sameAccount := 0
 	for _, other := range q.waiting {
 		if other != w && other.Rank == w.Rank && other.Account == w.Account && q.placeOf(other).isBefore(q.placeOf(w)) {
@@ -396,7 +399,7 @@
 	if free == 0 && q.freeTokens < w.Tokens() {
 		left -= q.freeTokens // It lacks the rest only.
 	}
-	if left <= 0 || q.freed <= 0 {
+	if left <= 0 {
 		return 0
 	}
 	inTurn := expectedWait(float64(left), q.freed*q.leftFor(w.Rank), time.Second)
