A VM takes free room at once that is enough for all that waits

Equals on several VMs share free room by the cube of their age. A young stream got next to nothing beside an old one elsewhere even if there was room for both: while a VM was frozen with one waiter of some seconds, new streams on the others waited though engines had room. If what is left is enough for all waiters of the rank, each VM now takes its own at once, but for the rounds that serve a random rank first.

TestRoomForAllIsTaken failed before (0 of 4) and passes. Package admission passes but for TestGoodputStaysFlat: 439 of 517 at load 1, where 440 were asked.

--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -309,8 +309,8 @@
 
 // startRound decides which stream of this VM is the first, and how many it may send until the next
 // round. It leaves as much room as those need that go before the first one at other VMs, and
-// shares the rest with their equals there. What is left over by all of them is divided in the
-// next round.
+// shares the rest with their equals there, unless there is enough for all. What is left over by all of
+// them is divided in the next round.
 func (q *Queue) startRound(now time.Time) {
 	q.roundUntil = now.Add(roundInterval)
 	q.allotment = 0
@@ -337,6 +337,10 @@
 	if left <= 0 {
 		return
 	}
+	if !q.isReordered && left*float64(first.Tokens()) >= float64(elsewhere.equal+q.tokensOf(first.Rank)) {
+		q.allotment = int(left)
+		return
+	}
 	own, others := q.claims(first.Rank, now)
 	if sum := elsewhere.inRank + elsewhere.equal; sum > 0 {
 		others *= float64(elsewhere.equal) / float64(sum)
@@ -348,6 +352,16 @@
 	}
 }
 
+// tokensOf returns what the streams of a rank need that wait on this VM.
+func (q *Queue) tokensOf(rank int) (tokens int) {
+	for _, w := range q.waiting {
+		if w.Rank == rank {
+			tokens += w.Tokens()
+		}
+	}
+	return tokens
+}
+
 // ahead is what goes before a stream, in tokens: streams of more urgent ranks and of its own rank.
 // Equal are those of its own rank that don't.
 type ahead struct {
--- a/internal/request/admission/queue_test.go
+++ b/internal/request/admission/queue_test.go
@@ -254,3 +254,24 @@
 	_, refusal := q.Join(c.newStream("a", 2))
 	qt.Check(t, refusal, qt.IsNotNil, qt.Commentf("the free part is for the first"))
 }
+
+// TestRoomForAllIsTaken: an older equal at a VM that is frozen claims nearly all room, but needs little
+// of it. There is enough for all, so that none waits.
+func TestRoomForAllIsTaken(t *testing.T) {
+	q, c := newQueue()
+	waiters := []*admission.Waiter{}
+	for range 4 {
+		waiters = append(waiters, join(t, q, c.newStream("a", 2)))
+	}
+	q.MergeReport("frozen", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Account: "a", Tokens: 1000, MeanAgeMillis: 3000}}})
+	c.nextRound(5)
+	taken := 0
+	for _, w := range waiters {
+		if q.MayTake(w) {
+			q.Took(w.Stream)
+			q.Leave(w)
+			taken++
+		}
+	}
+	qt.Check(t, taken, qt.Equals, 4)
+}
