--- a/internal/backend/placement/room.go
+++ b/internal/backend/placement/room.go
@@ -31,8 +31,7 @@
 	}
 	prompt := max(room.Demand.PromptTokens, 1)
 	if c.Slots > 0 {
-		waiting := (c.PendingTokens + prompt - 1) / prompt
-		fit = min(fit, c.Slots-c.Running-waiting)
+		fit = min(fit, c.Slots-c.Running-c.Pending)
 	}
 	if room.ReadTokens == 0 {
 		return max(fit, 0)
@@ -75,3 +74,13 @@
 	}
 	return streams, memoryTokens
 }
+
+// LargestFree returns the most memory that one of the servers has left for streams.
+func LargestFree(candidates []Candidate) (tokens int) {
+	for _, c := range candidates {
+		if !c.Avoided {
+			tokens = max(tokens, int(memoryFraction*float64(c.CacheTokens))-c.MemoryTokens)
+		}
+	}
+	return tokens
+}
--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/room.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,11 @@
 	FreedPerSecond float64
 	// LostLately means that a server of the service was lost within lossMemory.
 	LostLately bool
+	// FreeTokens is the most free memory of a server that is up.
+	FreeTokens int
+	// Unbounded means that room is no criterion: no server of the cell is up, or the stream exceeds
+	// the memory of a server.
+	Unbounded bool
 }
 
 // streamAverages are moving averages over the streams of a service on this VM; 0 before the
@@ -152,7 +158,9 @@
 		}
 	}
 	streams, memoryTokens := placement.CountStreams(candidates, p.roomFor(service, need, now))
-	room := Room{Streams: streams}
+	room := Room{Streams: streams, FreeTokens: placement.LargestFree(candidates)}
+	isUp := slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Avoided })
+	room.Unbounded = !isUp || p.capacities[service].CacheTokens < need.Demand.Tokens()
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
 		room.FreedPerSecond = float64(memoryTokens) / held // Little's law.
 	}
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -49,6 +49,8 @@
 	Streams        int
 	FreedPerSecond float64
 	LostLately     bool // A server was lost lately, so that more may be.
+	FreeTokens     int  // The most free memory of a server.
+	Unbounded      bool // Streams needn't wait for room: no server is up, or none could ever fit one.
 }
 
 // Waiter is a stream that waits for room. Wake receives a value when it may be its turn.
@@ -77,18 +79,19 @@
 	lastSequence int
 	held         map[string]int // Tokens of the running streams of the cell, by account.
 	freed        float64        // Room.FreedPerSecond of the last round.
+	freeTokens   int            // Room.FreeTokens of the last round.
 	roundUntil   time.Time
 	lacksRoom    bool // No server has room for the first stream in this round.
 	allotment    int  // Streams that this VM may still send in this round.
 	isReordered  bool // In this round the rank preferred goes first.
 	preferred    int
-	retryAt      time.Time
-	served       map[int]float64 // Tokens of the latest streams that got a server, by rank.
+	retryAt      map[int]time.Time // When the caller that was refused last is to return, by rank.
+	served       map[int]float64   // Tokens of the latest streams that got a server, by rank.
 }
 
 // NewQueue returns an empty queue.
 func NewQueue(now func() time.Time, draw func() float64, room func(Stream) Room, held func() map[string]int) *Queue {
-	return &Queue{Now: now, Draw: draw, Room: room, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, served: map[int]float64{}}
+	return &Queue{Now: now, Draw: draw, Room: room, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, retryAt: map[int]time.Time{}, served: map[int]float64{}}
 }
 
 // IsIdle reports whether nothing waits in the cell that goes before a new stream of a rank.
@@ -144,12 +147,12 @@
 	defer q.mu.Unlock()
 	now := q.Now()
 	room := q.Room(stream)
-	q.freed = room.FreedPerSecond
+	q.freed, q.freeTokens = room.FreedPerSecond, room.FreeTokens
 	q.updateHeld(now)
 	q.lastSequence++
 	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
 	wait := q.expectedWait(w, room.Streams, now)
-	if q.isTooLate(w, wait, now) {
+	if !room.Unbounded && q.isTooLate(w, wait, now) {
 		return nil, q.refuse(w, WouldMissDeadline, wait, now)
 	}
 	q.waiting = append(q.waiting, w)
@@ -178,21 +181,24 @@
 	return !w.reserved && q.first() == w && q.lacksRoom
 }
 
-// Reserved records that memory is reserved for a stream.
-func (q *Queue) Reserved(w *Waiter) {
+// Reserved records whether memory is reserved for a stream.
+func (q *Queue) Reserved(w *Waiter, reserved bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	w.reserved = true
+	w.reserved = reserved
 }
 
-// Took records whether a stream found a server when it looked for one.
-func (q *Queue) Took(stream Stream, taken bool) {
+// HasReserved reports whether memory is reserved for a stream, as far as is recorded.
+func (q *Queue) HasReserved(w *Waiter) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return w.reserved
+}
+
+// Took records that a stream found a server.
+func (q *Queue) Took(stream Stream) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if !taken {
-		q.allotment = 0
-		return
-	}
 	q.allotment = max(q.allotment-1, 0)
 	q.held[stream.Account] += stream.Tokens()
 	for rank := range q.served {
@@ -201,6 +207,15 @@
 	q.served[stream.Rank] += float64(stream.Tokens())
 }
 
+// Missed records that a waiting stream found no server when it looked for one.
+func (q *Queue) Missed(w *Waiter) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.first() == w {
+		q.allotment = 0
+	}
+}
+
 // Recheck returns the refusal of a waiting stream that can't get room in time any more, and nil
 // if it goes on waiting.
 func (q *Queue) Recheck(w *Waiter) *Refusal {
@@ -294,8 +309,8 @@
 
 // startRound decides which stream of this VM is the first, and how many it may send until the next
 // round. It leaves as much room as those need that go before the first one at other VMs, and
-// shares the rest with their equals there. What is left over by all of them is divided in the
-// next round.
+// shares the rest with their equals there, unless there is enough for all. What is left over by all of
+// them is divided in the next round.
 func (q *Queue) startRound(now time.Time) {
 	q.roundUntil = now.Add(roundInterval)
 	q.allotment = 0
@@ -307,8 +322,12 @@
 	q.preferred = q.waiting[int(q.Draw()*float64(len(q.waiting)))].Rank
 	first := q.first()
 	room := q.Room(first.Stream)
-	q.freed = room.FreedPerSecond
-	q.lacksRoom = room.Streams == 0
+	q.freed, q.freeTokens = room.FreedPerSecond, room.FreeTokens
+	q.lacksRoom = room.Streams == 0 && !room.Unbounded
+	if room.Unbounded {
+		q.allotment = len(q.waiting)
+		return
+	}
 	elsewhere := q.aheadOf(first, q.peerWaiting(now), 0)
 	before := elsewhere.urgent + elsewhere.inRank
 	if q.isReordered {
@@ -318,6 +337,10 @@
 	if left <= 0 {
 		return
 	}
+	if !q.isReordered && left*float64(first.Tokens()) >= float64(elsewhere.equal+q.tokensOf(first.Rank)) {
+		q.allotment = int(left)
+		return
+	}
 	own, others := q.claims(first.Rank, now)
 	if sum := elsewhere.inRank + elsewhere.equal; sum > 0 {
 		others *= float64(elsewhere.equal) / float64(sum)
@@ -329,6 +352,16 @@
 	}
 }
 
+// tokensOf returns what the streams of a rank need that wait on this VM.
+func (q *Queue) tokensOf(rank int) (tokens int) {
+	for _, w := range q.waiting {
+		if w.Rank == rank {
+			tokens += w.Tokens()
+		}
+	}
+	return tokens
+}
+
 // ahead is what goes before a stream, in tokens: streams of more urgent ranks and of its own rank.
 // Equal are those of its own rank that don't.
 type ahead struct {
@@ -359,6 +392,9 @@
 
 // expectedWait estimates how long a stream waits if there is room for some streams already.
 func (q *Queue) expectedWait(w *Waiter, free int, now time.Time) time.Duration {
+	if q.freed <= 0 {
+		return 0
+	}
 	sameAccount := 0
 	for _, other := range q.waiting {
 		if other != w && other.Rank == w.Rank && other.Account == w.Account && q.placeOf(other).isBefore(q.placeOf(w)) {
@@ -374,7 +410,10 @@
 	sum := q.aheadOf(w, append(q.ownWaiting(), fromPeers...), sameAccount+w.Tokens())
 	inRank := sum.inRank + sameAccount + w.Tokens()
 	left := sum.urgent + inRank - free*w.Tokens()
-	if left <= 0 || q.freed <= 0 {
+	if free == 0 && q.freeTokens < w.Tokens() {
+		left -= q.freeTokens // It lacks the rest only.
+	}
+	if left <= 0 {
 		return 0
 	}
 	inTurn := expectedWait(float64(left), q.freed*q.leftFor(w.Rank), time.Second)
@@ -409,18 +448,21 @@
 }
 
 // refuse returns the refusal of a stream that would have to wait for a time. Callers are asked to
-// return when room is expected for them, spread over the room that becomes free.
+// return when room is expected for them, spread over the room that becomes free: after those of their own
+// rank and more urgent ones that were refused before.
 func (q *Queue) refuse(w *Waiter, reason Reason, wait time.Duration, now time.Time) *Refusal {
 	at := now.Add(max(wait-w.StartBy.Sub(now), minRetryDelay))
 	if q.freed > 0 {
 		gap := expectedWait(float64(w.Tokens()*(1+len(q.peers))), q.freed, time.Second)
-		if next := q.retryAt.Add(gap); next.After(at) {
-			at = next
+		for rank, last := range q.retryAt {
+			if next := last.Add(gap); rank <= w.Rank && next.After(at) {
+				at = next
+			}
 		}
 	}
 	if latest := now.Add(maxRetryDelay); at.After(latest) {
 		at = latest
 	}
-	q.retryAt = at
+	q.retryAt[w.Rank] = at
 	return &Refusal{Reason: reason, RetryAt: at.Add(time.Duration(q.Draw() * float64(minRetryDelay)))}
 }
