Tests of bodies of many lines beside the account of heads

Cause: headCounter goes on counting after the end of a head, and countAhead counts chunks as heads. A body of many short lines in the same read as its head takes memory that is meant for heads, until the request has been answered. If there is none, a request inside the limits is refused.

TestHeadsThatFollowChunksCount passes: it holds what a mend must keep.

--- a/internal/node/caller/ports_test.go
+++ b/internal/node/caller/ports_test.go
@@ -361,3 +361,50 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, body, qt.HasLen, 10_000)
 }
+
+// TestBodiesDoNotCountAsHeads guards against bodies of many short lines that need memory meant for heads,
+// of which there is less than they would need. Each is sent in one piece with its head, and after it.
+func TestBodiesDoNotCountAsHeads(t *testing.T) {
+	lines := strings.Repeat("a\n", 300)
+	chunks := strings.Repeat(fmt.Sprintf("%x;b=c\r\n%s\r\n", len(lines), lines), 20)
+	bodies := []struct{ name, head, body string }{
+		{"length", fmt.Sprintf("Content-Length: %d\r\n\r\n", len(lines)), lines},
+		{"chunks", "Transfer-Encoding: chunked\r\n\r\n", chunks + "0\r\n\r\n"},
+		{"trailers", "Transfer-Encoding: chunked\r\nTrailer: D\r\n\r\n", chunks + "0\r\nD: e\r\n\r\n"},
+	}
+	next := "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+	for _, b := range bodies {
+		t.Run(b.name, func(t *testing.T) {
+			r := newPortRig(t, 10, 10_000)
+			head := "POST / HTTP/1.1\r\nHost: a\r\n" + b.head
+			c := r.connect(head + b.body)
+			qt.Assert(t, c.status(), qt.Equals, "200 OK")
+			r.waitFor("it is idle", func() bool { return r.idle.Load() == 1 })
+			qt.Assert(t, r.ports.HeldByHeads(), qt.Equals, int64(0))
+			c.send(strings.Replace(head, "/", "/body", 1))
+			<-r.serves
+			c.send(b.body + next + next)
+			for range 3 {
+				qt.Assert(t, c.status(), qt.Equals, "200 OK")
+			}
+			qt.Assert(t, r.ports.Closed(), qt.DeepEquals, map[string]map[caller.Closure]int{})
+		})
+	}
+}
+
+// TestHeadsThatFollowChunksCount guards against heads that are not counted because they were read together
+// with a body whose length is not known.
+func TestHeadsThatFollowChunksCount(t *testing.T) {
+	for _, trailer := range []string{"", "Trailer: B\r\n"} {
+		r := newPortRig(t, 10, 10_000)
+		body := "3\r\nabc\r\n0\r\n" + strings.Replace(trailer, "Trailer: B", "B: c", 1) + "\r\n"
+		head := "POST /body HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n" + trailer + "\r\n"
+		c := r.connect(head)
+		<-r.serves
+		c.send(body + manyFields("/", 300) + "\r\n")
+		qt.Assert(t, c.status(), qt.Equals, "200 OK")
+		qt.Assert(t, c.status(), qt.Equals, "closed")
+		qt.Assert(t, r.ports.Closed(), qt.DeepEquals, map[string]map[caller.Closure]int{"test": {caller.ClosedNoMemory: 1}})
+		qt.Assert(t, r.ports.HeldByHeads(), qt.Equals, int64(0))
+	}
+}
