Tests of isolated VMs don't change the start of a running VM

They set the VM's start while its spread was running: go test -race reported it in both, and how often a VM reads was checked by the machine's clock. They now call the read of the states itself and set when it is due. Both still fail without the read while isolated; the package passes, and with -race twice.

--- a/internal/node/entry/versions_test.go
+++ b/internal/node/entry/versions_test.go
@@ -80,13 +80,12 @@
 	all := g.rollouts
 	ctx := context.Background()
 	g.store.put(deskState(deskOrder, rollout.StageRolledBack, 3))
-	g.vm().started = g.vm().Now().Add(time.Hour) // It does not coordinate yet.
 	all.applyStates([]rollout.State{deskState(deskOrder, rollout.StageShift, 2)}, "peer")
-	all.step(ctx)
+	all.readStates(ctx)
 	qt.Check(t, g.log, qt.HasLen, 0, qt.Commentf("a VM that is alone has no peers that should have answered"))
 	all.isIsolated = func() bool { return true }
-	all.step(ctx)
-	all.step(ctx)
+	all.readStates(ctx)
+	all.readStates(ctx)
 	qt.Check(t, g.log, qt.DeepEquals, []string{"read: version 11"})
 	qt.Check(t, g.known().Stage, qt.Equals, rollout.StageRolledBack)
 }
@@ -96,17 +95,17 @@
 	g := newRunRig(t)
 	all := g.rollouts
 	ctx := context.Background()
-	g.vm().started = g.vm().Now().Add(time.Hour)
 	all.isIsolated = func() bool { return true }
 	g.store.put(deskState(deskOrder, rollout.StageShift, 2))
-	all.step(ctx)
-	all.step(ctx)
+	all.readStates(ctx)
+	all.statesReadAt = all.statesReadAt.Add(time.Hour) // The next read is not due.
+	all.readStates(ctx)
 	qt.Check(t, g.log, qt.HasLen, 1)
-	all.statesReadAt = all.statesReadAt.Add(-isolatedReadInterval)
+	all.statesReadAt = time.Time{}
 	g.store.put(deskState(deskOrder, rollout.StageCompleted, 3))
-	all.step(ctx)
-	all.statesReadAt = all.statesReadAt.Add(-isolatedReadInterval)
-	all.step(ctx)
+	all.readStates(ctx)
+	all.statesReadAt = time.Time{}
+	all.readStates(ctx)
 	qt.Check(t, g.log, qt.HasLen, 2)
 }
 
