Bodies don't count as heads

Cause: what was read together with a head counted as heads, and all of a body in chunks: a body of many short lines needed memory meant for heads, and a connection that had sent 64 KB in chunks kept some 128 KB of that account while it was idle. Change: a head that announces a body ends the counting; its length or its chunks are then followed to the end of the body, and what comes after it counts. Heads without a body are counted with what follows them, as before.

--- a/internal/node/caller/ports.go
+++ b/internal/node/caller/ports.go
@@ -35,8 +35,6 @@
 	freeHeadBytes = 8 << 10
 	// ConnectionBytes estimates the memory of a connection: stack, buffers, a small head and body.
 	ConnectionBytes = 32 << 10
-	// readBufferBytes is the size of the buffer in which net/http reads ahead.
-	readBufferBytes = 4 << 10
 	// headSlack is added to the limit of the time for a head, for its way.
 	headSlack = time.Second
 	// notReadTimeout is how long a caller may take no part of an answer.
@@ -263,10 +261,11 @@
 	phase        phase
 	since        time.Time // When the phase began.
 	head         headCounter
-	held         int64     // Of the memory for heads.
-	bodyLeft     int64     // What has not been read of the body; -1 if its length is not known.
-	isUpgraded   bool      // What it carries is not read as heads and bodies.
-	writingSince time.Time // The last progress of the write that is waiting; zero if none is.
+	held         int64       // Of the memory for heads.
+	unsorted     []byte      // What was read together with a head, before the length of its body is known.
+	framing      bodyFraming // Of the request whose head was read last.
+	isUpgraded   bool        // What it carries is not read as heads and bodies.
+	writingSince time.Time   // The last progress of the write that is waiting; zero if none is.
 	isClosed     bool
 }
 
@@ -291,10 +290,10 @@
 	switch c.phase {
 	case phaseIdle:
 		c.begin(phaseHead)
-		c.head.add(read)
+		c.unsorted = append(c.unsorted, c.head.add(read)...)
 		return c.takeHeads()
 	case phaseHead:
-		c.head.add(read)
+		c.unsorted = append(c.unsorted, c.head.add(read)...)
 		return c.takeHeads()
 	default:
 		c.countAhead(read)
@@ -305,25 +304,17 @@
 // countAhead counts what has been read after the head of a request: the rest of its body, and heads
 // that follow. The memory for these is taken when the request has been answered. The lock is held.
 func (c *Connection) countAhead(read []byte) {
-	switch {
-	case c.isUpgraded:
+	if c.isUpgraded {
 		return
-	case c.bodyLeft < 0: // Chunks can't be told from heads here.
-		if len(read) > readBufferBytes {
-			c.head = headCounter{}
-			return
-		}
-	case int64(len(read)) <= c.bodyLeft:
-		c.bodyLeft -= int64(len(read))
+	}
+	following := c.framing.skip(read)
+	if len(following) == 0 {
 		return
-	default:
-		read = read[c.bodyLeft:]
-		c.bodyLeft = 0
 	}
 	earlier := c.head.largest
-	c.head.add(read)
+	c.head.addAll(following)
 	c.head.largest = max(c.head.largest, earlier)
-	c.head.ahead = int64(len(read))
+	c.head.ahead = int64(len(following))
 }
 
 // takeHeads takes the memory for the heads that were read. The lock is held.
@@ -426,10 +417,11 @@
 	c.port.ports.mu.Lock()
 	defer c.port.ports.mu.Unlock()
 	c.begin(phaseBody)
-	c.bodyLeft = -1
-	if length >= 0 {
-		c.bodyLeft = max(length-c.head.ahead, 0)
-		c.head.dropBody(length)
+	c.framing = newBodyFraming(length)
+	if c.unsorted != nil {
+		c.head = headCounter{largest: c.head.largest}
+		c.countAhead(c.unsorted)
+		c.unsorted = nil
 	}
 	return !c.isClosed
 }
@@ -466,7 +458,12 @@
 	c.port.ports.mu.Lock()
 	defer c.port.ports.mu.Unlock()
 	c.begin(phaseIdle)
-	if c.isUpgraded = false; c.head.ahead == 0 {
+	c.isUpgraded = false
+	if c.unsorted != nil { // Its handler has asked for no body.
+		c.head.addAll(c.unsorted)
+		c.head.ahead, c.unsorted = int64(len(c.unsorted)), nil
+	}
+	if c.head.ahead == 0 {
 		c.head = headCounter{}
 	}
 	if !c.takeHeads() {
@@ -481,47 +478,3 @@
 	c.begin(phaseServing)
 	c.isUpgraded = true
 }
-
-// headCounter estimates the memory that heads take once they are parsed.
-type headCounter struct {
-	bytes, fields int64 // Of the head that is not complete.
-	line          int   // Length of its last line.
-	largest       int64 // Estimate of the largest head that was complete in the last read.
-	ahead         int64 // Bytes of the last read after the first head that was complete.
-}
-
-// add counts what has been read.
-func (h *headCounter) add(read []byte) {
-	h.largest, h.ahead = 0, 0
-	isFirst := true
-	for i, b := range read {
-		h.bytes++
-		switch {
-		case b == '\r':
-		case b != '\n':
-			h.line++
-		case h.line > 0:
-			h.fields++
-			h.line = 0
-		default: // An empty line ends the head.
-			h.largest = max(h.largest, h.cost())
-			h.bytes, h.fields = 0, 0
-			if isFirst {
-				h.ahead = int64(len(read) - i - 1)
-				isFirst = false
-			}
-		}
-	}
-}
-
-// cost returns the estimate of the largest head, in bytes.
-func (h *headCounter) cost() int64 {
-	return max(h.largest, h.bytes*headByteFactor+h.fields*headFieldBytes)
-}
-
-// dropBody forgets what was read ahead if it is part of a body of this length.
-func (h *headCounter) dropBody(length int64) {
-	if h.ahead <= length {
-		*h = headCounter{largest: h.largest}
-	}
-}
