--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -20,11 +20,11 @@
 	ServerID  string
 	Prefilled bool // Its prompt need not be processed again.
 	Versions  VersionRule
-	// RequireRoom limits the choice to servers with room for a new stream whose first event is due
-	// at FirstEventBy. WithoutCopy saves the room for a copy of its memory.
-	RequireRoom  bool
-	FirstEventBy time.Time
-	WithoutCopy  bool
+	// RequireHeadroom limits the choice to servers with headroom for a new stream whose first event is due
+	// at FirstEventBy. WithoutCopy saves the headroom for a copy of its memory.
+	RequireHeadroom bool
+	FirstEventBy    time.Time
+	WithoutCopy     bool
 	// Reservation is of the server that the stream waits for; nil if it takes any.
 	Reservation *Reservation
 	Account     string
@@ -62,16 +62,16 @@
 
 // AcquireForStream chooses a server for a stream, and one in another failure domain for
 // the copy of its memory; copyHolder is nil if no such server has capacity. The error is ErrNone,
-// or ErrNoRoom for criteria that require it.
+// or ErrNoHeadroom for criteria that require it.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
-	lacksRoom := false
+	lacksHeadroom := false
 	lease, err = p.acquire(criteria.continues(), criteria.Versions, func(now time.Time, withLimit bool) *server {
 		if chosen := p.requestedServer(criteria, now); chosen != nil && (withLimit || !chosen.limited) {
 			return chosen
 		}
-		if criteria.RequireRoom {
-			if chosen, isUp := p.chooseWithRoom(criteria, now, withLimit); isUp {
-				lacksRoom = chosen == nil
+		if criteria.RequireHeadroom {
+			if chosen, isUp := p.chooseWithHeadroom(criteria, now, withLimit); isUp {
+				lacksHeadroom = chosen == nil
 				return chosen
 			}
 		}
@@ -80,8 +80,8 @@
 		lease, copyHolder = p.leaseForStream(criteria, chosen, now)
 		return lease
 	})
-	if lacksRoom && errors.Is(err, ErrNone) {
-		return nil, nil, errors.Trace(ErrNoRoom)
+	if lacksHeadroom && errors.Is(err, ErrNone) {
+		return nil, nil, errors.Trace(ErrNoHeadroom)
 	}
 	return lease, copyHolder, err
 }
--- a/internal/backend/pool/room.go
+++ b/internal/backend/pool/headroom.go
@@ -10,8 +10,8 @@
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
-// ErrNoRoom means that servers are up, and that none of them has room for a new stream.
-const ErrNoRoom = errors.ConstError("no backend server has room")
+// ErrNoHeadroom means that servers are up, and that none of them has headroom for a new stream.
+const ErrNoHeadroom = errors.ConstError("no backend server has headroom")
 
 const (
 	// newestStreamWeight is the weight of the newest stream in the averages of a service.
@@ -34,8 +34,8 @@
 	Versions     VersionRule
 }
 
-// Room describes the room for new streams on the servers of a service in this VM's cell.
-type Room struct {
+// Headroom describes the headroom for new streams on the servers of a service in this VM's cell.
+type Headroom struct {
 	// Streams is the number of streams of the given demand that fit.
 	Streams int
 	// FreedPerSecond is the rate in tokens at which memory is freed there; 0 if it is not known.
@@ -44,7 +44,7 @@
 	LostLately bool
 	// FreeTokens is the most free memory of a server that is up.
 	FreeTokens int
-	// Unbounded means that room is no criterion: no server of the cell is up, or the stream exceeds
+	// Unbounded means that headroom is no criterion: no server of the cell is up, or the stream exceeds
 	// the memory of a server.
 	Unbounded bool
 }
@@ -101,13 +101,13 @@
 	averages.heldSeconds = average(averages.heldSeconds, now.Sub(l.chosenAt).Seconds())
 }
 
-// roomFor returns what package placement needs to know of a new stream. Prompts that wait at a
+// headroomFor returns what package placement needs to know of a new stream. Prompts that wait at a
 // server go before those that come later, so that only some of the less urgent may wait there.
 //
 // The number of prompts is rounded at random: VMs with slightly different reading rates would
-// otherwise differ in whether they see any room. Called with the lock held.
-func (p *Pool) roomFor(service string, need Need, now time.Time) placement.Room {
-	room := placement.Room{Demand: need.Demand}
+// otherwise differ in whether they see any headroom. Called with the lock held.
+func (p *Pool) headroomFor(service string, need Need, now time.Time) placement.Headroom {
+	headroom := placement.Headroom{Demand: need.Demand}
 	capacity := p.capacities[service]
 	readBy := need.FirstEventBy
 	if latest := now.Add(time.Duration(lessUrgentFraction * float64(capacity.UrgentObjective))); need.Rank > capacity.UrgentRank && capacity.UrgentObjective > 0 && latest.Before(readBy) {
@@ -115,15 +115,15 @@
 	}
 	if rate := p.averagesOf(service).readPerSecond; rate > 0 && !readBy.IsZero() {
 		rounding := (p.options.Draw() - 0.5) * float64(need.Demand.PromptTokens)
-		room.ReadTokens = max(int(rate*readBy.Sub(now).Seconds()+rounding), 1)
+		headroom.ReadTokens = max(int(rate*readBy.Sub(now).Seconds()+rounding), 1)
 	}
-	return room
+	return headroom
 }
 
-// chooseWithRoom chooses a server of this VM's cell with room for a new stream. Of other cells
+// chooseWithHeadroom chooses a server of this VM's cell with headroom for a new stream. Of other cells
 // the loads are not known. IsUp is false if no server of the cell is up, or if the stream exceeds
-// the memory of a server: room is then no criterion. Called with the lock held.
-func (p *Pool) chooseWithRoom(criteria Criteria, now time.Time, withLimit bool) (chosen *server, isUp bool) {
+// the memory of a server: headroom is then no criterion. Called with the lock held.
+func (p *Pool) chooseWithHeadroom(criteria Criteria, now time.Time, withLimit bool) (chosen *server, isUp bool) {
 	if p.capacities[criteria.Service].CacheTokens < criteria.Demand.Tokens() {
 		return nil, false
 	}
@@ -132,10 +132,10 @@
 	}
 	filter := p.versionFilter(criteria.Service, criteria.Versions)
 	usable := p.usableServers(criteria.Service, criteria.Tried, filter, now, withLimit)
-	room := p.roomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now)
+	headroom := p.headroomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now)
 	for _, part := range usable.inOrder(filter) {
 		cell := p.inCell(&part)
-		at, found, isPartUp := placement.ChooseWithRoom(cell.candidates, room)
+		at, found, isPartUp := placement.ChooseWithHeadroom(cell.candidates, headroom)
 		if found {
 			return cell.servers[at], true
 		}
@@ -144,8 +144,8 @@
 	return nil, isUp
 }
 
-// Room returns the room for new streams with a need.
-func (p *Pool) Room(service string, need Need) Room {
+// Headroom returns the headroom for new streams with a need.
+func (p *Pool) Headroom(service string, need Need) Headroom {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
@@ -157,15 +157,15 @@
 			candidates = append(candidates, p.candidate(s, now))
 		}
 	}
-	streams, memoryTokens := placement.CountStreams(candidates, p.roomFor(service, need, now))
-	room := Room{Streams: streams, FreeTokens: placement.LargestFree(candidates)}
+	streams, memoryTokens := placement.CountStreams(candidates, p.headroomFor(service, need, now))
+	headroom := Headroom{Streams: streams, FreeTokens: placement.LargestFree(candidates)}
 	isUp := slices.ContainsFunc(candidates, func(c placement.Candidate) bool { return !c.Avoided })
-	room.Unbounded = !isUp || p.capacities[service].CacheTokens < need.Demand.Tokens()
+	headroom.Unbounded = !isUp || p.capacities[service].CacheTokens < need.Demand.Tokens()
 	if held := p.averagesOf(service).heldSeconds; held > 0 {
-		room.FreedPerSecond = float64(memoryTokens) / held // Little's law.
+		headroom.FreedPerSecond = float64(memoryTokens) / held // Little's law.
 	}
-	room.LostLately = p.hasLossSince(service, now.Add(-lossMemory))
-	return room
+	headroom.LostLately = p.hasLossSince(service, now.Add(-lossMemory))
+	return headroom
 }
 
 // hasLossSince reports whether a server of a service was lost since a time. Called with the lock held.
--- a/internal/backend/pool/room_test.go
+++ b/internal/backend/pool/headroom_test.go
@@ -13,21 +13,21 @@
 
 var demandOfTest = placement.Demand{PromptTokens: 40_000, OutputTokens: 2000}
 
-// TestNewStreamNeedsRoom fills two servers. A further new stream gets ErrNoRoom until one ends, a
+// TestNewStreamNeedsHeadroom fills two servers. A further new stream gets ErrNoHeadroom until one ends, a
 // stream that has run before goes to a full server.
-func TestNewStreamNeedsRoom(t *testing.T) {
+func TestNewStreamNeedsHeadroom(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "x", Slots: 8})
-	criteria := pool.Criteria{Service: "s", Demand: demandOfTest, RequireRoom: true, FirstEventBy: g.now.Add(time.Minute), Account: "acme"}
+	criteria := pool.Criteria{Service: "s", Demand: demandOfTest, RequireHeadroom: true, FirstEventBy: g.now.Add(time.Minute), Account: "acme"}
 	leases := []*pool.Lease{}
 	for range 4 {
 		lease, _, err := g.AcquireForStream(criteria)
 		qt.Assert(t, err, qt.IsNil)
 		leases = append(leases, lease)
 	}
-	qt.Check(t, g.Room("s", pool.Need{Demand: demandOfTest, FirstEventBy: criteria.FirstEventBy}), qt.Equals, pool.Room{FreeTokens: 6000})
+	qt.Check(t, g.Headroom("s", pool.Need{Demand: demandOfTest, FirstEventBy: criteria.FirstEventBy}), qt.Equals, pool.Headroom{FreeTokens: 6000})
 	qt.Check(t, g.HeldByAccount("s"), qt.DeepEquals, map[string]int{"acme": 4 * 42_000})
 	_, _, err := g.AcquireForStream(criteria)
-	qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, errors.Is(err, pool.ErrNoHeadroom), qt.IsTrue, qt.Commentf("%v", err))
 	resumed, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest})
 	qt.Assert(t, err, qt.IsNil)
 	resumed.Release()
@@ -37,47 +37,47 @@
 	qt.Check(t, again.Server.ID, qt.Equals, leases[0].Server.ID)
 }
 
-// TestRoomIsNoCriterionWithoutServers: servers that are down, a service without servers and a
-// stream larger than any server get the same answer as without RequireRoom.
-func TestRoomIsNoCriterionWithoutServers(t *testing.T) {
+// TestHeadroomIsNoCriterionWithoutServers: servers that are down, a service without servers and a
+// stream larger than any server get the same answer as without RequireHeadroom.
+func TestHeadroomIsNoCriterionWithoutServers(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
-	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 200_000}, RequireRoom: true}
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 200_000}, RequireHeadroom: true}
 	_, _, err := g.AcquireForStream(large)
 	qt.Check(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
-	_, _, err = g.AcquireForStream(pool.Criteria{Service: "other", RequireRoom: true})
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "other", RequireHeadroom: true})
 	qt.Check(t, errors.Is(err, pool.ErrNone), qt.IsTrue)
 	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest})
 	qt.Assert(t, err, qt.IsNil)
 	lease.ReportUnreachable(errors.New("refused"))
-	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest, RequireRoom: true})
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest, RequireHeadroom: true})
 	qt.Check(t, err, qt.IsNil, qt.Commentf("a server that is down may be back"))
 }
 
-// TestRoomLearnsFromStreams: the time to a first event tells how fast prompts are read, and the
+// TestHeadroomLearnsFromStreams: the time to a first event tells how fast prompts are read, and the
 // time to the end how fast memory is freed. A stream whose prompt would be read after its first
-// event is due has no room then.
-func TestRoomLearnsFromStreams(t *testing.T) {
+// event is due has no headroom then.
+func TestHeadroomLearnsFromStreams(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
 	g.SetCapacities(map[string]pool.Capacity{"s": {CacheTokens: 15_000}})
 	short := placement.Demand{PromptTokens: 4000, OutputTokens: 1000}
-	first, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true})
+	first, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireHeadroom: true})
 	qt.Assert(t, err, qt.IsNil)
 	g.now = g.now.Add(time.Second)
 	first.MarkStarted()
 	g.now = g.now.Add(3 * time.Second)
 	first.Release()
-	second, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
+	second, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireHeadroom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, g.Room("s", pool.Need{Demand: short, FirstEventBy: g.now.Add(2600 * time.Millisecond)}), qt.Equals, pool.Room{Streams: 1, FreedPerSecond: 1250, FreeTokens: 8500})
-	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireRoom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
-	qt.Check(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Check(t, g.Headroom("s", pool.Need{Demand: short, FirstEventBy: g.now.Add(2600 * time.Millisecond)}), qt.Equals, pool.Headroom{Streams: 1, FreedPerSecond: 1250, FreeTokens: 8500})
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Demand: short, RequireHeadroom: true, FirstEventBy: g.now.Add(1900 * time.Millisecond)})
+	qt.Check(t, errors.Is(err, pool.ErrNoHeadroom), qt.IsTrue, qt.Commentf("%v", err))
 	second.Release()
 }
 
-// TestRoomSignal: the end of a stream here, and reports of peers, signal room.
-func TestRoomSignal(t *testing.T) {
+// TestHeadroomSignal: the end of a stream here, and reports of peers, signal headroom.
+func TestHeadroomSignal(t *testing.T) {
 	signals := 0
-	p := pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }, OnRoom: func() { signals++ }})
+	p := pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }, OnHeadroom: func() { signals++ }})
 	p.Update([]pool.Server{{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}})
 	lease, _, err := p.AcquireForStream(pool.Criteria{Service: "s"})
 	qt.Assert(t, err, qt.IsNil)
@@ -97,12 +97,12 @@
 	qt.Check(t, isClosed(lease.CopyLost), qt.IsFalse)
 }
 
-// TestLargeStreamReservesRoom: small streams leave it no room on any of two servers, until it
-// reserves some. They see less room there then, and it begins when enough of them have ended.
-func TestLargeStreamReservesRoom(t *testing.T) {
+// TestLargeStreamReservesHeadroom: small streams leave it no headroom on any of two servers, until it
+// reserves some. They see less headroom there then, and it begins when enough of them have ended.
+func TestLargeStreamReservesHeadroom(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "x", Slots: 8})
-	small := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}, RequireRoom: true}
-	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireRoom: true}
+	small := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}, RequireHeadroom: true}
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireHeadroom: true}
 	qt.Assert(t, g.Reserve(large), qt.IsNil, qt.Commentf("it is not known what is usual"))
 	leases := map[string][]*pool.Lease{}
 	for range 6 {
@@ -118,9 +118,9 @@
 	qt.Assert(t, large.Reservation, qt.IsNotNil)
 	for range 2 {
 		_, _, err := g.AcquireForStream(small)
-		qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+		qt.Assert(t, errors.Is(err, pool.ErrNoHeadroom), qt.IsTrue, qt.Commentf("%v", err))
 		_, _, err = g.AcquireForStream(large)
-		qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+		qt.Assert(t, errors.Is(err, pool.ErrNoHeadroom), qt.IsTrue, qt.Commentf("%v", err))
 	}
 	leases["a"][1].Release()
 	lease, _, err := g.AcquireForStream(large)
@@ -132,29 +132,29 @@
 	qt.Check(t, g.Loads(), qt.HasLen, 1, qt.Commentf("nothing is left reserved"))
 }
 
-// TestRoomIsUnboundedWithoutServers: streams that wait are told that room is no criterion in the same
+// TestHeadroomIsUnboundedWithoutServers: streams that wait are told that headroom is no criterion in the same
 // cases as those that arrive.
-func TestRoomIsUnboundedWithoutServers(t *testing.T) {
+func TestHeadroomIsUnboundedWithoutServers(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
 	need := pool.Need{Demand: demandOfTest}
-	qt.Check(t, g.Room("s", need).Unbounded, qt.IsFalse)
-	qt.Check(t, g.Room("s", pool.Need{Demand: placement.Demand{PromptTokens: 200_000}}).Unbounded, qt.IsTrue)
-	qt.Check(t, g.Room("other", need).Unbounded, qt.IsTrue)
+	qt.Check(t, g.Headroom("s", need).Unbounded, qt.IsFalse)
+	qt.Check(t, g.Headroom("s", pool.Need{Demand: placement.Demand{PromptTokens: 200_000}}).Unbounded, qt.IsTrue)
+	qt.Check(t, g.Headroom("other", need).Unbounded, qt.IsTrue)
 	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: demandOfTest})
 	qt.Assert(t, err, qt.IsNil)
 	lease.ReportUnreachable(errors.New("refused"))
-	qt.Check(t, g.Room("s", need).Unbounded, qt.IsTrue)
+	qt.Check(t, g.Headroom("s", need).Unbounded, qt.IsTrue)
 }
 
-// TestReservationsLeaveEachOtherRoom: two large streams that each fill most of a server don't reserve
+// TestReservationsLeaveEachOtherHeadroom: two large streams that each fill most of a server don't reserve
 // the same one, where neither could begin.
-func TestReservationsLeaveEachOtherRoom(t *testing.T) {
+func TestReservationsLeaveEachOtherHeadroom(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8})
-	usual, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}, RequireRoom: true})
+	usual, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}, RequireHeadroom: true})
 	qt.Assert(t, err, qt.IsNil)
 	usual.MarkStarted()
 	usual.Release()
-	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireRoom: true}
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireHeadroom: true}
 	first := large
 	first.Reservation = g.Reserve(large)
 	qt.Assert(t, first.Reservation, qt.IsNotNil)
@@ -177,7 +177,7 @@
 func TestReservationOfALostServerEnds(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "y", Slots: 8})
 	small := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 25_000}}
-	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireRoom: true}
+	large := pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 50_000}, RequireHeadroom: true}
 	leases := map[string]*pool.Lease{}
 	for range 6 {
 		lease, _, err := g.AcquireForStream(small)
@@ -194,22 +194,22 @@
 	qt.Assert(t, err, qt.IsNil)
 	other.ReportUnreachable(errors.New("connection refused"))
 	_, _, err = g.AcquireForStream(large)
-	qt.Assert(t, errors.Is(err, pool.ErrNoRoom), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, errors.Is(err, pool.ErrNoHeadroom), qt.IsTrue, qt.Commentf("%v", err))
 	qt.Check(t, large.Reservation.IsHeld(), qt.IsFalse)
 	large.Reservation = g.Reserve(large)
 	qt.Check(t, large.Reservation.IsHeld(), qt.IsTrue)
 }
 
-// TestRoomTellsOfTheLargestFreePart: a stream that does not fit waits for the rest only.
-func TestRoomTellsOfTheLargestFreePart(t *testing.T) {
+// TestHeadroomTellsOfTheLargestFreePart: a stream that does not fit waits for the rest only.
+func TestHeadroomTellsOfTheLargestFreePart(t *testing.T) {
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 8}, pool.Server{ID: "b", Address: "h2:1", Service: "s", FailureDomain: "x", Slots: 8})
 	for _, tokens := range []int{30_000, 20_000} {
 		_, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: tokens}})
 		qt.Assert(t, err, qt.IsNil)
 	}
-	room := g.Room("s", pool.Need{Demand: placement.Demand{PromptTokens: 80_000}})
-	qt.Check(t, room.Streams, qt.Equals, 0)
-	qt.Check(t, room.FreeTokens, qt.Equals, 70_000)
+	headroom := g.Headroom("s", pool.Need{Demand: placement.Demand{PromptTokens: 80_000}})
+	qt.Check(t, headroom.Streams, qt.Equals, 0)
+	qt.Check(t, headroom.FreeTokens, qt.Equals, 70_000)
 }
 
 // TestSlotsAreCountedInStreams: a long prompt that is being read takes one slot, also if a peer has sent
@@ -218,11 +218,11 @@
 	g := newRig(pool.Server{ID: "a", Address: "h1:1", Service: "s", FailureDomain: "x", Slots: 4})
 	need := pool.Need{Demand: placement.Demand{PromptTokens: 100}}
 	g.MergePeerLoads("peer", []pool.Load{{ServerID: "a", Pending: 1, PendingTokens: 5000, MemoryTokens: 6000}})
-	qt.Check(t, g.Room("s", need).Streams, qt.Equals, 3)
-	_, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 5000}, RequireRoom: true})
+	qt.Check(t, g.Headroom("s", need).Streams, qt.Equals, 3)
+	_, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Demand: placement.Demand{PromptTokens: 5000}, RequireHeadroom: true})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, g.Room("s", need).Streams, qt.Equals, 2)
+	qt.Check(t, g.Headroom("s", need).Streams, qt.Equals, 2)
 	qt.Check(t, g.Loads(), qt.DeepEquals, []pool.Load{{ServerID: "a", Pending: 1, PendingTokens: 5000, MemoryTokens: 5000}})
 	g.ForgetPeers([]string{"peer"})
-	qt.Check(t, g.Room("s", need).Streams, qt.Equals, 3)
+	qt.Check(t, g.Headroom("s", need).Streams, qt.Equals, 3)
 }
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -149,7 +149,7 @@
 func (l *Lease) Release() {
 	l.release()
 	if l.stream {
-		l.pool.options.OnRoom()
+		l.pool.options.OnHeadroom()
 	}
 }
 
--- a/internal/backend/pool/loads.go
+++ b/internal/backend/pool/loads.go
@@ -35,7 +35,7 @@
 
 // MergePeerLoads replaces what is known of a peer's load on the servers.
 func (p *Pool) MergePeerLoads(peer string, loads []Load) {
-	defer p.options.OnRoom()
+	defer p.options.OnHeadroom()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forgetPeer(peer)
@@ -47,7 +47,7 @@
 
 // ForgetPeers drops the loads of VMs that went down.
 func (p *Pool) ForgetPeers(peers []string) {
-	defer p.options.OnRoom()
+	defer p.options.OnHeadroom()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, peer := range peers {
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -7,7 +7,7 @@
 //	servers := pool.New(pool.Options{Check: connections.Check, Now: time.Now, Draw: rand.Float64})
 //	servers.Update(listed)
 //	lease, err := servers.AcquireForCall("booking", tried, pool.VersionRule{}) // errors.Is(err, pool.ErrNone)
-//	lease, copyHolder, err := servers.AcquireForStream(criteria) // errors.Is(err, pool.ErrNoRoom) if they require room
+//	lease, copyHolder, err := servers.AcquireForStream(criteria) // errors.Is(err, pool.ErrNoHeadroom) if they require headroom
 //	defer lease.Release()
 //
 // A server whose connection broke is checked by opening a new one. If that fails, the
@@ -95,9 +95,9 @@
 	// for each server with a limit, with the requests that this VM sent to it since.
 	OnLimit func(change LimitChange)
 	OnSent  func(sent Sent)
-	// OnRoom is called when memory of servers may have been freed: a stream of this VM or of a
+	// OnHeadroom is called when memory of servers may have been freed: a stream of this VM or of a
 	// peer has ended.
-	OnRoom func()
+	OnHeadroom func()
 	// HasIdle reports whether an idle connection to an address is open.
 	HasIdle func(address string) bool
 	// CurrentRule returns what a rule for the servers of a service is to be now: requests wait between
@@ -218,8 +218,8 @@
 	if options.OnSent == nil {
 		options.OnSent = func(Sent) {}
 	}
-	if options.OnRoom == nil {
-		options.OnRoom = func() {}
+	if options.OnHeadroom == nil {
+		options.OnHeadroom = func() {}
 	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
--- a/internal/backend/pool/reservation.go
+++ b/internal/backend/pool/reservation.go
@@ -6,9 +6,9 @@
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
-// Small streams take the room of a full fleet as soon as some is free on any server, so that there
+// Small streams take the headroom of a full fleet as soon as some is free on any server, so that there
 // is never enough for a large one. It reserves its memory on one server instead, where others then
-// see less room, and begins there when the streams that fill it have ended.
+// see less headroom, and begins there when the streams that fill it have ended.
 
 // largeFactor is how many times the usual memory a stream needs to be large.
 const largeFactor = 1.5
@@ -69,7 +69,7 @@
 	if r == nil {
 		return
 	}
-	defer r.pool.options.OnRoom()
+	defer r.pool.options.OnHeadroom()
 	r.pool.mu.Lock()
 	defer r.pool.mu.Unlock()
 	r.release()
@@ -82,7 +82,7 @@
 	}
 }
 
-// takeReserved returns the reserved server if it has room now, and nil otherwise. The lease takes
+// takeReserved returns the reserved server if it has headroom now, and nil otherwise. The lease takes
 // the place of the reservation, which ends if the server is lost or takes no more work. Called with the
 // lock held.
 func (p *Pool) takeReserved(criteria Criteria, now time.Time) *server {
@@ -100,8 +100,8 @@
 	}
 	candidate := p.candidate(r.server, now)
 	candidate.MemoryTokens -= r.tokens
-	room := p.roomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now)
-	if candidate.Avoided || !placement.HasRoom(candidate, room) {
+	headroom := p.headroomFor(criteria.Service, Need{Demand: criteria.Demand, Rank: criteria.Rank, FirstEventBy: criteria.FirstEventBy}, now)
+	if candidate.Avoided || !placement.HasHeadroom(candidate, headroom) {
 		return nil
 	}
 	r.release()
--- a/internal/node/entry/admission.go
+++ b/internal/node/entry/admission.go
@@ -12,7 +12,7 @@
 )
 
 // overloadLogInterval is the time between two log lines about the streams of a service that wait
-// for room.
+// for headroom.
 const overloadLogInterval = time.Second
 
 // overload counts what became of the new streams of a service since its last log line.
@@ -32,9 +32,9 @@
 	return admission.NewAdmitter(admission.AdmitterOptions{
 		Now:  v.Now,
 		Draw: rand.Float64,
-		Room: func(service string, stream admission.Stream) admission.Room {
+		Headroom: func(service string, stream admission.Stream) admission.Headroom {
 			demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
-			return admission.Room(v.servers.Room(service, pool.Need{Demand: demand, Rank: stream.Rank, FirstEventBy: stream.FirstEventBy, Versions: v.rollouts.follower.Usual(service)}))
+			return admission.Headroom(v.servers.Headroom(service, pool.Need{Demand: demand, Rank: stream.Rank, FirstEventBy: stream.FirstEventBy, Versions: v.rollouts.follower.Usual(service)}))
 		},
 		Held:       func(service string) map[string]int { return v.servers.HeldByAccount(service) },
 		OnChange:   func() { v.spread.AnnounceLoadsLater() },
@@ -55,7 +55,7 @@
 
 // streamRefused counts a new stream that got no server in time, and logs it.
 func (v *VM) streamRefused(service string, reason admission.Reason) {
-	v.counters.refusedRoom(reason)
+	v.counters.refusedHeadroom(reason)
 	v.logOverload(service, func(o *overload) { o.refused++ })
 }
 
--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// admitted counts a new stream that got a server with room.
+// admitted counts a new stream that got a server with headroom.
 func (c *counters) admitted(waited time.Duration, hasWaited bool) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_admission_admitted_total{waited="%t"}`, hasWaited)).Inc()
 	if hasWaited {
@@ -59,8 +59,8 @@
 	}
 }
 
-// refusedRoom counts a new stream for which no server had room in time.
-func (c *counters) refusedRoom(reason admission.Reason) {
+// refusedHeadroom counts a new stream for which no server had headroom in time.
+func (c *counters) refusedHeadroom(reason admission.Reason) {
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_admission_refused_total{reason=%q}`, reason)).Inc()
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -148,11 +148,11 @@
 	})
 	v.admitter = v.newAdmitter()
 	v.servers = pool.New(pool.Options{
-		OnRoom:  v.admitter.Wake,
-		Now:     v.Now,
-		Draw:    rand.Float64,
-		Check:   v.connections.Check,
-		HasIdle: v.connections.HasIdle,
+		OnHeadroom: v.admitter.Wake,
+		Now:        v.Now,
+		Draw:       rand.Float64,
+		Check:      v.connections.Check,
+		HasIdle:    v.connections.HasIdle,
 		CurrentRule: func(service string, rule pool.VersionRule) pool.VersionRule {
 			return v.rollouts.follower.CurrentRule(service, rule)
 		},
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -167,7 +167,7 @@
 	Tallies     []rollout.Tally        `cbor:"25,keyasint,omitempty"`
 	Credit      *rollout.CreditRequest `cbor:"26,keyasint,omitempty"`
 	CreditReply *rollout.CreditReply   `cbor:"27,keyasint,omitempty"`
-	// Admission is sent with the loads; empty if no stream waits for room in the cell.
+	// Admission is sent with the loads; empty if no stream waits for headroom in the cell.
 	Admission []admission.Report `cbor:"28,keyasint,omitempty"`
 }
 
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -132,7 +132,7 @@
 	OnServers       func(servers []pool.Server)
 	Loads           func() []pool.Load
 	OnLoads         func(peer string, loads []pool.Load)
-	// Admission returns what this VM tells its cell of the streams that wait for room.
+	// Admission returns what this VM tells its cell of the streams that wait for headroom.
 	Admission   func() []admission.Report
 	OnAdmission func(peer string, reports []admission.Report)
 	// Copies returns those of the streams that run here. They are sent to VMs that join the cell.
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -56,7 +56,7 @@
 	servers        atomic.Int64
 	named          atomic.Pointer[pool.ServerLimit] // The limit that a server named to it.
 	rollouts       *rolloutsFake
-	waits          atomic.Pointer[admission.Report] // What waits here for room.
+	waits          atomic.Pointer[admission.Report] // What waits here for headroom.
 	waitsElsewhere sync.Map                         // The last reports of each VM.
 }
 
--- a/internal/request/admission/admitter.go
+++ b/internal/request/admission/admitter.go
@@ -10,31 +10,31 @@
 	"time"
 )
 
-// AdmitterOptions configures an Admitter. Room and Held describe the servers of a service.
+// AdmitterOptions configures an Admitter. Headroom and Held describe the servers of a service.
 // OnChange is called when the waiting streams of this VM change in a way that its peers have to
 // know, OnAdmitted when a stream got a server, with the time since which it waited, zero if it
 // did not, and OnRefused when one was refused.
 type AdmitterOptions struct {
 	Now        func() time.Time
 	Draw       func() float64
-	Room       func(service string, stream Stream) Room
+	Headroom   func(service string, stream Stream) Headroom
 	Held       func(service string) map[string]int
 	OnChange   func()
 	OnAdmitted func(service string, since time.Time)
 	OnRefused  func(service string, reason Reason)
 }
 
-// NoRoom is the error of a stream that was refused.
-type NoRoom struct {
+// NoHeadroom is the error of a stream that was refused.
+type NoHeadroom struct {
 	Refusal
 }
 
 // Error implements error.
-func (e *NoRoom) Error() string {
-	return fmt.Sprintf("no room on backend servers in time (%s)", e.Reason)
+func (e *NoHeadroom) Error() string {
+	return fmt.Sprintf("no headroom on backend servers in time (%s)", e.Reason)
 }
 
-// Admitter lets new streams wait until servers have room for them. It is safe for concurrent use.
+// Admitter lets new streams wait until servers have headroom for them. It is safe for concurrent use.
 type Admitter struct {
 	options AdmitterOptions
 
@@ -48,7 +48,7 @@
 	return &Admitter{options: options, queues: map[string]*Queue{}}
 }
 
-// Attempt is how a stream gets a server. Take looks for one with room and reports whether there is
+// Attempt is how a stream gets a server. Take looks for one with headroom and reports whether there is
 // one; if there is none and no error, the stream goes on waiting. Reserve reserves the memory of a
 // server for a stream that needs much of it, and reports whether it did; Take uses it. IsReserved
 // reports whether that memory is still reserved.
@@ -58,8 +58,8 @@
 	IsReserved func() (reserved bool)
 }
 
-// Admit calls attempt.Take when a stream may look for a server with room. The error is that of
-// Take, a *NoRoom, or that of the context.
+// Admit calls attempt.Take when a stream may look for a server with headroom. The error is that of
+// Take, a *NoHeadroom, or that of the context.
 func (a *Admitter) Admit(ctx context.Context, service string, stream Stream, attempt Attempt) error {
 	q := a.queue(service)
 	if q.IsIdle(stream.Rank) {
@@ -82,7 +82,7 @@
 	return a.await(ctx, service, q, w, attempt)
 }
 
-// Stop refuses the waiting streams within recheckInterval, and from now on those without room at
+// Stop refuses the waiting streams within recheckInterval, and from now on those without headroom at
 // once: a VM that is leaving may not outlast them, and others can take them.
 func (a *Admitter) Stop() {
 	a.mu.Lock()
@@ -103,7 +103,7 @@
 // refuse reports a refusal and returns its error.
 func (a *Admitter) refuse(service string, refusal *Refusal) error {
 	a.options.OnRefused(service, refusal.Reason)
-	return &NoRoom{Refusal: *refusal}
+	return &NoHeadroom{Refusal: *refusal}
 }
 
 // await waits for the turn of a stream.
@@ -124,7 +124,7 @@
 		if q.HasReserved(w) && !attempt.IsReserved() {
 			q.Reserved(w, false)
 		}
-		if q.LacksRoom(w) && attempt.Reserve() {
+		if q.LacksHeadroom(w) && attempt.Reserve() {
 			q.Reserved(w, true)
 			a.options.OnChange()
 		}
@@ -148,9 +148,9 @@
 	defer a.mu.Unlock()
 	q := a.queues[service]
 	if q == nil {
-		room := func(stream Stream) Room { return a.options.Room(service, stream) }
+		headroom := func(stream Stream) Headroom { return a.options.Headroom(service, stream) }
 		held := func() map[string]int { return a.options.Held(service) }
-		q = NewQueue(a.options.Now, a.options.Draw, room, held)
+		q = NewQueue(a.options.Now, a.options.Draw, headroom, held)
 		a.queues[service] = q
 	}
 	return q
@@ -168,7 +168,7 @@
 	return services
 }
 
-// Wake lets the first streams look for room.
+// Wake lets the first streams look for headroom.
 func (a *Admitter) Wake() {
 	for _, service := range a.services() {
 		a.queue(service).Wake()
--- a/internal/request/admission/admitter_test.go
+++ b/internal/request/admission/admitter_test.go
@@ -29,7 +29,7 @@
 	d.Admitter = admission.NewAdmitter(admission.AdmitterOptions{
 		Now:      time.Now,
 		Draw:     func() float64 { return 0.999 },
-		Room:     func(string, admission.Stream) admission.Room { return admission.Room{Streams: len(d.places)} },
+		Headroom: func(string, admission.Stream) admission.Headroom { return admission.Headroom{Streams: len(d.places)} },
 		Held:     func(string) map[string]int { return nil },
 		OnChange: func() {},
 		OnAdmitted: func(_ string, since time.Time) {
@@ -61,9 +61,9 @@
 	})
 }
 
-// TestAdmitterWaitsForRoom: with room a stream enters at once. Without, it waits until a place is
+// TestAdmitterWaitsForHeadroom: with headroom a stream enters at once. Without, it waits until a place is
 // free.
-func TestAdmitterWaitsForRoom(t *testing.T) {
+func TestAdmitterWaitsForHeadroom(t *testing.T) {
 	d := newDoor(1)
 	qt.Assert(t, d.enter(context.Background(), time.Now().Add(time.Minute)), qt.IsNil)
 	qt.Check(t, d.waited, qt.Equals, 0)
@@ -77,12 +77,12 @@
 	qt.Check(t, d.Reports(), qt.HasLen, 0)
 }
 
-// TestAdmitterRefuses: a stream that found no room until it had to have a server gets the reason
+// TestAdmitterRefuses: a stream that found no headroom until it had to have a server gets the reason
 // and a time to return.
 func TestAdmitterRefuses(t *testing.T) {
 	d := newDoor(0)
 	err := d.enter(context.Background(), time.Now().Add(30*time.Millisecond))
-	var refusal *admission.NoRoom
+	var refusal *admission.NoHeadroom
 	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
 	qt.Check(t, refusal.Reason, qt.Equals, admission.WaitedTooLong)
 	qt.Check(t, refusal.RetryAt.After(time.Now()), qt.IsTrue)
@@ -106,7 +106,7 @@
 	d.MergeReports("peer", []admission.Report{{Service: "llm", Waiting: []admission.WaitingTokens{{Rank: 0, Account: "b", Tokens: 1_000_000, MeanAgeMillis: 60_000}}}})
 	qt.Check(t, d.Reports(), qt.HasLen, 1)
 	err := d.enter(context.Background(), time.Now().Add(60*time.Millisecond))
-	var refusal *admission.NoRoom
+	var refusal *admission.NoHeadroom
 	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
 	d.ForgetPeers([]string{"peer"})
 	qt.Check(t, d.Reports(), qt.HasLen, 0)
@@ -114,13 +114,13 @@
 }
 
 // TestStoppedAdmitterRefusesWhatWaits: a VM that is leaving refuses those that wait, and those
-// without room at once. With room a stream enters.
+// without headroom at once. With headroom a stream enters.
 func TestStoppedAdmitterRefusesWhatWaits(t *testing.T) {
 	d := newDoor(0)
 	time.AfterFunc(20*time.Millisecond, d.Stop)
 	for range 2 {
 		err := d.enter(context.Background(), time.Now().Add(time.Minute))
-		var refusal *admission.NoRoom
+		var refusal *admission.NoHeadroom
 		qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
 		qt.Check(t, refusal.Reason, qt.Equals, admission.Stopped)
 	}
--- a/internal/request/admission/gate.go
+++ b/internal/request/admission/gate.go
@@ -14,7 +14,7 @@
 // cell report to each other:
 //
 //	admitter := admission.NewAdmitter(admission.AdmitterOptions{...})
-//	err := admitter.Admit(ctx, service, stream, attempt) // *NoRoom, or what attempt.Take returned
+//	err := admitter.Admit(ctx, service, stream, attempt) // *NoHeadroom, or what attempt.Take returned
 //
 // At a Gate, each account has a rate limit, a concurrency limit and a weight. Queued requests
 // are served by rank, and within a rank by start-time fair queueing (Goyal, Vin,
@@ -66,7 +66,7 @@
 	QueueFull
 	// Overtaken means that what goes before a waiting stream grew until it could not be in time.
 	Overtaken
-	// WaitedTooLong means that a stream found no room until it had to have a server.
+	// WaitedTooLong means that a stream found no headroom until it had to have a server.
 	WaitedTooLong
 	// Stopped means that the VM is leaving and lets no stream wait any more.
 	Stopped
--- a/internal/request/admission/load_test.go
+++ b/internal/request/admission/load_test.go
@@ -105,11 +105,11 @@
 		v.servers = pool.New(pool.Options{Now: func() time.Time { return s.now }, Draw: s.draw.Float64})
 		v.servers.SetCapacities(map[string]pool.Capacity{"llm": {CacheTokens: cacheTokens, SupportsCopies: true, UrgentObjective: 4 * time.Second}})
 		v.servers.Update(listed)
-		room := func(stream admission.Stream) admission.Room {
+		headroom := func(stream admission.Stream) admission.Headroom {
 			demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
-			return admission.Room(v.servers.Room("llm", pool.Need{Demand: demand, Rank: stream.Rank, FirstEventBy: stream.FirstEventBy}))
+			return admission.Headroom(v.servers.Headroom("llm", pool.Need{Demand: demand, Rank: stream.Rank, FirstEventBy: stream.FirstEventBy}))
 		}
-		v.queue = admission.NewQueue(func() time.Time { return s.now }, s.draw.Float64, room, func() map[string]int { return v.servers.HeldByAccount("llm") })
+		v.queue = admission.NewQueue(func() time.Time { return s.now }, s.draw.Float64, headroom, func() map[string]int { return v.servers.HeldByAccount("llm") })
 		s.vms = append(s.vms, v)
 	}
 	return s
@@ -162,10 +162,10 @@
 func (v *entryVM) take(r *run, stream admission.Stream) bool {
 	demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
 	lease, _, err := v.servers.AcquireForStream(pool.Criteria{
-		Service: "llm", Demand: demand, RequireRoom: true, FirstEventBy: stream.FirstEventBy, Account: stream.Account, Rank: stream.Rank,
+		Service: "llm", Demand: demand, RequireHeadroom: true, FirstEventBy: stream.FirstEventBy, Account: stream.Account, Rank: stream.Rank,
 		WithoutCopy: !v.queue.GetsCopy(stream), Reservation: r.reservation,
 	})
-	if errors.Is(err, pool.ErrNoRoom) {
+	if errors.Is(err, pool.ErrNoHeadroom) {
 		return false
 	}
 	if err != nil {
@@ -177,7 +177,7 @@
 	return true
 }
 
-// pump lets the waiting streams take room, and refuses those that are too late.
+// pump lets the waiting streams take headroom, and refuses those that are too late.
 func (v *entryVM) pump() {
 	v.waiting = slices.DeleteFunc(v.waiting, func(w waitingRun) bool {
 		ends := v.look(w)
@@ -199,7 +199,7 @@
 		}
 		v.queue.Missed(w.Waiter)
 	}
-	if v.queue.LacksRoom(w.Waiter) {
+	if v.queue.LacksHeadroom(w.Waiter) {
 		demand := placement.Demand{PromptTokens: w.PromptTokens, OutputTokens: w.OutputTokens}
 		if w.run.reservation = v.servers.Reserve(pool.Criteria{Service: "llm", Demand: demand}); w.run.reservation != nil {
 			v.queue.Reserved(w.Waiter, true)
--- a/internal/request/admission/queue.go
+++ b/internal/request/admission/queue.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// roundInterval is the time between two divisions of the free room among the VMs of a cell.
+	// roundInterval is the time between two divisions of the free headroom among the VMs of a cell.
 	// Within it they receive what the others have taken.
 	roundInterval = 25 * time.Millisecond
 	// recheckInterval is how often a waiting stream is checked for whether it is still in time.
@@ -16,7 +16,7 @@
 	// when it arrives. The rest is for more urgent ones that arrive later.
 	arrivalFraction = 0.5
 	// rankFraction of the rounds serve a random rank of those that wait first, so that a more
-	// urgent rank that takes all room does not starve the others.
+	// urgent rank that takes all headroom does not starve the others.
 	rankFraction = 0.05
 	// newestWeight is the weight of the newest stream in what each rank lately got.
 	newestWeight = 0.05
@@ -26,7 +26,7 @@
 	maxRetryDelay = 5 * time.Second
 )
 
-// Stream is a new stream that needs room on a server. It is refused if it has no server until
+// Stream is a new stream that needs headroom on a server. It is refused if it has no server until
 // StartBy. Since is when its caller began to wait, which may be before this attempt.
 type Stream struct {
 	Account      string
@@ -43,17 +43,17 @@
 	return max(s.PromptTokens+s.OutputTokens, 1)
 }
 
-// Room is the room on the servers of a VM's cell: the number of streams like the given one that
+// Headroom is the headroom on the servers of a VM's cell: the number of streams like the given one that
 // fit, and the rate in tokens at which memory is freed, 0 if that is not known.
-type Room struct {
+type Headroom struct {
 	Streams        int
 	FreedPerSecond float64
 	LostLately     bool // A server was lost lately, so that more may be.
 	FreeTokens     int  // The most free memory of a server.
-	Unbounded      bool // Streams needn't wait for room: no server is up, or none could ever fit one.
+	Unbounded      bool // Streams needn't wait for headroom: no server is up, or none could ever fit one.
 }
 
-// Waiter is a stream that waits for room. Wake receives a value when it may be its turn.
+// Waiter is a stream that waits for headroom. Wake receives a value when it may be its turn.
 type Waiter struct {
 	Stream
 	Wake      chan struct{}
@@ -63,35 +63,35 @@
 	reserved bool
 }
 
-// Queue decides which of the streams of one service on one VM gets room, and when. The VMs of a
-// cell report to each other what waits there, and each takes a share of the room that becomes
-// free. Queue is safe for concurrent use. Room and Held describe the cell and this VM; both may
+// Queue decides which of the streams of one service on one VM gets headroom, and when. The VMs of a
+// cell report to each other what waits there, and each takes a share of the headroom that becomes
+// free. Queue is safe for concurrent use. Headroom and Held describe the cell and this VM; both may
 // be called with Queue's lock held.
 type Queue struct {
-	Now  func() time.Time
-	Draw func() float64 // Random numbers in [0, 1).
-	Room func(Stream) Room
-	Held func() map[string]int // Tokens of the running streams of this VM, by account.
-
-	mu           sync.Mutex
-	waiting      []*Waiter
-	peers        map[string]peerReport
-	lastSequence int
-	held         map[string]int // Tokens of the running streams of the cell, by account.
-	freed        float64        // Room.FreedPerSecond of the last round.
-	freeTokens   int            // Room.FreeTokens of the last round.
-	roundUntil   time.Time
-	lacksRoom    bool // No server has room for the first stream in this round.
-	allotment    int  // Streams that this VM may still send in this round.
-	isReordered  bool // In this round the rank preferred goes first.
-	preferred    int
-	retryAt      map[int]time.Time // When the caller that was refused last is to return, by rank.
-	served       map[int]float64   // Tokens of the latest streams that got a server, by rank.
+	Now      func() time.Time
+	Draw     func() float64 // Random numbers in [0, 1).
+	Headroom func(Stream) Headroom
+	Held     func() map[string]int // Tokens of the running streams of this VM, by account.
+
+	mu            sync.Mutex
+	waiting       []*Waiter
+	peers         map[string]peerReport
+	lastSequence  int
+	held          map[string]int // Tokens of the running streams of the cell, by account.
+	freed         float64        // Headroom.FreedPerSecond of the last round.
+	freeTokens    int            // Headroom.FreeTokens of the last round.
+	roundUntil    time.Time
+	lacksHeadroom bool // No server has headroom for the first stream in this round.
+	allotment     int  // Streams that this VM may still send in this round.
+	isReordered   bool // In this round the rank preferred goes first.
+	preferred     int
+	retryAt       map[int]time.Time // When the caller that was refused last is to return, by rank.
+	served        map[int]float64   // Tokens of the latest streams that got a server, by rank.
 }
 
 // NewQueue returns an empty queue.
-func NewQueue(now func() time.Time, draw func() float64, room func(Stream) Room, held func() map[string]int) *Queue {
-	return &Queue{Now: now, Draw: draw, Room: room, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, retryAt: map[int]time.Time{}, served: map[int]float64{}}
+func NewQueue(now func() time.Time, draw func() float64, headroom func(Stream) Headroom, held func() map[string]int) *Queue {
+	return &Queue{Now: now, Draw: draw, Headroom: headroom, Held: held, peers: map[string]peerReport{}, held: map[string]int{}, retryAt: map[int]time.Time{}, served: map[int]float64{}}
 }
 
 // IsIdle reports whether nothing waits in the cell that goes before a new stream of a rank.
@@ -112,7 +112,7 @@
 }
 
 // GetsCopy reports whether a stream that begins now gets a copy of its memory, which takes as much
-// room as a stream. While others wait, the least urgent ones get none. Where servers are being lost
+// headroom as a stream. While others wait, the least urgent ones get none. Where servers are being lost
 // they do, unless streams of their rank are refused meanwhile: a copy protects one stream only.
 func (q *Queue) GetsCopy(stream Stream) bool {
 	q.mu.Lock()
@@ -126,7 +126,7 @@
 	if !waits || stream.Rank < least {
 		return true
 	}
-	if !q.Room(stream).LostLately {
+	if !q.Headroom(stream).LostLately {
 		return false
 	}
 	stream.StartBy = now.Add(stream.StartBy.Sub(stream.Since))
@@ -146,20 +146,20 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.Now()
-	room := q.Room(stream)
-	q.freed, q.freeTokens = room.FreedPerSecond, room.FreeTokens
+	headroom := q.Headroom(stream)
+	q.freed, q.freeTokens = headroom.FreedPerSecond, headroom.FreeTokens
 	q.updateHeld(now)
 	q.lastSequence++
 	w := &Waiter{Stream: stream, Wake: make(chan struct{}, 1), recheckAt: now.Add(recheckInterval), sequence: q.lastSequence}
-	wait := q.expectedWait(w, room.Streams, now)
-	if !room.Unbounded && q.isTooLate(w, wait, now) {
+	wait := q.expectedWait(w, headroom.Streams, now)
+	if !headroom.Unbounded && q.isTooLate(w, wait, now) {
 		return nil, q.refuse(w, WouldMissDeadline, wait, now)
 	}
 	q.waiting = append(q.waiting, w)
 	return w, nil
 }
 
-// MayTake reports whether it is the stream's turn to look for a server with room.
+// MayTake reports whether it is the stream's turn to look for a server with headroom.
 func (q *Queue) MayTake(w *Waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -173,12 +173,12 @@
 	return q.allotment > 0 || w.reserved
 }
 
-// LacksRoom reports whether it is the stream's turn, but no server of the cell has room for it. It
+// LacksHeadroom reports whether it is the stream's turn, but no server of the cell has headroom for it. It
 // may then reserve memory.
-func (q *Queue) LacksRoom(w *Waiter) bool {
+func (q *Queue) LacksHeadroom(w *Waiter) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return !w.reserved && q.first() == w && q.lacksRoom
+	return !w.reserved && q.first() == w && q.lacksHeadroom
 }
 
 // Reserved records whether memory is reserved for a stream.
@@ -216,7 +216,7 @@
 	}
 }
 
-// Recheck returns the refusal of a waiting stream that can't get room in time any more, and nil
+// Recheck returns the refusal of a waiting stream that can't get headroom in time any more, and nil
 // if it goes on waiting.
 func (q *Queue) Recheck(w *Waiter) *Refusal {
 	q.mu.Lock()
@@ -247,7 +247,7 @@
 	q.wakeFirst()
 }
 
-// Wake lets the first stream look for room, for instance since some was freed.
+// Wake lets the first stream look for headroom, for instance since some was freed.
 func (q *Queue) Wake() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -308,7 +308,7 @@
 }
 
 // startRound decides which stream of this VM is the first, and how many it may send until the next
-// round. It leaves as much room as those need that go before the first one at other VMs, and
+// round. It leaves as much headroom as those need that go before the first one at other VMs, and
 // shares the rest with their equals there, unless there is enough for all. What is left over by all of
 // them is divided in the next round.
 func (q *Queue) startRound(now time.Time) {
@@ -321,10 +321,10 @@
 	q.isReordered = q.Draw() < rankFraction
 	q.preferred = q.waiting[int(q.Draw()*float64(len(q.waiting)))].Rank
 	first := q.first()
-	room := q.Room(first.Stream)
-	q.freed, q.freeTokens = room.FreedPerSecond, room.FreeTokens
-	q.lacksRoom = room.Streams == 0 && !room.Unbounded
-	if room.Unbounded {
+	headroom := q.Headroom(first.Stream)
+	q.freed, q.freeTokens = headroom.FreedPerSecond, headroom.FreeTokens
+	q.lacksHeadroom = headroom.Streams == 0 && !headroom.Unbounded
+	if headroom.Unbounded {
 		q.allotment = len(q.waiting)
 		return
 	}
@@ -333,7 +333,7 @@
 	if q.isReordered {
 		before = elsewhere.inRank
 	}
-	left := float64(room.Streams) - float64(before)/float64(first.Tokens())
+	left := float64(headroom.Streams) - float64(before)/float64(first.Tokens())
 	if left <= 0 {
 		return
 	}
@@ -390,7 +390,7 @@
 	return sum
 }
 
-// expectedWait estimates how long a stream waits if there is room for some streams already.
+// expectedWait estimates how long a stream waits if there is headroom for some streams already.
 func (q *Queue) expectedWait(w *Waiter, free int, now time.Time) time.Duration {
 	if q.freed <= 0 {
 		return 0
@@ -421,7 +421,7 @@
 	return min(inTurn, reordered)
 }
 
-// leftFor returns the fraction of the freed room that streams more urgent than a rank leave to it,
+// leftFor returns the fraction of the freed headroom that streams more urgent than a rank leave to it,
 // as far as they lately did.
 func (q *Queue) leftFor(rank int) float64 {
 	total, urgent := 0.0, 0.0
@@ -448,7 +448,7 @@
 }
 
 // refuse returns the refusal of a stream that would have to wait for a time. Callers are asked to
-// return when room is expected for them, spread over the room that becomes free: after those of their own
+// return when headroom is expected for them, spread over the headroom that becomes free: after those of their own
 // rank and more urgent ones that were refused before.
 func (q *Queue) refuse(w *Waiter, reason Reason, wait time.Duration, now time.Time) *Refusal {
 	at := now.Add(max(wait-w.StartBy.Sub(now), minRetryDelay))
--- a/internal/request/admission/queue_test.go
+++ b/internal/request/admission/queue_test.go
@@ -9,17 +9,17 @@
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 )
 
-// cellOfTest is the view of one queue: a clock, a cell with some room, and a draw that gives each
+// cellOfTest is the view of one queue: a clock, a cell with some headroom, and a draw that gives each
 // VM no more than its whole shares and never reorders ranks.
 type cellOfTest struct {
 	clock
-	room admission.Room
-	held map[string]int
+	headroom admission.Headroom
+	held     map[string]int
 }
 
 func newQueue() (*admission.Queue, *cellOfTest) {
 	c := &cellOfTest{clock: clock{at: time.Unix(1000, 0)}, held: map[string]int{}}
-	q := admission.NewQueue(c.now, func() float64 { return 0.999 }, func(admission.Stream) admission.Room { return c.room }, func() map[string]int { return c.held })
+	q := admission.NewQueue(c.now, func() float64 { return 0.999 }, func(admission.Stream) admission.Headroom { return c.headroom }, func() map[string]int { return c.held })
 	return q, c
 }
 
@@ -35,10 +35,10 @@
 	return w
 }
 
-// nextRound gives the VM new free room.
+// nextRound gives the VM new free headroom.
 func (c *cellOfTest) nextRound(streams int) {
 	c.at = c.at.Add(30 * time.Millisecond)
-	c.room.Streams = streams
+	c.headroom.Streams = streams
 }
 
 // TestOrderOfWaiters: rank goes first, then the account that holds less, then the older stream.
@@ -61,8 +61,8 @@
 	}
 }
 
-// TestRoomIsHeldBackForMoreUrgentWaitersElsewhere: they have more room than is free, then less.
-func TestRoomIsHeldBackForMoreUrgentWaitersElsewhere(t *testing.T) {
+// TestHeadroomIsHeldBackForMoreUrgentWaitersElsewhere: they have more headroom than is free, then less.
+func TestHeadroomIsHeldBackForMoreUrgentWaitersElsewhere(t *testing.T) {
 	q, c := newQueue()
 	w := join(t, q, c.newStream("a", 2))
 	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Account: "b", Tokens: 2000}}})
@@ -75,7 +75,7 @@
 	qt.Check(t, q.MayTake(w), qt.IsTrue)
 }
 
-// TestReportsOfSilentVMsExpire: a VM that was frozen holds back room for some seconds only.
+// TestReportsOfSilentVMsExpire: a VM that was frozen holds back headroom for some seconds only.
 func TestReportsOfSilentVMsExpire(t *testing.T) {
 	q, c := newQueue()
 	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Tokens: 1_000_000}}})
@@ -85,9 +85,9 @@
 	qt.Check(t, q.IsIdle(2), qt.IsTrue)
 }
 
-// TestEqualsShareTheRoom: of two VMs with the same waiters each takes half, and the one whose
+// TestEqualsShareTheHeadroom: of two VMs with the same waiters each takes half, and the one whose
 // waiters are older takes nearly all.
-func TestEqualsShareTheRoom(t *testing.T) {
+func TestEqualsShareTheHeadroom(t *testing.T) {
 	for _, test := range []struct {
 		ageElsewhere time.Duration
 		taken        int
@@ -111,19 +111,19 @@
 	}
 }
 
-// TestHopelessStreamsAreRefused: a second of the room that becomes free is needed by each stream,
+// TestHopelessStreamsAreRefused: a second of the headroom that becomes free is needed by each stream,
 // and callers wait for 4 s at most. The third on arrival would wait too long already, and those that
 // wait do once more urgent ones have come.
 func TestHopelessStreamsAreRefused(t *testing.T) {
 	q, c := newQueue()
-	c.room.FreedPerSecond = 1000
+	c.headroom.FreedPerSecond = 1000
 	first := join(t, q, c.newStream("a", 2))
 	second := join(t, q, c.newStream("a", 2))
 	_, refusal := q.Join(c.newStream("a", 2))
 	qt.Assert(t, refusal, qt.IsNotNil)
 	qt.Check(t, refusal.Reason, qt.Equals, admission.WouldMissDeadline)
 	_, next := q.Join(c.newStream("a", 2))
-	qt.Check(t, next.RetryAt.Sub(refusal.RetryAt) >= time.Second, qt.IsTrue, qt.Commentf("callers return as room becomes free"))
+	qt.Check(t, next.RetryAt.Sub(refusal.RetryAt) >= time.Second, qt.IsTrue, qt.Commentf("callers return as headroom becomes free"))
 	c.nextRound(0)
 	c.at = c.at.Add(time.Second)
 	qt.Check(t, q.Recheck(first), qt.IsNil)
@@ -164,7 +164,7 @@
 // copies cause no refusals.
 func TestStreamsGetCopiesWhereServersAreLost(t *testing.T) {
 	q, c := newQueue()
-	c.room = admission.Room{FreedPerSecond: 1000, LostLately: true}
+	c.headroom = admission.Headroom{FreedPerSecond: 1000, LostLately: true}
 	q.Leave(join(t, q, c.newStream("a", 2)))
 	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 2, Account: "a", Tokens: 500}}})
 	qt.Check(t, q.GetsCopy(c.newStream("a", 2)), qt.IsTrue)
@@ -188,19 +188,19 @@
 	qt.Check(t, report, qt.DeepEquals, admission.Report{Service: "llm", Waiting: []admission.WaitingTokens{}, Held: []admission.AccountTokens{{Account: "a", Tokens: 7000}}})
 }
 
-// TestWaitersTakeWhereRoomIsNoCriterion: the servers of the cell went down while streams waited, or
+// TestWaitersTakeWhereHeadroomIsNoCriterion: the servers of the cell went down while streams waited, or
 // the first of them is larger than any server. They look for a server in the next round.
-func TestWaitersTakeWhereRoomIsNoCriterion(t *testing.T) {
+func TestWaitersTakeWhereHeadroomIsNoCriterion(t *testing.T) {
 	q, c := newQueue()
 	first, second := join(t, q, c.newStream("a", 2)), join(t, q, c.newStream("a", 2))
 	q.MergeReport("peer", admission.Report{Waiting: []admission.WaitingTokens{{Rank: 1, Tokens: 1_000_000}}})
 	c.nextRound(0)
 	qt.Check(t, q.MayTake(first), qt.IsFalse)
-	c.room.Unbounded = true
+	c.headroom.Unbounded = true
 	c.nextRound(0)
 	for _, w := range []*admission.Waiter{first, second} {
 		qt.Check(t, q.MayTake(w), qt.IsTrue)
-		qt.Check(t, q.LacksRoom(w), qt.IsFalse)
+		qt.Check(t, q.LacksHeadroom(w), qt.IsFalse)
 		q.Took(w.Stream)
 		q.Leave(w)
 	}
@@ -211,7 +211,7 @@
 // of those after both.
 func TestRetryOfUrgentCallersIsNotBehindOthers(t *testing.T) {
 	q, c := newQueue()
-	c.room.FreedPerSecond = 1000
+	c.headroom.FreedPerSecond = 1000
 	for range 2 {
 		join(t, q, c.newStream("a", 0))
 	}
@@ -246,7 +246,7 @@
 // and frees that within a second. Its memory as a whole would take more than the stream may wait.
 func TestLargeStreamWaitsForTheRestInCalm(t *testing.T) {
 	q, c := newQueue()
-	c.room = admission.Room{FreedPerSecond: 200, FreeTokens: 800}
+	c.headroom = admission.Headroom{FreedPerSecond: 200, FreeTokens: 800}
 	w := join(t, q, c.newStream("a", 2))
 	c.at = c.at.Add(200 * time.Millisecond)
 	qt.Check(t, q.MayTake(w), qt.IsFalse)
@@ -255,9 +255,9 @@
 	qt.Check(t, refusal, qt.IsNotNil, qt.Commentf("the free part is for the first"))
 }
 
-// TestRoomForAllIsTaken: an older equal at a VM that is frozen claims nearly all room, but needs little
+// TestHeadroomForAllIsTaken: an older equal at a VM that is frozen claims nearly all headroom, but needs little
 // of it. There is enough for all, so that none waits.
-func TestRoomForAllIsTaken(t *testing.T) {
+func TestHeadroomForAllIsTaken(t *testing.T) {
 	q, c := newQueue()
 	waiters := []*admission.Waiter{}
 	for range 4 {
--- a/internal/request/admission/report.go
+++ b/internal/request/admission/report.go
@@ -30,7 +30,7 @@
 	Tokens  int    `cbor:"2,keyasint"`
 }
 
-// Report is what a VM tells its cell of a service while streams wait for room.
+// Report is what a VM tells its cell of a service while streams wait for headroom.
 type Report struct {
 	Service string          `cbor:"1,keyasint"`
 	Waiting []WaitingTokens `cbor:"2,keyasint,omitempty"`
@@ -103,7 +103,7 @@
 	})
 }
 
-// claims returns how strongly the streams of a rank claim the free room: here, and on the other
+// claims returns how strongly the streams of a rank claim the free headroom: here, and on the other
 // VMs. A claim grows with the time that a stream has waited, so that those that arrived first on
 // any VM mostly go first.
 func (q *Queue) claims(rank int, now time.Time) (own, elsewhere float64) {
--- a/internal/request/relay/room.go
+++ b/internal/request/relay/headroom.go
@@ -11,13 +11,13 @@
 )
 
 // waitFraction of the time until its first event is due is how long a new stream waits for a server
-// with room at most. The rest is for its prompt, which is read beside others.
+// with headroom at most. The rest is for its prompt, which is read beside others.
 const waitFraction = 0.5
 
 // errBlocked means that requests with the traits of the stream crash servers.
 const errBlocked = errors.ConstError("requests with its traits crash servers")
 
-// acquire acquires a server for the next run. A new stream may have to wait for one with room. One
+// acquire acquires a server for the next run. A new stream may have to wait for one with headroom. One
 // that continues something has waited before, and would cost more if it were given up.
 func (s *stream) acquire(ctx context.Context, criteria pool.Criteria) (lease *pool.Lease, backup *pool.Server, err error) {
 	criteria.Account = s.request.Account
@@ -26,7 +26,7 @@
 	}
 	since, firstEventBy := waitingSince(s.request)
 	rank := s.request.Route.Rank(s.request.Priority)
-	criteria.RequireRoom, criteria.FirstEventBy, criteria.Rank = true, firstEventBy, rank
+	criteria.RequireHeadroom, criteria.FirstEventBy, criteria.Rank = true, firstEventBy, rank
 	stream := admission.Stream{
 		Account:      s.request.Account,
 		Rank:         rank,
@@ -46,7 +46,7 @@
 			}
 			criteria.WithoutCopy, criteria.Versions = !copied, s.renewVersions()
 			lease, backup, err = s.relay.options.Servers.AcquireForStream(criteria)
-			if errors.Is(err, pool.ErrNoRoom) {
+			if errors.Is(err, pool.ErrNoHeadroom) {
 				return false, nil
 			}
 			return err == nil, err
@@ -88,12 +88,12 @@
 		}
 		return &NotRun{Kind: RefusalCrashes, Reason: err.Error(), RetryAt: s.relay.options.Now().Add(retryDelay)}
 	}
-	var refusal *admission.NoRoom
+	var refusal *admission.NoHeadroom
 	if errors.As(err, &refusal) && refusal.Reason == admission.Stopped {
-		return &NotRun{Kind: RefusalLeaving, Reason: "this VM is leaving, and no server has room now", RetryAt: refusal.RetryAt}
+		return &NotRun{Kind: RefusalLeaving, Reason: "this VM is leaving, and no server has headroom now", RetryAt: refusal.RetryAt}
 	}
 	if refusal != nil {
-		return &NotRun{Kind: RefusalNoRoom, Reason: refusal.Error(), RetryAt: refusal.RetryAt}
+		return &NotRun{Kind: RefusalNoHeadroom, Reason: refusal.Error(), RetryAt: refusal.RetryAt}
 	}
 	return s.relay.noServer(s.request, s.versions.rule)
 }
--- a/internal/request/relay/room_test.go
+++ b/internal/request/relay/headroom_test.go
@@ -17,7 +17,7 @@
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
-// largeDemand leaves no room for a second stream of its kind on a server of these tests.
+// largeDemand leaves no headroom for a second stream of its kind on a server of these tests.
 var largeDemand = placement.Demand{PromptTokens: 60_000, OutputTokens: 1000}
 
 // admit lets the rig's relay admit new streams.
@@ -25,9 +25,9 @@
 	g.admitter = admission.NewAdmitter(admission.AdmitterOptions{
 		Now:  time.Now,
 		Draw: func() float64 { return 0.5 },
-		Room: func(service string, stream admission.Stream) admission.Room {
+		Headroom: func(service string, stream admission.Stream) admission.Headroom {
 			demand := placement.Demand{PromptTokens: stream.PromptTokens, OutputTokens: stream.OutputTokens}
-			return admission.Room(g.servers.Room(service, pool.Need{Demand: demand, FirstEventBy: stream.FirstEventBy}))
+			return admission.Headroom(g.servers.Headroom(service, pool.Need{Demand: demand, FirstEventBy: stream.FirstEventBy}))
 		},
 		Held:       g.servers.HeldByAccount,
 		OnChange:   func() {},
@@ -43,9 +43,9 @@
 	return r
 }
 
-// TestNewStreamIsRefusedWithoutRoom fills the only server. A new stream waits for half of its
+// TestNewStreamIsRefusedWithoutHeadroom fills the only server. A new stream waits for half of its
 // objective, and is refused without having been sent.
-func TestNewStreamIsRefusedWithoutRoom(t *testing.T) {
+func TestNewStreamIsRefusedWithoutHeadroom(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": events(3, complete)})
 	g.admit()
 	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
@@ -55,13 +55,13 @@
 	err = g.relay.Stream(context.Background(), largeRequest(100*time.Millisecond), c.sink())
 	var refusal *relay.NotRun
 	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v", err))
-	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalNoRoom)
+	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalNoHeadroom)
 	qt.Check(t, refusal.RetryAt.IsZero(), qt.IsFalse)
 	qt.Check(t, g.seen(), qt.HasLen, 0)
 }
 
-// TestNewStreamWaitsForRoom: it is sent once the stream ends that fills the only server.
-func TestNewStreamWaitsForRoom(t *testing.T) {
+// TestNewStreamWaitsForHeadroom: it is sent once the stream ends that fills the only server.
+func TestNewStreamWaitsForHeadroom(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": events(3, complete)})
 	g.admit()
 	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
@@ -72,9 +72,9 @@
 	qt.Check(t, c.words(), qt.Equals, wordsTo(3))
 }
 
-// TestContinuedStreamNeedsNoRoom: a caller that returns for the rest of its stream is sent to a
+// TestContinuedStreamNeedsNoHeadroom: a caller that returns for the rest of its stream is sent to a
 // full server.
-func TestContinuedStreamNeedsNoRoom(t *testing.T) {
+func TestContinuedStreamNeedsNoHeadroom(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": events(3, complete)})
 	g.admit()
 	other, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand})
@@ -106,7 +106,7 @@
 }
 
 // TestStreamThatIsBlockedWhileItWaitsIsNotSent: servers crash under a part of its prompt while it
-// waits for room.
+// waits for headroom.
 func TestStreamThatIsBlockedWhileItWaitsIsNotSent(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": events(3, complete)})
 	g.admit()
@@ -143,7 +143,7 @@
 }
 
 // TestWaitingStreamFollowsTheRollOut: the version that a stream was to go to is rolled back while it
-// waits for room. It goes to the other one.
+// waits for headroom. It goes to the other one.
 func TestWaitingStreamFollowsTheRollOut(t *testing.T) {
 	g := newRig(t, map[string]script{"a1": events(3, complete), "b1": events(3, complete)})
 	for i := range g.listed {
@@ -163,7 +163,7 @@
 	g.admit()
 	leases := map[string]*pool.Lease{}
 	for range 2 {
-		lease, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand, WithoutCopy: true, RequireRoom: true})
+		lease, _, err := g.servers.AcquireForStream(pool.Criteria{Service: "s", Demand: largeDemand, WithoutCopy: true, RequireHeadroom: true})
 		qt.Assert(t, err, qt.IsNil)
 		leases[lease.Server.ID] = lease
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -131,7 +131,7 @@
 	RefusalCrashes         Refusal = "crashesServers"
 	RefusalPart            Refusal = "partCrashesServers"
 	RefusalDeadline        Refusal = "timeIsUp"
-	RefusalNoRoom          Refusal = "noRoom"
+	RefusalNoHeadroom      Refusal = "noHeadroom"
 )
 
 // NotRun means that no server has run the request or ever will. RetryAt is when a server
@@ -166,7 +166,7 @@
 // Options configures a Relay.
 type Options struct {
 	Servers *pool.Pool
-	// Admitter lets new streams wait until a server has room; nil sends them at once.
+	// Admitter lets new streams wait until a server has headroom; nil sends them at once.
 	Admitter    *admission.Admitter
 	Connections *http1.Pool
 	Logger      hclog.Logger
