Time alone leads no version on of which hardly anything is known

Cause: VMs that were killed took the tallies and the reserved credits with them. Change: with requests, but fewer than three known outcomes of the new version, canary and load go on; at the deadline the roll-out is rolled back. A service without requests is completed as before. Measured: TestCoordinatorRollsBack has the case and failed before (retire).

--- a/internal/backend/rollout/coordinator_test.go
+++ b/internal/backend/rollout/coordinator_test.go
@@ -96,9 +96,15 @@
 		play   func(d *desk)
 		reason string
 	}{
-		"withdrawn":                     {withdrawn, &shift, func(d *desk) { d.at(7000) }, "the order was withdrawn"},
-		"no server by the deadline":     {order, &canary, func(d *desk) { d.newServers = 0; d.until(0, 12_000) }, "the new version had no server by the deadline"},
-		"servers are lost":              {order, &canary, func(d *desk) { d.at(0); d.newServers = 0; d.until(100, 3100) }, "no server of the new version accepts work"},
+		"withdrawn":                 {withdrawn, &shift, func(d *desk) { d.at(7000) }, "the order was withdrawn"},
+		"no server by the deadline": {order, &canary, func(d *desk) { d.newServers = 0; d.until(0, 12_000) }, "the new version had no server by the deadline"},
+		"servers are lost":          {order, &canary, func(d *desk) { d.at(0); d.newServers = 0; d.until(100, 3100) }, "no server of the new version accepts work"},
+		"outcomes were lost": {order, &canary, func(d *desk) {
+			for now := int64(0); now <= 12_000; now += 100 {
+				d.coordinator.ApplyTally(rollout.Tally{VM: "vm-1", Service: service, Era: order.Era, Revision: order.Revision, Sequence: uint64(now + 1), Requests: int(now / 50)})
+				d.at(now)
+			}
+		}, "the version was not judged by the deadline"},
 		"not judged, the store was off": {order, &canary, func(d *desk) { d.at(12_500) }, "the version was not judged by the deadline"},
 	}
 	for name, test := range cases {
--- a/internal/backend/rollout/judgement.go
+++ b/internal/backend/rollout/judgement.go
@@ -234,14 +234,12 @@
 	return len(j.routes) > 0
 }
 
-// hasOutcomes reports whether the new version has answered anything.
-func (j *judgement) hasOutcomes() bool {
+// newOutcomes returns how many answers of the new version are known.
+func (j *judgement) newOutcomes() (count int) {
 	for _, route := range j.routes {
-		if route.total[kindFailure].newOutcomes > 0 {
-			return true
-		}
+		count += route.total[kindFailure].newOutcomes
 	}
-	return false
+	return count
 }
 
 // reason describes the strongest evidence against the new version.
--- a/internal/backend/rollout/stages.go
+++ b/internal/backend/rollout/stages.go
@@ -183,13 +183,13 @@
 func (c *Coordinator) afterCanary() (stage Stage, reason string) {
 	elapsed := c.elapsed()
 	latest := canaryLatest
-	if !c.judgement.hasOutcomes() {
+	if c.judgement.newOutcomes() == 0 {
 		latest = idleEnd
 	}
 	switch {
 	case elapsed >= canaryEnd && c.isGood():
 		return StageLoad, reasonEvidence
-	case elapsed >= latest:
+	case elapsed >= latest && !c.isUnknown():
 		return StageLoad, reasonTime
 	default:
 		return StageCanary, ""
@@ -201,7 +201,7 @@
 	switch {
 	case inStage >= loadMin && c.isGood():
 		return StageShift, reasonEvidence
-	case inStage >= loadTime:
+	case inStage >= loadTime && !c.isUnknown():
 		return StageShift, reasonTime
 	default:
 		return StageLoad, ""
@@ -231,6 +231,12 @@
 	return StageRetire, ""
 }
 
+// isUnknown reports whether the service has requests, but hardly any outcome of the new version is known:
+// VMs that knew more, or held the credits, were lost. Called with the lock held.
+func (c *Coordinator) isUnknown() bool {
+	return c.judgement.newOutcomes() < fewOutcomes && c.received.requests() >= fewOutcomes
+}
+
 // isGood reports whether there is evidence for the new version. Called with the lock held.
 func (c *Coordinator) isGood() bool {
 	return c.judgement.isGood(c.judgesSlowness()) && !c.judgement.leansAgainst(c.elapsed())
--- a/internal/backend/rollout/times.go
+++ b/internal/backend/rollout/times.go
@@ -18,3 +18,6 @@
 
 // missingTime is how long, in milliseconds, a VM must be gone until its work counts as ended.
 const missingTime = 3000
+
+// fewOutcomes is the number of outcomes of the new version without which time alone doesn't lead on.
+const fewOutcomes = 3
