--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -149,14 +149,14 @@
 }
 
 // chooseForCopy chooses the holder of a stream's copy in the same way; nil if no server
-// has capacity. It has the version of the stream's server, unless the stream is to leave that
-// version. Called with the lock held.
+// has capacity. It has the version of the stream's server, as the stream can't go on at another.
+// Called with the lock held.
 func (p *Pool) chooseForCopy(criteria Criteria, chosen *server, now time.Time) *server {
-	filter := p.versionFilter(criteria.Service, criteria.Versions.unbounded())
-	usable := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, filter, now, true)
-	if filter != nil && !filter.rule.Avoids(chosen.Version) {
-		usable = usable.ofVersion(chosen.Version)
+	if p.versionFilter(criteria.Service, VersionRule{Exact: true, Only: chosen.Version}).excludes(chosen) {
+		return nil
 	}
+	usable := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, nil, now, true)
+	usable = usable.ofVersion(chosen.Version)
 	for i, s := range usable.servers {
 		// The stream could not continue there once the limit is reached.
 		usable.candidates[i].Avoided = usable.candidates[i].Avoided || s.limited
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -87,7 +87,7 @@
 // ReplaceCopyHolder chooses another holder for the stream's copy; nil if no server has
 // capacity. The channel lost is closed when that holder is lost. CopyLost is about the
 // first holder only.
-func (l *Lease) ReplaceCopyHolder(versions VersionRule) (holder *Server, lost chan struct{}) {
+func (l *Lease) ReplaceCopyHolder() (holder *Server, lost chan struct{}) {
 	p := l.pool
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -95,7 +95,7 @@
 		return nil, nil
 	}
 	l.releaseCopyHolder()
-	chosen := p.chooseForCopy(Criteria{Service: l.Server.Service, Demand: l.demand, Versions: versions}, l.server, p.options.Now())
+	chosen := p.chooseForCopy(Criteria{Service: l.Server.Service, Demand: l.demand}, l.server, p.options.Now())
 	if chosen == nil {
 		return nil, nil
 	}
@@ -106,6 +106,13 @@
 	return &entry, l.copyLost
 }
 
+// Version returns the version of the server; "" while it is not known.
+func (l *Lease) Version() string {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return l.server.Version
+}
+
 // IsLeaving reports whether the stream's server is shutting down or no longer listed.
 func (l *Lease) IsLeaving() bool {
 	l.pool.mu.Lock()
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -50,10 +50,16 @@
 	Cold bool `cbor:",omitempty"`
 }
 
-// VersionRule limits a choice to servers of some versions, while a roll-out is under way. The zero
-// value limits nothing. Servers of version Prefer are chosen if one of them takes the work, and
-// others if none does. Servers of the versions Avoid are chosen only if no other server is listed.
+// VersionRule limits a choice to servers of some versions: for a stream that has begun, and while a
+// roll-out is under way. The zero value limits nothing. Servers of version Prefer are chosen if one of
+// them takes the work, and others if none does. Servers of the versions Avoid are chosen only if no
+// other server is listed.
 type VersionRule struct {
+	// Exact limits the choice to servers of version Only, also while none is listed. Versions in Avoid
+	// are then excluded, and the other fields have no effect.
+	Exact bool
+	Only  string
+
 	Prefer string
 	Avoid  []string
 	// AvoidOthers avoids all versions but Prefer.
@@ -121,10 +127,14 @@
 	returnAt   map[string]time.Time       // When the last refused caller of a service is to return.
 	early      map[string]earlyNotice     // By server id.
 	averages   map[string]*streamAverages // By service.
+	versions   map[string]*versionHistory // By service.
 	cell       int                        // The cell of this VM.
 	cells      int                        // 0 and 1 for a fleet that is not split.
 	cellOf     map[string]int             // The cells of the servers, by address; nil until needed.
 
+	// versionsKnownAt is from when on the history has all versions that streams may have begun at.
+	versionsKnownAt time.Time
+
 	recheckedAt    time.Time
 	sentReportedAt time.Time
 	pausedAt       time.Time // When this process last resumed after a pause.
@@ -224,7 +234,7 @@
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}, versions: map[string]*versionHistory{}, versionsKnownAt: options.Now().Add(versionRetention)}
 }
 
 // Update replaces the list of servers. The state of servers that stay in the list is
@@ -237,6 +247,7 @@
 func (p *Pool) update(listed []Server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.recordVersions(p.options.Now())
 	for _, s := range p.servers {
 		s.listed = s.isUnlisted()
 	}
--- a/internal/backend/pool/version.go
+++ b/internal/backend/pool/version.go
@@ -8,8 +8,9 @@
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 )
 
-// While a service's traffic moves to servers of another version, each choice follows a VersionRule,
-// which divides the servers of the service:
+// The events of two versions don't fit together, so a stream that has begun goes on at servers of its
+// version only: its rule is exact. While a service's traffic moves to servers of another version, each
+// other choice follows a rule that divides the servers of the service:
 //
 //	preferred   version Prefer, only Servers of them    chosen if one takes the work
 //	permitted   other versions                          chosen otherwise
@@ -20,12 +21,13 @@
 
 // IsZero reports whether the rule limits nothing.
 func (r VersionRule) IsZero() bool {
-	return r.Prefer == "" && len(r.Avoid) == 0 && !r.AvoidOthers
+	return !r.Exact && r.Prefer == "" && len(r.Avoid) == 0 && !r.AvoidOthers
 }
 
 // Equal reports whether two rules are the same.
 func (r VersionRule) Equal(other VersionRule) bool {
-	return r.Prefer == other.Prefer && r.AvoidOthers == other.AvoidOthers && r.Servers == other.Servers && slices.Equal(r.Avoid, other.Avoid)
+	return r.Exact == other.Exact && r.Only == other.Only && r.Prefer == other.Prefer && r.AvoidOthers == other.AvoidOthers &&
+		r.Servers == other.Servers && slices.Equal(r.Avoid, other.Avoid)
 }
 
 // unbounded returns the rule without its bound on servers, for the memory of a stream: it is little
@@ -54,6 +56,9 @@
 	if rule.IsZero() {
 		return nil
 	}
+	if rule.Exact {
+		return &versionFilter{rule: VersionRule{Exact: true, Only: rule.Only, Avoid: rule.Avoid}}
+	}
 	hasPermitted, hasOther := false, false
 	preferred := []*server{}
 	for _, s := range p.servers {
@@ -94,7 +99,7 @@
 
 // excludes reports whether a server of the service must not be chosen.
 func (f *versionFilter) excludes(s *server) bool {
-	return f != nil && (f.rule.Avoids(s.Version) || (f.bound != nil && s.Version == f.rule.Prefer && !f.bound[s]))
+	return f != nil && (f.rule.Avoids(s.Version) || (f.rule.Exact && s.Version != f.rule.Only) || (f.bound != nil && s.Version == f.rule.Prefer && !f.bound[s]))
 }
 
 // hasPreference reports whether some of the servers are preferred to others.
--- /dev/null
+++ b/internal/backend/pool/versions_test.go
@@ -0,0 +1,110 @@
+package pool_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+)
+
+// versionsRig is a pool whose servers' versions are listed.
+type versionsRig struct {
+	*pool.Pool
+	now time.Time
+}
+
+func newVersionsRig() *versionsRig {
+	g := &versionsRig{now: time.Unix(1000, 0)}
+	g.Pool = pool.New(pool.Options{Now: func() time.Time { return g.now }, Draw: func() float64 { return 0 }})
+	return g
+}
+
+func (g *versionsRig) list(versions ...string) {
+	listed := []pool.Server{}
+	for _, version := range versions {
+		listed = append(listed, pool.Server{ID: "i-" + version, Address: version + ":1", Service: "s", FailureDomain: "a", Slots: 1, Version: version})
+	}
+	g.Update(listed)
+}
+
+func (g *versionsRig) only() string {
+	version, known := g.OnlyVersion("s")
+	if !known {
+		return "unknown"
+	}
+	return version
+}
+
+func TestOnlyVersionIsKnownOnceStreamsOfOthersHaveEnded(t *testing.T) {
+	g := newVersionsRig()
+	g.list("v1")
+	qt.Check(t, g.only(), qt.Equals, "unknown", qt.Commentf("others may have left before"))
+	g.now = g.now.Add(time.Minute)
+	qt.Check(t, g.only(), qt.Equals, "v1")
+	g.list("v1", "v2")
+	qt.Check(t, g.only(), qt.Equals, "unknown")
+	g.now = g.now.Add(time.Minute)
+	g.list("v2")
+	g.now = g.now.Add(30 * time.Second)
+	qt.Check(t, g.only(), qt.Equals, "unknown", qt.Commentf("a stream of v1 may last"))
+	g.now = g.now.Add(6 * time.Second)
+	qt.Check(t, g.only(), qt.Equals, "v2")
+	g.list()
+	g.now = g.now.Add(time.Minute)
+	qt.Check(t, g.only(), qt.Equals, "unknown")
+}
+
+func TestVersionsOfAnotherVMCompleteTheHistory(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		added map[string][]string
+		want  string
+	}{
+		{"it knew none", nil, "v1"},
+		{"it knew the same", map[string][]string{"s": {"v1"}, "other": {"v3"}}, "v1"},
+		{"it knew another", map[string][]string{"s": {"v0", "v1"}}, "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newVersionsRig()
+			_, known := g.Versions()
+			qt.Check(t, known, qt.IsFalse)
+			g.AddVersions(c.added)
+			g.list("v1")
+			qt.Check(t, g.only(), qt.Equals, c.want)
+			byService, known := g.Versions()
+			qt.Check(t, known, qt.IsTrue)
+			if c.added == nil {
+				qt.Check(t, byService, qt.DeepEquals, map[string][]string{"s": {"v1"}})
+			}
+		})
+	}
+}
+
+func TestProcessInPlaceOfALostOneHasNoKnownVersion(t *testing.T) {
+	g := newVersionsRig()
+	g.AddVersions(nil)
+	g.list("v1")
+	g.ApplyPeerSuccessor("i-v1", "i-found")
+	exact := pool.VersionRule{Exact: true, Only: "v1"}
+	_, _, err := g.AcquireForStream(pool.Criteria{Service: "s", Versions: exact})
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone)
+	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s"})
+	qt.Assert(t, err, qt.IsNil)
+	defer lease.Release()
+	qt.Check(t, lease.Server.ID, qt.Equals, "i-found")
+	qt.Check(t, lease.Version(), qt.Equals, "")
+}
+
+func TestExactRuleIsKeptWithoutServers(t *testing.T) {
+	g := newRig(oldAndNew()...)
+	for _, rule := range []pool.VersionRule{{Exact: true, Only: "v3"}, {Exact: true, Only: "v1", Avoid: []string{"v1"}}} {
+		restricted := criteria
+		restricted.Versions, restricted.ServerID = rule, "a-old"
+		_, _, err := g.AcquireForStream(restricted)
+		qt.Check(t, err, qt.ErrorIs, pool.ErrNone)
+		qt.Check(t, g.Availability("s", rule).Listed, qt.Equals, 0)
+		qt.Check(t, g.HasOther("s", "a-old", rule), qt.IsFalse)
+	}
+}
--- a/internal/backend/rollout/retired.go
+++ b/internal/backend/rollout/retired.go
@@ -46,6 +46,9 @@
 func (s *followed) currentRule(rule Rule) Rule {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if rule.Exact {
+		return s.exactRule(rule)
+	}
 	switch stage := s.stage(); stage {
 	case StageRetire:
 		return s.onlyNew()
@@ -58,3 +61,19 @@
 	}
 	return s.avoidNew()
 }
+
+// exactRule returns the rule for a stream that has begun: it may go on at its version, unless that gets
+// nothing more. Called with the lock held.
+func (s *followed) exactRule(rule Rule) Rule {
+	isOver := slices.Contains(s.rejected, rule.Only)
+	switch s.stage() {
+	case StageCompleted:
+		isOver = s.avoidOld().Avoids(rule.Only)
+	case StageRolledBack, StageCanary, StageLoad:
+		isOver = isOver || (rule.Only == s.order.To && (s.suspended || s.state.Stage == StageRolledBack))
+	}
+	if isOver {
+		rule.Avoid = []string{rule.Only}
+	}
+	return rule
+}
--- a/internal/lab/traffic/fleet.go
+++ b/internal/lab/traffic/fleet.go
@@ -150,7 +150,7 @@
 		OnCrashes:       func([]crash.Report) {},
 		OnLosses:        func(notes []spread.LossReport) { spread.ApplyLossReports(v.servers, notes) },
 		OnMembersLost:   v.servers.ForgetPeers,
-		FindCopies:      func([]string) ([]spread.CopyLocation, bool) { return nil, true },
+		FindCopies:      func([]spread.CopyQuery) ([]spread.CopyLocation, bool) { return nil, true },
 		Departures:      v.servers.Departures,
 		OnDepartures:    v.servers.ApplyPeerDepartures,
 		ServiceUsage:    func() []spread.ServiceUsage { return nil },
--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"reflect"
 	"slices"
 	"time"
 
@@ -35,6 +36,10 @@
 	// copyIndexKey is the key of the first cell's row. Other cells add their number:
 	// "running-3" is the row of the fourth cell.
 	copyIndexKey = "running"
+	// versionsKey is the key of the row of the versions that servers were listed with lately.
+	versionsKey = "versions"
+	// maxRowBytes bounds the value of a row; the platform's rows hold 64 KiB.
+	maxRowBytes = 60 << 10
 	// suspectsKey is the key of the row of what may make requests crash servers. All VMs have
 	// the same list, so one row serves all cells.
 	suspectsKey = "crashes"
@@ -46,8 +51,9 @@
 // cell writes for it. The writer of the first cell also writes the suspects of crashes.
 type copyIndex struct {
 	vm             *VM
-	writtenChanges int    // Change count of the copies at the last write.
-	suspectsDigest uint64 // Checksum of the suspects of crashes at the last write.
+	writtenChanges int                 // Change count of the copies at the last write.
+	suspectsDigest uint64              // Checksum of the suspects of crashes at the last write.
+	versions       map[string][]string // As they were written last.
 }
 
 // String names the service in the supervisor's messages.
@@ -72,6 +78,7 @@
 		c.write(ctx, copyIndexRowKey(snapshot))
 		if snapshot.Cell == 0 {
 			c.writeSuspects(ctx)
+			c.writeVersions(ctx)
 		}
 	}
 	return ctx.Err()
@@ -115,7 +122,15 @@
 	}
 	stored := map[string]bool{}
 	defer c.vm.storedKeys.Store(&stored)
+	versions := map[string][]string{}
+	defer func() { c.vm.servers.AddVersions(versions) }()
 	for _, row := range rows.Rows {
+		if row.Key == versionsKey {
+			if err = cbor.Unmarshal(row.Value, &versions); err != nil {
+				event.CopiesUnread.Info(c.vm.logger, "row", row.Key, "error", err)
+			}
+			continue
+		}
 		if row.Key == suspectsKey {
 			c.readSuspects(row)
 			continue
@@ -166,17 +181,53 @@
 	if changes == c.writtenChanges && (len(known) == 0 || c.vm.written.has(key)) {
 		return
 	}
-	locations := make([]spread.CopyLocation, 0, len(known))
+	locations := []spread.CopyLocation{}
+	located := map[string]bool{}
+	for _, l := range c.vm.copies.Origins(copyIndexMaxAge, copyIndexMaxEntries) {
+		l.Record.Ambiguous = known[l.CopyKey].Ambiguous
+		located[l.CopyKey] = true
+		locations = append(locations, locationOf(l.CopyKey, l.Record))
+	}
 	for copyKey, record := range known {
-		locations = append(locations, locationOf(copyKey, record))
+		if !located[copyKey] {
+			locations = append(locations, locationOf(copyKey, record))
+		}
+	}
+	if err := c.vm.written.put(ctx, c.vm.options.Copies, key, encodeLocations(locations)); err != nil {
+		c.vm.logger.Debug("the locations of copies could not be written", "error", err)
+		return // The next interval retries.
 	}
-	value, err := cbor.Marshal(locations)
+	c.writtenChanges = changes
+}
+
+// encodeLocations encodes the locations that fit into a row, the first ones if there are too many.
+func encodeLocations(locations []spread.CopyLocation) []byte {
+	for {
+		value, err := cbor.Marshal(locations)
+		if err != nil {
+			panic(err) // Strings can always be encoded as CBOR.
+		}
+		if len(value) <= maxRowBytes {
+			return value
+		}
+		locations = locations[:len(locations)*maxRowBytes/len(value)]
+	}
+}
+
+// writeVersions writes the versions that servers were listed with lately: after a loss of all VMs, a
+// stream of which nothing else is known may go on if there is only one.
+func (c *copyIndex) writeVersions(ctx context.Context) {
+	versions := c.vm.knownVersions()
+	if versions == nil || (reflect.DeepEqual(versions, c.versions) && c.vm.written.has(versionsKey)) {
+		return
+	}
+	value, err := cbor.Marshal(versions)
 	if err != nil {
 		panic(err) // Strings can always be encoded as CBOR.
 	}
-	if err = c.vm.written.put(ctx, c.vm.options.Copies, key, value); err != nil {
-		c.vm.logger.Debug("the locations of copies could not be written", "error", err)
+	if err = c.vm.written.put(ctx, c.vm.options.Copies, versionsKey, value); err != nil {
+		c.vm.logger.Debug("the versions of servers could not be written", "error", err)
 		return // The next interval retries.
 	}
-	c.writtenChanges = changes
+	c.versions = versions
 }
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -261,6 +261,8 @@
 		OnLosses:            func(reports []spread.LossReport) { spread.ApplyLossReports(v.servers, reports) },
 		OnMembersLost:       v.forgetPeers,
 		FindCopies:          v.findCopyLocations,
+		Versions:            v.knownVersions,
+		OnVersions:          v.servers.AddVersions,
 		Departures:          v.servers.Departures,
 		OnDepartures:        v.servers.ApplyPeerDepartures,
 		Limits:              v.servers.Limits,
--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -38,7 +38,8 @@
 
 // locationOf converts a record of the copies' index to its announcement, and recordOf the reverse.
 func locationOf(copyKey string, record copies.Record) spread.CopyLocation {
-	location := spread.CopyLocation{CopyKey: copyKey, RunID: record.Copy.RunID, ServerID: record.Copy.ServerID, Address: record.Copy.Address, Ambiguous: record.Ambiguous}
+	location := spread.CopyLocation{CopyKey: copyKey, RunID: record.Copy.RunID, ServerID: record.Copy.ServerID, Address: record.Copy.Address,
+		Ambiguous: record.Ambiguous, Service: record.Service, Version: record.Version, ByOriginOnly: record.ByOriginOnly}
 	if record.Origin != record.Copy.RunID {
 		location.Origin = record.Origin
 	}
@@ -46,10 +47,8 @@
 }
 
 func recordOf(location spread.CopyLocation) copies.Record {
-	if location.Ambiguous {
-		return copies.Record{Ambiguous: true}
-	}
-	record := copies.Record{Origin: location.Origin, Copy: relay.Copy{RunID: location.RunID, ServerID: location.ServerID, Address: location.Address}}
+	record := copies.Record{Origin: location.Origin, Copy: relay.Copy{RunID: location.RunID, ServerID: location.ServerID, Address: location.Address},
+		Ambiguous: location.Ambiguous, Service: location.Service, Version: location.Version, ByOriginOnly: location.ByOriginOnly}
 	if record.Origin == "" {
 		record.Origin = location.RunID
 	}
@@ -60,13 +59,16 @@
 // returned although nothing is known of an earlier attempt shows that runs with the key are unknown
 // here, which may be those of several callers.
 func (v *VM) putCopy(request *relay.Request, copied relay.Copy) {
-	record := copies.Record{Origin: request.Origin, Copy: copied}
-	if request.LastEventID != "" && !request.OriginKnown {
-		record = copies.Record{Ambiguous: true}
+	record := copies.Record{Origin: request.Origin, Copy: copied, Service: request.Service, Version: request.Version, ByOriginOnly: request.SharesKey}
+	if request.LastEventID != "" && !request.OriginKnown && !request.SharesKey {
+		record.Ambiguous = true
+		if request.Resumes == "" {
+			record = copies.Record{Ambiguous: true}
+		}
 	}
 	location := locationOf(request.CopyKey, record)
 	if v.copies.Put(request.CopyKey, record) {
-		location = spread.CopyLocation{CopyKey: request.CopyKey, Ambiguous: true}
+		location.Ambiguous = true
 		v.ambiguous.add(request.CopyKey)
 	}
 	v.mu.Lock()
@@ -140,7 +142,7 @@
 	v.mu.Unlock()
 	for i, location := range locations {
 		if record, found := v.copies.Known(location.CopyKey); found && record.Ambiguous {
-			locations[i] = locationOf(location.CopyKey, record)
+			locations[i].Ambiguous = true
 		}
 	}
 	return locations
@@ -166,41 +168,85 @@
 	}
 }
 
-// findCopy returns the origin and the newest copy of the only request with a key. The VMs of a
-// cell know each other's runs, and from the store those of VMs that were lost before they started;
-// those of other cells are asked.
-func (v *VM) findCopy(ctx context.Context, copyKey string) (origin string, copied relay.Copy, found bool) {
-	record, found := v.copies.Find(copyKey)
-	age := v.Now().Sub(v.started)
+// findCopy returns what is known of the attempts of a request: of the one that began with the attempt
+// origin, if its caller names that, and otherwise of the only one with the key. The VMs of a cell know
+// each other's runs, and from the store those of VMs that were lost before they started; those of other
+// cells are asked.
+func (v *VM) findCopy(ctx context.Context, copyKey, origin string) (earlier relay.Earlier, found bool) {
+	record, found := copies.Record{}, false
+	if origin != "" {
+		record, found = v.findNamed(ctx, copyKey, origin)
+	} else {
+		record, found = v.findOnly(ctx, copyKey)
+	}
+	return relay.Earlier{Origin: record.Origin, Copy: record.Copy, Service: record.Service, Version: record.Version}, found
+}
+
+// findNamed returns the record of the runs with a key whose request began with the attempt origin.
+func (v *VM) findNamed(ctx context.Context, copyKey, origin string) (record copies.Record, found bool) {
+	if record, found = v.copies.FindOrigin(copyKey, origin); found {
+		return record, true
+	}
+	_, knowsVersions := v.servers.Versions()
+	if v.knowsCell() && knowsVersions && v.spread.Snapshot().Cells <= 1 {
+		return copies.Record{}, false
+	}
+	locations, _, _ := v.spread.LocateCopies(ctx, spread.CopyQuery{CopyKey: copyKey, Origin: origin})
+	for _, location := range locations {
+		v.copies.PutOlder(copyKey, recordOf(location))
+	}
+	return v.copies.FindOrigin(copyKey, origin)
+}
+
+// knowsCell reports whether this VM knows the runs of its cell that ended before it started.
+func (v *VM) knowsCell() bool {
+	return v.Now().Sub(v.started) > copies.Retention || v.storedKeys.Load() != nil
+}
+
+// findOnly returns the record of the only request with a key.
+func (v *VM) findOnly(ctx context.Context, copyKey string) (record copies.Record, found bool) {
+	record, found = v.copies.Find(copyKey)
 	stored := v.storedKeys.Load()
-	if age < joinTime && (stored == nil || !(*stored)[copyKey]) {
-		return "", relay.Copy{}, false
+	if v.Now().Sub(v.started) < joinTime && (stored == nil || !(*stored)[copyKey]) {
+		return copies.Record{}, false
 	}
-	knowsCell := age > copies.Retention || stored != nil
+	knowsCell := v.knowsCell()
 	if !found || !knowsCell || v.spread.Snapshot().Cells > 1 {
-		locations, ownAnswered, othersAnswered := v.spread.LocateCopies(ctx, copyKey)
+		locations, ownAnswered, othersAnswered := v.spread.LocateCopies(ctx, spread.CopyQuery{CopyKey: copyKey})
 		for _, location := range locations {
 			v.copies.PutOlder(copyKey, recordOf(location))
 		}
 		if !othersAnswered || !(knowsCell || ownAnswered) {
-			return "", relay.Copy{}, false
+			return copies.Record{}, false
 		}
 		record, found = v.copies.Find(copyKey)
 	}
-	return record.Origin, record.Copy, found
+	return record, found
 }
 
-// findCopyLocations answers another VM's query for the runs with these keys. Known is false while
-// this VM has not read those that ended before it started.
-func (v *VM) findCopyLocations(keys []string) (locations []spread.CopyLocation, known bool) {
-	for _, key := range keys {
-		if record, found := v.copies.Known(key); found {
-			locations = append(locations, locationOf(key, record))
+// findCopyLocations answers another VM's query for runs. Known is false while this VM has not read
+// those that ended before it started.
+func (v *VM) findCopyLocations(queries []spread.CopyQuery) (locations []spread.CopyLocation, known bool) {
+	for _, query := range queries {
+		if record, found := v.copies.FindOrigin(query.CopyKey, query.Origin); found {
+			locations = append(locations, locationOf(query.CopyKey, record))
+		} else if record, found = v.copies.Known(query.CopyKey); found {
+			locations = append(locations, locationOf(query.CopyKey, record))
 		}
 	}
 	return locations, v.copyIndexRead.Load()
 }
 
+// knownVersions returns the versions that servers of each service were listed with lately, nil while
+// this VM may not know them all.
+func (v *VM) knownVersions() map[string][]string {
+	byService, known := v.servers.Versions()
+	if !known {
+		return nil
+	}
+	return byService
+}
+
 const (
 	// ambiguousBatchDelay batches the keys that a VM writes to the store.
 	ambiguousBatchDelay = 10 * time.Millisecond
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -208,13 +208,13 @@
 	}
 }
 
-// LocateCopies queries the copy index VMs of all cells for the runs with a key. If in some cell none
-// answers, equal requests may run there: othersAnswered is about the other cells, and ownAnswered
-// about this VM's own, whose runs it mostly knows itself.
-func (s *Spread) LocateCopies(ctx context.Context, key string) (locations []CopyLocation, ownAnswered, othersAnswered bool) {
+// LocateCopies queries the copy index VMs of all cells for runs. If in some cell none answers, equal
+// requests may run there: othersAnswered is about the other cells, and ownAnswered about this VM's own,
+// whose runs it mostly knows itself.
+func (s *Spread) LocateCopies(ctx context.Context, wanted CopyQuery) (locations []CopyLocation, ownAnswered, othersAnswered bool) {
 	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
 	defer cancel()
-	query := message{From: s.options.Self.ID, WantCopies: []string{key}}
+	query := message{From: s.options.Self.ID, WantCopies: []CopyQuery{wanted}}
 	body := query.encode()
 	snapshot := s.Snapshot()
 	type answer struct {
@@ -243,6 +243,9 @@
 			if err != nil {
 				s.options.Logger.Warn("cannot decode a peer's reply", "peer", indexVM.ID, "error", err)
 			}
+			if received.Versions != nil {
+				s.options.OnVersions(received.Versions)
+			}
 			answers <- answer{cell: cell, copies: received.Copies, answered: err == nil}
 		})
 	}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -189,7 +189,7 @@
 		if !known {
 			return nil // The peer takes this as no answer.
 		}
-		found := message{From: s.options.Self.ID, Copies: copies}
+		found := message{From: s.options.Self.ID, Copies: copies, Versions: s.options.Versions()}
 		return found.encode()
 	}
 	if received.Summary == nil && received.Fetch == nil && received.WantMembers == nil && len(received.Members) == 0 {
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -73,10 +73,24 @@
 	Address  string `cbor:"4,keyasint,omitempty"`
 	// Origin is the id of the request's first attempt; empty if it is RunID.
 	Origin string `cbor:"5,keyasint,omitempty"`
-	// Ambiguous means that streams of several equal requests run; the location is then empty.
+	// Ambiguous means that streams of several equal requests run; without an Origin and a RunID the
+	// location is of the key only.
 	Ambiguous bool `cbor:"6,keyasint,omitempty"`
 	// Withdrawn means that the run has ended and its caller has received nothing of it.
 	Withdrawn bool `cbor:"7,keyasint,omitempty"`
+	// Service and Version are those of the servers that the request was sent to; the version is empty if
+	// it is not known.
+	Service string `cbor:"8,keyasint,omitempty"`
+	Version string `cbor:"9,keyasint,omitempty"`
+	// ByOriginOnly means that many requests may have the key.
+	ByOriginOnly bool `cbor:"10,keyasint,omitempty"`
+}
+
+// CopyQuery asks for the runs with a key, and for that whose request began with the attempt Origin, if
+// it is set.
+type CopyQuery struct {
+	CopyKey string `cbor:"1,keyasint"`
+	Origin  string `cbor:"2,keyasint,omitempty"`
 }
 
 // LossReport reports a server that is down. Terminated means that its process has ended;
@@ -150,8 +164,10 @@
 	// whose entries it requests.
 	Digests     []byte `cbor:"16,keyasint,omitempty"`
 	WantMembers []byte `cbor:"17,keyasint,omitempty"`
-	// WantCopies are the keys of copies whose locations the sender requests.
-	WantCopies []string `cbor:"18,keyasint,omitempty"`
+	// WantCopies are the runs whose locations the sender requests. Versions, in the reply, are those that
+	// servers of each service were listed with lately; nil if the VM does not know them all.
+	WantCopies []CopyQuery         `cbor:"29,keyasint,omitempty"`
+	Versions   map[string][]string `cbor:"30,keyasint,omitempty"`
 	// Departures are of servers that reported that they are leaving.
 	Departures []pool.Departure `cbor:"14,keyasint,omitempty"`
 	// Limits are of servers that named one.
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -144,9 +144,13 @@
 	CrashesHash func() uint64
 	Crashes     func() []crash.Report
 	OnLosses    func(reports []LossReport)
-	// FindCopies returns the known runs with these keys; known is false if runs may be missing
+	// FindCopies returns the known runs that are asked for; known is false if runs may be missing
 	// that this VM will know once its start is complete.
-	FindCopies func(keys []string) (locations []CopyLocation, known bool)
+	FindCopies func(queries []CopyQuery) (locations []CopyLocation, known bool)
+	// Versions returns the versions that servers of each service were listed with lately, nil while some
+	// may be missing, and OnVersions applies another VM's.
+	Versions   func() map[string][]string
+	OnVersions func(byService map[string][]string)
 	// OnMembersLost receives the VMs that went down or were replaced by another process.
 	OnMembersLost func(peers []string)
 	// Departures returns those of the listed servers that reported that they are leaving. They
@@ -219,6 +223,12 @@
 	if options.OnAdmission == nil {
 		options.OnAdmission = func(string, []admission.Report) {}
 	}
+	if options.Versions == nil {
+		options.Versions = func() map[string][]string { return nil }
+	}
+	if options.OnVersions == nil {
+		options.OnVersions = func(map[string][]string) {}
+	}
 	if options.CrashesHash == nil {
 		options.CrashesHash = func() uint64 { return 0 }
 	}
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -71,6 +71,7 @@
 	Received    time.Time
 	Deadline    time.Time
 	LastEventID string
+	Resumes     string // ID of the attempt that brought the caller's first event.
 	Demand      placement.Demand
 	PromptParts []string // IDs of the parts of the prompt that other requests may share.
 	PromptKey   string   // ID of the part that they do not share.
@@ -123,6 +124,7 @@
 		Received:    in.Received,
 		Deadline:    deadline(in, route),
 		LastEventID: in.LastEventID,
+		Resumes:     in.Resumes,
 		Demand:      in.Demand,
 		PromptParts: in.PromptParts,
 	}
@@ -131,8 +133,9 @@
 	}
 	request.Content = hash(account.Name, in)
 	request.Traits = crash.Traits(request.Content, in.PromptParts)
-	if route.Kind == routing.KindStreaming && in.PromptKey != "" { // Otherwise many requests have the key.
+	if route.Kind == routing.KindStreaming {
 		request.CopyKey = hash(account.Name, in, in.Host, in.PromptKey, in.Variant)
+		request.SharesKey = in.PromptKey == ""
 	}
 	return request, nil
 }
--- a/internal/request/copies/copies.go
+++ b/internal/request/copies/copies.go
@@ -11,11 +11,18 @@
 //	Put(k, origin 1, copy 1)   Find(k) = origin 1, copy 1
 //	Put(k, origin 2, copy 2)   Find(k) = none, for origin 1 too
 //
+// A caller that returns may name the origin of its stream. The index finds it then by that, also among
+// equal requests, if the key is the one of the run: an origin that somebody else names finds nothing.
+//
+// A record also has the service and the version of the servers of its runs, as a stream goes on at servers
+// of its version only. One whose runs had several before its caller received anything has none.
+//
 // # Usage
 //
 //	index := copies.New(copies.Options{Now: time.Now})
-//	ambiguous := index.Put(copyKey, copies.Record{Origin: id, Copy: relay.Copy{RunID: id, ServerID: server, Address: address}})
+//	ambiguous := index.Put(copyKey, copies.Record{Origin: id, Version: version, Copy: relay.Copy{RunID: id, ServerID: server, Address: address}})
 //	record, found := index.Find(copyKey)
+//	record, found = index.FindOrigin(copyKey, id)
 package copies
 
 import (
@@ -41,19 +48,26 @@
 }
 
 // Record is what is known of the runs with one copy key. Copy is zero if no server holds a copy.
-// An Ambiguous record is of several requests.
+// An Ambiguous record is of a key that several requests have; without an Origin it is of the key only.
+// Version is that of the servers of Service that the runs were sent to, "" if it is not known. A record
+// ByOriginOnly is of a key that many requests may have, and is found by its origin only.
 type Record struct {
 	Origin    string
 	Copy      relay.Copy
+	Service   string
+	Version   string
 	Ambiguous bool
+
+	ByOriginOnly bool
 }
 
 // Copies is safe for concurrent use.
 type Copies struct {
 	options Options
 
-	mu    sync.Mutex
-	byKey map[string]entry
+	mu      sync.Mutex
+	origins origins
+	byKey   map[string]entry
 	// stamps are the puts in order of time, and so in order of expiry. That of an entry which
 	// was put again later is outdated. The stamps before first have expired.
 	stamps []stamp
@@ -76,7 +90,7 @@
 
 // New returns an empty Copies.
 func New(options Options) *Copies {
-	return &Copies{options: options, byKey: map[string]entry{}}
+	return &Copies{options: options, byKey: map[string]entry{}, origins: origins{byID: map[string]originEntry{}}}
 }
 
 // Put records a run and the newest copy of its memory. It reports whether the key is ambiguous.
@@ -97,6 +111,11 @@
 func (c *Copies) put(copyKey string, record Record, isNewest bool) (ambiguous bool) {
 	now := c.options.Now()
 	c.expire(now)
+	c.origins.put(copyKey, record, isNewest, now)
+	if record.ByOriginOnly {
+		c.changes++
+		return false
+	}
 	known, found := c.byKey[copyKey]
 	switch {
 	case found && (known.Ambiguous || record.Ambiguous || known.Origin != record.Origin):
@@ -138,6 +157,7 @@
 func (c *Copies) Withdraw(copyKey, origin string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.origins.withdraw(copyKey, origin)
 	if e, found := c.byKey[copyKey]; found && !e.Ambiguous && e.Origin == origin {
 		delete(c.byKey, copyKey)
 		c.changes++
@@ -156,6 +176,21 @@
 	}
 }
 
+// Origins returns the records of the origins that were put within the given duration, the newest first,
+// and at most as many as the limit.
+func (c *Copies) Origins(within time.Duration, limit int) []Located {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.origins.newest(c.options.Now().Add(Retention-within), limit)
+}
+
+// FindOrigin returns the record of the runs with a key whose request began with the attempt origin.
+func (c *Copies) FindOrigin(copyKey, origin string) (record Record, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.origins.find(copyKey, origin, c.options.Now())
+}
+
 // Newest returns the records that were put within the given duration, the newest ones if
 // there are more than the limit, and a number that grows with each change.
 func (c *Copies) Newest(within time.Duration, limit int) (byKey map[string]Record, changes int) {
--- a/internal/request/relay/counts.go
+++ b/internal/request/relay/counts.go
@@ -19,7 +19,6 @@
 	EndReplaced EarlyEnd = "replaced" // Another server has the address.
 	EndInactive EarlyEnd = "silent"   // An event was overdue, or the server was found down.
 	EndBlocked  EarlyEnd = "blocked"  // Requests with its traits crash servers, and it had not begun to answer.
-	EndRetired  EarlyEnd = "retired"  // The server's version keeps no work.
 	EndFailed   EarlyEnd = "failed"   // The server answered with a failure of its own.
 	EndBroken   EarlyEnd = "broken"   // The connection broke.
 )
@@ -42,8 +41,6 @@
 		return EndRefused
 	case e.blocked:
 		return EndBlocked
-	case e.leaving:
-		return EndRetired
 	case e.aborted:
 		return EndInactive
 	case e.notSent:
--- a/internal/request/relay/move.go
+++ b/internal/request/relay/move.go
@@ -31,9 +31,8 @@
 // pauses the stream for some 10 ms; without it, the loss of the run's server would make the
 // next one read the whole prompt again. It runs concurrently with the relay of events, which
 // ends when the server closes the stream. MayRetry means that the move should be tried again
-// later, such as when there is no capacity for the run and its copy yet. A run that leaves its
-// server's version moves also where it gets no copy.
-func (s *stream) move(ctx context.Context, lease *pool.Lease, versions pool.VersionRule, leaves bool) (moved, mayRetry bool) {
+// later, such as when there is no capacity for the run and its copy yet.
+func (s *stream) move(ctx context.Context, lease *pool.Lease, versions pool.VersionRule) (moved, mayRetry bool) {
 	if s.relay.options.Move == nil || !lease.CanMove || !s.request.Route.Retryable() {
 		return false, false
 	}
@@ -52,7 +51,7 @@
 	if err != nil {
 		return false, true
 	}
-	if (backup == nil && !leaves) || !s.relay.options.WithdrawPreventive(s.request.Service) {
+	if backup == nil || !s.relay.options.WithdrawPreventive(s.request.Service) {
 		target.Release()
 		return false, true
 	}
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -54,10 +54,16 @@
 	LastEventID string
 	Demand      placement.Demand
 	CopyKey     string // The same for each attempt, and for equal requests of others; "" if no attempt continues another.
+	SharesKey   bool   // Many requests may have the CopyKey: attempts are known by the id that callers name only.
+	// Resumes is the id of the attempt that brought the caller's first event, as the caller names it; ""
+	// if it names none.
+	Resumes string
 	// Origin is the id of the request's first attempt as far as it is known, and OriginKnown
-	// whether an attempt before this one is. Stream sets them.
+	// whether an attempt before this one is. Version is that of the servers it was sent to. Stream sets
+	// them.
 	Origin      string
 	OriginKnown bool
+	Version     string
 	Content     string // Hash of account, path and body, which different requests may share.
 	// PromptParts are the IDs of the parts of the prompt that other requests may share. Traits
 	// are what the crash record knows the request by.
@@ -132,6 +138,7 @@
 	RefusalPart            Refusal = "partCrashesServers"
 	RefusalDeadline        Refusal = "timeIsUp"
 	RefusalNoHeadroom      Refusal = "noHeadroom"
+	RefusalVersion         Refusal = "streamVersionUnknown"
 )
 
 // NotRun means that no server has run the request or ever will. RetryAt is when a server
@@ -219,14 +226,24 @@
 	Address  string
 }
 
+// Earlier is what is known of the attempts of a request before the present one: the id of the first
+// one, the newest copy, and the service and the version of the servers that wrote the caller's events,
+// "" if they are not known.
+type Earlier struct {
+	Origin  string
+	Copy    Copy
+	Service string
+	Version string
+}
+
 // Copies is the index of the runs of streams and of the copies of their memory. Put records a run
 // before it is sent, with the place that its memory is copied to, if any, and each later copy. Find
-// serves a caller that reconnects after the loss of its VM: it returns the request's origin and its
-// newest copy if it is the only one with the key. AwaitAmbiguous waits until other VMs would know
-// that a request is one of several with its key.
+// serves a caller that reconnects after the loss of its VM: it returns what is known of the attempt
+// that the caller names, or else of the only request with the key. AwaitAmbiguous waits until other VMs
+// would know that a request is one of several with its key.
 type Copies struct {
 	Put            func(request *Request, copied Copy)
-	Find           func(ctx context.Context, copyKey string) (origin string, copied Copy, found bool)
+	Find           func(ctx context.Context, copyKey, origin string) (earlier Earlier, found bool)
 	AwaitAmbiguous func(ctx context.Context, copyKey string)
 }
 
@@ -323,6 +340,12 @@
 	availability := r.options.Servers.Availability(request.Service, versions)
 	refusal := &NotRun{Kind: RefusalNoServer, RetryAt: r.options.Now().Add(retryDelay)}
 	refusal.Reason = fmt.Sprintf("no server of service %s may take it: %d listed, %d up, %d resting, %d of these at their limits", request.Service, availability.Listed, availability.Up, availability.BackingOff, availability.AtLimit)
+	if versions.Exact {
+		refusal.Reason += fmt.Sprintf(", of version %q only", versions.Only)
+		if availability.Listed == 0 {
+			refusal.RetryAt = time.Time{} // The version is mostly gone for good.
+		}
+	}
 	if !availability.BackoffUntil.IsZero() {
 		refusal.Kind = RefusalBackoff
 		if availability.AtLimit > 0 {
--- a/internal/request/relay/renew.go
+++ b/internal/request/relay/renew.go
@@ -63,7 +63,7 @@
 	r.nextAt = now.Add(renewRetryInterval)
 	if lost || r.holder == nil {
 		r.copied = Copy{}
-		if r.holder, copyLost = lease.ReplaceCopyHolder(s.copyRule(lease)); r.holder == nil {
+		if r.holder, copyLost = lease.ReplaceCopyHolder(); r.holder == nil {
 			return nil
 		}
 	}
--- a/internal/request/relay/resumes_test.go
+++ b/internal/request/relay/resumes_test.go
@@ -108,6 +108,7 @@
 	}
 	other := pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }, Check: http1.New(http1.Options{}).Check})
 	other.SetCapacities(map[string]pool.Capacity{"s": {CacheTokens: 100_000, SupportsCopies: true, SupportsMoves: true}})
+	other.AddVersions(nil)
 	other.Update(g.listed)
 	err = stream(g.vm(other), c.sink())
 	return c.words(), err
--- /dev/null
+++ b/internal/request/relay/return.go
@@ -0,0 +1,89 @@
+package relay
+
+import (
+	"cmp"
+	"context"
+	"sync/atomic"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/node/event"
+)
+
+// streamVersion is the version at which a stream goes on. Name is that of the server of the last run, and
+// lease that run's, nil for a stream that ran at another VM. From the first event on it is fixed, as the
+// events of two versions don't fit together.
+type streamVersion struct {
+	name    string
+	lease   *pool.Lease
+	isFixed atomic.Bool
+}
+
+// rule returns the rule for the servers at which a stream of a fixed version may go on. The version of
+// a server that is not listed yet may become known later.
+func (v *streamVersion) rule() pool.VersionRule {
+	if v.name == "" && v.lease != nil {
+		return pool.VersionRule{Exact: true, Only: v.lease.Version()}
+	}
+	return pool.VersionRule{Exact: true, Only: v.name}
+}
+
+// beginVersion notes the version of a run that is about to be sent.
+func (s *stream) beginVersion(lease *pool.Lease) {
+	if s.version.isFixed.Load() {
+		return
+	}
+	s.version.name, s.version.lease = lease.Server.Version, lease
+	s.request.Version = lease.Server.Version
+}
+
+// takeUp prepares a stream whose caller has returned with the last event that it has: it finds the
+// attempt before, with the version and the memory of its run, if it can be told from equal requests of
+// others. It returns the refusal of a stream that might otherwise go on at another version.
+func (s *stream) takeUp(ctx context.Context) (refusal *NotRun) {
+	request := s.request
+	earlier, found := Earlier{}, false
+	if request.CopyKey != "" && (request.Resumes != "" || !request.SharesKey) {
+		earlier, found = s.relay.options.Copies.Find(ctx, request.CopyKey, request.Resumes)
+	}
+	defer func() {
+		event.StreamReturned.Info(s.relay.options.Logger, "request", request.ID, "resumes", request.Resumes, "found", found,
+			"service", request.Service, "version", request.Version, "lastEvent", request.LastEventID, "refused", refusal != nil)
+	}()
+	if !found {
+		request.Origin = cmp.Or(request.Resumes, request.Origin)
+		return s.fixVersion("")
+	}
+	request.Origin, request.OriginKnown = earlier.Origin, true
+	s.isRecorded, s.recordedVersion = true, earlier.Version
+	service := cmp.Or(earlier.Service, s.relay.options.Servers.ServiceOf(earlier.Copy.ServerID))
+	if service != request.Service && !request.Route.LeadsTo(service) {
+		return nil // The route has left the service since.
+	}
+	request.Service, s.resumeFrom = service, earlier.Copy
+	return s.fixVersion(earlier.Version)
+}
+
+// fixVersion fixes the version of a stream whose caller has returned: the one that is known, or the only
+// one that its events can be of. If there may be others, the stream is refused.
+func (s *stream) fixVersion(known string) *NotRun {
+	version := known
+	if version == "" {
+		isOnly := false
+		if version, isOnly = s.relay.options.Servers.OnlyVersion(s.request.Service); !isOnly {
+			return s.versionUnknown()
+		}
+	}
+	s.version.name, s.request.Version = version, version
+	s.version.isFixed.Store(true)
+	return nil
+}
+
+// versionUnknown refuses a stream that might go on at a wrong version. A VM that has just started may
+// still learn the version.
+func (s *stream) versionUnknown() *NotRun {
+	refusal := &NotRun{Kind: RefusalVersion, Reason: "the version of the servers that began the stream is not known, and service " + s.request.Service + " may have several"}
+	if _, known := s.relay.options.Servers.Versions(); !known {
+		refusal.RetryAt = s.relay.options.Now().Add(retryDelay)
+	}
+	return refusal
+}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -77,6 +77,7 @@
 	tried          map[string]bool
 	resumeFrom     Copy
 	versions       runVersions
+	version        streamVersion
 	copyFailures   int // Runs from a copy that failed while their server kept the copy.
 	moveFailures   int
 	moves          chan movedRun // The completed move of the current run, if any.
@@ -84,9 +85,11 @@
 	renewedCopy    Copy          // Renewed copy of the run that ended last, if any.
 	isRecorded     bool          // The index of copies knows its origin.
 	recordedBackup string        // The server that this VM recorded last as the holder of its copy.
-	interruptedAt  time.Time
-	waitedSince    time.Time // When it first found no server that takes requests, since its last run.
-	reason         string
+	// recordedVersion is the version with which the index of copies knows it.
+	recordedVersion string
+	interruptedAt   time.Time
+	waitedSince     time.Time // When it first found no server that takes requests, since its last run.
+	reason          string
 }
 
 // runResult is how one run at a server ended.
@@ -101,7 +104,6 @@
 	aborted   bool // The watch ended it: it was idle, or the server is down.
 	idle      bool // The watch ended it since an event was overdue.
 	blocked   bool // The watch ended it since requests with its traits crash servers.
-	leaving   bool // The watch ended it since its server's version is retired.
 	moved     bool // Its memory was moved, and it continues at another server.
 	unmarked  bool // It ended between two events, where nothing but its connection marks the end.
 	err       error
@@ -113,10 +115,15 @@
 func (r *Relay) Stream(ctx context.Context, request *Request, sink Sink) error {
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	request.Origin = cmp.Or(request.ID, cryptorand.Text())
 	s := &stream{relay: r, request: request, sink: sink, delivered: ctx, lastEventID: request.LastEventID, tried: map[string]bool{}}
 	defer s.releaseMove()
 	defer s.refundClaim()
-	s.findOrigin(ctx)
+	if request.LastEventID != "" {
+		if refusal := s.takeUp(ctx); refusal != nil {
+			return refusal
+		}
+	}
 	for {
 		if s.crashes >= maxCrashes {
 			return s.fail(refusalFor(crash.Trait(request.Content), "%s may be what made servers stop responding that ran it", time.Time{}))
@@ -146,27 +153,6 @@
 	}
 }
 
-// findOrigin finds the memory of the request's attempt before, if it has one and can be told from
-// equal requests of others.
-func (s *stream) findOrigin(ctx context.Context) {
-	request := s.request
-	request.Origin = cmp.Or(request.ID, cryptorand.Text())
-	if request.LastEventID == "" || request.CopyKey == "" {
-		return
-	}
-	origin, copied, found := s.relay.options.Copies.Find(ctx, request.CopyKey)
-	if !found {
-		return
-	}
-	request.Origin, request.OriginKnown = origin, true
-	s.isRecorded = true
-	service := s.relay.options.Servers.ServiceOf(copied.ServerID)
-	if service != request.Service && !request.Route.LeadsTo(service) {
-		return // The route has left the service since.
-	}
-	request.Service, s.resumeFrom = service, copied
-}
-
 // decide returns the final error after a run that did not complete, or nil if the stream is
 // to continue.
 func (s *stream) decide(ctx context.Context, end runResult) error {
@@ -312,11 +298,12 @@
 	}
 	s.sends++
 	s.waitedSince = time.Time{}
-	if s.request.CopyKey != "" && !s.isRecorded {
+	s.beginVersion(lease)
+	if s.request.CopyKey != "" && (!s.isRecorded || s.recordedVersion != s.request.Version) {
 		s.recordBackup(dispatch) // Before the send: other VMs have to know the run before its caller can return.
 	}
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
-	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
+	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "version", lease.Server.Version, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.lastEventID, "origin", s.request.Origin, "promptTokens", s.request.Demand.PromptTokens, "load", lease.Load)
 	s.sentAt, s.firstEventAt, s.lastEventAt, s.runEvents = s.relay.options.Now(), time.Time{}, time.Time{}, 0
 	s.relay.options.LoadAdded()
@@ -362,7 +349,7 @@
 	case end.notRun || end.answer != nil:
 	case end.notSent:
 		lease.ReportUnreachable(end.err)
-	case end.blocked || end.leaving:
+	case end.blocked:
 	case justBegun && !end.aborted:
 		stopped = !lease.Check(ctx)
 	default:
@@ -376,7 +363,7 @@
 
 // reportInterruption reports a run that may have crashed its server.
 func (s *stream) reportInterruption(ctx context.Context, lease *pool.Lease, end runResult, at time.Time, justBegun bool) (terminated bool) {
-	if end.notSent || end.notRun || end.failure || end.blocked || end.leaving || end.answer != nil {
+	if end.notSent || end.notRun || end.failure || end.blocked || end.answer != nil {
 		return false
 	}
 	return s.relay.reportInterruption(ctx, s.request, lease, s.sentAt, at, justBegun)
@@ -393,8 +380,6 @@
 		s.claimed = s.claimed || watch.claimed
 		s.renewedCopy = watch.renewal.copied
 		end.blocked = watch.blocked.Load() && !end.done && end.callerErr == nil
-		end.leaving = watch.leaving.Load() && !end.done && end.callerErr == nil
-		end.idle = end.idle && !end.leaving
 	}()
 	response, verdict, err := s.relay.send(ctx, dispatch)
 	if err != nil {
@@ -430,6 +415,7 @@
 // onFirstEvent handles the arrival of a run's first event.
 func (s *stream) onFirstEvent(ctx context.Context, lease *pool.Lease, dispatch Dispatch, watch *watch) {
 	lease.MarkStarted()
+	s.version.isFixed.Store(true)
 	s.firstEventAt = s.relay.options.Now()
 	s.relay.options.LoadReduced()
 	watch.started.Store(true)
@@ -445,7 +431,7 @@
 
 // recordBackup records the run, and the server to which its memory is copied while it runs.
 func (s *stream) recordBackup(dispatch Dispatch) {
-	s.isRecorded, s.recordedBackup = true, dispatch.BackupID
+	s.isRecorded, s.recordedBackup, s.recordedVersion = true, dispatch.BackupID, s.request.Version
 	copied := Copy{}
 	if dispatch.BackupID != "" {
 		copied = Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.BackupAddress}
--- a/internal/request/relay/version.go
+++ b/internal/request/relay/version.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"time"
 
@@ -114,70 +113,35 @@
 	return rollout.SendAgain
 }
 
-// chooseVersions returns the rule for a send of the stream: the one by which it was claimed, if any.
+// chooseVersions returns the rule for a send of the stream: the one of its version from its first event
+// on, and before it the one by which the send was claimed, if any. A request that is sent again before
+// its first event stays at its version if it can, as other VMs know that one.
 func (s *stream) chooseVersions() pool.VersionRule {
+	claimed := s.versions.claimed
+	s.versions.claimed = nil
+	if s.version.isFixed.Load() {
+		return s.version.rule()
+	}
 	s.versions.usual = s.relay.options.Versions.Usual(s.request.Service)
-	if rule := s.versions.claimed; rule != nil {
-		s.versions.claimed = nil
-		return *rule
+	if claimed != nil {
+		return *claimed
 	}
-	return s.relay.options.Versions.Choose(s.request.Service, s.sendKind())
-}
-
-// isRetired reports whether a server is to keep no work, and returns the rule for what leaves it.
-func (s *stream) isRetired(server pool.Server) (rule pool.VersionRule, retired bool) {
-	return s.relay.options.Versions.Retired(s.request.Service, server.Version)
+	rule := s.relay.options.Versions.Choose(s.request.Service, s.sendKind())
+	if rule.IsZero() {
+		rule.Prefer = s.version.name
+	}
+	return rule
 }
 
 // chooseElsewhere returns the rule for what leaves a server.
 func (s *stream) chooseElsewhere(server pool.Server) pool.VersionRule {
-	if rule, retired := s.isRetired(server); retired {
-		return rule
+	if s.version.isFixed.Load() {
+		return s.version.rule()
 	}
-	return s.relay.options.Versions.Choose(s.request.Service, rollout.SendAgain)
-}
-
-// hasRetiredCopy reports whether the copy of a run is to leave its holder.
-func (s *stream) hasRetiredCopy(lease *pool.Lease) bool {
-	holder, found := lease.CopyHolder()
-	if !found {
-		return false
-	}
-	_, retired := s.isRetired(holder)
-	return retired
-}
-
-// copyRule returns the rule for a new holder of the copy of a run.
-func (s *stream) copyRule(lease *pool.Lease) pool.VersionRule {
-	if rule, retired := s.isRetired(lease.Server); retired {
+	if rule, retired := s.relay.options.Versions.Retired(s.request.Service, server.Version); retired {
 		return rule
 	}
-	if holder, found := lease.CopyHolder(); found {
-		if rule, retired := s.isRetired(holder); retired {
-			return rule
-		}
-	}
-	return s.versions.rule
-}
-
-// leaveSpread is the time over which the streams of a VM leave the servers of a version, so that
-// their moves don't queue there.
-const leaveSpread = time.Second
-
-// leaveVersion moves a run away from a server whose version is retired. If it can't be moved, it ends
-// the run, and the stream goes on elsewhere. A stream that may not be sent again stays.
-func (s *stream) leaveVersion(ctx context.Context, w *watch, lease *pool.Lease, rule pool.VersionRule) (ended bool) {
-	if s.moveFailures < maxMoveFailures {
-		if moved, mayRetry := s.move(ctx, lease, rule, true); moved || mayRetry {
-			return false
-		}
-	}
-	w.leaving.Store(true)
-	if w.tryAbort(false) {
-		return true
-	}
-	w.leaving.Store(false)
-	return false
+	return s.relay.options.Versions.Choose(s.request.Service, rollout.SendAgain)
 }
 
 // renewVersions returns the rule for a stream that has waited since the last choice: the usual one if
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,7 +22,6 @@
 	dueAt       atomic.Int64 // When the next event is overdue, in Unix nanoseconds.
 	aborted     atomic.Bool
 	down        atomic.Bool // The server was found to be down.
-	leaving     atomic.Bool // The watch ended it since its server's version is retired.
 	blocked     atomic.Bool // Requests with the run's traits are refused, and it has not begun to answer.
 	timer       *time.Timer
 	stopped     chan struct{}
@@ -82,30 +80,16 @@
 	moveDue := false
 	nextMoveAt := time.Time{}
 	down := lease.Down
-	leaveAt := time.Time{} // Zero while the server's version is not retired.
 	for {
-		rule, retired := s.isRetired(lease.Server)
-		if retired && leaveAt.IsZero() {
-			leaveAt = now().Add(rand.N(leaveSpread))
-		}
 		switch r := &w.renewal; {
 		case !w.started.Load() || len(s.moves) > 0:
-		case retired && now().After(leaveAt):
-			if s.leaveVersion(ctx, w, lease, rule) {
-				return
-			}
-			leaveAt = now().Add(moveRetryInterval)
-		case !retired && s.hasRetiredCopy(lease) && s.canRenew(lease):
-			if lost := s.renew(renewing, lease, r, true); lost != nil {
-				copyLost = lost
-			}
 		case moveDue && s.canRenew(lease):
 			if lost := s.renew(renewing, lease, r, true); lost != nil {
 				copyLost = lost
 			}
 			moveDue = false
 		case moveDue && now().After(nextMoveAt):
-			_, moveDue = s.move(ctx, lease, s.chooseElsewhere(lease.Server), false)
+			_, moveDue = s.move(ctx, lease, s.chooseElsewhere(lease.Server))
 			nextMoveAt = now().Add(moveRetryInterval)
 		case !r.nextAt.IsZero() && lease.IsLeaving():
 			r.nextAt = time.Time{}
