Streams of lost VMs are found once the store is back

What callers saw: after a loss of all VMs while the store was down, streams that they took up read their prompts again; since versions of servers count, they would be refused for 35 s, although the rows of the VMs before were there.

Cause: the rows were read once, at the start. The first write of a VM that had not read them also replaced them.

Why this works: a starting VM tries again each second, for as long as such streams may return, and writes nothing before. Measured: TestStreamsOfLostVMsAreFoundOnceTheStoreIsBack finds nothing within 20 s without the second try.

--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -12,6 +12,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/copies"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -20,6 +21,8 @@
 	// Each call of the store has a price. After a loss of all VMs, streams of the last
 	// half second have to process their prompts again.
 	copyIndexInterval = 500 * time.Millisecond
+	// copyIndexRetryInterval is the time after which a starting VM tries again to read the rows.
+	copyIndexRetryInterval = time.Second
 	// copyIndexMaxAge is the age up to which the location of a copy is written. Streams
 	// last 4 s to 10 s after up to 5 s in a queue, and locations for streams that have ended
 	// are harmless.
@@ -54,6 +57,7 @@
 	writtenChanges int                 // Change count of the copies at the last write.
 	suspectsDigest uint64              // Checksum of the suspects of crashes at the last write.
 	versions       map[string][]string // As they were written last.
+	isUnread       bool                // The store has not answered yet.
 }
 
 // String names the service in the supervisor's messages.
@@ -64,14 +68,20 @@
 // Serve runs until the context ends.
 func (c *copyIndex) Serve(ctx context.Context) error {
 	c.vm.awaitPeers(ctx, seedTimeout)
-	if c.isReader(c.vm.spread.Snapshot()) {
-		c.read(ctx)
-	}
+	isRead := !c.isReader(c.vm.spread.Snapshot()) || c.read(ctx)
+	retryAt := c.vm.Now().Add(copyIndexRetryInterval)
 	c.vm.copyIndexRead.Store(true)
 	for ctx.Err() == nil {
 		snapshot := c.vm.spread.Snapshot()
 		// Each cell has a writer; with more cells each of them writes less often.
 		sleep(ctx, time.Duration(math.Sqrt(float64(snapshot.Cells))*float64(copyIndexInterval)))
+		if now := c.vm.Now(); !isRead && now.After(retryAt) {
+			isRead = now.Sub(c.vm.started) > copies.Retention || c.read(ctx)
+			retryAt = now.Add(copyIndexRetryInterval)
+		}
+		if !isRead {
+			continue // A write would replace the rows of the VMs before, whose callers may still return.
+		}
 		if snapshot = c.vm.spread.Snapshot(); !c.isWriter(snapshot) {
 			continue
 		}
@@ -112,22 +122,25 @@
 	return fmt.Sprintf("%s-%d", copyIndexKey, snapshot.Cell)
 }
 
-// read restores the locations that earlier VMs wrote. Locations that peers announced since
-// take precedence.
-func (c *copyIndex) read(ctx context.Context) {
+// read restores the locations that earlier VMs wrote, and reports whether the store had answered.
+// Locations that peers announced since take precedence.
+func (c *copyIndex) read(ctx context.Context) (done bool) {
 	rows, err := c.vm.options.Copies.Read(ctx)
 	if err != nil {
-		event.CopiesUnread.Info(c.vm.logger, "error", err)
-		return
+		if !c.isUnread {
+			event.CopiesUnread.Info(c.vm.logger, "error", err)
+		}
+		c.isUnread = true
+		return false
 	}
 	stored := map[string]bool{}
 	defer c.vm.storedKeys.Store(&stored)
-	versions := map[string][]string{}
-	defer func() { c.vm.servers.AddVersions(versions) }()
+	var versions map[string][]string
+	var versionsErr error
 	for _, row := range rows.Rows {
 		if row.Key == versionsKey {
-			if err = cbor.Unmarshal(row.Value, &versions); err != nil {
-				event.CopiesUnread.Info(c.vm.logger, "row", row.Key, "error", err)
+			if versionsErr = cbor.Unmarshal(row.Value, &versions); versionsErr != nil {
+				event.CopiesUnread.Info(c.vm.logger, "row", row.Key, "error", versionsErr)
 			}
 			continue
 		}
@@ -145,6 +158,10 @@
 			stored[location.CopyKey] = true
 		}
 	}
+	if versionsErr == nil {
+		c.vm.servers.AddVersions(versions)
+	}
+	return true
 }
 
 // readSuspects restores the suspects of crashes with their ages at the time of the write. How long
--- /dev/null
+++ b/internal/node/entry/copyindex_test.go
@@ -0,0 +1,100 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/relay"
+)
+
+// copiesFake is the table of the copies' index. Its first reads fail.
+type copiesFake struct {
+	mu       sync.Mutex
+	failures int
+	rows     map[string][]byte
+	puts     []string // What each call did, in order.
+}
+
+func (f *copiesFake) table() Table {
+	return Table{
+		Read: func(context.Context) (Rows, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			if f.failures > 0 {
+				f.failures--
+				f.puts = append(f.puts, "read failed")
+				return Rows{}, errors.New("store is down")
+			}
+			f.puts = append(f.puts, "read")
+			rows := Rows{}
+			for key, value := range f.rows {
+				rows.Rows = append(rows.Rows, Row{Key: key, Value: value})
+			}
+			return rows, nil
+		},
+		Put: func(_ context.Context, key string, value []byte) (uint64, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.puts = append(f.puts, "put "+key)
+			f.rows[key] = value
+			return 0, nil
+		},
+	}
+}
+
+func (f *copiesFake) calls() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]string{}, f.puts...)
+}
+
+func encoded(t *testing.T, value any) []byte {
+	raw, err := cbor.Marshal(value)
+	qt.Assert(t, err, qt.IsNil)
+	return raw
+}
+
+// TestStreamsOfLostVMsAreFoundOnceTheStoreIsBack starts a VM while the store is down, after a loss of all.
+func TestStreamsOfLostVMsAreFoundOnceTheStoreIsBack(t *testing.T) {
+	fake := &copiesFake{failures: 2, rows: map[string][]byte{}}
+	fake.rows[copyIndexKey] = encoded(t, []spread.CopyLocation{{CopyKey: "k", Origin: "r1", Service: "s", Version: "v1"}})
+	fake.rows[versionsKey] = encoded(t, map[string][]string{"s": {"v1"}})
+	vm := New(Options{Settings: Settings{Name: "vm-1"}, Logger: hclog.NewNullLogger(), Copies: fake.table()})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = vm.spread.Serve(ctx) }()
+	go func() { _ = (&copyIndex{vm: vm}).Serve(ctx) }()
+	vm.putCopy(&relay.Request{ID: "r2", Origin: "r2", CopyKey: "k2", Service: "s", Version: "v1"}, relay.Copy{})
+	vm.servers.Update([]pool.Server{{ID: "i", Service: "s", Version: "v1"}})
+	_, known := vm.servers.OnlyVersion("s")
+	qt.Check(t, known, qt.IsFalse)
+	found := relay.Earlier{}
+	for end := time.Now().Add(20 * time.Second); found.Version == "" && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		found, _ = vm.findCopy(ctx, "k", "r1")
+	}
+	qt.Assert(t, found, qt.DeepEquals, relay.Earlier{Origin: "r1", Service: "s", Version: "v1"})
+	_, known = vm.servers.OnlyVersion("s")
+	qt.Check(t, known, qt.IsTrue)
+	qt.Check(t, fake.calls()[:3], qt.DeepEquals, []string{"read failed", "read failed", "read"}, qt.Commentf("nothing is written before"))
+}
+
+func TestRowOfCopiesIsBounded(t *testing.T) {
+	locations := []spread.CopyLocation{}
+	for range 2000 {
+		locations = append(locations, spread.CopyLocation{CopyKey: "0123456789abcdef0123456789abcdef", RunID: "0123456789abcdef", ServerID: "i-0123456789", Address: "10.100.100.100:65535", Service: "service", Version: "v1.22"})
+	}
+	value := encodeLocations(locations)
+	qt.Check(t, len(value) <= maxRowBytes && len(value) > maxRowBytes/2, qt.IsTrue)
+	decoded := []spread.CopyLocation{}
+	qt.Assert(t, cbor.Unmarshal(value, &decoded), qt.IsNil)
+	qt.Check(t, decoded, qt.DeepEquals, locations[:len(decoded)])
+}
