--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -152,11 +152,11 @@
 // has capacity. It has the version of the stream's server, as the stream can't go on at another.
 // Called with the lock held.
 func (p *Pool) chooseForCopy(criteria Criteria, chosen *server, now time.Time) *server {
-	if p.versionFilter(criteria.Service, VersionRule{Exact: true, Only: chosen.Version}).excludes(chosen) {
+	if p.versionFilter(criteria.Service, VersionRule{Exact: true, Only: chosen.exactVersion()}).excludes(chosen) {
 		return nil
 	}
 	usable := p.usableServers(criteria.Service, map[string]bool{chosen.ID: true}, nil, now, true)
-	usable = usable.ofVersion(chosen.Version)
+	usable = usable.ofExactVersion(chosen.exactVersion())
 	for i, s := range usable.servers {
 		// The stream could not continue there once the limit is reached.
 		usable.candidates[i].Avoided = usable.candidates[i].Avoided || s.limited
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -106,11 +106,12 @@
 	return &entry, l.copyLost
 }
 
-// Version returns the version of the server; "" while it is not known.
+// Version returns the version of the server for what must not go to another version: a process that is
+// not listed yet has one of its own; see Pool.ResolveVersion.
 func (l *Lease) Version() string {
 	l.pool.mu.Lock()
 	defer l.pool.mu.Unlock()
-	return l.server.Version
+	return l.server.exactVersion()
 }
 
 // IsLeaving reports whether the stream's server is shutting down or no longer listed.
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -120,17 +120,17 @@
 	mu         sync.Mutex
 	servers    map[string]*server
 	peers      map[string]peerLoads
-	peerTotals map[string]Load            // The load of all peers, by server ID.
-	capacities map[string]Capacity        // By service.
-	lossAt     map[string]time.Time       // By group.
-	departures map[string]departure       // By server ID.
-	returnAt   map[string]time.Time       // When the last refused caller of a service is to return.
-	early      map[string]earlyNotice     // By server id.
-	averages   map[string]*streamAverages // By service.
-	versions   map[string]*versionHistory // By service.
-	cell       int                        // The cell of this VM.
-	cells      int                        // 0 and 1 for a fleet that is not split.
-	cellOf     map[string]int             // The cells of the servers, by address; nil until needed.
+	peerTotals map[string]Load                 // The load of all peers, by server ID.
+	capacities map[string]Capacity             // By service.
+	lossAt     map[string]time.Time            // By group.
+	departures map[string]departure            // By server ID.
+	returnAt   map[string]time.Time            // When the last refused caller of a service is to return.
+	early      map[string]earlyNotice          // By server id.
+	averages   map[string]*streamAverages      // By service.
+	versions   map[string]map[string]time.Time // Until when a server was listed, by service and version.
+	cell       int                             // The cell of this VM.
+	cells      int                             // 0 and 1 for a fleet that is not split.
+	cellOf     map[string]int                  // The cells of the servers, by address; nil until needed.
 
 	// versionsKnownAt is from when on the history has all versions that streams may have begun at.
 	versionsKnownAt time.Time
@@ -182,6 +182,7 @@
 	identified      bool      // The process at its address has returned its id.
 	foundAt         time.Time // When it was found before the list had it; zero if it is listed.
 	dropAt          time.Time
+	versionUnknown  bool // It was found before the list had it: Version is that of the process before.
 	leases          map[*Lease]bool
 	copyTokens      int // Tokens of the copies that this VM placed there.
 	reservedTokens  int // Tokens that streams of this VM reserved there.
@@ -234,7 +235,7 @@
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}, versions: map[string]*versionHistory{}, versionsKnownAt: options.Now().Add(versionRetention)}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}, versions: map[string]map[string]time.Time{}, versionsKnownAt: options.Now().Add(versionRetention)}
 }
 
 // Update replaces the list of servers. The state of servers that stay in the list is
@@ -265,6 +266,7 @@
 		known.Server, known.group = entry, entry.Group()
 		known.listed = true
 		known.foundAt = time.Time{}
+		known.versionUnknown = false
 		p.applyDeparture(known)
 	}
 	p.forgetDepartures(p.options.Now())
--- a/internal/backend/pool/successor.go
+++ b/internal/backend/pool/successor.go
@@ -125,8 +125,8 @@
 	p.markReplaced(s)
 	found := &server{Server: s.Server, group: s.group, listed: true, foundAt: now, lastActivityAt: now, leases: map[*Lease]bool{}}
 	found.ID = id
-	found.Started++    // The real start time is unknown, but later.
-	found.Version = "" // Not known before it is listed.
+	found.Started++ // The real start time is unknown, but later.
+	found.versionUnknown = true
 	p.servers[id] = found
 	return found
 }
--- a/internal/backend/pool/version.go
+++ b/internal/backend/pool/version.go
@@ -99,7 +99,7 @@
 
 // excludes reports whether a server of the service must not be chosen.
 func (f *versionFilter) excludes(s *server) bool {
-	return f != nil && (f.rule.Avoids(s.Version) || (f.rule.Exact && s.Version != f.rule.Only) || (f.bound != nil && s.Version == f.rule.Prefer && !f.bound[s]))
+	return f != nil && (f.rule.Avoids(s.Version) || (f.rule.Exact && s.exactVersion() != f.rule.Only) || (f.bound != nil && s.Version == f.rule.Prefer && !f.bound[s]))
 }
 
 // hasPreference reports whether some of the servers are preferred to others.
@@ -118,6 +118,17 @@
 	c.candidates = append(c.candidates, candidate)
 }
 
+// ofExactVersion returns those of an exact version.
+func (c *choices) ofExactVersion(version string) choices {
+	found := choices{}
+	for i, s := range c.servers {
+		if s.exactVersion() == version {
+			found.add(s, c.candidates[i])
+		}
+	}
+	return found
+}
+
 // ofVersion returns those of a version.
 func (c *choices) ofVersion(version string) choices {
 	found := choices{}
--- a/internal/backend/pool/versions_test.go
+++ b/internal/backend/pool/versions_test.go
@@ -59,12 +59,12 @@
 func TestVersionsOfAnotherVMCompleteTheHistory(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		added map[string][]string
+		added pool.VersionAges
 		want  string
 	}{
 		{"it knew none", nil, "v1"},
-		{"it knew the same", map[string][]string{"s": {"v1"}, "other": {"v3"}}, "v1"},
-		{"it knew another", map[string][]string{"s": {"v0", "v1"}}, "unknown"},
+		{"it knew the same", pool.VersionAges{"s": {"v1": 0}, "other": {"v3": 0}}, "v1"},
+		{"it knew another", pool.VersionAges{"s": {"v0": 34_000, "v1": 0}}, "unknown"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newVersionsRig()
@@ -73,10 +73,10 @@
 			g.AddVersions(c.added)
 			g.list("v1")
 			qt.Check(t, g.only(), qt.Equals, c.want)
-			byService, known := g.Versions()
+			ages, known := g.Versions()
 			qt.Check(t, known, qt.IsTrue)
 			if c.added == nil {
-				qt.Check(t, byService, qt.DeepEquals, map[string][]string{"s": {"v1"}})
+				qt.Check(t, ages, qt.DeepEquals, pool.VersionAges{"s": {"v1": 0}})
 			}
 		})
 	}
@@ -94,7 +94,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	defer lease.Release()
 	qt.Check(t, lease.Server.ID, qt.Equals, "i-found")
-	qt.Check(t, lease.Version(), qt.Equals, "")
+	qt.Check(t, lease.Version(), qt.Equals, "unlisted i-found")
+	g.list("v1")
+	qt.Check(t, g.ResolveVersion(lease.Version()), qt.Equals, "unlisted i-found")
+	g.Update([]pool.Server{{ID: "i-found", Address: "v1:1", Service: "s", FailureDomain: "a", Slots: 1, Version: "v2"}})
+	qt.Check(t, g.ResolveVersion("unlisted i-found"), qt.Equals, "v2")
 }
 
 func TestExactRuleIsKeptWithoutServers(t *testing.T) {
--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
-	"reflect"
 	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/request/copies"
@@ -43,6 +44,8 @@
 	versionsKey = "versions"
 	// maxRowBytes bounds the value of a row; the platform's rows hold 64 KiB.
 	maxRowBytes = 60 << 10
+	// maxIDBytes bounds the ids of a location in a row.
+	maxIDBytes = 1 << 10
 	// suspectsKey is the key of the row of what may make requests crash servers. All VMs have
 	// the same list, so one row serves all cells.
 	suspectsKey = "crashes"
@@ -54,10 +57,10 @@
 // cell writes for it. The writer of the first cell also writes the suspects of crashes.
 type copyIndex struct {
 	vm             *VM
-	writtenChanges int                 // Change count of the copies at the last write.
-	suspectsDigest uint64              // Checksum of the suspects of crashes at the last write.
-	versions       map[string][]string // As they were written last.
-	isUnread       bool                // The store has not answered yet.
+	writtenChanges int              // Change count of the copies at the last write.
+	suspectsDigest uint64           // Checksum of the suspects of crashes at the last write.
+	versions       pool.VersionAges // As they were written last.
+	isUnread       bool             // The store has not answered yet.
 }
 
 // String names the service in the supervisor's messages.
@@ -135,7 +138,7 @@
 	}
 	stored := map[string]bool{}
 	defer c.vm.storedKeys.Store(&stored)
-	var versions map[string][]string
+	var versions pool.VersionAges
 	var versionsErr error
 	for _, row := range rows.Rows {
 		if row.Key == versionsKey {
@@ -218,7 +221,11 @@
 }
 
 // encodeLocations encodes the locations that fit into a row, the first ones if there are too many.
+// Callers choose the ids of requests; one with a long id is left out.
 func encodeLocations(locations []spread.CopyLocation) []byte {
+	locations = slices.DeleteFunc(slices.Clone(locations), func(l spread.CopyLocation) bool {
+		return len(l.Origin)+len(l.RunID) > maxIDBytes
+	})
 	for {
 		value, err := cbor.Marshal(locations)
 		if err != nil {
@@ -235,7 +242,7 @@
 // stream of which nothing else is known may go on if there is only one.
 func (c *copyIndex) writeVersions(ctx context.Context) {
 	versions := c.vm.knownVersions()
-	if versions == nil || (reflect.DeepEqual(versions, c.versions) && c.vm.written.has(versionsKey)) {
+	if versions == nil || (hasSameVersions(versions, c.versions) && c.vm.written.has(versionsKey)) {
 		return
 	}
 	value, err := cbor.Marshal(versions)
@@ -248,3 +255,9 @@
 	}
 	c.versions = versions
 }
+
+func hasSameVersions(a, b pool.VersionAges) bool {
+	return maps.EqualFunc(a, b, func(x, y map[string]int64) bool {
+		return maps.EqualFunc(x, y, func(int64, int64) bool { return true })
+	})
+}
--- a/internal/node/entry/copyindex_test.go
+++ b/internal/node/entry/copyindex_test.go
@@ -67,23 +67,20 @@
 func TestStreamsOfLostVMsAreFoundOnceTheStoreIsBack(t *testing.T) {
 	fake := &copiesFake{failures: 2, rows: map[string][]byte{}}
 	fake.rows[copyIndexKey] = encoded(t, []spread.CopyLocation{{CopyKey: "k", Origin: "r1", Service: "s", Version: "v1"}})
-	fake.rows[versionsKey] = encoded(t, map[string][]string{"s": {"v1"}})
+	fake.rows[versionsKey] = encoded(t, pool.VersionAges{"s": {"v1": 0}})
 	vm := New(Options{Settings: Settings{Name: "vm-1"}, Logger: hclog.NewNullLogger(), Copies: fake.table()})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() { _ = vm.spread.Serve(ctx) }()
 	go func() { _ = (&copyIndex{vm: vm}).Serve(ctx) }()
 	vm.putCopy(&relay.Request{ID: "r2", Origin: "r2", CopyKey: "k2", Service: "s", Version: "v1"}, relay.Copy{})
-	vm.servers.Update([]pool.Server{{ID: "i", Service: "s", Version: "v1"}})
-	_, known := vm.servers.OnlyVersion("s")
-	qt.Check(t, known, qt.IsFalse)
+	qt.Check(t, vm.knownVersions(), qt.IsNil)
 	found := relay.Earlier{}
 	for end := time.Now().Add(20 * time.Second); found.Version == "" && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		found, _ = vm.findCopy(ctx, "k", "r1")
 	}
 	qt.Assert(t, found, qt.DeepEquals, relay.Earlier{Origin: "r1", Service: "s", Version: "v1"})
-	_, known = vm.servers.OnlyVersion("s")
-	qt.Check(t, known, qt.IsTrue)
+	qt.Check(t, hasSameVersions(vm.knownVersions(), pool.VersionAges{"s": {"v1": 0}}), qt.IsTrue)
 	qt.Check(t, fake.calls()[:3], qt.DeepEquals, []string{"read failed", "read failed", "read"}, qt.Commentf("nothing is written before"))
 }
 
--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -8,6 +8,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/request/copies"
@@ -239,12 +240,12 @@
 
 // knownVersions returns the versions that servers of each service were listed with lately, nil while
 // this VM may not know them all.
-func (v *VM) knownVersions() map[string][]string {
-	byService, known := v.servers.Versions()
+func (v *VM) knownVersions() pool.VersionAges {
+	ages, known := v.servers.Versions()
 	if !known {
 		return nil
 	}
-	return byService
+	return ages
 }
 
 const (
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -166,8 +166,8 @@
 	WantMembers []byte `cbor:"17,keyasint,omitempty"`
 	// WantCopies are the runs whose locations the sender requests. Versions, in the reply, are those that
 	// servers of each service were listed with lately; nil if the VM does not know them all.
-	WantCopies []CopyQuery         `cbor:"29,keyasint,omitempty"`
-	Versions   map[string][]string `cbor:"30,keyasint,omitempty"`
+	WantCopies []CopyQuery      `cbor:"29,keyasint,omitempty"`
+	Versions   pool.VersionAges `cbor:"30,keyasint,omitempty"`
 	// Departures are of servers that reported that they are leaving.
 	Departures []pool.Departure `cbor:"14,keyasint,omitempty"`
 	// Limits are of servers that named one.
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -149,8 +149,8 @@
 	FindCopies func(queries []CopyQuery) (locations []CopyLocation, known bool)
 	// Versions returns the versions that servers of each service were listed with lately, nil while some
 	// may be missing, and OnVersions applies another VM's.
-	Versions   func() map[string][]string
-	OnVersions func(byService map[string][]string)
+	Versions   func() pool.VersionAges
+	OnVersions func(ages pool.VersionAges)
 	// OnMembersLost receives the VMs that went down or were replaced by another process.
 	OnMembersLost func(peers []string)
 	// Departures returns those of the listed servers that reported that they are leaving. They
@@ -224,10 +224,10 @@
 		options.OnAdmission = func(string, []admission.Report) {}
 	}
 	if options.Versions == nil {
-		options.Versions = func() map[string][]string { return nil }
+		options.Versions = func() pool.VersionAges { return nil }
 	}
 	if options.OnVersions == nil {
-		options.OnVersions = func(map[string][]string) {}
+		options.OnVersions = func(pool.VersionAges) {}
 	}
 	if options.CrashesHash == nil {
 		options.CrashesHash = func() uint64 { return 0 }
--- a/internal/request/relay/return.go
+++ b/internal/request/relay/return.go
@@ -9,31 +9,25 @@
 	"github.com/endivespoke/endivespoke/internal/node/event"
 )
 
-// streamVersion is the version at which a stream goes on. Name is that of the server of the last run, and
-// lease that run's, nil for a stream that ran at another VM. From the first event on it is fixed, as the
-// events of two versions don't fit together.
+// streamVersion is the version at which a stream goes on: that of the server of the last run. From the
+// first event on it is fixed, as the events of two versions don't fit together.
 type streamVersion struct {
 	name    string
-	lease   *pool.Lease
 	isFixed atomic.Bool
 }
 
-// rule returns the rule for the servers at which a stream of a fixed version may go on. The version of
-// a server that is not listed yet may become known later.
-func (v *streamVersion) rule() pool.VersionRule {
-	if v.name == "" && v.lease != nil {
-		return pool.VersionRule{Exact: true, Only: v.lease.Version()}
-	}
-	return pool.VersionRule{Exact: true, Only: v.name}
+// fixedRule returns the rule for the servers at which a stream of a fixed version may go on. The version
+// of a process that was not listed may have become known.
+func (s *stream) fixedRule() pool.VersionRule {
+	return pool.VersionRule{Exact: true, Only: s.relay.options.Servers.ResolveVersion(s.version.name)}
 }
 
 // beginVersion notes the version of a run that is about to be sent.
 func (s *stream) beginVersion(lease *pool.Lease) {
-	if s.version.isFixed.Load() {
-		return
+	if !s.version.isFixed.Load() {
+		s.version.name = lease.Version()
+		s.request.Version = s.version.name
 	}
-	s.version.name, s.version.lease = lease.Server.Version, lease
-	s.request.Version = lease.Server.Version
 }
 
 // takeUp prepares a stream whose caller has returned with the last event that it has: it finds the
@@ -51,30 +45,39 @@
 	}()
 	if !found {
 		request.Origin = cmp.Or(request.Resumes, request.Origin)
-		return s.fixVersion("")
+		return s.fixOnlyVersion()
 	}
 	request.Origin, request.OriginKnown = earlier.Origin, true
-	s.isRecorded, s.recordedVersion = true, earlier.Version
+	s.isRecorded, s.recordedService, s.recordedVersion = true, earlier.Service, earlier.Version
 	service := cmp.Or(earlier.Service, s.relay.options.Servers.ServiceOf(earlier.Copy.ServerID))
 	if service != request.Service && !request.Route.LeadsTo(service) {
 		return nil // The route has left the service since.
 	}
 	request.Service, s.resumeFrom = service, earlier.Copy
-	return s.fixVersion(earlier.Version)
+	if earlier.Version != "" {
+		s.fixVersion(earlier.Version)
+		return nil
+	}
+	refusal = s.fixOnlyVersion()
+	if refusal == nil && earlier.Service != "" && s.version.name != "" {
+		return s.versionUnknown() // The record is of two versions, or of servers that name none.
+	}
+	return refusal
 }
 
-// fixVersion fixes the version of a stream whose caller has returned: the one that is known, or the only
-// one that its events can be of. If there may be others, the stream is refused.
-func (s *stream) fixVersion(known string) *NotRun {
-	version := known
-	if version == "" {
-		isOnly := false
-		if version, isOnly = s.relay.options.Servers.OnlyVersion(s.request.Service); !isOnly {
-			return s.versionUnknown()
-		}
-	}
+func (s *stream) fixVersion(version string) {
 	s.version.name, s.request.Version = version, version
 	s.version.isFixed.Store(true)
+}
+
+// fixOnlyVersion fixes the version of a returned stream of which no version is known, if there is only
+// one that its events can be of. Otherwise the stream is refused.
+func (s *stream) fixOnlyVersion() *NotRun {
+	only, isOnly := s.relay.options.Servers.OnlyVersion(s.request.Service)
+	if !isOnly {
+		return s.versionUnknown()
+	}
+	s.fixVersion(only)
 	return nil
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -85,11 +85,11 @@
 	renewedCopy    Copy          // Renewed copy of the run that ended last, if any.
 	isRecorded     bool          // The index of copies knows its origin.
 	recordedBackup string        // The server that this VM recorded last as the holder of its copy.
-	// recordedVersion is the version with which the index of copies knows it.
-	recordedVersion string
-	interruptedAt   time.Time
-	waitedSince     time.Time // When it first found no server that takes requests, since its last run.
-	reason          string
+	// recordedService and recordedVersion are those with which the index of copies knows it.
+	recordedService, recordedVersion string
+	interruptedAt                    time.Time
+	waitedSince                      time.Time // When it first found no server that takes requests, since its last run.
+	reason                           string
 }
 
 // runResult is how one run at a server ended.
@@ -299,11 +299,11 @@
 	s.sends++
 	s.waitedSince = time.Time{}
 	s.beginVersion(lease)
-	if s.request.CopyKey != "" && (!s.isRecorded || s.recordedVersion != s.request.Version) {
+	if s.request.CopyKey != "" && (!s.isRecorded || s.recordedService != s.request.Service || s.recordedVersion != s.request.Version) {
 		s.recordBackup(dispatch) // Before the send: other VMs have to know the run before its caller can return.
 	}
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
-	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "version", lease.Server.Version, "backup", dispatch.BackupID,
+	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "version", s.request.Version, "backup", dispatch.BackupID,
 		"fromCopy", resumed, "lastEvent", s.lastEventID, "origin", s.request.Origin, "promptTokens", s.request.Demand.PromptTokens, "load", lease.Load)
 	s.sentAt, s.firstEventAt, s.lastEventAt, s.runEvents = s.relay.options.Now(), time.Time{}, time.Time{}, 0
 	s.relay.options.LoadAdded()
@@ -431,7 +431,8 @@
 
 // recordBackup records the run, and the server to which its memory is copied while it runs.
 func (s *stream) recordBackup(dispatch Dispatch) {
-	s.isRecorded, s.recordedBackup, s.recordedVersion = true, dispatch.BackupID, s.request.Version
+	s.isRecorded, s.recordedBackup = true, dispatch.BackupID
+	s.recordedService, s.recordedVersion = s.request.Service, s.request.Version
 	copied := Copy{}
 	if dispatch.BackupID != "" {
 		copied = Copy{RunID: s.request.ID, ServerID: dispatch.BackupID, Address: dispatch.BackupAddress}
--- a/internal/request/relay/version.go
+++ b/internal/request/relay/version.go
@@ -120,13 +120,17 @@
 	claimed := s.versions.claimed
 	s.versions.claimed = nil
 	if s.version.isFixed.Load() {
-		return s.version.rule()
+		return s.fixedRule()
 	}
 	s.versions.usual = s.relay.options.Versions.Usual(s.request.Service)
 	if claimed != nil {
 		return *claimed
 	}
-	rule := s.relay.options.Versions.Choose(s.request.Service, s.sendKind())
+	return s.preferLast(s.relay.options.Versions.Choose(s.request.Service, s.sendKind()))
+}
+
+// preferLast returns a rule that prefers the version of the send before, unless a roll-out decides.
+func (s *stream) preferLast(rule pool.VersionRule) pool.VersionRule {
 	if rule.IsZero() {
 		rule.Prefer = s.version.name
 	}
@@ -136,12 +140,12 @@
 // chooseElsewhere returns the rule for what leaves a server.
 func (s *stream) chooseElsewhere(server pool.Server) pool.VersionRule {
 	if s.version.isFixed.Load() {
-		return s.version.rule()
+		return s.fixedRule()
 	}
 	if rule, retired := s.relay.options.Versions.Retired(s.request.Service, server.Version); retired {
 		return rule
 	}
-	return s.relay.options.Versions.Choose(s.request.Service, rollout.SendAgain)
+	return s.preferLast(s.relay.options.Versions.Choose(s.request.Service, rollout.SendAgain))
 }
 
 // renewVersions returns the rule for a stream that has waited since the last choice: the usual one if
