VMs that start while the store is away read the places of streams once it answers

What callers saw: all VMs were killed while the store was away for a second. Once it was back, each stream that was taken up was told to return later, for 35 s: 32 of 32, in a fleet with two versions.

The class: an answer that didn't come counted as the answer "nothing".

--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -9,9 +9,11 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/copies"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -64,8 +66,16 @@
 // Serve runs until the context ends.
 func (c *copyIndex) Serve(ctx context.Context) error {
 	c.vm.awaitPeers(ctx, seedTimeout)
-	if c.isReader(c.vm.spread.Snapshot()) {
-		c.read(ctx)
+	// A write before the read would replace what is to be read. After the retention nothing is left of that.
+	for tries := 0; c.isReader(c.vm.spread.Snapshot()) && ctx.Err() == nil && c.vm.Now().Sub(c.vm.started) < copies.Retention; tries++ {
+		err := c.read(ctx)
+		if err == nil {
+			break
+		}
+		if tries == 0 {
+			event.CopiesUnread.Info(c.vm.logger, "error", err)
+		}
+		sleep(ctx, copyIndexInterval)
 	}
 	c.vm.copyIndexRead.Store(true)
 	for ctx.Err() == nil {
@@ -113,12 +123,11 @@
 }
 
 // read restores the locations that earlier VMs wrote. Locations that peers announced since
-// take precedence.
-func (c *copyIndex) read(ctx context.Context) {
+// take precedence. It fails if the store doesn't answer.
+func (c *copyIndex) read(ctx context.Context) error {
 	rows, err := c.vm.options.Copies.Read(ctx)
 	if err != nil {
-		event.CopiesUnread.Info(c.vm.logger, "error", err)
-		return
+		return errors.Trace(err)
 	}
 	stored := map[string]bool{}
 	defer c.vm.storedKeys.Store(&stored)
@@ -145,6 +154,7 @@
 			stored[location.CopyKey] = true
 		}
 	}
+	return nil
 }
 
 // readSuspects restores the suspects of crashes with their ages at the time of the write. How long
