--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
+	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
@@ -22,8 +23,6 @@
 	// Each call of the store has a price. After a loss of all VMs, streams of the last
 	// half second have to process their prompts again.
 	copyIndexInterval = 500 * time.Millisecond
-	// copyIndexRetryInterval is the time after which a starting VM tries again to read the rows.
-	copyIndexRetryInterval = time.Second
 	// copyIndexMaxAge is the age up to which the location of a copy is written. Streams
 	// last 4 s to 10 s after up to 5 s in a queue, and locations for streams that have ended
 	// are harmless.
@@ -60,7 +59,6 @@
 	writtenChanges int              // Change count of the copies at the last write.
 	suspectsDigest uint64           // Checksum of the suspects of crashes at the last write.
 	versions       pool.VersionAges // As they were written last.
-	isUnread       bool             // The store has not answered yet.
 }
 
 // String names the service in the supervisor's messages.
@@ -71,20 +69,22 @@
 // Serve runs until the context ends.
 func (c *copyIndex) Serve(ctx context.Context) error {
 	c.vm.awaitPeers(ctx, seedTimeout)
-	isRead := !c.isReader(c.vm.spread.Snapshot()) || c.read(ctx)
-	retryAt := c.vm.Now().Add(copyIndexRetryInterval)
+	// A write before the read would replace what is to be read. After the retention nothing is left of that.
+	for tries := 0; c.isReader(c.vm.spread.Snapshot()) && ctx.Err() == nil && c.vm.Now().Sub(c.vm.started) < copies.Retention; tries++ {
+		err := c.read(ctx)
+		if err == nil {
+			break
+		}
+		if tries == 0 {
+			event.CopiesUnread.Info(c.vm.logger, "error", err)
+		}
+		sleep(ctx, copyIndexInterval)
+	}
 	c.vm.copyIndexRead.Store(true)
 	for ctx.Err() == nil {
 		snapshot := c.vm.spread.Snapshot()
 		// Each cell has a writer; with more cells each of them writes less often.
 		sleep(ctx, time.Duration(math.Sqrt(float64(snapshot.Cells))*float64(copyIndexInterval)))
-		if now := c.vm.Now(); !isRead && now.After(retryAt) {
-			isRead = now.Sub(c.vm.started) > copies.Retention || c.read(ctx)
-			retryAt = now.Add(copyIndexRetryInterval)
-		}
-		if !isRead {
-			continue // A write would replace the rows of the VMs before, whose callers may still return.
-		}
 		if snapshot = c.vm.spread.Snapshot(); !c.isWriter(snapshot) {
 			continue
 		}
@@ -125,16 +125,12 @@
 	return fmt.Sprintf("%s-%d", copyIndexKey, snapshot.Cell)
 }
 
-// read restores the locations that earlier VMs wrote, and reports whether the store had answered.
-// Locations that peers announced since take precedence.
-func (c *copyIndex) read(ctx context.Context) (done bool) {
+// read restores the locations that earlier VMs wrote. Locations that peers announced since
+// take precedence. It fails if the store doesn't answer.
+func (c *copyIndex) read(ctx context.Context) error {
 	rows, err := c.vm.options.Copies.Read(ctx)
 	if err != nil {
-		if !c.isUnread {
-			event.CopiesUnread.Info(c.vm.logger, "error", err)
-		}
-		c.isUnread = true
-		return false
+		return errors.Trace(err)
 	}
 	stored := map[string]bool{}
 	defer c.vm.storedKeys.Store(&stored)
@@ -164,7 +160,7 @@
 	if versionsErr == nil {
 		c.vm.servers.AddVersions(versions)
 	}
-	return true
+	return nil
 }
 
 // readSuspects restores the suspects of crashes with their ages at the time of the write. How long
