--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
@@ -70,7 +68,11 @@
 	location := locationOf(request.CopyKey, record)
 	if v.copies.Put(request.CopyKey, record) {
 		location.Ambiguous = true
-		v.ambiguous.add(request.CopyKey)
+		v.ambiguous.add(spread.CopyLocation{CopyKey: request.CopyKey, Ambiguous: true})
+	}
+	if known, found := v.copies.FindOrigin(request.CopyKey, request.Origin); found && known.Version != request.Version {
+		// Stored rows may have the other version that it was sent to.
+		v.ambiguous.add(spread.CopyLocation{CopyKey: request.CopyKey, Origin: request.Origin, Service: request.Service, ByOriginOnly: request.SharesKey})
 	}
 	v.mu.Lock()
 	running := v.localStreams.running
@@ -164,7 +166,7 @@
 		runsHere := len(v.localStreams.running[location.CopyKey]) > 0
 		v.mu.Unlock()
 		if runsHere {
-			v.ambiguous.add(location.CopyKey)
+			v.ambiguous.add(spread.CopyLocation{CopyKey: location.CopyKey, Ambiguous: true})
 		}
 	}
 }
@@ -189,7 +191,8 @@
 		return record, true
 	}
 	_, knowsVersions := v.servers.Versions()
-	if v.knowsCell() && knowsVersions && v.spread.Snapshot().Cells <= 1 {
+	hasJoined := v.Now().Sub(v.started) > joinTime
+	if hasJoined && v.knowsCell() && knowsVersions && v.spread.Snapshot().Cells <= 1 {
 		return copies.Record{}, false
 	}
 	locations, _, _ := v.spread.LocateCopies(ctx, spread.CopyQuery{CopyKey: copyKey, Origin: origin})
@@ -264,54 +267,71 @@
 	ambiguousRowPrefix = "ambiguous-"
 )
 
-// ambiguousKeys writes the keys of equal requests of which one runs on this VM to the store. It is
-// safe for concurrent use.
+// ambiguousKeys writes to the store the keys of equal requests of which one runs on this VM, and the
+// requests that were sent to servers of two versions. It is safe for concurrent use.
 type ambiguousKeys struct {
 	vm    *VM
 	due   chan struct{}
 	mu    sync.Mutex
-	byKey map[string]*ambiguousKey
+	byKey map[ambiguity]*ambiguousKey
+}
+
+// ambiguity is a key, or a request with a key if it has an origin.
+type ambiguity struct {
+	copyKey string
+	origin  string
 }
 
 type ambiguousKey struct {
-	addedAt time.Time
-	written chan struct{} // Closed once the key is in the store.
+	location spread.CopyLocation
+	addedAt  time.Time
+	written  chan struct{} // Closed once it is in the store.
 }
 
 func newAmbiguousKeys(vm *VM) *ambiguousKeys {
-	return &ambiguousKeys{vm: vm, due: make(chan struct{}, 1), byKey: map[string]*ambiguousKey{}}
+	return &ambiguousKeys{vm: vm, due: make(chan struct{}, 1), byKey: map[ambiguity]*ambiguousKey{}}
 }
 
-// add queues a key to be written, unless it is in the row already.
-func (a *ambiguousKeys) add(copyKey string) {
+// add queues a location to be written, unless it is in the row already.
+func (a *ambiguousKeys) add(location spread.CopyLocation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.vm.Now()
-	if known := a.byKey[copyKey]; known != nil {
+	key := ambiguity{copyKey: location.CopyKey, origin: location.Origin}
+	if known := a.byKey[key]; known != nil {
 		known.addedAt = now
 		return
 	}
-	a.byKey[copyKey] = &ambiguousKey{addedAt: now, written: make(chan struct{})}
+	a.byKey[key] = &ambiguousKey{location: location, addedAt: now, written: make(chan struct{})}
 	select {
 	case a.due <- struct{}{}:
 	default: // A write is due already.
 	}
 }
 
-// await waits until a key that was added is written, ambiguousHold at most.
-func (a *ambiguousKeys) await(ctx context.Context, copyKey string) {
+// await waits until what was added for a request is written, ambiguousHold at most.
+func (a *ambiguousKeys) await(ctx context.Context, request *relay.Request) {
+	pending := []chan struct{}{}
 	a.mu.Lock()
-	known := a.byKey[copyKey]
+	for _, key := range []ambiguity{{copyKey: request.CopyKey}, {copyKey: request.CopyKey, origin: request.Origin}} {
+		if known := a.byKey[key]; known != nil {
+			pending = append(pending, known.written)
+		}
+	}
 	a.mu.Unlock()
-	if known == nil {
+	if len(pending) == 0 {
 		return
 	}
 	limit := time.NewTimer(ambiguousHold)
 	defer limit.Stop()
-	select {
-	case <-known.written:
-	case <-limit.C:
-	case <-ctx.Done():
+	for _, written := range pending {
+		select {
+		case <-written:
+		case <-limit.C:
+			return
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
@@ -343,7 +363,8 @@
 
 // isRowLost reports whether the store came back without this VM's row.
 func (a *ambiguousKeys) isRowLost() bool {
-	return len(a.newest()) > 0 && !a.vm.written.has(a.rowKey())
+	keys, _ := a.newest()
+	return len(keys) > 0 && !a.vm.written.has(a.rowKey())
 }
 
 func (a *ambiguousKeys) rowKey() string {
@@ -352,16 +373,8 @@
 
 // write writes this VM's row and reports whether it succeeded.
 func (a *ambiguousKeys) write(ctx context.Context) (done bool) {
-	keys := a.newest()
-	locations := make([]spread.CopyLocation, len(keys))
-	for i, key := range keys {
-		locations[i] = spread.CopyLocation{CopyKey: key, Ambiguous: true}
-	}
-	value, err := cbor.Marshal(locations)
-	if err != nil {
-		panic(err) // Strings can always be encoded as CBOR.
-	}
-	if err = a.vm.written.put(ctx, a.vm.options.Copies, a.rowKey(), value); err != nil {
+	keys, locations := a.newest()
+	if err := a.vm.written.put(ctx, a.vm.options.Copies, a.rowKey(), encodeLocations(locations)); err != nil {
 		a.vm.logger.Debug("the keys of equal requests could not be written", "error", err)
 		return false
 	}
@@ -377,14 +390,14 @@
 		case <-known.written:
 		default:
 			close(known.written)
-			event.EqualStreams.Info(a.vm.logger, "copyKey", key, "millis", now.Sub(known.addedAt).Milliseconds())
+			event.EqualStreams.Info(a.vm.logger, "copyKey", key.copyKey, "origin", key.origin, "millis", now.Sub(known.addedAt).Milliseconds())
 		}
 	}
 	return true
 }
 
-// newest removes the keys whose retention is over, and returns the newest of the others.
-func (a *ambiguousKeys) newest() (keys []string) {
+// newest removes what is past its retention, and returns the newest of the rest.
+func (a *ambiguousKeys) newest() (keys []ambiguity, locations []spread.CopyLocation) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	oldest := a.vm.Now().Add(-copies.Retention)
@@ -395,6 +408,10 @@
 		}
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(x, y string) int { return a.byKey[y].addedAt.Compare(a.byKey[x].addedAt) })
-	return keys[:min(len(keys), maxAmbiguousKeys)]
+	slices.SortFunc(keys, func(x, y ambiguity) int { return a.byKey[y].addedAt.Compare(a.byKey[x].addedAt) })
+	keys = keys[:min(len(keys), maxAmbiguousKeys)]
+	for _, key := range keys {
+		locations = append(locations, a.byKey[key].location)
+	}
+	return keys, locations
 }
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -240,11 +240,11 @@
 // before it is sent, with the place that its memory is copied to, if any, and each later copy. Find
 // serves a caller that reconnects after the loss of its VM: it returns what is known of the attempt
 // that the caller names, or else of the only request with the key. AwaitAmbiguous waits until other VMs
-// would know that a request is one of several with its key.
+// would know that a request is one of several with its key, or was sent to servers of two versions.
 type Copies struct {
 	Put            func(request *Request, copied Copy)
 	Find           func(ctx context.Context, copyKey, origin string) (earlier Earlier, found bool)
-	AwaitAmbiguous func(ctx context.Context, copyKey string)
+	AwaitAmbiguous func(ctx context.Context, request *Request)
 }
 
 // Crashes records the traits of requests under which servers crash; see package crash.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -156,7 +156,7 @@
 				g.copies.Store(request.CopyKey, relay.Earlier{Origin: "r1", Copy: copied, Service: request.Service, Version: request.Version})
 			},
 			Find:           g.findCopy,
-			AwaitAmbiguous: func(context.Context, string) {},
+			AwaitAmbiguous: func(context.Context, *relay.Request) {},
 		},
 		Crashes: relay.Crashes{
 			Interrupted: g.crashes.Interrupted,
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -426,7 +426,7 @@
 	if dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup {
 		s.recordBackup(dispatch)
 	}
-	s.relay.options.Copies.AwaitAmbiguous(ctx, s.request.CopyKey)
+	s.relay.options.Copies.AwaitAmbiguous(ctx, s.request)
 }
 
 // recordBackup records the run, and the server to which its memory is copied while it runs.
