Versions: failing test of the only version that a VM with an old list knows

What callers saw: nothing yet; shown by a test. A VM that is cut off from the store and its peers, but not from callers and servers, has neither the record of a stream that began elsewhere nor the versions that were listed since. It takes the version of its list for the only one, and goes on with a stream of another version.

Cause: pool.OnlyVersion dates each listed version with the present time, whatever the age of the list.

--- a/internal/backend/pool/versions_test.go
+++ b/internal/backend/pool/versions_test.go
@@ -108,3 +108,19 @@
 		qt.Check(t, g.HasOther("s", "a-old", rule), qt.IsFalse)
 	}
 }
+
+func TestOnlyVersionIsNotKnownFromAnOldList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	listedAt := now
+	p := pool.New(pool.Options{Now: func() time.Time { return now }, Draw: func() float64 { return 0 }, Successors: pool.Successors{ListedAt: func() time.Time { return listedAt }}})
+	p.AddVersions(nil)
+	p.Update([]pool.Server{{ID: "i-v1", Address: "v1:1", Service: "s", FailureDomain: "a", Slots: 1, Version: "v1"}})
+	_, known := p.OnlyVersion("s")
+	qt.Assert(t, known, qt.IsTrue)
+	now = now.Add(time.Minute)
+	_, known = p.OnlyVersion("s")
+	qt.Check(t, known, qt.IsFalse, qt.Commentf("a VM that is cut off lacks the versions of the last minute"))
+	listedAt = now
+	_, known = p.OnlyVersion("s")
+	qt.Check(t, known, qt.IsTrue)
+}
