Versions: failing test of streams at processes whose version is not known

What callers saw: nothing yet; shown by a test. While the store is away, processes that replaced lost servers are found at their addresses, with version "". A stream that begins at one of them has the exact rule of version "", which every other such process meets, whatever the version of either is.

Cause: "" stands for a version that is not known and for servers that name none.

--- a/internal/backend/pool/versions_test.go
+++ b/internal/backend/pool/versions_test.go
@@ -124,3 +124,18 @@
 	_, known = p.OnlyVersion("s")
 	qt.Check(t, known, qt.IsTrue)
 }
+
+func TestStreamAtAProcessOfUnknownVersionDoesNotGoOnAtAnother(t *testing.T) {
+	g := newVersionsRig()
+	g.AddVersions(nil)
+	g.list("v1", "v2")
+	g.ApplyPeerSuccessor("i-v1", "found-1")
+	g.ApplyPeerSuccessor("i-v2", "found-2")
+	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s"})
+	qt.Assert(t, err, qt.IsNil)
+	defer lease.Release()
+	exact := pool.VersionRule{Exact: true, Only: lease.Version()}
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Tried: map[string]bool{lease.Server.ID: true}, Versions: exact})
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone, qt.Commentf("both are in place of lost ones, of versions that are not known"))
+	qt.Check(t, g.HasOther("s", lease.Server.ID, exact), qt.IsFalse)
+}
