Versions: failing test of a version that VMs never forget

What callers saw: nothing yet; shown by a test. Replies to queries for runs carry the versions that a VM knows, and the VM that receives them dates them with the present time. Copy index VMs that ask each other within each 35 s, as returning callers make them do in a fleet of several cells, keep a version that has left for good. Streams without a record are refused as of several versions from then on.

Cause: AddVersions doesn't know when the version was listed last, and the message doesn't say.

--- a/internal/backend/pool/versions_test.go
+++ b/internal/backend/pool/versions_test.go
@@ -139,3 +139,21 @@
 	qt.Check(t, err, qt.ErrorIs, pool.ErrNone, qt.Commentf("both are in place of lost ones, of versions that are not known"))
 	qt.Check(t, g.HasOther("s", lease.Server.ID, exact), qt.IsFalse)
 }
+
+func TestVersionThatHasLeftIsForgottenByVMsThatTellEachOther(t *testing.T) {
+	a, b := newVersionsRig(), newVersionsRig()
+	for _, g := range []*versionsRig{a, b} {
+		g.AddVersions(nil)
+		g.list("v1", "v2")
+		g.list("v2")
+	}
+	for range 12 {
+		a.now, b.now = a.now.Add(10*time.Second), b.now.Add(10*time.Second)
+		told, _ := a.Versions()
+		b.AddVersions(told)
+		told, _ = b.Versions()
+		a.AddVersions(told)
+	}
+	qt.Check(t, a.only(), qt.Equals, "v2", qt.Commentf("no server of v1 was listed for two minutes"))
+	qt.Check(t, b.only(), qt.Equals, "v2")
+}
