Versions: failing test of a stream whose route has left its service

What callers saw: nothing yet; shown by a test. A caller returns, the record names a service that its route doesn't lead to any more, and the stream goes on at the route's service of now. If that run has the version that the record names, and no copy, the record isn't written again. When the caller returns once more, its record names the former service again, so no version is fixed, and the stream gets events of another version of the new service.

Cause: takeUp returns without a version there, and run compares the version but not the service of the record.

--- a/internal/request/relay/mixed_versions_test.go
+++ b/internal/request/relay/mixed_versions_test.go
@@ -207,3 +207,20 @@
 	})
 	t.Logf("%d streams were complete, %d joined", completed, joined)
 }
+
+func TestStreamWhoseRouteLeftItsServiceHasOneVersionOfTheNewOne(t *testing.T) {
+	g := newMixedRig(t, func(version string) script { return versioned(version, 3, abort) })
+	listed := g.listed
+	g.servers.SetCapacities(map[string]pool.Capacity{"s": {}})
+	g.copies.Store("copy", relay.Earlier{Origin: "r1", Service: "left", Version: "old"})
+	g.unlist("new")
+	got := &caller{}
+	r := mixedRequest("4")
+	r.Route.MaxAttempts = 1
+	qt.Assert(t, g.relay.Stream(context.Background(), r, got.sink()), qt.IsNotNil)
+	qt.Assert(t, versionsOf(got), qt.DeepEquals, []string{"old"})
+	g.listed = listed
+	g.unlist("old")
+	qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest(got.last()), got.sink()), qt.IsNotNil)
+	qt.Check(t, versionsOf(got), qt.DeepEquals, []string{"old"})
+}
