Versions: failing test of a record without a version

What callers saw: nothing yet; shown by a test. A record that has the service and no version is of a request that was sent to two versions, or that ran at a process in place of a lost one, which wasn't listed. Neither is the only version that the VM lists, if that has a name: the VM's list lags, or the process is of a version that isn't listed yet.

Cause: takeUp treats the record as if there were none.

--- a/internal/request/relay/mixed_versions_test.go
+++ b/internal/request/relay/mixed_versions_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
@@ -224,3 +225,17 @@
 	qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest(got.last()), got.sink()), qt.IsNotNil)
 	qt.Check(t, versionsOf(got), qt.DeepEquals, []string{"old"})
 }
+
+func TestRecordWithoutAVersionIsNotTakenForTheOnlyOneListed(t *testing.T) {
+	g := newMixedRig(t, func(version string) script { return versioned(version, 12, complete) })
+	only := pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }})
+	only.AddVersions(nil)
+	g.unlist("new")
+	only.Update(g.listed)
+	g.copies.Store("copy", relay.Earlier{Origin: "r1", Service: "s"})
+	got := &caller{}
+	err := g.vm(only).Stream(context.Background(), mixedRequest("4"), got.sink())
+	var refusal *relay.NotRun
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v, events of %v", err, versionsOf(got)))
+	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalVersion)
+}
