Versions: failing test of processes in place of servers of an avoided version

What callers saw: nothing yet; shown by a test. A process that replaced a lost server of a version that is rolled back or under trial, and isn't listed yet, has version "", which no rule avoids: it gets requests that the roll-out keeps from its version. With a rule for the new version only, processes in place of new servers get nothing.

Measured: TestProcessInPlaceOfOneOfAnAvoidedVersionGetsNothing fails; it passes if the successor keeps the version of the server before (scratch change, not kept).

--- a/internal/backend/pool/versions_test.go
+++ b/internal/backend/pool/versions_test.go
@@ -157,3 +157,15 @@
 	qt.Check(t, a.only(), qt.Equals, "v2", qt.Commentf("no server of v1 was listed for two minutes"))
 	qt.Check(t, b.only(), qt.Equals, "v2")
 }
+
+func TestProcessInPlaceOfOneOfAnAvoidedVersionGetsNothing(t *testing.T) {
+	g := newVersionsRig()
+	g.AddVersions(nil)
+	g.list("v1", "v2")
+	g.ApplyPeerSuccessor("i-v2", "found")
+	rule := pool.VersionRule{Avoid: []string{"v2"}}
+	_, err := g.AcquireForCall("s", map[string]bool{"i-v1": true}, rule)
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone)
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Tried: map[string]bool{"i-v1": true}, Versions: rule})
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone)
+}
