Versions: failing test of a request that is sent again after the loss of a silent server

What callers saw: nothing yet; shown by a test. A request whose server is lost before its first event is sent to a server of any version, although another of the version before is free. Its record then has no version, and its caller is refused when it returns while several versions are listed.

Cause: the watch claims the send with a rule of its own (chooseElsewhere), and chooseVersions returns that one without the preference for the version before.

--- a/internal/request/relay/mixed_versions_test.go
+++ b/internal/request/relay/mixed_versions_test.go
@@ -239,3 +239,25 @@
 	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v, events of %v", err, versionsOf(got)))
 	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalVersion)
 }
+
+func TestRequestIsSentAgainAtItsVersionAfterTheLossOfASilentServer(t *testing.T) {
+	for range 8 {
+		var g *rig
+		sends := atomic.Int64{}
+		g = newMixedRig(t, func(version string) script {
+			if sends.Add(1) > 1 {
+				return versioned(version, 12, complete)
+			}
+			return func(w http.ResponseWriter, r *http.Request) {
+				g.terminate(g.seen()[0].server)
+				g.servers.ApplyPeerLoss(g.seen()[0].server, true)
+				hang(w, r)
+			}
+		})
+		got := &caller{}
+		qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest(""), got.sink()), qt.IsNil)
+		seen := g.versionsSeen()
+		qt.Assert(t, seen, qt.HasLen, 2)
+		qt.Assert(t, seen[1], qt.Equals, seen[0], qt.Commentf("another server of %s is listed", seen[0]))
+	}
+}
