Versions: failing test of a long id in the row of running streams

What callers saw: nothing yet; shown by a test. A caller may name up to 64 KB in X-Request-Id or Resumes. Its record, among the newest, leaves no room in the row for any other: after a loss of all VMs no stream is found.

Cause: the row is cut after its first records, whatever their size, and ids have no bound of their own.

--- a/internal/node/entry/copyindex_test.go
+++ b/internal/node/entry/copyindex_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/peer/spread"
 )
 
 func TestUnreadableVersionsAreNotTakenForNone(t *testing.T) {
@@ -38,3 +43,11 @@
 	}
 	qt.Check(t, known, qt.IsTrue)
 }
+
+func TestOneLongIDLeavesTheOtherStreamsInTheRow(t *testing.T) {
+	long := spread.CopyLocation{CopyKey: "long", Origin: strings.Repeat("x", maxRowBytes)}
+	written := []spread.CopyLocation{}
+	err := cbor.Unmarshal(encodeLocations([]spread.CopyLocation{long, {CopyKey: "key", Origin: "r1", Version: "v1"}}), &written)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, slices.ContainsFunc(written, func(l spread.CopyLocation) bool { return l.CopyKey == "key" }), qt.IsTrue)
+}
