Versions: failing test of a record that doesn't get the version of a process once that is listed

Cause: a stream notes its server's version when the run is sent. The stream itself learns it later from its lease, but the record that others read is not written again, and the request's version stays empty.

--- a/internal/request/relay/mixed_versions_test.go
+++ b/internal/request/relay/mixed_versions_test.go
@@ -261,3 +261,33 @@
 		qt.Assert(t, seen[1], qt.Equals, seen[0], qt.Commentf("another server of %s is listed", seen[0]))
 	}
 }
+
+func TestStreamOfAProcessThatIsListedLaterIsTakenUp(t *testing.T) {
+	var g *rig
+	listed := []pool.Server{}
+	sends := atomic.Int64{}
+	g = newVersionRig(t, &rolloutFake{}, map[string]script{"b-old": versioned("old", 12, complete), "a-old": func(w http.ResponseWriter, r *http.Request) {
+		if sends.Add(1) > 1 {
+			versioned("new", 12, complete)(w, r)
+			return
+		}
+		versioned("new", 3, func() { g.servers.Update(listed) })(w, r)
+		r.Header.Set(headerLast, "3")
+		versioned("new", 3, abort)(w, r)
+	}})
+	for _, s := range g.listed {
+		if s.ID == "a-old" {
+			g.servers.Update([]pool.Server{s})
+			s.ID, s.Version = "a-found", "new"
+		}
+		listed = append(listed, s)
+	}
+	g.servers.ApplyPeerSuccessor("a-old", "a-found")
+	got := &caller{}
+	r := mixedRequest("")
+	r.Route.MaxAttempts = 1
+	qt.Assert(t, g.relay.Stream(context.Background(), r, got.sink()), qt.IsNotNil)
+	qt.Assert(t, got.last(), qt.Equals, "6")
+	qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest("6"), got.sink()), qt.IsNil)
+	qt.Check(t, versionsOf(got), qt.DeepEquals, []string{"new"})
+}
