--- a/internal/backend/pool/versions_test.go
+++ b/internal/backend/pool/versions_test.go
@@ -112,3 +112,64 @@
 		qt.Check(t, g.HasOther("s", "a-old", rule), qt.IsFalse)
 	}
 }
+
+func TestOnlyVersionIsNotKnownFromAnOldList(t *testing.T) {
+	now := time.Unix(1000, 0)
+	listedAt := now
+	p := pool.New(pool.Options{Now: func() time.Time { return now }, Draw: func() float64 { return 0 }, Successors: pool.Successors{ListedAt: func() time.Time { return listedAt }}})
+	p.AddVersions(nil)
+	p.Update([]pool.Server{{ID: "i-v1", Address: "v1:1", Service: "s", FailureDomain: "a", Slots: 1, Version: "v1"}})
+	_, known := p.OnlyVersion("s")
+	qt.Assert(t, known, qt.IsTrue)
+	now = now.Add(time.Minute)
+	_, known = p.OnlyVersion("s")
+	qt.Check(t, known, qt.IsFalse, qt.Commentf("a VM that is cut off lacks the versions of the last minute"))
+	listedAt = now
+	_, known = p.OnlyVersion("s")
+	qt.Check(t, known, qt.IsTrue)
+}
+
+func TestStreamAtAProcessOfUnknownVersionDoesNotGoOnAtAnother(t *testing.T) {
+	g := newVersionsRig()
+	g.AddVersions(nil)
+	g.list("v1", "v2")
+	g.ApplyPeerSuccessor("i-v1", "found-1")
+	g.ApplyPeerSuccessor("i-v2", "found-2")
+	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s"})
+	qt.Assert(t, err, qt.IsNil)
+	defer lease.Release()
+	exact := pool.VersionRule{Exact: true, Only: lease.Version()}
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Tried: map[string]bool{lease.Server.ID: true}, Versions: exact})
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone, qt.Commentf("both are in place of lost ones, of versions that are not known"))
+	qt.Check(t, g.HasOther("s", lease.Server.ID, exact), qt.IsFalse)
+}
+
+func TestVersionThatHasLeftIsForgottenByVMsThatTellEachOther(t *testing.T) {
+	a, b := newVersionsRig(), newVersionsRig()
+	for _, g := range []*versionsRig{a, b} {
+		g.AddVersions(nil)
+		g.list("v1", "v2")
+		g.list("v2")
+	}
+	for range 12 {
+		a.now, b.now = a.now.Add(10*time.Second), b.now.Add(10*time.Second)
+		told, _ := a.Versions()
+		b.AddVersions(told)
+		told, _ = b.Versions()
+		a.AddVersions(told)
+	}
+	qt.Check(t, a.only(), qt.Equals, "v2", qt.Commentf("no server of v1 was listed for two minutes"))
+	qt.Check(t, b.only(), qt.Equals, "v2")
+}
+
+func TestProcessInPlaceOfOneOfAnAvoidedVersionGetsNothing(t *testing.T) {
+	g := newVersionsRig()
+	g.AddVersions(nil)
+	g.list("v1", "v2")
+	g.ApplyPeerSuccessor("i-v2", "found")
+	rule := pool.VersionRule{Avoid: []string{"v2"}}
+	_, err := g.AcquireForCall("s", map[string]bool{"i-v1": true}, rule)
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone)
+	_, _, err = g.AcquireForStream(pool.Criteria{Service: "s", Tried: map[string]bool{"i-v1": true}, Versions: rule})
+	qt.Check(t, err, qt.ErrorIs, pool.ErrNone)
+}
--- a/internal/request/relay/mixed_versions_test.go
+++ b/internal/request/relay/mixed_versions_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
@@ -207,3 +208,86 @@
 	})
 	t.Logf("%d streams were complete, %d joined", completed, joined)
 }
+
+func TestStreamWhoseRouteLeftItsServiceHasOneVersionOfTheNewOne(t *testing.T) {
+	g := newMixedRig(t, func(version string) script { return versioned(version, 3, abort) })
+	listed := g.listed
+	g.servers.SetCapacities(map[string]pool.Capacity{"s": {}})
+	g.copies.Store("copy", relay.Earlier{Origin: "r1", Service: "left", Version: "old"})
+	g.unlist("new")
+	got := &caller{}
+	r := mixedRequest("4")
+	r.Route.MaxAttempts = 1
+	qt.Assert(t, g.relay.Stream(context.Background(), r, got.sink()), qt.IsNotNil)
+	qt.Assert(t, versionsOf(got), qt.DeepEquals, []string{"old"})
+	g.listed = listed
+	g.unlist("old")
+	qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest(got.last()), got.sink()), qt.IsNotNil)
+	qt.Check(t, versionsOf(got), qt.DeepEquals, []string{"old"})
+}
+
+func TestRecordWithoutAVersionIsNotTakenForTheOnlyOneListed(t *testing.T) {
+	g := newMixedRig(t, func(version string) script { return versioned(version, 12, complete) })
+	only := pool.New(pool.Options{Now: time.Now, Draw: func() float64 { return 0 }})
+	only.AddVersions(nil)
+	g.unlist("new")
+	only.Update(g.listed)
+	g.copies.Store("copy", relay.Earlier{Origin: "r1", Service: "s"})
+	got := &caller{}
+	err := g.vm(only).Stream(context.Background(), mixedRequest("4"), got.sink())
+	var refusal *relay.NotRun
+	qt.Assert(t, errors.As(err, &refusal), qt.IsTrue, qt.Commentf("%v, events of %v", err, versionsOf(got)))
+	qt.Check(t, refusal.Kind, qt.Equals, relay.RefusalVersion)
+}
+
+func TestRequestIsSentAgainAtItsVersionAfterTheLossOfASilentServer(t *testing.T) {
+	for range 8 {
+		var g *rig
+		sends := atomic.Int64{}
+		g = newMixedRig(t, func(version string) script {
+			if sends.Add(1) > 1 {
+				return versioned(version, 12, complete)
+			}
+			return func(w http.ResponseWriter, r *http.Request) {
+				g.terminate(g.seen()[0].server)
+				g.servers.ApplyPeerLoss(g.seen()[0].server, true)
+				hang(w, r)
+			}
+		})
+		got := &caller{}
+		qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest(""), got.sink()), qt.IsNil)
+		seen := g.versionsSeen()
+		qt.Assert(t, seen, qt.HasLen, 2)
+		qt.Assert(t, seen[1], qt.Equals, seen[0], qt.Commentf("another server of %s is listed", seen[0]))
+	}
+}
+
+func TestStreamOfAProcessThatIsListedLaterIsTakenUp(t *testing.T) {
+	var g *rig
+	listed := []pool.Server{}
+	sends := atomic.Int64{}
+	g = newVersionRig(t, &rolloutFake{}, map[string]script{"b-old": versioned("old", 12, complete), "a-old": func(w http.ResponseWriter, r *http.Request) {
+		if sends.Add(1) > 1 {
+			versioned("new", 12, complete)(w, r)
+			return
+		}
+		versioned("new", 3, func() { g.servers.Update(listed) })(w, r)
+		r.Header.Set(headerLast, "3")
+		versioned("new", 3, abort)(w, r)
+	}})
+	for _, s := range g.listed {
+		if s.ID == "a-old" {
+			g.servers.Update([]pool.Server{s})
+			s.ID, s.Version = "a-found", "new"
+		}
+		listed = append(listed, s)
+	}
+	g.servers.ApplyPeerSuccessor("a-old", "a-found")
+	got := &caller{}
+	r := mixedRequest("")
+	r.Route.MaxAttempts = 1
+	qt.Assert(t, g.relay.Stream(context.Background(), r, got.sink()), qt.IsNotNil)
+	qt.Assert(t, got.last(), qt.Equals, "6")
+	qt.Assert(t, g.relay.Stream(context.Background(), mixedRequest("6"), got.sink()), qt.IsNil)
+	qt.Check(t, versionsOf(got), qt.DeepEquals, []string{"new"})
+}
