Relay: log what tells why a send counts as not run, and when its connection closed

702 has these fields now, 705 the send, its server's process and its time, and 717 is a line for each plain request that is sent again. Plain calls that succeed at the first send log nothing more.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -54,6 +54,23 @@
 // response came back.
 const ErrBroken = errors.ConstError("connection broke after the request was sent")
 
+// Broken is an ErrBroken with its cause and what was sent before it.
+type Broken struct {
+	Address string
+	Written int  // Bytes of the request that the kernel accepted.
+	Reused  bool // The connection had carried an earlier request.
+	Cause   error
+}
+
+func (e *Broken) Error() string {
+	return e.Address + ": " + e.Cause.Error() + ": " + ErrBroken.Error()
+}
+
+// Unwrap lets errors.Is find ErrBroken.
+func (e *Broken) Unwrap() error {
+	return ErrBroken
+}
+
 const (
 	// DefaultDialTimeout bounds the opening of a connection. Servers are a few
 	// milliseconds away; one that takes longer is treated as unreachable.
@@ -132,6 +149,7 @@
 	headTaken  int64 // The part of headBytes that was taken from the limit.
 	idleUntil  time.Time
 	used       bool   // It has carried a request.
+	sentBytes  int    // Of the last request; valid once its write has ended.
 	lastID     string // Of the last request that it has carried; "" also for one without an id.
 	unreusable bool
 }
@@ -183,6 +201,8 @@
 	written    chan error
 	stop       func() bool
 	complete   bool
+	// namesRequest is whether the head echoed the request's ID.
+	namesRequest bool
 }
 
 // New returns an empty pool.
@@ -233,9 +253,11 @@
 		stop()
 		_ = c.Close()
 		c.releaseHead()
-		return nil, errors.Annotatef(ErrBroken, "%s: %v", request.Address, err)
+		<-written // The close has ended it.
+		return nil, &Broken{Address: request.Address, Written: c.sentBytes, Reused: c.used, Cause: err}
 	}
-	return &Response{Response: head, pool: p, address: request.Address, id: request.ID, connection: c, written: written, stop: stop}, nil
+	return &Response{Response: head, pool: p, address: request.Address, id: request.ID, connection: c, written: written, stop: stop,
+		namesRequest: request.ID != "" && head.Header.Get(request.IDHeader) == request.ID}, nil
 }
 
 // Check opens a connection to find out whether the address accepts any, and keeps it for
@@ -385,10 +407,12 @@
 	if r.Header["User-Agent"] == nil {
 		r.Header["User-Agent"] = []string{""} // Keeps net/http from adding its own.
 	}
+	c.sentBytes = 0
 	if err := r.Write(&buffer); err != nil {
 		return err
 	}
-	_, err := c.Conn.Write(buffer.Bytes())
+	var err error
+	c.sentBytes, err = c.Conn.Write(buffer.Bytes())
 	return err
 }
 
@@ -456,6 +480,11 @@
 	r.pool.keep(r.address, c)
 }
 
+// NamesRequest reports whether the response names the request that it answers.
+func (r *Response) NamesRequest() bool {
+	return r.namesRequest
+}
+
 // IsFramed reports whether the end of the body is marked. Otherwise it ends with the
 // connection, which can't be distinguished from a loss of the server.
 func (r *Response) IsFramed() bool {
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -80,6 +80,7 @@
 	TraitTried           = define(714, "one request that may crash servers is sent to find out")
 	EqualStreams         = define(715, "streams of equal requests run: none goes on from a copy at another VM")
 	StreamsWait          = define(716, "new streams wait or are refused since no backend server has headroom")
+	RequestResent        = define(717, "a plain request is sent to another backend server")
 	ConnectionsClosed    = define(720, "callers' connections were closed to bound memory, descriptors or time")
 	PortBounded          = define(721, "a port takes a bounded number of connections")
 	StoreLost            = define(801, "the platform's store does not answer")
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -34,6 +34,7 @@
 }
 
 type callResult struct {
+	send    sendRecord
 	server  pool.Server
 	answer  *Answer
 	verdict Verdict
@@ -97,7 +98,12 @@
 	c.request.Servers = append(c.request.Servers, lease.Server.ID)
 	c.sent++
 	c.inFlight++
-	rescue.Go(c.relay.options.Logger, "exchange with a server", func() { c.results <- c.exchange(ctx, lease, purpose) })
+	send := sendRecord{number: len(c.request.Servers), sentAt: c.relay.options.Now()}
+	if send.number > 1 {
+		event.RequestResent.Info(c.relay.options.Logger, append([]any{"request", c.request.ID, "server", lease.Server.ID,
+			"purpose", string(purpose)}, send.placed(lease.Server)...)...)
+	}
+	rescue.Go(c.relay.options.Logger, "exchange with a server", func() { c.results <- c.exchange(ctx, lease, purpose, send) })
 	return nil
 }
 
@@ -125,9 +131,9 @@
 }
 
 // exchange sends the request once and reads the complete answer.
-func (c *call) exchange(ctx context.Context, lease *pool.Lease, purpose pool.Purpose) callResult {
+func (c *call) exchange(ctx context.Context, lease *pool.Lease, purpose pool.Purpose, send sendRecord) callResult {
 	defer lease.Release()
-	result := callResult{server: lease.Server}
+	result := callResult{server: lease.Server, send: send}
 	startedAt := c.relay.options.Now()
 	var response *http1.Response
 	response, result.verdict, result.err = c.relay.send(ctx, Dispatch{
@@ -139,10 +145,12 @@
 		Permit:      lease.Permit,
 	})
 	if result.err == nil {
-		defer response.Close()
+		result.send.named = response.NamesRequest()
 		result.answer = &Answer{Status: result.verdict.Status, Header: result.verdict.Header}
 		result.answer.Body, result.err = c.relay.readAnswer(ctx, c.delivered, lease, response)
+		response.Close()
 	}
+	result.send.closedAt = c.relay.options.Now()
 	c.reportOutcome(ctx, lease, result, startedAt)
 	c.relay.recordOutcome(c.request, lease.Server, result.outcome(ctx.Err() != nil, lease.IsDown()), c.relay.options.Now().Sub(startedAt))
 	c.log(ctx, result)
@@ -155,8 +163,8 @@
 		return
 	}
 	c.relay.options.Counts.EndedEarly(result.earlyEnd())
-	event.RunEnded.Info(c.relay.options.Logger, "request", c.request.ID, "server", result.server.ID,
-		"status", result.verdict.Status, "notRun", result.verdict.NotRun, "reason", fmt.Sprint(result.err))
+	event.RunEnded.Info(c.relay.options.Logger, append([]any{"request", c.request.ID, "server", result.server.ID,
+		"reason", fmt.Sprint(result.err)}, result.send.ended(result.server, result.verdict, result.err)...)...)
 }
 
 // reportOutcome reports the outcome of an exchange to the server pool and the crash record.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -78,6 +79,8 @@
 	resumed       []bool // For each resume, whether it was from a copy.
 	versions      relay.Versions
 	admitter      *admission.Admitter
+	logger        hclog.Logger
+	connections   *http1.Pool // Of the relay, if set.
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -114,7 +117,7 @@
 
 // vm returns the relay of another VM, which has the same index of copies.
 func (g *rig) vm(servers *pool.Pool) *relay.Relay {
-	connections := http1.New(http1.Options{})
+	connections := cmp.Or(g.connections, http1.New(http1.Options{}))
 	g.retries = budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
 	g.crashes = crash.New(crash.Options{Now: time.Now, Announce: func(crash.Report) {}, HasTerminated: servers.HasTerminated})
 	renewals := relay.Renewals{}
@@ -127,7 +130,7 @@
 		Servers:            servers,
 		Admitter:           g.admitter,
 		Connections:        connections,
-		Logger:             hclog.NewNullLogger(),
+		Logger:             cmp.Or(g.logger, hclog.NewNullLogger()),
 		Now:                func() time.Time { return time.Now().Add(time.Duration(g.paused.Load())) },
 		Encode:             encode,
 		Decode:             decode,
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -63,17 +63,19 @@
 	headSent       bool
 	lastEventID    string // Of the last event that the caller has.
 	events         int
-	sentAt         time.Time // When the current run was sent.
-	firstEventAt   time.Time // When the first event of the current run arrived; zero before.
-	sends          int       // Sends that may have run.
-	lastEventAt    time.Time // When the last event of the current run arrived.
-	runEvents      int       // Events of the current run.
-	passed         bool      // A run of it has outlived its start by passedAfter.
-	crashes        int       // Of these, the ones whose server stopped responding just after their start.
-	refused        int       // Sends that no server ran.
-	idleTimeouts   int       // Runs that were ended by an idle timeout.
-	chargedRetries int       // Sends that were charged to the retry budget.
-	claimed        bool      // The next send was charged before the run was ended.
+	send           sendRecord // Of the current run.
+	verdict        Verdict    // Of the current run; zero before its head.
+	sentAt         time.Time  // When the current run was sent.
+	firstEventAt   time.Time  // When the first event of the current run arrived; zero before.
+	sends          int        // Sends that may have run.
+	lastEventAt    time.Time  // When the last event of the current run arrived.
+	runEvents      int        // Events of the current run.
+	passed         bool       // A run of it has outlived its start by passedAfter.
+	crashes        int        // Of these, the ones whose server stopped responding just after their start.
+	refused        int        // Sends that no server ran.
+	idleTimeouts   int        // Runs that were ended by an idle timeout.
+	chargedRetries int        // Sends that were charged to the retry budget.
+	claimed        bool       // The next send was charged before the run was ended.
 	tried          map[string]bool
 	resumeFrom     Copy
 	versions       runVersions
@@ -316,9 +318,10 @@
 		s.recordBackup(dispatch) // Before the send: other VMs have to know the run before its caller can return.
 	}
 	s.request.Servers = append(s.request.Servers, lease.Server.ID)
-	event.StreamPlaced.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
-		"fromCopy", resumed, "lastEvent", s.lastEventID, "origin", s.request.Origin, "promptTokens", s.request.Demand.PromptTokens, "load", lease.Load)
 	s.sentAt, s.firstEventAt, s.lastEventAt, s.runEvents = s.relay.options.Now(), time.Time{}, time.Time{}, 0
+	s.send, s.verdict = sendRecord{number: len(s.request.Servers), sentAt: s.sentAt}, Verdict{}
+	event.StreamPlaced.Info(s.relay.options.Logger, append([]any{"request", s.request.ID, "server", lease.Server.ID, "backup", dispatch.BackupID,
+		"fromCopy", resumed, "lastEvent", s.lastEventID, "origin", s.request.Origin, "promptTokens", s.request.Demand.PromptTokens, "load", lease.Load}, s.send.placed(lease.Server)...)...)
 	s.relay.options.LoadAdded()
 	defer s.relay.options.LoadReduced()
 	end = s.exchange(ctx, lease, dispatch, resumed)
@@ -351,8 +354,8 @@
 		return
 	}
 	s.relay.options.Counts.EndedEarly(end.earlyEnd())
-	event.RunEnded.Info(s.relay.options.Logger, "request", s.request.ID, "server", lease.Server.ID,
-		"fromCopy", resumed, "lastEvent", s.lastEventID, "notRun", end.notRun, "silent", end.aborted, "reason", fmt.Sprint(end.err))
+	event.RunEnded.Info(s.relay.options.Logger, append([]any{"request", s.request.ID, "server", lease.Server.ID,
+		"fromCopy", resumed, "lastEvent", s.lastEventID, "silent", end.aborted, "reason", fmt.Sprint(end.err)}, s.send.ended(lease.Server, s.verdict, end.err)...)...)
 	stopped := false
 	switch {
 	case end.replaced:
@@ -389,6 +392,7 @@
 	watch := s.watch(ctx, cancel, lease, resumed)
 	s.moves, s.stopSent = make(chan movedRun, 1), false
 	defer func() {
+		s.send.closedAt = s.relay.options.Now()
 		end = s.finishMove(ctx, watch, lease, end)
 		s.claimed = s.claimed || watch.claimed
 		s.renewedCopy = watch.renewal.copied
@@ -401,6 +405,7 @@
 		return runResult{notSent: errors.Is(err, http1.ErrNotSent), aborted: watch.hasAborted(), err: err}
 	}
 	defer response.Close()
+	s.verdict, s.send.named = verdict, response.NamesRequest()
 	switch {
 	case verdict.Replaced:
 		return runResult{notRun: true, replaced: true, err: errors.New("another server has the address")}
