Connections to servers: a second Close waits until the first has closed

A stream could go on at another server while the connection of the run before was still open. A silent run is ended by closing its connection from another goroutine. Its reader returns as soon as that close has begun, and the Close of a net.Conn that is being closed returns at once, so nothing held the next send back if the closing goroutine was not scheduled in between: on a machine with more runnable threads than processors for as long as it waits for one.

All closes of a connection go through a sync.Once, whose Do returns when the first has completed, so the next send of the same request follows the close.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -152,6 +152,15 @@
 	sentBytes  int    // Of the last request; valid once its write has ended.
 	lastID     string // Of the last request that it has carried; "" also for one without an id.
 	unreusable bool
+	closing    sync.Once
+	closeErr   error
+}
+
+// Close returns when the connection is closed, also if another goroutine closes it. The Close of a
+// net.Conn that is being closed returns at once.
+func (c *connection) Close() error {
+	c.closing.Do(func() { c.closeErr = c.Conn.Close() })
+	return c.closeErr
 }
 
 // Read reads from the connection, within the bound for a head or for a stale body while
