Relay: a refusal that names no request is no promise that it has not run

A plain request that isn't idempotent could run at two servers, or run and be refused to its caller as not run: TWICE and REFUSED. On a connection that had carried no request, a head without the request's id was taken as its answer, and if it said "not run", the request was sent to another server. Servers echo the id, and bytes that name none belong to no request; http1 took this into account only for connections that are used again.

Evidence: on the code before, TestRequestThatIsNotIdempotentRunsAtMostOnce failed after 15 and after 35 drawn cases ("r1 ran 2 times"; "r0 ran 1 times; its caller was told: not run"), each with a server that runs the request and sends a refusal without an id before its answer; so did both kinds of TestRefusalThatNamesNoRequestIsNoPromise.

Such a head now ends the send like a broken connection: the request may have run. Requests without an id are as before.

--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -276,6 +276,10 @@
 		return nil, Verdict{}, err
 	}
 	verdict = r.options.Decode(response.Response)
+	if verdict.NotRun && dispatch.Request.ID != "" && !response.NamesRequest() {
+		response.Close()
+		return nil, Verdict{}, errors.Annotatef(http1.ErrBroken, "%s: status %d says that it has not run, but names no request", dispatch.Server.Address, verdict.Status)
+	}
 	reply := pool.Reply{Purpose: dispatch.Purpose, Status: verdict.Status, Refused: verdict.NotRun, Permit: dispatch.Permit}
 	if verdict.Replaced {
 		r.options.Servers.ApplySuccessorNotice(verdict.InstanceID, reply, verdict.Notice)
