Connections to servers: an exchange ends only when its connection is closed

Callers may see a stream go on at another server while the one before still works on it. When a run is ended by its context, one goroutine closes the connection: it wakes the reader first and closes the descriptor after that, once it runs again. The reader's own Close returned at once, as a second Close does in package net, so the next send could leave before the close, by as long as the first goroutine isn't scheduled. Only processes with several threads show it.

Evidence (a trial with real TCP, 50 senders whose contexts end after 20 ms, beside other work): with GOMAXPROCS=4, the descriptor was still open in 4 of 22,490 cases when Send returned, up to 4.7 ms; with 2, in none of 21,744. It wasn't shown that a busy machine makes this 400 ms.

All closers now wait for the one close. The test failed in 20 of 20 plays before and passes in 20 of 20, with the race detector. Tests of http1 and relay pass.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -134,6 +134,15 @@
 	used       bool   // It has carried a request.
 	lastID     string // Of the last request that it has carried; "" also for one without an id.
 	unreusable bool
+	closing    sync.Once
+	closeErr   error
+}
+
+// Close returns when the connection is closed, also if another goroutine closes it: a request may be sent
+// elsewhere only then.
+func (c *connection) Close() error {
+	c.closing.Do(func() { c.closeErr = c.Conn.Close() })
+	return c.closeErr
 }
 
 // Read reads from the connection, within the bound for a head or for a stale body while
