The version of a stream is told once its first event has come

Cause: the record of a run had the version of the server that it was sent to. If that failed before its first event, the request went to a server of another version. A VM that was cut off between the two announcements knew the first one only, and took the caller up at that version. The class: an intention was recorded as a fact.

Why this works: the record that goes out before a send names a version only if the service has had no other one for as long as a stream may last. Otherwise it is told with the first event, before that is passed on; a VM that misses this knows no version and refuses the stream. A record without a version doesn't replace a known one.

The cost: with several versions in service each stream is announced twice, and after a loss of all VMs those whose first event came in the last half second are refused.

The tests of internal/request/relay and copies pass unchanged; copies has four more cases.

--- a/internal/request/copies/origins.go
+++ b/internal/request/copies/origins.go
@@ -1,6 +1,7 @@
 package copies
 
 import (
+	"cmp"
 	"time"
 )
 
@@ -22,37 +23,50 @@
 
 type originEntry struct {
 	Located
+	isMixed   bool // It was told with two versions.
 	expiresAt time.Time
 	serial    int // Of its stamp.
 }
 
+// join returns the version of an entry that is told again. A record from before the first event has none.
+func (e originEntry) join(version string) (joined string, isMixed bool) {
+	switch {
+	case e.isMixed || (e.Record.Version != "" && version != "" && e.Record.Version != version):
+		return "", true
+	default:
+		return cmp.Or(version, e.Record.Version), false
+	}
+}
+
 type originStamp struct {
 	origin string
 	serial int
 }
 
-// put records a run. The version of a request is the one of all its runs: a request that was sent to
-// servers of two versions before its caller received anything has none.
+// put records a run. The version of a request is known once its first event was written. One that is
+// told with two has none.
 func (o *origins) put(copyKey string, record Record, isNewest bool, now time.Time) {
 	o.expire(now)
 	if record.Origin == "" {
 		return
 	}
 	record.Ambiguous = false
+	version, isMixed := "", false
 	known, found := o.byID[record.Origin]
 	switch {
 	case found && known.CopyKey != copyKey:
 		return // Another request, which can't have that origin.
-	case found && known.Record.Service == record.Service && known.Record.Version != record.Version:
-		record.Version = ""
+	case found && known.Record.Service == record.Service:
+		version, isMixed = known.join(record.Version)
 		if !isNewest {
-			record.Copy = known.Record.Copy
+			record = known.Record
 		}
+		record.Version = version
 	case found && !isNewest:
 		record = known.Record
 	}
 	o.serials++
-	o.byID[record.Origin] = originEntry{Located: Located{CopyKey: copyKey, Record: record}, expiresAt: now.Add(Retention), serial: o.serials}
+	o.byID[record.Origin] = originEntry{Located: Located{CopyKey: copyKey, Record: record}, isMixed: isMixed, expiresAt: now.Add(Retention), serial: o.serials}
 	o.stamps = append(o.stamps, originStamp{origin: record.Origin, serial: o.serials})
 }
 
--- a/internal/request/copies/origins_test.go
+++ b/internal/request/copies/origins_test.go
@@ -54,6 +54,10 @@
 		{"another version, older", putOlder, versioned("r1", "s", "v2"), versioned("r1", "s", "v2"), ""},
 		{"back at the first", putNewest, versioned("r1", "s", "v2"), versioned("r1", "s", "v1"), ""},
 		{"the same version", putNewest, versioned("r1", "s", "v1"), versioned("r1", "s", "v1"), "v1"},
+		{"before the first event", putNewest, versioned("r1", "s", ""), versioned("r1", "s", "v1"), "v1"},
+		{"before the first event, late", putNewest, versioned("r1", "s", "v1"), versioned("r1", "s", ""), "v1"},
+		{"before the first event, older", putOlder, versioned("r1", "s", ""), versioned("r1", "s", ""), "v1"},
+		{"two versions, then none", putNewest, versioned("r1", "s", "v2"), versioned("r1", "s", ""), ""},
 		{"another service", putNewest, versioned("r1", "other", "v2"), versioned("r1", "other", "v2"), "v2"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -72,6 +76,21 @@
 
 func putOlder(index *copies.Copies, record copies.Record) { index.PutOlder("k", record) }
 
+// TestVersionIsKnownFromTheFirstEventOn guards against the version of a send that failed before it.
+func TestVersionIsKnownFromTheFirstEventOn(t *testing.T) {
+	for _, put := range []func(*copies.Copies, copies.Record){putNewest, putOlder} {
+		index := copies.New(copies.Options{Now: time.Now})
+		index.Put("k", versioned("r1", "s", ""))
+		found, ok := index.FindOrigin("k", "r1")
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, found.Version, qt.Equals, "")
+		put(index, versioned("r1", "s", "v2"))
+		found, ok = index.FindOrigin("k", "r1")
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, found.Version, qt.Equals, "v2")
+	}
+}
+
 func TestOriginsExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	index := copies.New(copies.Options{Now: func() time.Time { return now }})
--- a/internal/request/relay/return.go
+++ b/internal/request/relay/return.go
@@ -27,13 +27,25 @@
 	return pool.VersionRule{Exact: true, Only: v.name}
 }
 
-// beginVersion notes the version of a run that is about to be sent.
+// beginVersion notes the version of a run that is about to be sent. Other VMs are told of it only if no
+// other version can write the first event: a VM may miss that the request was sent again elsewhere.
 func (s *stream) beginVersion(lease *pool.Lease) {
 	if s.version.isFixed.Load() {
 		return
 	}
 	s.version.name, s.version.lease = lease.Server.Version, lease
-	s.request.Version = lease.Server.Version
+	s.request.Version = ""
+	if only, known := s.relay.options.Servers.OnlyVersion(s.request.Service); known && only == lease.Server.Version {
+		s.request.Version = only
+	}
+}
+
+// confirmVersion fixes the version of the server that wrote the first event.
+func (s *stream) confirmVersion() {
+	if s.version.isFixed.Swap(true) {
+		return
+	}
+	s.request.Version = s.version.rule().Only
 }
 
 // takeUp prepares a stream whose caller has returned with the last event that it has: it finds the
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -415,7 +415,7 @@
 // onFirstEvent handles the arrival of a run's first event.
 func (s *stream) onFirstEvent(ctx context.Context, lease *pool.Lease, dispatch Dispatch, watch *watch) {
 	lease.MarkStarted()
-	s.version.isFixed.Store(true)
+	s.confirmVersion()
 	s.firstEventAt = s.relay.options.Now()
 	s.relay.options.LoadReduced()
 	watch.started.Store(true)
@@ -423,7 +423,7 @@
 	if s.request.CopyKey == "" {
 		return
 	}
-	if dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup {
+	if (dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup) || s.recordedVersion != s.request.Version {
 		s.recordBackup(dispatch)
 	}
 	s.relay.options.Copies.AwaitAmbiguous(ctx, s.request.CopyKey)
