--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -68,11 +68,7 @@
 	location := locationOf(request.CopyKey, record)
 	if v.copies.Put(request.CopyKey, record) {
 		location.Ambiguous = true
-		v.ambiguous.add(spread.CopyLocation{CopyKey: request.CopyKey, Ambiguous: true})
-	}
-	if known, found := v.copies.FindOrigin(request.CopyKey, request.Origin); found && known.Version != request.Version {
-		// Stored rows may have the other version that it was sent to.
-		v.ambiguous.add(spread.CopyLocation{CopyKey: request.CopyKey, Origin: request.Origin, Service: request.Service, ByOriginOnly: request.SharesKey})
+		v.ambiguous.add(request.CopyKey)
 	}
 	v.mu.Lock()
 	running := v.localStreams.running
@@ -166,7 +162,7 @@
 		runsHere := len(v.localStreams.running[location.CopyKey]) > 0
 		v.mu.Unlock()
 		if runsHere {
-			v.ambiguous.add(spread.CopyLocation{CopyKey: location.CopyKey, Ambiguous: true})
+			v.ambiguous.add(location.CopyKey)
 		}
 	}
 }
@@ -267,71 +263,54 @@
 	ambiguousRowPrefix = "ambiguous-"
 )
 
-// ambiguousKeys writes to the store the keys of equal requests of which one runs on this VM, and the
-// requests that were sent to servers of two versions. It is safe for concurrent use.
+// ambiguousKeys writes the keys of equal requests of which one runs on this VM to the store. It is
+// safe for concurrent use.
 type ambiguousKeys struct {
 	vm    *VM
 	due   chan struct{}
 	mu    sync.Mutex
-	byKey map[ambiguity]*ambiguousKey
-}
-
-// ambiguity is a key, or a request with a key if it has an origin.
-type ambiguity struct {
-	copyKey string
-	origin  string
+	byKey map[string]*ambiguousKey
 }
 
 type ambiguousKey struct {
-	location spread.CopyLocation
-	addedAt  time.Time
-	written  chan struct{} // Closed once it is in the store.
+	addedAt time.Time
+	written chan struct{} // Closed once the key is in the store.
 }
 
 func newAmbiguousKeys(vm *VM) *ambiguousKeys {
-	return &ambiguousKeys{vm: vm, due: make(chan struct{}, 1), byKey: map[ambiguity]*ambiguousKey{}}
+	return &ambiguousKeys{vm: vm, due: make(chan struct{}, 1), byKey: map[string]*ambiguousKey{}}
 }
 
-// add queues a location to be written, unless it is in the row already.
-func (a *ambiguousKeys) add(location spread.CopyLocation) {
+// add queues a key to be written, unless it is in the row already.
+func (a *ambiguousKeys) add(copyKey string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.vm.Now()
-	key := ambiguity{copyKey: location.CopyKey, origin: location.Origin}
-	if known := a.byKey[key]; known != nil {
+	if known := a.byKey[copyKey]; known != nil {
 		known.addedAt = now
 		return
 	}
-	a.byKey[key] = &ambiguousKey{location: location, addedAt: now, written: make(chan struct{})}
+	a.byKey[copyKey] = &ambiguousKey{addedAt: now, written: make(chan struct{})}
 	select {
 	case a.due <- struct{}{}:
 	default: // A write is due already.
 	}
 }
 
-// await waits until what was added for a request is written, ambiguousHold at most.
-func (a *ambiguousKeys) await(ctx context.Context, request *relay.Request) {
-	pending := []chan struct{}{}
+// await waits until a key that was added is written, ambiguousHold at most.
+func (a *ambiguousKeys) await(ctx context.Context, copyKey string) {
 	a.mu.Lock()
-	for _, key := range []ambiguity{{copyKey: request.CopyKey}, {copyKey: request.CopyKey, origin: request.Origin}} {
-		if known := a.byKey[key]; known != nil {
-			pending = append(pending, known.written)
-		}
-	}
+	known := a.byKey[copyKey]
 	a.mu.Unlock()
-	if len(pending) == 0 {
+	if known == nil {
 		return
 	}
 	limit := time.NewTimer(ambiguousHold)
 	defer limit.Stop()
-	for _, written := range pending {
-		select {
-		case <-written:
-		case <-limit.C:
-			return
-		case <-ctx.Done():
-			return
-		}
+	select {
+	case <-known.written:
+	case <-limit.C:
+	case <-ctx.Done():
 	}
 }
 
@@ -363,8 +342,7 @@
 
 // isRowLost reports whether the store came back without this VM's row.
 func (a *ambiguousKeys) isRowLost() bool {
-	keys, _ := a.newest()
-	return len(keys) > 0 && !a.vm.written.has(a.rowKey())
+	return len(a.newest()) > 0 && !a.vm.written.has(a.rowKey())
 }
 
 func (a *ambiguousKeys) rowKey() string {
@@ -373,7 +351,11 @@
 
 // write writes this VM's row and reports whether it succeeded.
 func (a *ambiguousKeys) write(ctx context.Context) (done bool) {
-	keys, locations := a.newest()
+	keys := a.newest()
+	locations := make([]spread.CopyLocation, len(keys))
+	for i, key := range keys {
+		locations[i] = spread.CopyLocation{CopyKey: key, Ambiguous: true}
+	}
 	if err := a.vm.written.put(ctx, a.vm.options.Copies, a.rowKey(), encodeLocations(locations)); err != nil {
 		a.vm.logger.Debug("the keys of equal requests could not be written", "error", err)
 		return false
@@ -390,14 +372,14 @@
 		case <-known.written:
 		default:
 			close(known.written)
-			event.EqualStreams.Info(a.vm.logger, "copyKey", key.copyKey, "origin", key.origin, "millis", now.Sub(known.addedAt).Milliseconds())
+			event.EqualStreams.Info(a.vm.logger, "copyKey", key, "millis", now.Sub(known.addedAt).Milliseconds())
 		}
 	}
 	return true
 }
 
-// newest removes what is past its retention, and returns the newest of the rest.
-func (a *ambiguousKeys) newest() (keys []ambiguity, locations []spread.CopyLocation) {
+// newest removes the keys whose retention is over, and returns the newest of the others.
+func (a *ambiguousKeys) newest() (keys []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	oldest := a.vm.Now().Add(-copies.Retention)
@@ -408,10 +390,6 @@
 		}
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(x, y ambiguity) int { return a.byKey[y].addedAt.Compare(a.byKey[x].addedAt) })
-	keys = keys[:min(len(keys), maxAmbiguousKeys)]
-	for _, key := range keys {
-		locations = append(locations, a.byKey[key].location)
-	}
-	return keys, locations
+	slices.SortFunc(keys, func(x, y string) int { return a.byKey[y].addedAt.Compare(a.byKey[x].addedAt) })
+	return keys[:min(len(keys), maxAmbiguousKeys)]
 }
--- a/internal/request/relay/return.go
+++ b/internal/request/relay/return.go
@@ -22,10 +22,21 @@
 	return pool.VersionRule{Exact: true, Only: s.relay.options.Servers.ResolveVersion(s.version.name)}
 }
 
-// beginVersion notes the version of a run that is about to be sent.
+// beginVersion notes the version of a run that is about to be sent. Other VMs are told of it only if no
+// other version can write the first event: a VM may miss that the request was sent again elsewhere.
 func (s *stream) beginVersion(lease *pool.Lease) {
-	if !s.version.isFixed.Load() {
-		s.version.name = lease.Version()
+	if s.version.isFixed.Load() {
+		return
+	}
+	s.version.name, s.request.Version = lease.Version(), ""
+	if only, known := s.relay.options.Servers.OnlyVersion(s.request.Service); known && only == s.version.name {
+		s.request.Version = only
+	}
+}
+
+// confirmVersion fixes the version of the server that wrote the first event.
+func (s *stream) confirmVersion() {
+	if !s.version.isFixed.Swap(true) {
 		s.request.Version = s.version.name
 	}
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -420,7 +420,7 @@
 // onFirstEvent handles the arrival of a run's first event.
 func (s *stream) onFirstEvent(ctx context.Context, lease *pool.Lease, dispatch Dispatch, watch *watch) {
 	lease.MarkStarted()
-	s.version.isFixed.Store(true)
+	s.confirmVersion()
 	s.firstEventAt = s.relay.options.Now()
 	s.relay.options.LoadReduced()
 	watch.started.Store(true)
@@ -428,10 +428,10 @@
 	if s.request.CopyKey == "" {
 		return
 	}
-	if dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup {
+	if (dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup) || s.recordedVersion != s.request.Version {
 		s.recordBackup(dispatch)
 	}
-	s.relay.options.Copies.AwaitAmbiguous(ctx, s.request)
+	s.relay.options.Copies.AwaitAmbiguous(ctx, s.request.CopyKey)
 }
 
 // recordBackup records the run, and the server to which its memory is copied while it runs.
