Configuration: the software version of an engine

Nothing told the system which software an engine runs: neither the engines' protocol nor the configuration. BackendServer.softwareVersion names it; engines without one count as alike. A value that is no version, or one of a plain service's server, is a fault of the set.

Nothing uses it yet.

--- a/internal/config/object/check.go
+++ b/internal/config/object/check.go
@@ -22,6 +22,8 @@
 var (
 	namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9.-]{0,62}$`)
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+
+	softwareVersionPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._+-]{0,62}$`)
 )
 
 // checker collects all faults of a set, so that an operator gets them in one
@@ -232,6 +234,7 @@
 		if server.Managed && server.Service != "" {
 			c.add(path+".managed", "is for engines, not for services")
 		}
+		c.softwareVersion(path+".softwareVersion", server)
 		c.references(path+".versions", "versions", server.Versions)
 		if server.Service != "" {
 			c.reference(path+".service", "services", server.Service)
@@ -239,6 +242,16 @@
 	}
 }
 
+func (c *checker) softwareVersion(path string, server BackendServer) {
+	switch {
+	case server.SoftwareVersion == "":
+	case server.Service != "":
+		c.add(path, "is for engines, not for services")
+	case !softwareVersionPattern.MatchString(server.SoftwareVersion):
+		c.add(path, "%q is not a software version: use 1 to 63 of letters, digits, '.', '_', '+' and '-', starting with a letter or digit", server.SoftwareVersion)
+	}
+}
+
 func (c *checker) address(path string, server BackendServer, taken map[string]string) {
 	host, _, err := net.SplitHostPort(server.Address)
 	if err != nil {
--- a/internal/config/object/object.go
+++ b/internal/config/object/object.go
@@ -140,16 +140,19 @@
 // instance of Service. MaxConcurrent is the number of requests that it runs
 // concurrently. A Managed engine receives orders to load and unload versions;
 // ChecksFencing means that it rejects orders with an outdated fencing number.
+// SoftwareVersion names the version of an engine's software; engines without one
+// count as alike.
 type BackendServer struct {
-	Name          string      `json:"name"`
-	Address       string      `json:"address"`
-	FailureDomain string      `json:"failureDomain"`
-	State         ServerState `json:"state,omitempty"`
-	Versions      []string    `json:"versions,omitempty"`
-	Service       string      `json:"service,omitempty"`
-	MaxConcurrent int         `json:"maxConcurrent"`
-	Managed       bool        `json:"managed,omitempty"`
-	ChecksFencing bool        `json:"checksFencing,omitempty"`
+	Name            string      `json:"name"`
+	Address         string      `json:"address"`
+	FailureDomain   string      `json:"failureDomain"`
+	State           ServerState `json:"state,omitempty"`
+	Versions        []string    `json:"versions,omitempty"`
+	Service         string      `json:"service,omitempty"`
+	MaxConcurrent   int         `json:"maxConcurrent"`
+	Managed         bool        `json:"managed,omitempty"`
+	ChecksFencing   bool        `json:"checksFencing,omitempty"`
+	SoftwareVersion string      `json:"softwareVersion,omitempty"`
 }
 
 // Parse decodes a set from JSON. Unknown fields and trailing data are errors;
