An answer goes on only at the software version that began it

What callers saw: with engines of two software versions under one model version, an answer began at one version and went on at the other, within one stream or after a return with the cursor. Nothing showed it.

Cause: the rule of who may continue an answer knew the weights (Spec.Version) alone.

One criterion (requiredServers) serves dispatches, races and new owners; a resume needs a server that is still published with that version. A cursor pins an answer that is made again, and verifies against answers of its version only, also if the delivered tokens are equal. Without a published engine of the version the answer ends with restartRequired at once; while its own engine is only silent and leaving, it is waited for as for answers that no other engine can continue. Ejection counts the servers that the work may use. Suspects are still assigned over all versions, as requests of other versions choose among the same servers.

Cursors without a version have the bytes of earlier builds, so that VMs can be replaced in turn.

--- a/internal/backend/fleet/fleet.go
+++ b/internal/backend/fleet/fleet.go
@@ -58,7 +58,8 @@
 // the request asks for. Suspects are the contents, at all VMs, that are to be isolated from
 // each other, the likeliest cause of crashes first; its own may be among them. Crashed lists the
 // servers that crashed lately, which suspects get last. Prefix, when set, identifies the
-// beginning of the prompt for cache affinity.
+// beginning of the prompt for cache affinity. With PinnedSoftware, only servers of
+// SoftwareVersion may take the work.
 type Criteria struct {
 	Version   string
 	Service   string
@@ -69,6 +70,9 @@
 	Crashed   []string
 	Isolation Isolation
 	Prefix    string
+
+	SoftwareVersion string
+	PinnedSoftware  bool
 }
 
 // Isolation is which requests may not run on the server of a request at or above
@@ -189,7 +193,7 @@
 // that a seeded source of random numbers gives the same choices.
 func (f *Fleet) candidates(criteria Criteria, now time.Time) []*server {
 	candidates := []*server{}
-	ejected := 0
+	ejected, usable := 0, 0
 	matching := []*server{}
 	for _, s := range f.servers {
 		if s.serves(criteria) {
@@ -203,13 +207,18 @@
 		return 1
 	})
 	for _, s := range matching {
+		if !criteria.allows(s) {
+			continue
+		}
+		usable++
 		if !s.admits(now) {
 			ejected++
 		}
 	}
 	fitting := []*server{}
+	// Suspects are assigned servers of all software versions: others may choose among all of them.
 	for _, s := range assigned(matching, criteria) {
-		if slices.Contains(criteria.Exclude, s.Name) {
+		if !criteria.allows(s) || slices.Contains(criteria.Exclude, s.Name) {
 			continue
 		}
 		if s.fits(criteria) {
@@ -222,7 +231,7 @@
 			break // It waits for this one: other VMs send requests with its content there too.
 		}
 	}
-	if float64(ejected) > maxEjectedFraction*float64(len(matching)) {
+	if float64(ejected) > maxEjectedFraction*float64(usable) {
 		return f.earliestEjected(fitting, candidates, now)
 	}
 	return candidates
@@ -238,6 +247,11 @@
 	return slices.Contains(s.Versions, criteria.Version)
 }
 
+// allows reports whether the work may go to a server's software.
+func (c *Criteria) allows(s *server) bool {
+	return !c.PinnedSoftware || s.SoftwareVersion == c.SoftwareVersion
+}
+
 // fits reports whether the request may share the server with what runs there.
 func (s *server) fits(criteria Criteria) bool {
 	if criteria.isIsolated() && criteria.Isolation == FromAllSuspects {
@@ -327,7 +341,7 @@
 	defer f.mu.Unlock()
 	capacity := 0
 	for _, s := range f.servers {
-		if s.serves(criteria) {
+		if s.serves(criteria) && criteria.allows(s) {
 			capacity += s.MaxConcurrent
 		}
 	}
--- a/internal/backend/fleet/fleet_test.go
+++ b/internal/backend/fleet/fleet_test.go
@@ -182,3 +182,48 @@
 	qt.Assert(t, f.Capacity(fleet.Criteria{Version: "other"}), qt.Equals, 0)
 	qt.Assert(t, f.Capacity(criteria), qt.Equals, 20)
 }
+
+// TestPinnedWorkStaysAtItsSoftwareVersion draws picks, failures and changes of the published versions.
+func TestPinnedWorkStaysAtItsSoftwareVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f, c, set := newFleet(6)
+		version := rapid.SampledFrom([]string{"", "1.0", "1.1"})
+		name := rapid.SampledFrom([]string{"s0", "s1", "s2", "s3", "s4", "s5"})
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				for i := range set.BackendServers {
+					set.BackendServers[i].SoftwareVersion = version.Draw(t, "version")
+				}
+				f.Update(set)
+			},
+			"fail": func(t *rapid.T) { f.RecordFailure(name.Draw(t, "server")) },
+			"wait": func(*rapid.T) { c.at = c.at.Add(time.Second) },
+			"pick": func(t *rapid.T) {
+				pinned := fleet.Criteria{Version: "v", PinnedSoftware: true, SoftwareVersion: version.Draw(t, "version"), Suspicion: rapid.IntRange(0, 3).Draw(t, "suspicion"), Content: "c", Suspects: []string{"d", "c"}}
+				lease, err := f.Pick(pinned)
+				if err != nil {
+					property.Assert(t, errors.Is(err, fleet.ErrNone), qt.IsTrue)
+					return
+				}
+				property.Assert(t, lease.Server.SoftwareVersion, qt.Equals, pinned.SoftwareVersion)
+				property.Assert(t, f.Capacity(pinned) > 0, qt.IsTrue)
+				lease.Release()
+			},
+		})
+	})
+}
+
+// TestEjectedServersOfAVersionGetItsWork guards against pinned work that waits while half of the
+// servers of its version are ejected, since most servers of other versions are not.
+func TestEjectedServersOfAVersionGetItsWork(t *testing.T) {
+	f, _, set := newFleet(6)
+	for i := range set.BackendServers {
+		set.BackendServers[i].SoftwareVersion = "1.1"
+	}
+	set.BackendServers[0].SoftwareVersion = "1.0"
+	f.Update(set)
+	f.RecordFailure("s0")
+	f.RecordFailure("s0")
+	lease := pick(t, f, fleet.Criteria{Version: "v", PinnedSoftware: true, SoftwareVersion: "1.0"})
+	qt.Assert(t, lease.Server.Name, qt.Equals, "s0")
+}
--- a/internal/lab/enginefake/model.go
+++ b/internal/lab/enginefake/model.go
@@ -75,3 +75,8 @@
 	}
 	return text.String()
 }
+
+// ExpectedText returns the failure-free answer of this engine, whose salt may differ from that of others.
+func (e *Engine) ExpectedText(version string, seed int64, prompt string, maxTokens int) string {
+	return ExpectedText(version, seed+saltOf(e.Options.Salt), prompt, maxTokens)
+}
--- a/internal/node/vm/rig_test.go
+++ b/internal/node/vm/rig_test.go
@@ -56,6 +56,9 @@
 	key         string
 	pool        *x509.CertPool
 
+	drainLimit string
+
+	configure  func(r *rig) // Changes the configuration before it is published.
 	faultPoint func(number int, op action.Op)
 }
 
@@ -64,6 +67,9 @@
 	r.keyed.HonourKeys = true
 	platform := r.serve(r.platform)
 	r.set = r.configuration()
+	if o.configure != nil {
+		o.configure(r)
+	}
 	listed := []vmlist.VM{}
 	for i := range o.vms {
 		machine := r.newVM(o, i, "http://"+platform)
@@ -121,6 +127,10 @@
 	if grace == "" {
 		grace = "30s"
 	}
+	drainLimit := o.drainLimit
+	if drainLimit == "" {
+		drainLimit = "10s"
+	}
 	checked, faults := settings.Serve{
 		ID:               fmt.Sprint("vm-", number),
 		FailureDomain:    fmt.Sprint("domain-", number%2),
@@ -132,7 +142,7 @@
 		BootstrapHash:    object.HashToken("op-token"),
 		Grace:            grace,
 		LeaveWait:        "0s",
-		DrainLimit:       "10s",
+		DrainLimit:       drainLimit,
 		LogLevel:         "info",
 		BaselineRecovery: "none",
 		TraceEndpoint:    o.trace,
@@ -179,14 +189,29 @@
 }
 
 func (r reply) code() string {
-	var document struct {
+	return codeOf(r.body)
+}
+
+// codeOf returns the code and outcome of a problem document, also of one within an event.
+func codeOf(body string) string {
+	type document struct {
 		Code    string
 		Outcome string
 	}
-	if err := json.Unmarshal([]byte(r.body), &document); err != nil || document.Code == "" {
+	var found struct {
+		document
+		Error document
+	}
+	if err := json.Unmarshal([]byte(body), &found); err != nil {
 		return ""
 	}
-	return document.Code + "/" + document.Outcome
+	if found.Code == "" {
+		found.document = found.Error
+	}
+	if found.Code == "" {
+		return ""
+	}
+	return found.Code + "/" + found.Outcome
 }
 
 func (r *rig) request(address, token, method, path, body string) *http.Request {
@@ -213,6 +238,10 @@
 	if err != nil {
 		return reply{body: err.Error()}
 	}
+	return readReply(response)
+}
+
+func readReply(response *http.Response) reply {
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
--- a/internal/peer/replica/replica_test.go
+++ b/internal/peer/replica/replica_test.go
@@ -96,3 +96,19 @@
 	qt.Assert(t, apply(store, entry).Verdict, qt.Equals, wire.AckNeedFull)
 	qt.Assert(t, store.Handover(wire.Handover{Request: request}, now), qt.IsNil)
 }
+
+// TestCopyKeepsTheSoftwareVersion guards against a new owner that goes on at another software version.
+func TestCopyKeepsTheSoftwareVersion(t *testing.T) {
+	journal := generation.New("g", request, generation.Spec{MaxTokens: 100})
+	store := replica.New()
+	apply(store, open("g", 1, true))
+	attempt := journal.BeginAttempt("s", "e")
+	journal.SetSoftwareVersion("1.0")
+	state := wire.Entry{Generation: "g", Epoch: 1, State: wire.StateOf(journal), KeepUntil: later}
+	qt.Assert(t, apply(store, state).Verdict, qt.Equals, wire.AckHeld)
+	journal.Append(attempt, 0, []generation.Token{token(0)})
+	apply(store, wire.Entry{Generation: "g", Epoch: 1, Tokens: journal.Tokens, KeepUntil: later})
+	held := store.Handover(wire.Handover{Request: request}, now)
+	held.SetSoftwareVersion("1.1")
+	qt.Assert(t, held.SoftwareVersion, qt.Equals, "1.0")
+}
--- a/internal/peer/wire/frame.go
+++ b/internal/peer/wire/frame.go
@@ -67,6 +67,9 @@
 	Failure       *generation.Failure `cbor:"7,keyasint,omitempty"`
 	Crashes       []string            `cbor:"8,keyasint,omitempty"`
 	EngineBase    int                 `cbor:"9,keyasint,omitempty"`
+
+	SoftwareVersion string `cbor:"10,keyasint,omitempty"`
+	PinnedSoftware  bool   `cbor:"11,keyasint,omitempty"`
 }
 
 // StateOf returns the state of a journal.
@@ -81,6 +84,9 @@
 		Failure:       journal.Failure,
 		Crashes:       journal.Crashes,
 		EngineBase:    journal.EngineBase,
+
+		SoftwareVersion: journal.SoftwareVersion,
+		PinnedSoftware:  journal.PinnedSoftware,
 	}
 }
 
@@ -95,6 +101,8 @@
 	journal.Failure = s.Failure
 	journal.Crashes = s.Crashes
 	journal.EngineBase = s.EngineBase
+	journal.SoftwareVersion = s.SoftwareVersion
+	journal.PinnedSoftware = s.PinnedSoftware
 }
 
 // AckVerdict is the result of applying an entry.
--- a/internal/request/generation/cursor.go
+++ b/internal/request/generation/cursor.go
@@ -54,7 +54,8 @@
 
 // Cursor is a caller's position in an answer: the number of tokens received and
 // their hash, and the location of the journal, its copy and the engine's
-// generation when the cursor was issued.
+// generation when the cursor was issued. SoftwareVersion is that of the engines that
+// wrote these tokens.
 type Cursor struct {
 	_             struct{} `cbor:",toarray"`
 	Generation    string
@@ -65,6 +66,8 @@
 	Server        string
 	EngineRequest string
 	EngineBase    int // Offset in the answer at which the engine's generation begins.
+
+	SoftwareVersion string `cbor:"-"` // Follows the array, unless empty: earlier builds read arrays of this length only.
 }
 
 // Sealer encodes cursors as opaque, authenticated text and decodes them. The
@@ -98,6 +101,13 @@
 	if err != nil {
 		panic(err) // Strings and integers always encode.
 	}
+	if cursor.SoftwareVersion != "" {
+		version, err := cbor.Marshal(cursor.SoftwareVersion)
+		if err != nil {
+			panic(err) // A string always encodes.
+		}
+		body = append(body, version...)
+	}
 	return base64.RawURLEncoding.EncodeToString(append(body, s.tag(body)...))
 }
 
@@ -122,9 +132,15 @@
 	if !hmac.Equal(s.ForAccount(account).tag(body), sealed[len(body):]) {
 		return Cursor{}, errors.Annotate(ErrInvalidCursor, "wrong tag")
 	}
-	if err = cbor.Unmarshal(body, &cursor); err != nil || cursor.Offset < 0 {
+	var rest []byte
+	if rest, err = cbor.UnmarshalFirst(body, &cursor); err != nil || cursor.Offset < 0 {
 		return Cursor{}, errors.Annotate(ErrInvalidCursor, "wrong shape")
 	}
+	if len(rest) > 0 {
+		if err = cbor.Unmarshal(rest, &cursor.SoftwareVersion); err != nil {
+			return Cursor{}, errors.Annotate(ErrInvalidCursor, "wrong shape")
+		}
+	}
 	return cursor, nil
 }
 
--- a/internal/request/generation/generation_test.go
+++ b/internal/request/generation/generation_test.go
@@ -113,6 +113,66 @@
 	})
 }
 
+// TestCursorOfAnotherSoftwareVersionIsNoPrefix guards against joining what two software versions wrote
+// when the delivered tokens happen to be equal.
+func TestCursorOfAnotherSoftwareVersionIsNoPrefix(t *testing.T) {
+	journal := newJournal(10)
+	journal.BeginAttempt("s", "e")
+	journal.SetSoftwareVersion("1.0")
+	journal.BeginAttempt("s", "e") // Nothing was written at the first.
+	journal.SetSoftwareVersion("1.1")
+	journal.Append(2, 0, tokens(0, 2))
+	journal.BeginAttempt("s", "e")
+	journal.SetSoftwareVersion("1.0")
+	qt.Assert(t, journal.SoftwareVersion, qt.Equals, "1.1")
+	hash := generation.RollingHash{}.Add(journal.Tokens[0]).Sum()
+	for _, c := range []struct {
+		cursor   generation.Cursor
+		mismatch bool
+	}{
+		{generation.Cursor{Offset: 1, Hash: hash, SoftwareVersion: "1.1"}, false},
+		{generation.Cursor{Offset: 1, Hash: hash, SoftwareVersion: "1.0"}, true},
+		{generation.Cursor{Offset: 1, Hash: hash}, true},
+		{generation.Cursor{}, false},
+	} {
+		qt.Check(t, errors.Is(journal.Verify(c.cursor), generation.ErrGenerationMismatch), qt.Equals, c.mismatch, qt.Commentf("%+v", c.cursor))
+	}
+}
+
+func TestCursorPinsAnAnswerWithoutTokens(t *testing.T) {
+	for _, c := range []struct {
+		cursor *generation.Cursor
+		pinned bool
+	}{
+		{nil, false},
+		{&generation.Cursor{SoftwareVersion: "1.0"}, false},
+		{&generation.Cursor{Offset: 1, SoftwareVersion: "1.0"}, true},
+		{&generation.Cursor{Offset: 1}, true},
+	} {
+		journal := newJournal(10)
+		journal.PinSoftwareVersion(c.cursor)
+		qt.Check(t, journal.HasSoftwareVersion(), qt.Equals, c.pinned)
+		journal.SetSoftwareVersion("1.1")
+		qt.Check(t, journal.SoftwareVersion == "1.1", qt.Equals, !c.pinned)
+	}
+}
+
+// TestCursorWithoutSoftwareVersionIsReadByEarlierBuilds guards against cursors that VMs of an earlier
+// build refuse, and the other way round, while VMs are replaced.
+func TestCursorWithoutSoftwareVersionIsReadByEarlierBuilds(t *testing.T) {
+	sealer := generation.Sealer{Key: []byte("0123456789abcdef0123456789abcdef")}
+	cursor := generation.Cursor{Generation: "g", Offset: 3, Hash: 9, Owner: "vm-1", Holder: "vm-2", Server: "s", EngineRequest: "g.1.1", EngineBase: 2}
+	const sealed = "iGFnAwlkdm0tMWR2bS0yYXNlZy4xLjECJrQc7JFh6jm1h0Iy"
+	qt.Assert(t, sealer.Seal("a", cursor), qt.Equals, sealed)
+	opened, err := sealer.Open("a", sealed)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, opened, qt.Equals, cursor)
+	cursor.SoftwareVersion = "1.0"
+	opened, err = sealer.Open("a", sealer.Seal("a", cursor))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, opened, qt.Equals, cursor)
+}
+
 func TestContinuationIsConditionedOnEveryToken(t *testing.T) {
 	journal := newJournal(10)
 	qt.Assert(t, journal.Continuation(), qt.DeepEquals, generation.Input{Prompt: "p", MaxTokens: 10})
--- a/internal/request/generation/journal.go
+++ b/internal/request/generation/journal.go
@@ -9,6 +9,8 @@
 //   - a stream is continued for a caller only if the rolling hash in the
 //     caller's cursor equals the journal's hash at that offset, so that two
 //     generations are never mixed, even if several VMs act as the owner;
+//   - an answer belongs to the software version of the engine that wrote its first
+//     token: what engines of two versions write doesn't fit together;
 //   - each take-over raises the epoch, which fences the earlier owner.
 //
 // # Usage
@@ -149,7 +151,8 @@
 // engine connections that could append tokens. Server and EngineRequest identify
 // the engine generation of the current attempt; its first token has the offset
 // EngineBase in the answer. Crashes lists the servers that crashed while running
-// this request.
+// this request. SoftwareVersion is that of the engine generation. PinnedSoftware
+// means that the answer belongs to it although the journal has no tokens.
 type Journal struct {
 	ID            string    `cbor:"1,keyasint"`
 	Request       RequestID `cbor:"2,keyasint"`
@@ -165,6 +168,9 @@
 	Failure       *Failure  `cbor:"12,keyasint,omitempty"`
 	Crashes       []string  `cbor:"13,keyasint,omitempty"`
 	EngineBase    int       `cbor:"14,keyasint,omitempty"`
+
+	SoftwareVersion string `cbor:"15,keyasint,omitempty"`
+	PinnedSoftware  bool   `cbor:"16,keyasint,omitempty"`
 }
 
 // Verdict is the result of offering an event to the journal.
@@ -199,6 +205,29 @@
 	return j.Attempt
 }
 
+// HasSoftwareVersion reports whether the answer belongs to a software version, so that
+// only engines of SoftwareVersion may continue it.
+func (j *Journal) HasSoftwareVersion() bool {
+	return j.PinnedSoftware || len(j.Tokens) > 0
+}
+
+// SetSoftwareVersion records the software version of the current attempt's engine. It
+// does nothing if the answer belongs to a version.
+func (j *Journal) SetSoftwareVersion(version string) {
+	if !j.HasSoftwareVersion() {
+		j.SoftwareVersion = version
+	}
+}
+
+// PinSoftwareVersion binds an answer without tokens to the version that wrote what the
+// caller has. It does nothing if the answer belongs to a version.
+func (j *Journal) PinSoftwareVersion(cursor *Cursor) {
+	if cursor != nil && cursor.Offset > 0 && !j.HasSoftwareVersion() {
+		j.SoftwareVersion = cursor.SoftwareVersion
+		j.PinnedSoftware = true
+	}
+}
+
 // NextEngineRequestID returns an id for a new engine generation, unique over all
 // owners of this journal.
 func (j *Journal) NextEngineRequestID() string {
@@ -323,8 +352,11 @@
 // Verify checks that the tokens that a caller has received are a prefix of this
 // journal's answer. The error is ErrGenerationMismatch or ErrCursorAhead. The
 // generation's id is not compared: an answer that was regenerated token for token
-// is the same answer.
+// by the same software version is the same answer.
 func (j *Journal) Verify(cursor Cursor) error {
+	if cursor.Offset > 0 && cursor.SoftwareVersion != j.SoftwareVersion {
+		return errors.Annotatef(ErrGenerationMismatch, "cursor of software version %q, journal of %q", cursor.SoftwareVersion, j.SoftwareVersion)
+	}
 	if cursor.Offset > len(j.Tokens) {
 		return errors.Annotatef(ErrCursorAhead, "cursor at %d, journal at %d", cursor.Offset, len(j.Tokens))
 	}
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -183,7 +183,9 @@
 		// can't be used.
 		journal.Server = cursor.Server
 		journal.EngineRequest = cursor.EngineRequest
+		journal.SoftwareVersion = cursor.SoftwareVersion
 	}
+	journal.PinSoftwareVersion(submission.Cursor)
 	journal.Crashes = o.knownCrashes(contentHash)
 	if existing := o.register(g); existing != g {
 		ticket.Release()
--- a/internal/request/owner/recover.go
+++ b/internal/request/owner/recover.go
@@ -96,6 +96,7 @@
 type candidate struct {
 	stream   *engine.Stream
 	server   string
+	software string // The software version of the server.
 	request  string
 	base     int // Offset in the answer of a new dispatch's first token.
 	resume   bool
@@ -149,7 +150,11 @@
 func (rc *recovery) mayLeave() bool {
 	rc.generation.mu.Lock()
 	canContinue := rc.generation.journal.CanContinue()
+	required := rc.generation.requiredServers()
 	rc.generation.mu.Unlock()
+	if required.PinnedSoftware && rc.owner.options.Fleet.Capacity(required) == 0 {
+		canContinue = false
+	}
 	return canContinue || (!rc.lostAt.IsZero() && rc.owner.options.Now().Sub(rc.lostAt) > maxSilence)
 }
 
@@ -261,12 +266,17 @@
 	c := candidate{resume: true, server: g.journal.Server, request: g.journal.EngineRequest}
 	offset := len(g.journal.Tokens)
 	base := rc.engineOffset(offset)
+	c.software = g.journal.SoftwareVersion
 	g.mu.Unlock()
 	server, found := rc.owner.options.Fleet.Server(c.server)
 	if !found {
 		c.err = errors.Annotatef(engine.ErrGone, "server %s is not published any more", c.server)
 		return c
 	}
+	if server.SoftwareVersion != c.software {
+		c.err = errors.Annotatef(engine.ErrGone, "server %s is published with other software now", c.server)
+		return c
+	}
 	c.stream, c.err = rc.openWithin(ctx, rc.owner.options.Timing.ResumeTimeout, func(ctx context.Context) (*engine.Stream, error) {
 		return rc.owner.options.Engines.Resume(ctx, server.Address, c.request, base, offset)
 	})
@@ -333,13 +343,18 @@
 		return c
 	}
 	if c.lease, c.err = o.options.Fleet.Pick(criteria); c.err != nil {
-		if o.options.Fleet.Capacity(fleet.Criteria{Version: criteria.Version}) == 0 {
+		switch {
+		case o.options.Fleet.Capacity(criteria) > 0:
+		case o.options.Fleet.Capacity(fleet.Criteria{Version: criteria.Version}) > 0:
+			c.err = &problem.Problem{Code: problem.RestartRequired, Outcome: problem.Failed, Detail: "no backend server runs the software version that began the answer; send the request again under a new key"}
+		default:
 			c.err = &problem.Problem{Code: problem.NoServer, Outcome: rc.dispatchFailureOutcome(), Detail: "no backend server is published for version " + criteria.Version, RetryAt: o.options.Now().Add(5 * time.Second)}
 		}
 		return c
 	}
 	c.isolated = criteria.Suspicion >= isolateAfterCrashes
 	c.server = c.lease.Server.Name
+	c.software = c.lease.Server.SoftwareVersion
 	request, base := rc.engineRequest()
 	c.request, c.base = request.ID, base
 	c.stream, c.err = rc.openWithin(ctx, o.options.Timing.DispatchTimeout, func(ctx context.Context) (*engine.Stream, error) {
@@ -418,6 +433,7 @@
 		g.journal.EngineBase = found.base
 	}
 	attempt := g.journal.BeginAttempt(found.server, found.request)
+	g.journal.SetSoftwareVersion(found.software)
 	rc.owner.sendUpdateLocked(g, true)
 	g.mu.Unlock()
 	if !rc.sameEngine {
--- a/internal/request/owner/recover_test.go
+++ b/internal/request/owner/recover_test.go
@@ -11,9 +11,11 @@
 
 	qt "github.com/frankban/quicktest"
 	"github.com/hashicorp/go-hclog"
+	"github.com/juju/errors"
 
 	"github.com/endivespoke/endivespoke/internal/backend/engine"
 	"github.com/endivespoke/endivespoke/internal/backend/fleet"
+	"github.com/endivespoke/endivespoke/internal/caller/problem"
 	"github.com/endivespoke/endivespoke/internal/config/object"
 	"github.com/endivespoke/endivespoke/internal/node/control"
 )
@@ -140,6 +142,65 @@
 	}
 }
 
+// TestSilentEngineKeepsAnAnswerOfItsSoftwareVersion guards against giving an answer up because its engine,
+// the last of its software version and leaving, is silent for a moment.
+func TestSilentEngineKeepsAnAnswerOfItsSoftwareVersion(t *testing.T) {
+	silentUntil := time.Now().Add(700 * time.Millisecond)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(time.Until(silentUntil))
+		w.WriteHeader(http.StatusOK)
+	}))
+	defer server.Close()
+	o := newTestOwner(&object.Set{BackendServers: []object.BackendServer{
+		{Name: "a", Address: strings.TrimPrefix(server.URL, "http://"), Versions: []string{"v"}, MaxConcurrent: 8, SoftwareVersion: "1.0", State: object.ServerLeaving},
+		{Name: "b", Address: newSlowServer(t, http.StatusOK, 0), Versions: []string{"v"}, MaxConcurrent: 8, SoftwareVersion: "1.1"},
+	}})
+	g := newTestGeneration(3)
+	g.owner = o
+	g.journal.PromptTokens = []int{1}
+	g.journal.SoftwareVersion = "1.0"
+	g.journal.Spec.Version = "v"
+	g.journal.Server, g.journal.EngineRequest = "a", "g.1.1"
+	rc := &recovery{owner: o, generation: g, lostAt: time.Now()}
+	var found candidate
+	for range 20 {
+		if found = rc.nextCandidate(context.Background()); found.err == nil || !rc.resumable() {
+			break
+		}
+	}
+	qt.Assert(t, found.err, qt.IsNil)
+	qt.Check(t, found.server, qt.Equals, "a")
+	found.stream.Close()
+}
+
+// TestServerWithOtherSoftwareIsNotResumed guards against the stream of a server that was published again
+// with other software under its name.
+func TestServerWithOtherSoftwareIsNotResumed(t *testing.T) {
+	for _, c := range []struct {
+		version string // Of the weights that the server has.
+		code    problem.Code
+	}{
+		{"v", problem.RestartRequired},
+		{"w", problem.NoServer},
+	} {
+		o := newTestOwner(&object.Set{BackendServers: []object.BackendServer{
+			{Name: "a", Address: newSlowServer(t, http.StatusOK, 0), Versions: []string{c.version}, MaxConcurrent: 8, SoftwareVersion: "1.1"},
+		}})
+		g := newTestGeneration(3)
+		g.owner = o
+		g.journal.PromptTokens = []int{1}
+		g.journal.SoftwareVersion = "1.0"
+		g.journal.Spec.Version = "v"
+		g.journal.Server, g.journal.EngineRequest = "a", "g.1.1"
+		rc := &recovery{owner: o, generation: g, lostAt: time.Now()}
+		_, err := rc.connect(context.Background())
+		var final *problem.Problem
+		qt.Assert(t, errors.As(err, &final), qt.IsTrue)
+		qt.Check(t, final.Code, qt.Equals, c.code)
+		qt.Check(t, final.Outcome, qt.Equals, problem.Failed)
+	}
+}
+
 // TestThreeCrashesDoNotBlock guards against blocking a harmless request when three
 // of four engines fail within a second: three engines crash under one request, the
 // last of them while it is isolated.
--- a/internal/request/owner/running.go
+++ b/internal/request/owner/running.go
@@ -183,6 +183,8 @@
 		Server:        g.journal.Server,
 		EngineRequest: g.journal.EngineRequest,
 		EngineBase:    g.journal.EngineBase,
+
+		SoftwareVersion: g.journal.SoftwareVersion,
 	}
 }
 
--- a/internal/request/owner/suspicion.go
+++ b/internal/request/owner/suspicion.go
@@ -120,12 +120,10 @@
 	g := rc.generation
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	criteria := fleet.Criteria{
-		Version: g.journal.Spec.Version,
-		Exclude: slices.Clone(rc.excluded),
-		Content: g.contentHash,
-		Prefix:  g.prefix(),
-	}
+	criteria := g.requiredServers()
+	criteria.Exclude = slices.Clone(rc.excluded)
+	criteria.Content = g.contentHash
+	criteria.Prefix = g.prefix()
 	criteria.Suspicion, _ = rc.suspicion()
 	if criteria.Suspicion < isolateAfterCrashes {
 		return criteria
@@ -159,6 +157,16 @@
 	return criteria
 }
 
+// requiredServers returns the criteria of the servers that may run the generation at all. Callers
+// hold mu.
+func (g *Generation) requiredServers() fleet.Criteria {
+	return fleet.Criteria{
+		Version:         g.journal.Spec.Version,
+		SoftwareVersion: g.journal.SoftwareVersion,
+		PinnedSoftware:  g.journal.HasSoftwareVersion(),
+	}
+}
+
 // prefixBytes of a prompt determine its cache affinity.
 const prefixBytes = 256
 
--- a/internal/request/owner/takeover.go
+++ b/internal/request/owner/takeover.go
@@ -37,6 +37,7 @@
 	if journal == nil {
 		return nil
 	}
+	journal.PinSoftwareVersion(cursor)
 	g := o.newGeneration(ctx, journal)
 	g.contentHash = journal.Spec.ContentHash()
 	if journal.Ended() {
