The copy gets the software version together with the first tokens

The state of a new attempt and its first tokens went to the holder as two entries, unless the engine had told the prompt's token ids. If the connection to the holder broke between them and was opened again before the holder was replaced, the copy would have the tokens of one software version under the name of another attempt's. The first tokens carry the state now: one entry, which is applied as a whole. Engines that tell the prompt's ids had this already.

--- a/internal/request/owner/drive.go
+++ b/internal/request/owner/drive.go
@@ -206,7 +206,7 @@
 	}
 	g.journal.SetPromptTokens(received.PromptTokenIDs)
 	first := len(g.journal.Tokens) == 0
-	withState := received.Finish != "" || len(received.PromptTokenIDs) > 0
+	withState := first || received.Finish != "" || len(received.PromptTokenIDs) > 0
 	if len(received.Tokens) > 0 {
 		verdict := g.journal.Append(c.attempt, received.Offset, received.Tokens)
 		if verdict == generation.Duplicate && o.options.Timing.RestartFromZero {
