Relay: no request is sent to a server once its caller has left

Callers that return at another VM may have their stream worked on by two servers, if the VM that they left sends it on.

Cause: the end of a caller's connection is known from a goroutine of the http.Server alone. In a VM that gets little processor time, a timer or the watch of a run may act first, with a decision that is out of date. The relay now asks the kernel for the end of the caller's connection just before each send, of calls too. A VM that gets no processor time between the two still sends; and a run that is at work ends no sooner than before.

--- a/internal/node/caller/ports.go
+++ b/internal/node/caller/ports.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -376,6 +377,30 @@
 	}
 }
 
+// IsGone reports whether the caller has closed the connection, as the kernel knows it: an http.Server
+// learns it from a goroutine of its own, which may run late.
+func (c *Connection) IsGone() bool {
+	if c == nil {
+		return false
+	}
+	withSyscalls, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := withSyscalls.SyscallConn()
+	if err != nil {
+		return false
+	}
+	gone := false
+	// Control, unlike Read, does not wait for the http.Server's own read.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		count, _, peekErr := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		gone = count == 0 && peekErr == nil || peekErr != nil && peekErr != syscall.EAGAIN && peekErr != syscall.EINTR
+	})
+	return gone || err != nil
+}
+
 // CloseWrite closes the connection for writing.
 func (c *Connection) CloseWrite() error {
 	c.enter(phaseEnded)
--- a/internal/node/caller/ports_test.go
+++ b/internal/node/caller/ports_test.go
@@ -137,6 +137,40 @@
 
 const getSlow = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
 
+// TestCallerThatLeftIsGoneAtOnce: a handler need not wait until the http.Server tells it.
+func TestCallerThatLeftIsGoneAtOnce(t *testing.T) {
+	for _, leave := range []struct {
+		name  string
+		close func(c *net.TCPConn) error
+	}{
+		{"closes", (*net.TCPConn).Close},
+		{"resets", func(c *net.TCPConn) error { _ = c.SetLinger(0); return c.Close() }},
+	} {
+		t.Run(leave.name, func(t *testing.T) {
+			r := newPortRig(t, 4, 1<<20)
+			left := make(chan bool)
+			server := &http.Server{ConnContext: r.port.Context, Handler: http.HandlerFunc(func(_ http.ResponseWriter, request *http.Request) {
+				left <- caller.ConnectionOf(request.Context()).IsGone()
+				<-left
+				left <- caller.ConnectionOf(request.Context()).IsGone()
+			})}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			qt.Assert(t, err, qt.IsNil)
+			port := r.ports.Listen(listener, "other", 4)
+			go func() { _ = server.Serve(port) }() // Returns when the server is closed.
+			t.Cleanup(func() { _ = server.Close() })
+			connection, err := net.Dial("tcp", listener.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			_, err = io.WriteString(connection, getSlow)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, <-left, qt.IsFalse)
+			qt.Assert(t, leave.close(connection.(*net.TCPConn)), qt.IsNil)
+			left <- true
+			qt.Assert(t, <-left, qt.IsTrue)
+		})
+	}
+}
+
 // TestLeastDeservingConnectionMakesRoom opens a connection of each kind, and one more after another.
 func TestLeastDeservingConnectionMakesRoom(t *testing.T) {
 	r := newPortRig(t, 4, 1<<20)
--- a/internal/request/accept/accept.go
+++ b/internal/request/accept/accept.go
@@ -74,7 +74,9 @@
 	Demand      placement.Demand
 	PromptParts []string // IDs of the parts of the prompt that other requests may share.
 	PromptKey   string   // ID of the part that they do not share.
-	Variant     string   // Values of the headers that select the answer, such as the model's name.
+	// IsCallerGone reports whether the caller has closed its connection; nil if that can't be known.
+	IsCallerGone func() bool
+	Variant      string // Values of the headers that select the answer, such as the model's name.
 }
 
 // View is the configuration that the VM has. CurrentAt is when it was last known to be
@@ -125,6 +127,8 @@
 		LastEventID: in.LastEventID,
 		Demand:      in.Demand,
 		PromptParts: in.PromptParts,
+
+		IsCallerGone: in.IsCallerGone,
 	}
 	if account.HasPriority {
 		request.Priority = account.Priority
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -84,6 +84,9 @@
 	if refusal := c.relay.admit(ctx, c.request); refusal != nil {
 		return refusal
 	}
+	if c.request.callerGone() {
+		return &NotRun{Kind: RefusalDeadline, Reason: errCallerGone.Error()}
+	}
 	versions := c.relay.options.Versions.Choose(c.request.Service, c.sendKind())
 	lease, err := c.relay.options.Servers.AcquireForCall(c.request.Service, c.tried, versions)
 	if err != nil {
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -67,9 +67,21 @@
 	// the goroutine that relays the request accesses it.
 	Servers []string
 
+	// IsCallerGone reports whether the caller has closed its connection, which the request's context may
+	// tell later; nil if that can't be known.
+	IsCallerGone func() bool
+
 	checked bool // The crash record was asked about it.
 }
 
+// callerGone reports whether the caller is known to have left.
+func (r *Request) callerGone() bool {
+	return r.IsCallerGone != nil && r.IsCallerGone()
+}
+
+// errCallerGone means that the caller has closed its connection.
+const errCallerGone = errors.ConstError("the caller has closed its connection")
+
 // Dispatch is the send of a request to one server.
 type Dispatch struct {
 	Request     *Request
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -243,6 +243,8 @@
 // contextError returns the error of a stream whose caller is gone or whose context is done.
 func (s *stream) contextError(ctx context.Context, end runResult) error {
 	switch {
+	case end.callerErr != nil && !s.headSent && s.sends == 0:
+		return &NotRun{Kind: RefusalDeadline, Reason: end.callerErr.Error()}
 	case end.callerErr != nil:
 		return &Interrupted{Reason: "caller is gone: " + end.callerErr.Error()}
 	case s.headSent:
@@ -300,6 +302,11 @@
 		return runResult{noServer: true, err: s.noServer(ctx, err)}
 	}
 	defer lease.Release()
+	// A busy VM may find that a run has ended before it finds that the caller left, who may have
+	// returned at another VM.
+	if s.request.callerGone() {
+		return runResult{callerErr: errCallerGone}
+	}
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream, Permit: lease.Permit}
 	if s.sends > 0 || s.lastEventID != "" {
 		dispatch.Purpose = pool.PurposeResume
