--- a/internal/request/relay/once_test.go
+++ b/internal/request/relay/once_test.go
@@ -64,6 +64,7 @@
 	behaviours  map[string][]behaviour
 	connections []net.Conn
 	listeners   []net.Listener
+	closed      bool
 	refusals    []string // Heads of refusals, in turn.
 	working     sync.WaitGroup
 }
@@ -107,6 +108,9 @@
 			}
 			s.mu.Lock()
 			s.connections = append(s.connections, c)
+			if s.closed {
+				_ = c.Close()
+			}
 			s.mu.Unlock()
 			s.working.Go(func() { s.serve(server, c) })
 		}
@@ -119,6 +123,7 @@
 		_ = listener.Close()
 	}
 	s.mu.Lock()
+	s.closed = true
 	for _, c := range s.connections {
 		_ = c.Close()
 	}
