Relay: a test of the retry budget of streams whose caller left

Other callers may be refused for lack of retries that nobody used. A stream is charged before it looks for the next server; if the relay then finds that the caller has left, it ends without a refund. Calls check first and are charged after. All VMs share this budget, and callers leave together when servers are slow.

--- a/internal/request/relay/gone_dial_test.go
+++ b/internal/request/relay/gone_dial_test.go
@@ -36,3 +36,18 @@
 		})
 	}
 }
+
+// TestStreamWhoseCallerLeftTakesNoRetryFromTheBudget: nothing reaches a server.
+func TestStreamWhoseCallerLeftTakesNoRetryFromTheBudget(t *testing.T) {
+	gone := atomic.Bool{}
+	breaks := func(w http.ResponseWriter, r *http.Request) {
+		gone.Store(true)
+		events(3, abort)(w, r)
+	}
+	g := newRig(t, map[string]script{"a1": breaks, "b1": breaks})
+	r := request(routing.KindStreaming)
+	r.IsCallerGone = gone.Load
+	qt.Assert(t, g.relay.Stream(context.Background(), r, (&caller{}).sink()), qt.IsNotNil)
+	qt.Assert(t, g.seen(), qt.HasLen, 1)
+	qt.Assert(t, g.retries.Usage().Retries, qt.Equals, 0)
+}
