Own interface: a call that is answered with a redirect is not made again

A service that runs an action and answers 307 or 308 to itself ran it ten times, and one whose redirect's address refuses was taken not to have run it: the next server ran it too. The clients of services and engines followed redirects, as net/http does if nothing else is set.

A redirect is an answer like others now.

--- a/internal/backend/engine/engine.go
+++ b/internal/backend/engine/engine.go
@@ -92,7 +92,9 @@
 // New returns a client. The HTTP client must have no overall timeout, since streams last
 // minutes.
 func New(httpClient *http.Client) *Client {
-	return &Client{HTTP: httpClient}
+	client := *httpClient
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse } // The request may have run.
+	return &Client{HTTP: &client}
 }
 
 type requestBody struct {
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -86,7 +86,9 @@
 	}
 	trace.Outgoing(request)
 	var response *http.Response
-	if response, err = c.HTTP.Do(request); err != nil {
+	client := *c.HTTP
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse } // The call may have run.
+	if response, err = client.Do(request); err != nil {
 		return Reply{}, classify(err)
 	}
 	defer response.Body.Close()
