Connections to servers: nothing is written once the sender has no use for it

The check of the caller came before the index of copies, the permit and the dial.

The connection is asked for first; then, just before the write, the context and the caller. What is given up there counts as not sent, is held against no server, and returns its charge to the retry budget, as does a stream whose caller left before.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -35,6 +35,9 @@
 // ErrNotSent means that no byte of the request was sent.
 const ErrNotSent = errors.ConstError("request was not sent")
 
+// ErrAbandoned means that a request was not sent since its sender had no use for it any more.
+const ErrAbandoned = errors.ConstError("request was abandoned before it was sent")
+
 // NotSent is an ErrNotSent with its cause.
 type NotSent struct {
 	Address string
@@ -129,6 +132,8 @@
 	Body     []byte
 	ID       string
 	IDHeader string
+	// IsAbandoned reports, just before the request is written, whether it has become useless; nil if it can't.
+	IsAbandoned func() bool
 }
 
 // Pool keeps idle connections by address. It is safe for concurrent use.
@@ -250,6 +255,10 @@
 	if c, err = p.acquire(ctx, request); err != nil {
 		return nil, &NotSent{Address: request.Address, Cause: err}
 	}
+	if ctx.Err() != nil || (request.IsAbandoned != nil && request.IsAbandoned()) {
+		p.returnUnused(request.Address, c)
+		return nil, &NotSent{Address: request.Address, Cause: errors.Trace(ErrAbandoned)}
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := make(chan error, 1)
 	if len(request.Body) <= maxInlineBodyBytes {
@@ -367,6 +376,14 @@
 	return c, nil
 }
 
+// returnUnused keeps a connection on which nothing was sent.
+func (p *Pool) returnUnused(address string, c *connection) {
+	if c.idleUntil.IsZero() {
+		c.idleUntil = p.options.Now().Add(defaultIdleTimeout)
+	}
+	p.keep(address, c)
+}
+
 func (p *Pool) keep(address string, c *connection) {
 	p.mu.Lock()
 	if len(p.idle[address]) < maxIdlePerAddress {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -183,6 +183,7 @@
 		if took > c.request.Route.LatencyObjective {
 			lease.RecordCall(took, true)
 		}
+	case errors.Is(result.err, http1.ErrAbandoned):
 	case errors.Is(result.err, http1.ErrNotSent):
 		lease.ReportUnreachable(result.err)
 	case result.err != nil:
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -300,6 +300,8 @@
 		Body:     dispatch.Request.Body,
 		ID:       dispatch.Request.ID,
 		IDHeader: r.options.IDHeader,
+
+		IsAbandoned: dispatch.Request.IsCallerGone,
 	})
 	if err != nil {
 		return nil, Verdict{}, err
--- a/internal/request/relay/retry.go
+++ b/internal/request/relay/retry.go
@@ -57,6 +57,14 @@
 	}
 }
 
+// refundSend returns the charge of a send that reached no server, if it was charged.
+func (s *stream) refundSend() {
+	if s.chargedRetries > 0 {
+		s.chargedRetries--
+		s.relay.options.Refund(s.request.Service)
+	}
+}
+
 // budgetSpent returns the refusal of a request whose service has no retry left. As a new request it
 // takes none, so the caller may return soon.
 func (r *Relay) budgetSpent() *NotRun {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -177,9 +177,8 @@
 		s.sends--
 		s.refused++
 	}
-	if end.notSent && s.chargedRetries > 0 {
-		s.chargedRetries--
-		s.relay.options.Refund(s.request.Service)
+	if end.notSent {
+		s.refundSend()
 	}
 	switch {
 	case end.noServer && !s.headSent && s.sends == 0:
@@ -293,6 +292,7 @@
 	// A busy VM may find that a run has ended before it finds that the caller left, who may have
 	// returned at another VM.
 	if s.request.callerGone() {
+		s.refundSend()
 		return runResult{callerErr: errCallerGone}
 	}
 	dispatch := Dispatch{Request: s.request, Server: lease.Server, Deadline: s.request.Deadline, LastEventID: s.lastEventID, Purpose: pool.PurposeStream, Permit: lease.Permit}
@@ -357,9 +357,9 @@
 	case end.notRun && resumed:
 		return // The server lacks the copy, but can still read the prompt.
 	case end.notRun || end.answer != nil:
+	case end.blocked || errors.Is(end.err, http1.ErrAbandoned):
 	case end.notSent:
 		lease.ReportUnreachable(end.err)
-	case end.blocked:
 	case justBegun && !end.aborted:
 		stopped = !lease.Check(ctx)
 	default:
@@ -393,6 +393,11 @@
 		end.blocked = watch.blocked.Load() && !end.done && end.callerErr == nil
 	}()
 	response, verdict, err := s.relay.send(ctx, dispatch)
+	if errors.Is(err, http1.ErrAbandoned) && s.request.callerGone() {
+		s.sends--
+		s.refundSend()
+		return runResult{notSent: true, callerErr: errCallerGone, err: err}
+	}
 	if err != nil {
 		return runResult{notSent: errors.Is(err, http1.ErrNotSent), aborted: watch.hasAborted(), err: err}
 	}
