A record from before the first event doesn't keep a VM from asking for the version

A VM that reads such a record at its start, or has it from its cell, refused the caller that returned, also where a VM that it asks for other streams knows the version. Found by reading the change; no run shows it.

--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -183,13 +183,13 @@
 
 // findNamed returns the record of the runs with a key whose request began with the attempt origin.
 func (v *VM) findNamed(ctx context.Context, copyKey, origin string) (record copies.Record, found bool) {
-	if record, found = v.copies.FindOrigin(copyKey, origin); found {
+	if record, found = v.copies.FindOrigin(copyKey, origin); found && record.Version != "" {
 		return record, true
 	}
 	_, knowsVersions := v.servers.Versions()
 	hasJoined := v.Now().Sub(v.started) > joinTime
 	if hasJoined && v.knowsCell() && knowsVersions && v.spread.Snapshot().Cells <= 1 {
-		return copies.Record{}, false
+		return record, found
 	}
 	locations, _, _ := v.spread.LocateCopies(ctx, spread.CopyQuery{CopyKey: copyKey, Origin: origin})
 	for _, location := range locations {
