--- a/internal/request/copies/origins.go
+++ b/internal/request/copies/origins.go
@@ -23,12 +23,12 @@
 
 type originEntry struct {
 	Located
-	isMixed   bool // It was told with two versions.
+	isMixed   bool // It was announced with two versions.
 	expiresAt time.Time
 	serial    int // Of its stamp.
 }
 
-// join returns the version of an entry that is told again. A record from before the first event has none.
+// join returns the version of an entry that is announced again. A record from before the first event has none.
 func (e originEntry) join(version string) (joined string, isMixed bool) {
 	switch {
 	case e.isMixed || (e.Record.Version != "" && version != "" && e.Record.Version != version):
@@ -44,7 +44,7 @@
 }
 
 // put records a run. The version of a request is known once its first event was written. One that is
-// told with two has none.
+// announced with two has none.
 func (o *origins) put(copyKey string, record Record, isNewest bool, now time.Time) {
 	o.expire(now)
 	if record.Origin == "" {
--- a/internal/request/relay/return.go
+++ b/internal/request/relay/return.go
@@ -22,8 +22,8 @@
 	return pool.VersionRule{Exact: true, Only: s.relay.options.Servers.ResolveVersion(s.version.name)}
 }
 
-// beginVersion notes the version of a run that is about to be sent. Other VMs are told of it only if no
-// other version can write the first event: a VM may miss that the request was sent again elsewhere.
+// beginVersion notes the version of a run that is about to be sent. It is announced to other VMs only if
+// no other version can write the first event: a VM may miss that the request was sent again elsewhere.
 func (s *stream) beginVersion(lease *pool.Lease) {
 	if s.version.isFixed.Load() {
 		return
