--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -74,16 +74,6 @@
 	}
 }
 
-// CopyHolder returns the server that was chosen for the stream's copy; ok is false if there is none.
-func (l *Lease) CopyHolder() (holder Server, ok bool) {
-	l.pool.mu.Lock()
-	defer l.pool.mu.Unlock()
-	if l.copyHolder == nil {
-		return Server{}, false
-	}
-	return l.copyHolder.Server, true
-}
-
 // ReplaceCopyHolder chooses another holder for the stream's copy; nil if no server has
 // capacity. The channel lost is closed when that holder is lost. CopyLost is about the
 // first holder only.
--- a/internal/request/relay/version.go
+++ b/internal/request/relay/version.go
@@ -115,7 +115,7 @@
 
 // chooseVersions returns the rule for a send of the stream: the one of its version from its first event
 // on, and before it the one by which the send was claimed, if any. A request that is sent again before
-// its first event stays at its version if it can, as other VMs know that one.
+// its first event stays at its version if it can, as its record may name that one.
 func (s *stream) chooseVersions() pool.VersionRule {
 	claimed := s.versions.claimed
 	s.versions.claimed = nil
