CONFIG: what is read after a pause is not current

What callers saw: a VM denied a route that had been added, as unknown, although the store and the other VMs had it. Cause: an answer of the store, or a message of a peer, counted as of the moment in which it was processed. After a pause of the process both may be older than the pause. The class: the moment of processing is taken for the moment of the statement. Evidence: TestAnswerReadAfterAPauseIsNotCurrent failed before (0.1 ms of age after a pause of 0.4 s), TestMessageReadAfterAPauseVouchesForNothing too (0.51 s too young after a pause of 0.7 s). Why it works: a read counts from its request, a watch at the latest from when the store had to answer, and ages that peers tell are not used for 0.1 s after a pause.

--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -231,6 +231,7 @@
 	if !w.synced || w.since.Era != w.vm.storeEra.Load() {
 		return w.read(ctx)
 	}
+	requestedAt := w.vm.Now()
 	rows, err := w.table.Watch(ctx, w.since.Rev, watchTimeout)
 	if errors.Is(err, ErrHistoryGone) {
 		w.synced = false
@@ -246,13 +247,19 @@
 		w.synced = false // The store was restored: what has changed is not known.
 		return nil
 	}
-	w.apply(ctx, rows, false, w.vm.Now())
+	// This process may have been paused since the store answered, which it did within watchTimeout.
+	answeredAt := requestedAt.Add(watchTimeout)
+	if now := w.vm.Now(); now.Before(answeredAt) {
+		answeredAt = now
+	}
+	w.apply(ctx, rows, false, answeredAt)
 	w.since.Rev = max(w.since.Rev, rows.Version.Rev)
 	return nil
 }
 
 // read reads and applies the whole table.
 func (w *watcher) read(ctx context.Context) error {
+	requestedAt := w.vm.Now()
 	rows, err := w.table.Read(ctx)
 	if err == nil {
 		err = w.vm.checkEra(rows.Version.Era)
@@ -260,7 +267,7 @@
 	if err != nil {
 		return err
 	}
-	w.apply(ctx, rows, true, w.vm.Now())
+	w.apply(ctx, rows, true, requestedAt)
 	w.since, w.synced = rows.Version, true
 	return nil
 }
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -267,3 +267,30 @@
 	qt.Assert(t, rankOf(live[1], live), qt.Equals, 0)
 	qt.Assert(t, rankOf(live[0], live), qt.Equals, 3)
 }
+
+// TestAnswerReadAfterAPauseIsNotCurrent guards against a VM that takes an old configuration for the newest.
+func TestAnswerReadAfterAPauseIsNotCurrent(t *testing.T) {
+	const pause = 400 * time.Millisecond
+	for name, test := range map[string]struct {
+		synced bool
+		held   time.Duration // How long the store may hold the request.
+	}{
+		"watch": {synced: true, held: watchTimeout},
+		"read":  {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			vm := newServerListRig(t).vm
+			answer := func() (Rows, error) {
+				time.Sleep(test.held + pause)
+				return Rows{Rows: []Row{{Value: []byte("{}"), Version: 2}}, Version: spread.StoreVersion{Rev: 2}}, nil
+			}
+			w := &watcher{name: "configuration", vm: vm, apply: vm.applyConfiguration, synced: test.synced, table: Table{
+				Read:  func(context.Context) (Rows, error) { return answer() },
+				Watch: func(context.Context, uint64, time.Duration) (Rows, error) { return answer() },
+			}}
+			qt.Assert(t, w.poll(context.Background()), qt.IsNil)
+			age := vm.Now().Sub(vm.spread.Snapshot().ConfigurationAt)
+			qt.Assert(t, age >= pause, qt.IsTrue, qt.Commentf("age %v", age))
+		})
+	}
+}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -322,8 +322,12 @@
 }
 
 // mergeAges adopts the time at which a peer last confirmed a version with the store, if
-// this VM has the same version.
+// this VM has the same version. A message that may have waited since before a pause has an age
+// of then.
 func (s *Spread) mergeAges(st *state, received *summary, now time.Time) {
+	if now.Sub(st.resumedAt) < queuedTime {
+		return
+	}
 	if at := timeFromAge(received.ConfigAge, now); received.ConfigVersion == st.configVersion() && at.After(st.configAt) {
 		st.configAt = at
 	}
--- a/internal/peer/spread/fetch_test.go
+++ b/internal/peer/spread/fetch_test.go
@@ -69,3 +69,18 @@
 	defer vms[2].mu.Unlock()
 	qt.Assert(t, vms[2].decoded, qt.Equals, 1)
 }
+
+// TestMessageReadAfterAPauseVouchesForNothing guards against a VM that denies an added route since it takes its
+// configuration for the newest.
+func TestMessageReadAfterAPauseVouchesForNothing(t *testing.T) {
+	vms := fleet(t, newNetwork(), 2)
+	readAt := time.Now()
+	vms[0].ApplyConfiguration(context.Background(), raw(1), readAt)
+	waitFor(t, applyLimit, "the configuration is in force", inForce(vms, 1))
+	for range 3 {
+		vms[1].Pause(700 * time.Millisecond)
+		time.Sleep(300 * time.Millisecond)
+		at := vms[1].Snapshot().ConfigurationAt
+		qt.Assert(t, at.Before(readAt.Add(150*time.Millisecond)), qt.IsTrue, qt.Commentf("taken as current %v after the store was read", at.Sub(readAt)))
+	}
+}
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -79,6 +79,10 @@
 	// locateTimeout bounds LocateCopy. The alternative, another prefill of the prompt, takes a
 	// second.
 	locateTimeout = 80 * time.Millisecond
+	// pauseThreshold is the time without any event after which this process is taken as paused until now, and
+	// queuedTime how long after that messages may have come before. Ticks are events.
+	pauseThreshold = tickInterval + 100*time.Millisecond
+	queuedTime     = 100 * time.Millisecond
 	// seedTicks is how often, in ticks, a VM contacts its seeds even if it has peers.
 	seedTicks = 20
 	// inboxSize bounds the queues of the event loop.
@@ -213,6 +217,8 @@
 	hintDue        bool            // Changes of the store's content or of this VM are to be hinted.
 	membersDue     bool            // Changes of other VMs' entries are to be hinted.
 	ticks          int
+	lastEventAt    time.Time
+	resumedAt      time.Time // When this process went on after a pause.
 }
 
 // New makes a Spread. It is idle until Serve runs.
@@ -300,6 +306,7 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		case do := <-s.inbox:
+			st.detectPause(s.options.Now())
 			do(st)
 		case <-s.loads:
 			if loadsDue == nil {
@@ -326,6 +333,7 @@
 			s.endGrace(st, s.options.Now())
 			s.publish(st)
 		case <-ticker.C:
+			st.detectPause(s.options.Now())
 			s.tick(ctx, st)
 		}
 		if due := st.servers.nextExpiry(); !due.IsZero() && graceDue == nil {
@@ -340,6 +348,14 @@
 	}
 }
 
+// detectPause notes an event, and whether this process was paused before it.
+func (st *state) detectPause(now time.Time) {
+	if !st.lastEventAt.IsZero() && now.Sub(st.lastEventAt) > pauseThreshold {
+		st.resumedAt = now
+	}
+	st.lastEventAt = now
+}
+
 // resume restores the state from the last snapshot, for an event loop that was restarted.
 func (s *Spread) resume() *state {
 	before := s.Snapshot()
