CONFIG: a VM that alone reaches the store reads it in time

What callers saw: while the VMs that read the store for all were cut off from it, a change was late on all the others. Cause: a VM whose data is stale reads the store by its rank, whatever the bound: up to 7.7 s late with 91 VMs. The class: a bound is hoped for, not kept. Evidence: TestVMThatAloneReachesTheStoreReadsInTime failed before (rank 7 of 9 read after 2.05 s, bound 2 s). Why it works: a VM reads 0.3 s before the bound whatever its rank.

--- a/internal/node/entry/store.go
+++ b/internal/node/entry/store.go
@@ -44,6 +44,9 @@
 	readDelayPerRank        = 60 * time.Millisecond
 	maxDelayedRank          = 10
 	maxDelayedRankWithCells = 100
+	// readMargin is how long before the limit for applying configurations a VM reads in any case: it can't tell
+	// an outage of the store from readers that alone are partitioned from it.
+	readMargin = 300 * time.Millisecond
 	// storeCheckInterval is how often a VM of a fleet of several cells that is not a reader
 	// checks whether a store that did not answer it is available again.
 	storeCheckInterval = 4 * time.Second
@@ -142,7 +145,11 @@
 		return w.vm.started.Add(joinTimeout + startReadDelay + min(delay, maxDelayedRank*readDelayPerRank))
 	}
 	limit := staleAfter + time.Duration(math.Log2(float64(len(snapshot.Live)))*float64(staleAfterPerDoubling))
-	due := w.currentAt(snapshot).Add(limit + delay)
+	age := limit + delay
+	if applyLimit := w.vm.settings.Load().ConfigApplyLimit; applyLimit > 0 {
+		age = min(age, applyLimit-readMargin)
+	}
+	due := w.currentAt(snapshot).Add(age)
 	if isolatedAt := w.lastPeerReplyAt().Add(isolatedAfter); isolatedAt.Before(due) {
 		return isolatedAt
 	}
--- a/internal/node/entry/store_test.go
+++ b/internal/node/entry/store_test.go
@@ -253,6 +253,33 @@
 	qt.Assert(t, reading >= storeReaders && reading <= 40, qt.IsTrue, qt.Commentf("%d of 295 VMs read", reading))
 }
 
+// TestVMThatAloneReachesTheStoreReadsInTime guards against changes that are late while the readers are
+// partitioned from the store.
+func TestVMThatAloneReachesTheStoreReadsInTime(t *testing.T) {
+	for _, test := range []struct {
+		vms, cells int
+		applyLimit time.Duration
+	}{
+		{9, 1, 2 * time.Second},
+		{91, 3, 3 * time.Second},
+		{295, 9, 4 * time.Second},
+	} {
+		vm := New(Options{Settings: Settings{Name: "vm-1", ConfigApplyLimit: test.applyLimit}, Logger: hclog.NewNullLogger()}) // No service runs.
+		vm.started = vm.started.Add(-time.Minute)
+		now := vm.Now()
+		live := []spread.Member{}
+		for i := range test.vms {
+			live = append(live, spread.Member{ID: fmt.Sprintf("vm-%03d", i), FailureDomain: fmt.Sprint(i % 4)})
+		}
+		for rank, self := range live[storeReaders:] {
+			w := &watcher{vm: vm, currentAt: func(s *spread.Snapshot) time.Time { return s.ConfigurationAt }, lastPeerReplyAt: func() time.Time { return now.Add(test.applyLimit) }}
+			vm.ranked.live = nil // It holds the rank of the previous VM.
+			due := w.dueAt(&spread.Snapshot{Self: self, Live: live, Cells: test.cells, ConfigurationAt: now})
+			qt.Assert(t, due.Before(now.Add(test.applyLimit)), qt.IsTrue, qt.Commentf("%d VMs, rank %d: read after %v", test.vms, rank+storeReaders, due.Sub(now)))
+		}
+	}
+}
+
 func TestRankAlternatesFailureDomains(t *testing.T) {
 	live := []spread.Member{}
 	for _, id := range []string{"a1", "a2", "a3", "b1"} {
