MIXED: an answer that is reset during the upload is not complete

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was being written: the part came as the whole answer. Cause: the kernel tells the error of a connection once. Where the write of the request gets it, the reader of a body that ends with its connection sees a clean end. Evidence: TestAnswerThatIsResetDuringTheUploadIsBroken and, at the own interface, TestAnswerThatIsResetDuringTheUploadIsUnknown failed before. Why it works: the end of such a body counts only if the request was written whole.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -108,6 +108,8 @@
 	// maxInlineBodyBytes is the largest body that is written before the response is
 	// awaited. It fits a socket's buffers, so that writing it never waits for the server.
 	maxInlineBodyBytes = 2 << 10
+	// uploadEndTime is how long after the end of its connection the write of a request may take to return.
+	uploadEndTime = 100 * time.Millisecond
 )
 
 // Options configures a Pool. Zero values select the defaults.
@@ -212,7 +214,7 @@
 	address    string
 	id         string // Of the request.
 	connection *connection
-	written    chan error
+	written    *upload
 	stop       func() bool
 	complete   bool
 	// namesRequest is whether the head echoed the request's ID.
@@ -260,22 +262,72 @@
 		return nil, &NotSent{Address: request.Address, Cause: errors.Trace(ErrAbandoned)}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	written := make(chan error, 1)
+	written := &upload{done: make(chan struct{})}
 	if len(request.Body) <= maxInlineBodyBytes {
-		written <- c.write(request)
+		written.run(c, request)
 	} else {
-		go func() { written <- c.write(request) }()
+		go written.run(c, request)
 	}
 	var head *http.Response
 	if head, err = c.readHead(request); err != nil {
 		stop()
 		_ = c.Close()
 		c.releaseHead()
-		<-written // The close has ended it.
+		<-written.done // The close has ended it.
 		return nil, &Broken{Address: request.Address, Written: c.sentBytes, Reused: c.used, Cause: err}
 	}
-	return &Response{Response: head, pool: p, address: request.Address, id: request.ID, connection: c, written: written, stop: stop,
-		namesRequest: request.ID != "" && head.Header.Get(request.IDHeader) == request.ID}, nil
+	response = &Response{Response: head, pool: p, address: request.Address, id: request.ID, connection: c, written: written, stop: stop,
+		namesRequest: request.ID != "" && head.Header.Get(request.IDHeader) == request.ID}
+	if !response.IsFramed() {
+		head.Body = &unmarkedBody{ReadCloser: head.Body, written: written}
+	}
+	return response, nil
+}
+
+// upload is the write of a request.
+type upload struct {
+	done chan struct{}
+	err  error // Valid once done is closed.
+}
+
+func (u *upload) run(c *connection, request Request) {
+	u.err = c.write(request)
+	close(u.done)
+}
+
+// isComplete reports whether the whole request has been written.
+func (u *upload) isComplete() bool {
+	select {
+	case <-u.done:
+		return u.err == nil
+	default:
+		return false
+	}
+}
+
+// endsComplete is isComplete for a connection that has ended: a write that is done returns soon.
+func (u *upload) endsComplete() bool {
+	limit := time.NewTimer(uploadEndTime)
+	defer limit.Stop()
+	select {
+	case <-u.done:
+	case <-limit.C:
+	}
+	return u.isComplete()
+}
+
+// unmarkedBody is a body that ends with its connection. The kernel tells the error of a connection once: if the
+// write of the request got it, the body seems to end.
+type unmarkedBody struct {
+	io.ReadCloser
+	written *upload
+}
+
+func (b *unmarkedBody) Read(to []byte) (n int, err error) {
+	if n, err = b.ReadCloser.Read(to); err == io.EOF && !b.written.endsComplete() {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
 }
 
 // Check opens a connection to find out whether the address accepts any, and keeps it for
@@ -497,7 +549,7 @@
 func (r *Response) Close() {
 	c := r.connection
 	c.releaseHead()
-	if !r.stop() || !r.complete || c.unreusable || r.Response.Close || !r.IsFramed() || !r.isWritten() || c.reader.Buffered() > 0 {
+	if !r.stop() || !r.complete || c.unreusable || r.Response.Close || !r.IsFramed() || !r.written.isComplete() || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
@@ -517,15 +569,6 @@
 	return r.ContentLength >= 0 || len(r.TransferEncoding) > 0
 }
 
-func (r *Response) isWritten() bool {
-	select {
-	case err := <-r.written:
-		return err == nil
-	default:
-		return false
-	}
-}
-
 // idleTimeout parses the timeout of a header such as "Keep-Alive: timeout=5".
 func idleTimeout(header http.Header) time.Duration {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -14,6 +14,7 @@
 	"math"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/juju/errors"
@@ -85,6 +86,15 @@
 		request.Header.Set("Idempotency-Key", call.Key)
 	}
 	trace.Outgoing(request)
+	written := make(chan error, 1)
+	request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case written <- info.Err:
+			default: // Sent again; the first write counts.
+			}
+		},
+	}))
 	var response *http.Response
 	client := *c.HTTP
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse } // The call may have run.
@@ -103,7 +113,11 @@
 		return Reply{}, errors.Annotatef(ErrOutcomeUnknown, "%v", err)
 	}
 	reply.Body = body
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !isUp(ctx, address) {
+	isUnmarked := response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	switch {
+	case isUnmarked && !isWritten(written):
+		return Reply{}, errors.Annotate(ErrOutcomeUnknown, "the connection ended while the request was sent, and nothing else marks the end of the answer")
+	case isUnmarked && !isUp(ctx, address):
 		return Reply{}, errors.Annotate(ErrOutcomeUnknown, "server is down since its answer, whose end is not marked")
 	}
 	reply.Status = response.StatusCode
@@ -111,6 +125,22 @@
 	return reply, nil
 }
 
+// uploadEndTime is how long after the end of its connection the write of a request may take to return.
+const uploadEndTime = 100 * time.Millisecond
+
+// isWritten reports whether the whole request was written. If the write got the error of a connection that was
+// reset, a body that ends with the connection seems complete.
+func isWritten(written <-chan error) bool {
+	limit := time.NewTimer(uploadEndTime)
+	defer limit.Stop()
+	select {
+	case err := <-written:
+		return err == nil
+	case <-limit.C:
+		return false
+	}
+}
+
 // isUp reports whether a server accepts connections. One that does not may have terminated in the
 // middle of an answer without a length or chunks, which ends with its connection either way.
 func isUp(ctx context.Context, address string) bool {
