MIXED: a status below 100 is no answer

What callers saw: a server in trouble answered with status 000. It was skipped like an interim answer, and passed on at the own interface. Evidence: TestStatusWithoutAMeaningIsNoAnswer of http1 and of service failed before. Why it works: such a head counts as a broken connection, whose outcome isn't known.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -504,6 +504,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if head.StatusCode < http.StatusContinue {
+			return nil, errors.Errorf("status %d is none", head.StatusCode)
+		}
 		if head.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/backend/service/service.go
+++ b/internal/backend/service/service.go
@@ -102,6 +102,9 @@
 		return Reply{}, classify(err)
 	}
 	defer response.Body.Close()
+	if response.StatusCode < http.StatusOK {
+		return Reply{}, errors.Annotatef(ErrOutcomeUnknown, "status %d is none of an answer", response.StatusCode)
+	}
 	memory := c.Memory
 	if memory == nil {
 		memory = caller.NewBodies(math.MaxInt64)
