RECOVER: a VM that reaches no server serves through others

Cause: a VM's own connections were its only way to the servers and its only evidence of their state. The class: a fault of the observer is taken for a fault of what it observes. Why it works: a connection that can't be opened directly is opened through a VM that reaches the server (internal/peer/tunnel). What is sent, repeated and counted stays with the VM that has the request. A dial that fails tells of the server only if another is reached after it (internal/backend/reach). Callers are sent to other VMs meanwhile.

--- a/internal/backend/http1/http1.go
+++ b/internal/backend/http1/http1.go
@@ -26,6 +26,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,6 +63,7 @@
 	Address string
 	Written int  // Bytes of the request that the kernel accepted.
 	Reused  bool // The connection had carried an earlier request.
+	Via     string
 	Cause   error
 }
 
@@ -122,6 +124,9 @@
 	TakeMemory   func(size int64) error
 	ReturnMemory func(size int64)
 	OnOpen       func(address string) // Called for each new connection.
+	// IsLeaving reports whether the VM that a connection goes through is about to end. That VM waits until no
+	// connections go through it, so idle ones are closed; nil if no VM ever leaves.
+	IsLeaving func(peer string) bool
 }
 
 // Request is one HTTP request to an address. Body is sent with its length. ID is the
@@ -142,12 +147,20 @@
 type Pool struct {
 	options Options
 
+	// readAt is when something was last read on any connection, in Unix nanoseconds of Options.Now.
+	readAt atomic.Int64
+
 	mu   sync.Mutex
 	idle map[string][]*connection
+	open map[*connection]struct{} // All connections, idle and in use.
 }
 
 type connection struct {
 	net.Conn
+	pool       *Pool
+	openedAt   time.Time
+	readAt     atomic.Int64 // As that of the pool.
+	sentAt     atomic.Int64 // When the request that it carries was sent; 0 if it carries none or its head has been read.
 	options    *Options
 	reader     *bufio.Reader
 	remaining  int64 // Bytes that may still be read of the head or of a stale body.
@@ -166,7 +179,12 @@
 // Close returns when the connection is closed, also if another goroutine closes it. The Close of a
 // net.Conn that is being closed returns at once.
 func (c *connection) Close() error {
-	c.closing.Do(func() { c.closeErr = c.Conn.Close() })
+	c.closing.Do(func() {
+		c.closeErr = c.Conn.Close()
+		c.pool.mu.Lock()
+		delete(c.pool.open, c)
+		c.pool.mu.Unlock()
+	})
 	return c.closeErr
 }
 
@@ -177,6 +195,9 @@
 		return 0, errors.New("a head or the answer to another request is too long")
 	}
 	n, err = c.Conn.Read(to[:min(int64(len(to)), c.remaining)])
+	if n > 0 {
+		c.recordRead()
+	}
 	c.remaining -= int64(n)
 	if memoryErr := c.countHead(to[:n]); memoryErr != nil {
 		return 0, memoryErr
@@ -184,6 +205,12 @@
 	return n, err
 }
 
+func (c *connection) recordRead() {
+	now := c.options.Now().UnixNano()
+	c.readAt.Store(now)
+	c.pool.readAt.Store(now)
+}
+
 // countHead counts the memory of what was read of a head. Heads of the usual size take none.
 func (c *connection) countHead(read []byte) error {
 	if !c.readsHead {
@@ -233,15 +260,19 @@
 		options.OnOpen = func(string) {}
 	}
 	if options.Dial == nil {
-		options.Dial = dial
+		options.Dial = Dial
+	}
+	if options.IsLeaving == nil {
+		options.IsLeaving = func(string) bool { return false }
 	}
 	if options.TakeMemory == nil {
 		options.TakeMemory, options.ReturnMemory = func(int64) error { return nil }, func(int64) {}
 	}
-	return &Pool{options: options, idle: map[string][]*connection{}}
+	return &Pool{options: options, idle: map[string][]*connection{}, open: map[*connection]struct{}{}}
 }
 
-func dial(ctx context.Context, address string) (net.Conn, error) {
+// Dial opens a connection whose loss the kernel detects.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     keepAliveIdle,
@@ -261,6 +292,7 @@
 		p.returnUnused(request.Address, c)
 		return nil, &NotSent{Address: request.Address, Cause: errors.Trace(ErrAbandoned)}
 	}
+	c.sentAt.Store(p.options.Now().UnixNano())
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	written := &upload{done: make(chan struct{})}
 	if len(request.Body) <= maxInlineBodyBytes {
@@ -274,8 +306,9 @@
 		_ = c.Close()
 		c.releaseHead()
 		<-written.done // The close has ended it.
-		return nil, &Broken{Address: request.Address, Written: c.sentBytes, Reused: c.used, Cause: err}
+		return nil, &Broken{Address: request.Address, Written: c.sentBytes, Reused: c.used, Via: c.via(), Cause: err}
 	}
+	c.sentAt.Store(0)
 	response = &Response{Response: head, pool: p, address: request.Address, id: request.ID, connection: c, written: written, stop: stop,
 		namesRequest: request.ID != "" && head.Header.Get(request.IDHeader) == request.ID}
 	if !response.IsFramed() {
@@ -334,7 +367,7 @@
 // the next request.
 func (p *Pool) Check(ctx context.Context, address string) (err error) {
 	var c *connection
-	if c, err = p.open(ctx, address); err != nil {
+	if c, err = p.connect(ctx, address); err != nil {
 		return errors.Trace(err)
 	}
 	c.idleUntil = p.options.Now().Add(defaultIdleTimeout)
@@ -360,7 +393,43 @@
 	}
 }
 
-// Sweep closes connections whose idle timeout has expired.
+// IsSilent reports whether a request has waited since a time for its response, and nothing was read on any
+// connection since then.
+func (p *Pool) IsSilent(since time.Time) bool {
+	if p.readAt.Load() > since.UnixNano() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.open {
+		if sentAt := c.sentAt.Load(); sentAt != 0 && sentAt < since.UnixNano() {
+			return true
+		}
+	}
+	return false
+}
+
+// CloseSilent closes the connections that were opened before a time and on which nothing was read since
+// then, idle ones too. It returns how many there were.
+func (p *Pool) CloseSilent(since time.Time) (closed int) {
+	silent := []*connection{}
+	p.mu.Lock()
+	for c := range p.open {
+		if c.openedAt.Before(since) && c.readAt.Load() <= since.UnixNano() {
+			silent = append(silent, c)
+		}
+	}
+	for address, idle := range p.idle {
+		p.idle[address] = slices.DeleteFunc(idle, func(c *connection) bool { return slices.Contains(silent, c) })
+	}
+	p.mu.Unlock()
+	for _, c := range silent {
+		_ = c.Close()
+	}
+	return len(silent)
+}
+
+// Sweep closes connections whose idle timeout has expired, and idle ones through a VM that is leaving.
 func (p *Pool) Sweep() {
 	now := p.options.Now()
 	expired := []*connection{}
@@ -368,7 +437,7 @@
 	for address, idle := range p.idle {
 		kept := idle[:0]
 		for _, c := range idle {
-			if now.Before(c.idleUntil) {
+			if now.Before(c.idleUntil) && !c.isThroughLeavingVM() {
 				kept = append(kept, c)
 			} else {
 				expired = append(expired, c)
@@ -393,12 +462,12 @@
 		if c == nil {
 			break
 		}
-		if p.options.Now().Before(c.idleUntil) && c.isReusable() {
+		if p.options.Now().Before(c.idleUntil) && !c.isThroughLeavingVM() && c.isReusable() {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	return p.open(ctx, request.Address)
+	return p.connect(ctx, request.Address)
 }
 
 // pop removes and returns the newest idle connection that may carry a request with an ID.
@@ -415,7 +484,7 @@
 	return nil
 }
 
-func (p *Pool) open(ctx context.Context, address string) (*connection, error) {
+func (p *Pool) connect(ctx context.Context, address string) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.DialTimeout)
 	defer cancel()
 	raw, err := p.options.Dial(ctx, address)
@@ -423,8 +492,11 @@
 		return nil, err
 	}
 	p.options.OnOpen(address)
-	c := &connection{Conn: raw, options: &p.options, remaining: math.MaxInt64}
+	c := &connection{Conn: raw, pool: p, openedAt: p.options.Now(), options: &p.options, remaining: math.MaxInt64}
 	c.reader = bufio.NewReaderSize(c, readBufferBytes)
+	p.mu.Lock()
+	p.open[c] = struct{}{}
+	p.mu.Unlock()
 	return c, nil
 }
 
@@ -552,7 +624,7 @@
 func (r *Response) Close() {
 	c := r.connection
 	c.releaseHead()
-	if !r.stop() || !r.complete || c.unreusable || r.Response.Close || !r.IsFramed() || !r.written.isComplete() || c.reader.Buffered() > 0 {
+	if !r.stop() || !r.complete || c.unreusable || r.Response.Close || !r.IsFramed() || !r.written.isComplete() || c.reader.Buffered() > 0 || c.isThroughLeavingVM() {
 		_ = c.Close()
 		return
 	}
@@ -561,6 +633,24 @@
 	r.pool.keep(r.address, c)
 }
 
+// via returns the address of the VM through which the server is reached; "" for a direct connection.
+func (c *connection) via() string {
+	if detour, ok := c.Conn.(interface{ Via() string }); ok {
+		return detour.Via()
+	}
+	return ""
+}
+
+func (c *connection) isThroughLeavingVM() bool {
+	peer := c.via()
+	return peer != "" && c.options.IsLeaving(peer)
+}
+
+// Via returns the address of the VM through which the response came; "" for a direct connection.
+func (r *Response) Via() string {
+	return r.connection.via()
+}
+
 // NamesRequest reports whether the response names the request that it answers.
 func (r *Response) NamesRequest() bool {
 	return r.namesRequest
--- a/internal/backend/pool/loss.go
+++ b/internal/backend/pool/loss.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/endivespoke/endivespoke/internal/backend/reach"
 )
 
 const (
@@ -64,6 +66,10 @@
 	now := p.options.Now()
 	s.checking = false
 	s.recheckAt = now.Add(p.recheckDelay(s))
+	if errors.Is(failure, reach.ErrDoubtful) {
+		p.mu.Unlock()
+		return
+	}
 	changed := s.down != (failure != nil)
 	wasSuspect := now.Before(s.avoidUntil) || p.isSuspect(s, now)
 	s.down = failure != nil
--- a/internal/backend/pool/notice.go
+++ b/internal/backend/pool/notice.go
@@ -29,6 +29,8 @@
 	// BackoffUntil is the time until which it asks for no requests from this VM; zero if
 	// it asks for none such.
 	BackoffUntil time.Time
+	// Shared means that the answer came through another VM: the server may take both as one.
+	Shared bool
 	// Limited means that it names a limit: Limit is the number of requests a second that
 	// it takes from all VMs together.
 	Limited bool
@@ -48,13 +50,18 @@
 
 // ApplyNotice applies what a server reported of itself.
 func (p *Pool) ApplyNotice(from Server, notice ServerNotice) {
-	if notice == (ServerNotice{}) {
+	if notice == (ServerNotice{Shared: notice.Shared}) {
 		return
 	}
 	p.mu.Lock()
 	now := p.options.Now()
 	if known := p.servers[from.ID]; known != nil && known.isSameProcess(from) && notice.BackoffUntil.After(known.backoffUntil) {
-		known.backoffUntil = now.Add(min(notice.BackoffUntil.Sub(now), maxBackoff))
+		left := min(notice.BackoffUntil.Sub(now), maxBackoff)
+		known.backoffUntil = now.Add(left)
+		if notice.Shared || p.options.IsDetour() {
+			backoff := Backoff{ServerID: from.ID, Started: from.Started, Millis: left.Milliseconds()}
+			p.options.Go(func() { p.options.AnnounceBackoff(backoff) })
+		}
 	}
 	isNew := notice.Leaving && p.recordDeparture(Departure{ServerID: from.ID, Started: from.Started}, now)
 	p.mu.Unlock()
@@ -63,6 +70,26 @@
 	}
 }
 
+// Backoff is the time for which a server asked for no requests.
+type Backoff struct {
+	ServerID string `cbor:"1,keyasint"`
+	Started  int64  `cbor:"2,keyasint,omitempty"` // See Server.Started.
+	Millis   int64  `cbor:"3,keyasint"`
+}
+
+// ApplyPeerBackoffs applies what servers asked of VMs that share connections with others.
+func (p *Pool) ApplyPeerBackoffs(reported []Backoff) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.options.Now()
+	for _, b := range reported {
+		until := now.Add(min(time.Duration(max(b.Millis, 0))*time.Millisecond, maxBackoff))
+		if known := p.servers[b.ServerID]; known != nil && known.isProcess(b.Started) && until.After(known.backoffUntil) {
+			known.backoffUntil = until
+		}
+	}
+}
+
 // ApplyPeerDepartures applies the departures that a peer reported. In a fleet of several
 // cells the watchers of a server forward them.
 func (p *Pool) ApplyPeerDepartures(reported []Departure) {
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -101,6 +101,10 @@
 	// for each server with a limit, with the requests that this VM sent to it since.
 	OnLimit func(change LimitChange)
 	OnSent  func(sent Sent)
+	// IsDetour reports whether other VMs reach servers through this one, and AnnounceBackoff tells all VMs
+	// for how long a server asked for no requests.
+	IsDetour        func() bool
+	AnnounceBackoff func(backoff Backoff)
 	// OnHeadroom is called when memory of servers may have been freed: a stream of this VM or of a
 	// peer has ended.
 	OnHeadroom func()
@@ -229,6 +233,12 @@
 	if options.OnSent == nil {
 		options.OnSent = func(Sent) {}
 	}
+	if options.IsDetour == nil {
+		options.IsDetour = func() bool { return false }
+	}
+	if options.AnnounceBackoff == nil {
+		options.AnnounceBackoff = func(Backoff) {}
+	}
 	if options.OnHeadroom == nil {
 		options.OnHeadroom = func() {}
 	}
--- a/internal/backend/pool/pool_test.go
+++ b/internal/backend/pool/pool_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/placement"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/reach"
 )
 
 // rig is a pool with a clock and a network that tests control.
@@ -75,6 +76,21 @@
 	qt.Check(t, isClosed(withCopy.Down), qt.IsTrue)
 }
 
+// TestCheckThatIsThisVMsFailureIsNoLoss guards against sound servers that all VMs avoid since one is partitioned.
+func TestCheckThatIsThisVMsFailureIsNoLoss(t *testing.T) {
+	g := newRig(server("a", "x"), server("b", "y"))
+	lease, _, err := g.AcquireForStream(pool.Criteria{Service: "s", ServerID: "a"})
+	qt.Assert(t, err, qt.IsNil)
+	g.fail("a:1", errors.Annotate(reach.ErrDoubtful, syscall.ECONNREFUSED.Error()))
+	qt.Check(t, lease.Check(context.Background()), qt.IsFalse)
+	qt.Check(t, lease.IsDown() || lease.IsGone(), qt.IsFalse)
+	qt.Check(t, g.announced, qt.HasLen, 0)
+	g.fail("a:1", syscall.ECONNREFUSED)
+	qt.Check(t, lease.Check(context.Background()), qt.IsFalse)
+	qt.Check(t, lease.IsGone(), qt.IsTrue)
+	qt.Check(t, g.announced, qt.DeepEquals, []string{"a"})
+}
+
 func isClosed(signal chan struct{}) bool {
 	select {
 	case <-signal:
--- a/internal/node/entry/counters.go
+++ b/internal/node/entry/counters.go
@@ -137,6 +137,11 @@
 	c.set.GetOrCreateCounter(fmt.Sprintf(`endivespoke_rollout_credits_total{service=%q,reply=%q}`, service, result)).Inc()
 }
 
+// tunnelled counts a connection of another VM to a server through this one.
+func (c *counters) tunnelled() {
+	c.set.GetOrCreateCounter("endivespoke_tunnels_opened_total").Inc()
+}
+
 // storeRestored counts a new era of the store.
 func (c *counters) storeRestored() {
 	c.set.GetOrCreateCounter("endivespoke_store_restored_total").Inc()
@@ -189,6 +194,7 @@
 	gauge("endivespoke_peer_sent_bytes", float64(v.peers.SentBytes()))
 	gauge("endivespoke_peer_heard_age_seconds", now.Sub(v.spread.LastPeerReplyAt()).Seconds())
 	gauge("endivespoke_store_answers", boolGauge(!v.storeUnreachable.Load()))
+	gauge("endivespoke_servers_reached", boolGauge(!v.reach.IsPartitioned()))
 	gauge("endivespoke_ready", boolGauge(v.Ready()))
 	gauge("endivespoke_requests_running", float64(v.running()))
 	gauge("endivespoke_admission_waiting", float64(v.admitter.Len()))
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -14,6 +14,7 @@
 	"context"
 	cryptorand "crypto/rand"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -27,6 +28,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/http1"
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
+	"github.com/endivespoke/endivespoke/internal/backend/reach"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	"github.com/endivespoke/endivespoke/internal/node/caller"
 	"github.com/endivespoke/endivespoke/internal/node/event"
@@ -34,6 +36,7 @@
 	"github.com/endivespoke/endivespoke/internal/node/rescue"
 	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/peer/tunnel"
 	"github.com/endivespoke/endivespoke/internal/peer/wire"
 	"github.com/endivespoke/endivespoke/internal/request/accept"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
@@ -62,6 +65,8 @@
 	// DecodeNotice reads what a server reports about itself in any response.
 	DecodeNotice func(*http.Response) pool.ServerNotice
 	IDHeader     string
+	// DialServer opens a direct connection to a backend server; nil for http1.Dial.
+	DialServer func(ctx context.Context, address string) (net.Conn, error)
 	// EncodeMove encodes a request to stop a run and to move its memory to another server.
 	// DecodeMove reads the handle under which the run can be continued there.
 	EncodeMove func(runID string, to pool.Server) (request *http.Request, body []byte)
@@ -85,6 +90,8 @@
 	peers             *wire.Pool
 	servers           *pool.Pool
 	connections       *http1.Pool
+	reach             *reach.Dialer
+	tunnels           *tunnel.Handler
 	relay             *relay.Relay
 	admitter          *admission.Admitter
 	overloads         overloads
@@ -105,6 +112,7 @@
 	copyIndexRead     atomic.Bool                     // The copies that earlier VMs stored are read, or can't be.
 	storedKeys        atomic.Pointer[map[string]bool] // Of these copies; nil if they could not be read.
 	started           time.Time
+	probedAt          time.Time     // When servers were last probed; used by probeServers only.
 	firstReady        chan struct{} // Closed when this VM first becomes ready.
 
 	// stopContext ends the requests that are still running when the grace period is nearly over.
@@ -141,10 +149,14 @@
 	v.answers.FreeBytes = freeAnswerBytes
 	v.callers = caller.NewConnections(v.Now)
 	v.ports = caller.NewPorts(v.Now, int64(caller.HeadsFraction*float64(options.Settings.MemoryBytes)))
+	v.reach = v.newReach()
+	v.tunnels = v.newTunnels()
 	v.connections = http1.New(http1.Options{
+		Dial:         v.reach.Dial,
 		TakeMemory:   v.answers.Take,
 		ReturnMemory: v.answers.Return,
 		OnOpen:       func(string) { v.counters.connections.Inc() },
+		IsLeaving:    v.isLeavingPeer,
 	})
 	v.admitter = v.newAdmitter()
 	v.servers = pool.New(pool.Options{
@@ -156,13 +168,15 @@
 		CurrentRule: func(service string, rule pool.VersionRule) pool.VersionRule {
 			return v.rollouts.follower.CurrentRule(service, rule)
 		},
-		Go:            func(do func()) { rescue.Go(v.logger, "check of a server", do) },
-		OnDeparture:   v.serverLeaving,
-		OnChange:      v.serverChanged,
-		TakePermit:    v.takePermit,
-		ObservePermit: func(observation permit.Observation) { v.spread.ObservePermit(observation) },
-		AnnounceLimit: func(server pool.Server, limit pool.ServerLimit) { v.spread.AnnounceLimit(server.Group(), limit) },
-		OnLimit:       v.serverLimitChanged,
+		Go:              func(do func()) { rescue.Go(v.logger, "check of a server", do) },
+		OnDeparture:     v.serverLeaving,
+		OnChange:        v.serverChanged,
+		TakePermit:      v.takePermit,
+		ObservePermit:   func(observation permit.Observation) { v.spread.ObservePermit(observation) },
+		AnnounceLimit:   func(server pool.Server, limit pool.ServerLimit) { v.spread.AnnounceLimit(server.Group(), limit) },
+		OnLimit:         v.serverLimitChanged,
+		IsDetour:        func() bool { return v.tunnels.Open() > 0 },
+		AnnounceBackoff: func(backoff pool.Backoff) { v.spread.AnnounceBackoff(backoff) },
 		OnSent: func(sent pool.Sent) {
 			event.LimitedSent.Info(v.logger, "server", sent.Server.ID, "limit", sent.Limit, "sent", sent.ByPurpose, "denied", sent.Denied)
 		},
@@ -267,6 +281,7 @@
 		OnDepartures:        v.servers.ApplyPeerDepartures,
 		Limits:              v.servers.Limits,
 		OnLimits:            v.servers.ApplyPeerLimits,
+		OnBackoffs:          v.servers.ApplyPeerBackoffs,
 		ServiceUsage:        v.serviceUsage,
 		OnServiceUsage:      v.applyServiceUsage,
 		OnCell:              v.cellChanged,
@@ -297,6 +312,7 @@
 func (v *VM) PeerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(wire.Path, &wire.Server{OnSync: v.spread.OnMessage})
+	mux.Handle(tunnel.Path, v.tunnels)
 	return mux
 }
 
@@ -413,6 +429,7 @@
 	}
 	defer response.Close()
 	notice := v.options.DecodeNotice(response.Response)
+	notice.Shared = response.Via() != ""
 	v.servers.ApplyNotice(server, notice)
 	v.servers.ApplyLimit(server, pool.Reply{Purpose: purpose, Status: response.StatusCode, Permit: serial}, notice)
 	answer, release, err := v.answers.Read(response.Body, maxMoveAnswerBytes)
@@ -449,6 +466,7 @@
 	}
 	defer response.Close()
 	notice := v.options.DecodeNotice(response.Response)
+	notice.Shared = response.Via() != ""
 	reply := pool.Reply{Purpose: pool.PurposeIdentify, Status: response.StatusCode, Permit: serial}
 	if id = v.options.DecodeIdentify(response.Response); id == server.ID {
 		v.servers.ApplyLimit(server, reply, notice)
@@ -485,29 +503,6 @@
 	}
 }
 
-// Locate lists the caller addresses of the VMs that take requests. If there are more
-// than fit in an answer, it returns a random selection.
-func (v *VM) Locate() []string {
-	snapshot := v.spread.Snapshot()
-	addresses := []string{}
-	for _, member := range snapshot.Live {
-		if member.Ready && !member.Leaving {
-			addresses = append(addresses, member.CallerAddress)
-		}
-	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(maxLocateAddresses, len(addresses))]
-}
-
-// maxLocateAddresses is the number of addresses that callers use from one answer.
-const maxLocateAddresses = 64
-
-// LocateTTL returns how long callers may cache a locate answer. It is short, so that a
-// leaving VM soon gets no new connections; some callers cache it three times as long.
-func (v *VM) LocateTTL() time.Duration {
-	return min(time.Second, v.settings.Load().MaxLocateTTL)
-}
-
 // Ready reports whether this VM takes requests. During startHold a VM with stale data is
 // not ready, since the data may contain revoked keys and servers that have left. After
 // that it takes requests also with stale data.
@@ -569,6 +564,7 @@
 	supervisor.Add(&copyIndex{vm: v})
 	supervisor.Add(v.ambiguous)
 	supervisor.Add(periodic.New("checks", recheckInterval, v.recheck))
+	supervisor.Add(periodic.New("probes of servers", probeCheckInterval, v.probeServers))
 	supervisor.Add(periodic.New("idle connections", idleCheckInterval, v.sweepConnections))
 	supervisor.Add(periodic.New("callers' connections", idleCheckInterval, v.closeOverdue))
 	supervisor.Add(periodic.New("closed connections", closedReportInterval, v.reportClosed))
--- a/internal/node/entry/handle.go
+++ b/internal/node/entry/handle.go
@@ -226,6 +226,9 @@
 	if request != nil {
 		pairs = append(pairs, "route", request.Route.Name, "kind", request.Route.Kind.String(), "account", request.Account, "priority", request.Priority, "service", request.Service, "servers", request.Servers, "content", request.Content, "parts", request.PromptParts)
 	}
+	if request != nil && len(request.Via) > 0 {
+		pairs = append(pairs, "via", request.Via)
+	}
 	if err != nil {
 		snapshot := v.spread.Snapshot()
 		pairs = append(pairs, "reason", err, "serversVersion", snapshot.ServersVersion.Rev, "storeEra", snapshot.ServersVersion.Era,
--- a/internal/node/entry/serve.go
+++ b/internal/node/entry/serve.go
@@ -90,11 +90,12 @@
 }
 
 // closeIfIdle stops accepting requests if none is running, in one step: a request that is accepted
-// between the two would be cut when the process exits.
+// between the two would be cut when the process exits. Requests of other VMs may be running on their
+// connections through this one.
 func (v *VM) closeIfIdle() (closed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.isClosed = v.active == 0
+	v.isClosed = v.active == 0 && v.tunnels.Open() == 0
 	return v.isClosed
 }
 
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -65,6 +65,8 @@
 	ServerLimitNamed     = define(610, "a backend server named a limit on the requests of all VMs")
 	ServerLimitEnded     = define(611, "a backend server names no limit any more")
 	LimitedSent          = define(612, "requests were sent to a backend server with a limit")
+	ServersUnreachable   = define(613, "this VM reaches no backend server: it sends requests through other VMs")
+	ServersReachable     = define(614, "this VM reaches backend servers again")
 	RequestEnded         = define(701, "a request ended")
 	RunEnded             = define(702, "a run at a backend server ended early")
 	StreamResumed        = define(703, "a stream goes on at another backend server")
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -21,6 +21,7 @@
 	loss         *LossReport
 	departure    *pool.Departure
 	limit        *pool.ServerLimit
+	backoff      *pool.Backoff
 	rollouts     *RolloutNews
 	group        string
 }
@@ -79,6 +80,11 @@
 	s.enqueue(announcement{limit: &limit, group: group})
 }
 
+// AnnounceBackoff tells all VMs for how long a server asked for no requests.
+func (s *Spread) AnnounceBackoff(backoff pool.Backoff) {
+	s.enqueue(announcement{backoff: &backoff})
+}
+
 // areLoadsDue reports whether this VM's loads have to be sent again although nothing changed,
 // since they expire at the peers. In a fleet of several cells a VM without loads sends none.
 func (s *Spread) areLoadsDue(st *state) bool {
@@ -124,7 +130,7 @@
 		}
 	}
 	loads.Crashes, loads.Losses, loads.Departures, loads.Limits = toAll.Crashes, toAll.Losses, toAll.Departures, toAll.Limits
-	loads.Rollouts = toAll.Rollouts
+	loads.Rollouts, loads.Backoffs = toAll.Rollouts, toAll.Backoffs
 	cellPeers, forwarders := st.members.cellAndForwarders()
 	s.post(cellPeers, &loads)
 	if toAll.hasAnnouncements() {
@@ -149,6 +155,8 @@
 		m.Departures = append(m.Departures, *a.departure)
 	case a.limit != nil:
 		m.Limits = append(m.Limits, *a.limit)
+	case a.backoff != nil:
+		m.Backoffs = append(m.Backoffs, *a.backoff)
 	case a.rollouts != nil:
 		if m.Rollouts == nil {
 			m.Rollouts = &RolloutNews{}
--- a/internal/peer/spread/exchange.go
+++ b/internal/peer/spread/exchange.go
@@ -436,6 +436,9 @@
 	if len(received.Limits) > 0 {
 		s.options.OnLimits(received.Limits)
 	}
+	if len(received.Backoffs) > 0 {
+		s.options.OnBackoffs(received.Backoffs)
+	}
 	s.applyRollouts(received)
 	if received.Observation != nil {
 		s.permits.Observe(*received.Observation)
--- a/internal/peer/spread/message.go
+++ b/internal/peer/spread/message.go
@@ -34,6 +34,8 @@
 	// Incarnation orders the processes at an address: the highest replaces the others. A
 	// process that receives the entry of an earlier one uses the next number.
 	Incarnation uint64 `cbor:"10,keyasint,omitempty"`
+	// ServersUnreachable means that this VM reaches backend servers through other VMs only.
+	ServersUnreachable bool `cbor:"11,keyasint,omitempty"`
 }
 
 // ServerRow is one listed backend server, or the tombstone of a removed one. Changed is the
@@ -172,6 +174,8 @@
 	Departures []pool.Departure `cbor:"14,keyasint,omitempty"`
 	// Limits are of servers that named one.
 	Limits []pool.ServerLimit `cbor:"20,keyasint,omitempty"`
+	// Backoffs are of servers that asked for no requests from a VM that shares connections with others.
+	Backoffs []pool.Backoff `cbor:"31,keyasint,omitempty"`
 	// Permit requests a permit from the issuer of its key, PermitReply is the reply, and
 	// Observation reports the answer to a request that had a permit.
 	Permit      *permit.Request     `cbor:"21,keyasint,omitempty"`
@@ -188,7 +192,7 @@
 }
 
 func (m *message) hasAnnouncements() bool {
-	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures)+len(m.Limits) > 0 || m.Rollouts != nil
+	return len(m.Copies)+len(m.Crashes)+len(m.Losses)+len(m.Departures)+len(m.Limits)+len(m.Backoffs) > 0 || m.Rollouts != nil
 }
 
 func (m *message) encode() []byte {
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -166,6 +166,7 @@
 	// Limits returns those that servers named, for VMs that join the cell.
 	Limits         func() []pool.ServerLimit
 	OnLimits       func(limits []pool.ServerLimit)
+	OnBackoffs     func(backoffs []pool.Backoff)
 	ServiceUsage   func() []ServiceUsage
 	OnServiceUsage func(peer string, usage []ServiceUsage)
 	// OnEra is called when the list of servers is of a new era of the store; see StoreVersion.
@@ -247,6 +248,9 @@
 	if options.OnLimits == nil {
 		options.OnLimits = func([]pool.ServerLimit) {}
 	}
+	if options.OnBackoffs == nil {
+		options.OnBackoffs = func([]pool.Backoff) {}
+	}
 	if options.OnEra == nil {
 		options.OnEra = func(uint64) {}
 	}
--- a/internal/peer/spread/spread_test.go
+++ b/internal/peer/spread/spread_test.go
@@ -57,6 +57,7 @@
 	copied         atomic.Pointer[spread.CopyLocation] // Of the one stream that runs here.
 	crashes        *crash.Record
 	limits         sync.Map // IDs of the servers whose limits it has received, after the servers.
+	backoffs       sync.Map // IDs of the servers whose backoffs it has received.
 	servers        atomic.Int64
 	named          atomic.Pointer[pool.ServerLimit] // The limit that a server named to it.
 	rollouts       *rolloutsFake
@@ -166,6 +167,11 @@
 			defer v.mu.Unlock()
 			v.versions = append(v.versions, c.Version)
 		},
+		OnBackoffs: func(backoffs []pool.Backoff) {
+			for _, b := range backoffs {
+				v.backoffs.Store(b.ServerID, true)
+			}
+		},
 		OnServers: func(servers []pool.Server) { v.servers.Store(int64(len(servers))) },
 		Limits: func() []pool.ServerLimit {
 			if limit := v.named.Load(); limit != nil {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -63,6 +63,7 @@
 			}
 		case result := <-c.results:
 			c.inFlight--
+			c.request.recordVia(result.send.via)
 			if answer, err = c.evaluate(ctx, result); answer != nil || err != nil {
 				return answer, err
 			}
@@ -148,7 +149,7 @@
 		Permit:      lease.Permit,
 	})
 	if result.err == nil {
-		result.send.named = response.NamesRequest()
+		result.send.named, result.send.via = response.NamesRequest(), response.Via()
 		result.answer = &Answer{Status: result.verdict.Status, Header: result.verdict.Header}
 		result.answer.Body, result.err = c.relay.readAnswer(ctx, c.delivered, lease, response)
 		response.Close()
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -72,6 +72,8 @@
 	// Servers lists the servers that the request was sent to, in order, for the log. Only
 	// the goroutine that relays the request accesses it.
 	Servers []string
+	// Via lists the VMs through which servers were reached, for the log.
+	Via []string
 
 	// IsCallerGone reports whether the caller has closed its connection, which the request's context may
 	// tell later; nil if that can't be known.
@@ -80,6 +82,13 @@
 	checked bool // The crash record was asked about it.
 }
 
+// recordVia records that an answer came through another VM; "" if it came directly.
+func (r *Request) recordVia(peer string) {
+	if peer != "" {
+		r.Via = append(r.Via, peer)
+	}
+}
+
 // callerGone reports whether the caller is known to have left.
 func (r *Request) callerGone() bool {
 	return r.IsCallerGone != nil && r.IsCallerGone()
@@ -316,6 +325,7 @@
 		r.options.Servers.ApplySuccessorNotice(verdict.InstanceID, reply, verdict.Notice)
 		return response, verdict, nil
 	}
+	verdict.Notice.Shared = response.Via() != ""
 	r.options.Servers.ApplyNotice(dispatch.Server, verdict.Notice)
 	r.options.Servers.ApplyLimit(dispatch.Server, reply, verdict.Notice)
 	return response, verdict, nil
--- a/internal/request/relay/sendrecord.go
+++ b/internal/request/relay/sendrecord.go
@@ -15,6 +15,7 @@
 	sentAt   time.Time
 	closedAt time.Time // When its connection was closed or returned to the pool.
 	named    bool      // The answer names the request.
+	via      string    // Address of the VM through which the answer came; "" if it came directly.
 }
 
 // placed returns the log fields of a send that begins.
@@ -29,10 +30,10 @@
 	var broken *http1.Broken
 	switch {
 	case errors.As(err, &broken):
-		written, reused = broken.Written, broken.Reused
+		written, reused, r.via = broken.Written, broken.Reused, broken.Via
 	case errors.Is(err, http1.ErrNotSent):
 		written = 0
 	}
-	return append(r.placed(server), "closedMicros", r.closedAt.UnixMicro(), "notSent", errors.Is(err, http1.ErrNotSent), "written", written, "reusedConnection", reused,
+	return append(r.placed(server), "closedMicros", r.closedAt.UnixMicro(), "notSent", errors.Is(err, http1.ErrNotSent), "written", written, "reusedConnection", reused, "via", r.via,
 		"status", verdict.Status, "notRun", verdict.NotRun, "replaced", verdict.Replaced, "named", r.named)
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -402,7 +402,8 @@
 		return runResult{notSent: errors.Is(err, http1.ErrNotSent), aborted: watch.hasAborted(), err: err}
 	}
 	defer response.Close()
-	s.verdict, s.send.named = verdict, response.NamesRequest()
+	s.verdict, s.send.named, s.send.via = verdict, response.NamesRequest(), response.Via()
+	s.request.recordVia(s.send.via)
 	switch {
 	case verdict.Replaced:
 		return runResult{notRun: true, replaced: true, err: errors.New("another server has the address")}
