LIMIT: requests to brittle servers need a place

Cause: a bound on all VMs together was kept by none; the class is that of Server-Limit. Why it works: the VM that issues a server's permits keeps its places: one at first, one more with each request that it runs, half of them after a refusal. Calls without a place are refused at once, streams wait. A VM that is lost loses its places.

--- a/internal/backend/pool/choose.go
+++ b/internal/backend/pool/choose.go
@@ -38,7 +38,7 @@
 
 // AcquireForCall chooses a server for a short call, none of those tried.
 func (p *Pool) AcquireForCall(service string, tried map[string]bool, versions VersionRule) (lease *Lease, err error) {
-	return p.acquire(false, versions, func(now time.Time, withLimit bool) *server {
+	return p.acquire(false, false, versions, func(now time.Time, withLimit bool) *server {
 		filter := p.versionFilter(service, versions)
 		usable := p.usableServers(service, tried, filter, now, withLimit)
 		return p.chooseForCall(usable.inOrder(filter))
@@ -65,8 +65,8 @@
 // or ErrNoHeadroom for criteria that require it.
 func (p *Pool) AcquireForStream(criteria Criteria) (lease *Lease, copyHolder *Server, err error) {
 	lacksHeadroom := false
-	lease, err = p.acquire(criteria.continues(), criteria.Versions, func(now time.Time, withLimit bool) *server {
-		if chosen := p.requestedServer(criteria, now); chosen != nil && (withLimit || !chosen.limited) {
+	lease, err = p.acquire(true, criteria.continues(), criteria.Versions, func(now time.Time, withLimit bool) *server {
+		if chosen := p.requestedServer(criteria, now); chosen != nil && (withLimit || (!chosen.limited && !p.needsPlace(chosen, now))) {
 			return chosen
 		}
 		if criteria.RequireHeadroom {
@@ -74,6 +74,7 @@
 				lacksHeadroom = chosen == nil
 				return chosen
 			}
+			lacksHeadroom = p.lacksPlaces(criteria.Service)
 		}
 		return p.chooseForStream(criteria, now, withLimit)
 	}, func(chosen *server, now time.Time) (lease *Lease) {
@@ -178,7 +179,7 @@
 	p.forgetExpiredPeers(now)
 	usable := []*server{}
 	for _, s := range p.servers {
-		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] && (withLimit || !s.limited) && !filter.excludes(s) {
+		if s.Service == service && s.acceptsWork() && !s.inBackoff(now) && !s.isDenied(now) && !tried[s.ID] && (withLimit || (!s.limited && !p.needsPlace(s, now))) && !filter.excludes(s) {
 			usable = append(usable, s)
 		}
 	}
--- a/internal/backend/pool/lease.go
+++ b/internal/backend/pool/lease.go
@@ -33,6 +33,9 @@
 	// Permit is the serial of the permit for the request, 0 if the server names no limit.
 	Permit uint64
 
+	place      uint64 // Serial of its place at a brittle server; 0 if it needs none.
+	begun      bool   // That it runs has been reported for the place.
+	refused    bool
 	pool       *Pool
 	server     *server
 	stream     bool
@@ -132,6 +135,7 @@
 	defer l.pool.mu.Unlock()
 	l.recordRead(l.pool.options.Now())
 	l.started = true
+	l.beginPlace()
 }
 
 // RecordActivity records that the server sent something.
@@ -160,6 +164,7 @@
 	l.released = true
 	l.recordEnd(l.pool.options.Now())
 	delete(l.server.leases, l)
+	l.endPlace()
 	if !l.stream {
 		l.server.calls--
 	}
--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -103,6 +103,8 @@
 	loggedAt    time.Time       // When a change was last reported.
 	sent        map[Purpose]int // Requests that this VM sent since the last report.
 	denied      int             // Requests since then that got no permit.
+	// noPlaceUntil is until when a brittle server has no place for this VM; see brittle.go.
+	noPlaceUntil time.Time
 }
 
 // Sent is what this VM sent to a server with a limit since the last report. Denied counts the
@@ -116,26 +118,26 @@
 
 // isDenied reports whether the server's limit permits no request now.
 func (l *limitState) isDenied(now time.Time) bool {
-	return l.limited && now.Before(l.deniedUntil)
+	return (l.limited && now.Before(l.deniedUntil)) || now.Before(l.noPlaceUntil)
 }
 
-// chooser chooses a server; withLimit reports whether servers that name a limit are candidates.
+// chooser chooses a server; withLimit reports whether servers that name a limit or are brittle are candidates.
 type chooser func(now time.Time, withLimit bool) *server
 
 // acquire takes a lease on the server that choose returns, once there is a permit for it. Both
 // functions are called with the lock held. A server that is denied is no candidate the next time,
 // and none with a limit is once the time for permits is over.
-func (p *Pool) acquire(urgent bool, versions VersionRule, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquire(isStream, urgent bool, versions VersionRule, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	until := p.options.Now().Add(permitTimeout)
 	for requests := 0; requests < maxPermitRequests && !p.options.Now().After(until); requests++ {
-		if lease, err = p.acquireOnce(urgent, true, versions, choose, begin); !errors.Is(err, ErrNoPermit) {
+		if lease, err = p.acquireOnce(isStream, urgent, true, versions, choose, begin); !errors.Is(err, ErrNoPermit) {
 			return lease, err
 		}
 	}
-	return p.acquireOnce(urgent, false, versions, choose, begin)
+	return p.acquireOnce(isStream, urgent, false, versions, choose, begin)
 }
 
-func (p *Pool) acquireOnce(urgent, withLimit bool, versions VersionRule, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
+func (p *Pool) acquireOnce(isStream, urgent, withLimit bool, versions VersionRule, choose chooser, begin func(chosen *server, now time.Time) *Lease) (lease *Lease, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
@@ -154,16 +156,26 @@
 		if serial, err = p.applyPermit(chosen, request, reply); err != nil {
 			return nil, err
 		}
-		isExcluded := p.versionFilter(chosen.Service, versions.unbounded()).excludes(chosen)
-		if isExcluded || p.servers[chosen.ID] != chosen || !chosen.acceptsWork() || chosen.down || chosen.inBackoff(now) {
+		if !p.mayStillTake(chosen, versions, now) {
 			return nil, errors.Trace(ErrNoPermit) // It changed meanwhile. The permit is lost.
 		}
 	}
-	lease = begin(chosen, now)
-	lease.Permit = serial
+	var place uint64
+	if place, err = p.takePlace(chosen, versions, isStream, now); err != nil {
+		return nil, err
+	}
+	lease = begin(chosen, p.options.Now())
+	lease.Permit, lease.place = serial, place
 	return lease, nil
 }
 
+// mayStillTake reports whether a server still takes requests that was chosen before the lock was released.
+// Called with the lock held.
+func (p *Pool) mayStillTake(chosen *server, versions VersionRule, now time.Time) bool {
+	isExcluded := p.versionFilter(chosen.Service, versions.unbounded()).excludes(chosen)
+	return !isExcluded && p.servers[chosen.ID] == chosen && chosen.acceptsWork() && !chosen.down && !chosen.inBackoff(now)
+}
+
 // permitRequest returns the request for a permit. Called with the lock held.
 func (s *server) permitRequest() permit.Request {
 	return permit.Request{Key: permitKey(s.Server), Rate: s.limit}
--- a/internal/backend/pool/notice.go
+++ b/internal/backend/pool/notice.go
@@ -35,6 +35,10 @@
 	// it takes from all VMs together.
 	Limited bool
 	Limit   float64
+	// Brittle means that servers of its service crash if they refuse more than Tolerated requests in a second
+	// because they are full.
+	Brittle   bool
+	Tolerated int
 }
 
 // Departure identifies a process of a server that reported that it is leaving.
@@ -55,6 +59,9 @@
 	}
 	p.mu.Lock()
 	now := p.options.Now()
+	if notice.Brittle {
+		p.recordBrittle(from.Service, notice.Tolerated, now)
+	}
 	if known := p.servers[from.ID]; known != nil && known.isSameProcess(from) && notice.BackoffUntil.After(known.backoffUntil) {
 		left := min(notice.BackoffUntil.Sub(now), maxBackoff)
 		known.backoffUntil = now.Add(left)
--- a/internal/backend/pool/pool.go
+++ b/internal/backend/pool/pool.go
@@ -105,6 +105,8 @@
 	// for how long a server asked for no requests.
 	IsDetour        func() bool
 	AnnounceBackoff func(backoff Backoff)
+	// OnBrittle is called when the servers of a service begin to say that they are brittle.
+	OnBrittle func(service string, tolerated int)
 	// OnHeadroom is called when memory of servers may have been freed: a stream of this VM or of a
 	// peer has ended.
 	OnHeadroom func()
@@ -132,6 +134,7 @@
 	early      map[string]earlyNotice          // By server id.
 	averages   map[string]*streamAverages      // By service.
 	versions   map[string]map[string]time.Time // Until when a server was listed, by service and version.
+	brittle    map[string]brittleness          // By service.
 	cell       int                             // The cell of this VM.
 	cells      int                             // 0 and 1 for a fleet that is not split.
 	cellOf     map[string]int                  // The cells of the servers, by address; nil until needed.
@@ -239,13 +242,16 @@
 	if options.AnnounceBackoff == nil {
 		options.AnnounceBackoff = func(Backoff) {}
 	}
+	if options.OnBrittle == nil {
+		options.OnBrittle = func(string, int) {}
+	}
 	if options.OnHeadroom == nil {
 		options.OnHeadroom = func() {}
 	}
 	if options.OnChange == nil {
 		options.OnChange = func(Server, bool, string) {}
 	}
-	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}, versions: map[string]map[string]time.Time{}, versionsKnownAt: options.Now().Add(versionRetention)}
+	return &Pool{options: options, servers: map[string]*server{}, peers: map[string]peerLoads{}, peerTotals: map[string]Load{}, lossAt: map[string]time.Time{}, departures: map[string]departure{}, returnAt: map[string]time.Time{}, early: map[string]earlyNotice{}, averages: map[string]*streamAverages{}, versions: map[string]map[string]time.Time{}, brittle: map[string]brittleness{}, versionsKnownAt: options.Now().Add(versionRetention)}
 }
 
 // Update replaces the list of servers. The state of servers that stay in the list is
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -177,6 +177,9 @@
 		OnLimit:         v.serverLimitChanged,
 		IsDetour:        func() bool { return v.tunnels.Open() > 0 },
 		AnnounceBackoff: func(backoff pool.Backoff) { v.spread.AnnounceBackoff(backoff) },
+		OnBrittle: func(service string, tolerated int) {
+			event.ServersBrittle.Warn(v.logger, "service", service, "tolerated", tolerated)
+		},
 		OnSent: func(sent pool.Sent) {
 			event.LimitedSent.Info(v.logger, "server", sent.Server.ID, "limit", sent.Limit, "sent", sent.ByPurpose, "denied", sent.Denied)
 		},
--- a/internal/node/event/event.go
+++ b/internal/node/event/event.go
@@ -67,6 +67,7 @@
 	LimitedSent          = define(612, "requests were sent to a backend server with a limit")
 	ServersUnreachable   = define(613, "this VM reaches no backend server: it sends requests through other VMs")
 	ServersReachable     = define(614, "this VM reaches backend servers again")
+	ServersBrittle       = define(615, "backend servers say that they fall over if they have to turn away many requests")
 	RequestEnded         = define(701, "a request ended")
 	RunEnded             = define(702, "a run at a backend server ended early")
 	StreamResumed        = define(703, "a stream goes on at another backend server")
--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -70,6 +70,13 @@
 	Preventive bool    `cbor:"4,keyasint,omitempty"`
 	Urgent     bool    `cbor:"5,keyasint,omitempty"`
 	Fresh      bool    `cbor:"6,keyasint,omitempty"`
+	// Places, if not 0, asks for one of the server's places instead: it runs that many requests at once,
+	// and falls over if it has to turn away more than Tolerated in a second; see places.go. Holder is the
+	// id of the VM's process, and Lasting is set for a stream.
+	Places    int    `cbor:"7,keyasint,omitempty"`
+	Tolerated int    `cbor:"8,keyasint,omitempty"`
+	Holder    string `cbor:"9,keyasint,omitempty"`
+	Lasting   bool   `cbor:"10,keyasint,omitempty"`
 }
 
 // Reply answers a Request. Serial numbers the permits of a key, from 1. Askers is the number of
@@ -92,6 +99,12 @@
 	Kind    string  `cbor:"3,keyasint,omitempty"`
 	Bounded bool    `cbor:"4,keyasint,omitempty"`
 	Rate    float64 `cbor:"5,keyasint,omitempty"`
+	// Place means that the request has a place. Ended releases the place, Served means that the server ran the
+	// request, and Refused that the server was full.
+	Place   bool `cbor:"6,keyasint,omitempty"`
+	Ended   bool `cbor:"7,keyasint,omitempty"`
+	Served  bool `cbor:"8,keyasint,omitempty"`
+	Refused bool `cbor:"9,keyasint,omitempty"`
 }
 
 // Issuer issues the permits of the keys whose issuer this VM is. It is safe for concurrent use.
@@ -100,6 +113,7 @@
 
 	mu       sync.Mutex
 	buckets  map[string]*bucket
+	places   map[string]*places
 	expireAt time.Time
 }
 
@@ -118,7 +132,7 @@
 
 // NewIssuer returns an Issuer without keys.
 func NewIssuer(now func() time.Time) *Issuer {
-	return &Issuer{now: now, buckets: map[string]*bucket{}}
+	return &Issuer{now: now, buckets: map[string]*bucket{}, places: map[string]*places{}}
 }
 
 // Take takes a permit from the bucket of a key.
@@ -126,6 +140,9 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
+	if request.Places > 0 {
+		return i.takePlace(request, now)
+	}
 	_, known := i.buckets[request.Key]
 	b := i.bucket(request.Key, request.Rate, now)
 	if request.Fresh && !known {
@@ -164,6 +181,10 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	now := i.now()
+	if o.Place {
+		i.observePlace(o, now)
+		return
+	}
 	b := i.buckets[o.Key]
 	switch {
 	case o.Bounded:
@@ -209,6 +230,7 @@
 	}
 	i.expireAt = now.Add(expiryInterval)
 	maps.DeleteFunc(i.buckets, func(_ string, b *bucket) bool { return now.Sub(b.updatedAt) > retention })
+	maps.DeleteFunc(i.places, func(_ string, p *places) bool { return now.Sub(p.usedAt) > retention })
 }
 
 func (b *bucket) capacity() float64 {
--- a/internal/peer/spread/permits.go
+++ b/internal/peer/spread/permits.go
@@ -30,6 +30,9 @@
 // reply is then a denial.
 func (s *Spread) TakePermit(request permit.Request) (reply permit.Reply, err error) {
 	issuer, isSelf := s.issuer(request.Key)
+	if request.Places > 0 {
+		request.Holder = s.options.Self.ID
+	}
 	if isSelf {
 		if s.isPartitioned() {
 			return permit.Reply{Wait: noIssuerWait}, errors.New("this VM may be partitioned from the others")
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -408,6 +408,7 @@
 	}
 	s.snapshot.Store(now)
 	if lost := st.members.takeLostIDs(); len(lost) > 0 {
+		s.permits.Release(lost)
 		s.options.OnMembersLost(lost)
 	}
 	if before.Cell != now.Cell || before.Cells != now.Cells {
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -191,6 +191,9 @@
 		lease.ReportBroken()
 	case result.verdict.Replaced:
 		lease.MarkReplaced()
+	case result.verdict.NotRun:
+		lease.MarkRefused()
+		lease.RecordCall(took, result.verdict.Status >= http.StatusInternalServerError)
 	default:
 		lease.RecordCall(took, result.verdict.Status >= http.StatusInternalServerError)
 	}
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -341,6 +341,9 @@
 	if end.done || end.moved {
 		return
 	}
+	if end.notRun && !end.replaced {
+		lease.MarkRefused()
+	}
 	now := s.relay.options.Now()
 	justBegun := s.lastEventAt.Sub(s.firstEventAt) <= startWindow
 	if end.callerErr != nil || ctx.Err() != nil {
