ORDER: a VM that stood still joins no versions

What callers saw: streams that had begun at servers of a new version through other VMs went on at another version, at a VM that had stood still while the new servers joined. Cause: a list up to 3 s old counted as evidence that there was no other version. The class: the age of an answer is taken for evidence of what has not happened since. Why it works: for a stream of which no version is known the VM requests the list after the caller's return, and refuses the stream if the store doesn't answer.

--- a/internal/backend/pool/versionhistory.go
+++ b/internal/backend/pool/versionhistory.go
@@ -78,19 +78,26 @@
 }
 
 // OnlyVersion returns the version of all streams of a service that may still be returned to. It is not
-// known if there may be several, or while the history of the versions or the list of now is not.
-func (p *Pool) OnlyVersion(service string) (version string, known bool) {
+// known if there may be several, while the history of the versions is not known, or if the list is older than
+// asOf. That a version is not listed is evidence of its absence only if the list was requested later than
+// a stream may have begun there: this VM may have been out of step until now.
+func (p *Pool) OnlyVersion(service string, asOf time.Time) (version string, known bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.options.Now()
 	p.recordVersions(now)
 	versions := slices.Collect(maps.Keys(p.versions[service]))
-	if len(versions) != 1 || now.Before(p.versionsKnownAt) || now.Sub(p.listedAt(now)) > versionsStaleAfter {
+	if len(versions) != 1 || now.Before(p.versionsKnownAt) || p.listedAt(now).Before(asOf) {
 		return "", false
 	}
 	return versions[0], true
 }
 
+// OnlyVersionOfLate is OnlyVersion by a list that may lack what joined lately.
+func (p *Pool) OnlyVersionOfLate(service string) (version string, known bool) {
+	return p.OnlyVersion(service, p.options.Now().Add(-versionsStaleAfter))
+}
+
 // Versions returns the versions that servers were listed with within the retention; known is false while
 // some may be missing.
 func (p *Pool) Versions() (ages VersionAges, known bool) {
--- a/internal/backend/pool/versionhistory_test.go
+++ b/internal/backend/pool/versionhistory_test.go
@@ -30,7 +30,7 @@
 }
 
 func (g *versionsRig) only() string {
-	version, known := g.OnlyVersion("s")
+	version, known := g.OnlyVersionOfLate("s")
 	if !known {
 		return "unknown"
 	}
@@ -119,13 +119,13 @@
 	p := pool.New(pool.Options{Now: func() time.Time { return now }, Draw: func() float64 { return 0 }, Successors: pool.Successors{ListedAt: func() time.Time { return listedAt }}})
 	p.AddVersions(nil)
 	p.Update([]pool.Server{{ID: "i-v1", Address: "v1:1", Service: "s", FailureDomain: "a", Slots: 1, Version: "v1"}})
-	_, known := p.OnlyVersion("s")
+	_, known := p.OnlyVersionOfLate("s")
 	qt.Assert(t, known, qt.IsTrue)
 	now = now.Add(time.Minute)
-	_, known = p.OnlyVersion("s")
+	_, known = p.OnlyVersionOfLate("s")
 	qt.Check(t, known, qt.IsFalse, qt.Commentf("a VM that is cut off lacks the versions of the last minute"))
 	listedAt = now
-	_, known = p.OnlyVersion("s")
+	_, known = p.OnlyVersionOfLate("s")
 	qt.Check(t, known, qt.IsTrue)
 }
 
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -106,6 +106,7 @@
 	unreachableTables atomic.Int64
 	storeUnreachable  atomic.Bool
 	ranked            rankCache
+	serversRefresh    listRefresh
 	storeEra          atomic.Uint64 // The newest era of the store that is known; 0 if none is.
 	written           *writtenRows
 	ambiguous         *ambiguousKeys
@@ -232,7 +233,7 @@
 			Recheck:     v.crashes.Recheck,
 			IsBlocked:   v.crashes.IsBlocked,
 		},
-		Versions:    relay.Versions{Choose: v.chooseVersion, Usual: v.rollouts.follower.Usual, Record: v.recordResult, Retired: v.rollouts.follower.Retired},
+		Versions:    relay.Versions{Choose: v.chooseVersion, Usual: v.rollouts.follower.Usual, Record: v.recordResult, Retired: v.rollouts.follower.Retired, RefreshList: v.refreshServers},
 		Counts:      relay.Counts{Sent: v.counters.sent, EndedEarly: v.counters.runEnded, Resumed: v.counters.resumed},
 		LoadAdded:   v.spread.AnnounceLoads,
 		LoadReduced: v.spread.AnnounceLoadsLater,
--- a/internal/request/relay/return.go
+++ b/internal/request/relay/return.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"sync/atomic"
+	"time"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
@@ -29,7 +30,7 @@
 		return
 	}
 	s.version.name, s.request.Version = lease.Version(), ""
-	if only, known := s.relay.options.Servers.OnlyVersion(s.request.Service); known && only == s.version.name {
+	if only, known := s.relay.options.Servers.OnlyVersionOfLate(s.request.Service); known && only == s.version.name {
 		s.request.Version = only
 	}
 }
@@ -56,7 +57,7 @@
 	}()
 	if !found {
 		request.Origin = cmp.Or(request.Resumes, request.Origin)
-		return s.fixOnlyVersion()
+		return s.fixOnlyVersion(ctx)
 	}
 	request.Origin, request.OriginKnown = earlier.Origin, true
 	s.isRecorded, s.recordedService, s.recordedVersion = true, earlier.Service, earlier.Version
@@ -69,7 +70,7 @@
 		s.fixVersion(earlier.Version)
 		return nil
 	}
-	refusal = s.fixOnlyVersion()
+	refusal = s.fixOnlyVersion(ctx)
 	if refusal == nil && earlier.Service != "" && s.version.name != "" {
 		return s.versionUnknown() // The record is of two versions, or of servers that name none.
 	}
@@ -83,8 +84,16 @@
 
 // fixOnlyVersion fixes the version of a returned stream of which no version is known, if there is only
 // one that its events can be of. Otherwise the stream is refused.
-func (s *stream) fixOnlyVersion() *NotRun {
-	only, isOnly := s.relay.options.Servers.OnlyVersion(s.request.Service)
+func (s *stream) fixOnlyVersion(ctx context.Context) *NotRun {
+	if _, mayBeOnly := s.relay.options.Servers.OnlyVersion(s.request.Service, time.Time{}); !mayBeOnly {
+		return s.versionUnknown()
+	}
+	if !s.relay.options.Versions.RefreshList(ctx, s.request.Received) {
+		refusal := s.versionUnknown()
+		refusal.RetryAt = s.relay.options.Now().Add(retryDelay)
+		return refusal
+	}
+	only, isOnly := s.relay.options.Servers.OnlyVersion(s.request.Service, s.request.Received)
 	if !isOnly {
 		return s.versionUnknown()
 	}
--- a/internal/request/relay/version.go
+++ b/internal/request/relay/version.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -18,6 +19,9 @@
 	Usual   func(service string) pool.VersionRule
 	Record  func(result rollout.Result)
 	Retired func(service, version string) (rule pool.VersionRule, retired bool)
+	// RefreshList makes the list of servers one that was requested at a time or later, and reports whether
+	// it is.
+	RefreshList func(ctx context.Context, asOf time.Time) bool
 }
 
 func (v *Versions) setDefaults() {
@@ -30,6 +34,9 @@
 	if v.Record == nil {
 		v.Record = func(rollout.Result) {}
 	}
+	if v.RefreshList == nil {
+		v.RefreshList = func(context.Context, time.Time) bool { return true }
+	}
 	if v.Retired == nil {
 		v.Retired = func(string, string) (pool.VersionRule, bool) { return pool.VersionRule{}, false }
 	}
