ORDER: a VM that finds no versions in the store asks other VMs

What callers saw: a stream had an event of one version and the rest of another, after its VM was killed while the store failed most calls (soak). Cause: the absence of the row counted as evidence that no stream had begun. Evidence: TestVMThatFindsNoVersionsInTheStoreJoinsNone failed before (1 of 1 joined). Why it works: the VM asks the other VMs that keep what ran, at growing intervals, until all have answered or one knows. Readiness waits for that no longer than for the copies. TestRowsOfStreamsAreReadOnceTheStoreIsBack has a row of versions in its table, as the VM asks for them.

--- a/internal/node/entry/copyindex.go
+++ b/internal/node/entry/copyindex.go
@@ -13,6 +13,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/node/rescue"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
 	"github.com/endivespoke/endivespoke/internal/request/copies"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
@@ -36,6 +37,10 @@
 	copyIndexReaders = 12
 	// copyIndexReadTimeout is how long readiness of a starting VM waits for this read.
 	copyIndexReadTimeout = 150 * time.Millisecond
+	// minVersionsInterval is the first interval at which other VMs are asked for the versions that the store lacks,
+	// and aloneTime how long after its start a VM that knows no other may find some.
+	minVersionsInterval = 20 * time.Millisecond
+	aloneTime           = 500 * time.Millisecond
 	// copyIndexKey is the key of the first cell's row. Other cells add their number:
 	// "running-3" is the row of the fourth cell.
 	copyIndexKey = "running"
@@ -81,6 +86,9 @@
 		sleep(ctx, copyIndexInterval)
 	}
 	c.vm.copyIndexRead.Store(true)
+	if c.vm.lacksVersions.Load() {
+		rescue.Go(c.vm.logger, "versions from other VMs", func() { c.awaitVersions(ctx) })
+	}
 	for ctx.Err() == nil {
 		snapshot := c.vm.spread.Snapshot()
 		// Each cell has a writer; with more cells each of them writes less often.
@@ -157,12 +165,28 @@
 			stored[location.CopyKey] = true
 		}
 	}
-	if versionsErr == nil {
+	if versions != nil && versionsErr == nil {
 		c.vm.servers.AddVersions(versions)
 	}
+	c.vm.lacksVersions.Store(versions == nil && versionsErr == nil)
 	return nil
 }
 
+// awaitVersions asks the other copy index VMs for the versions that the store lacks. If none of them knows any
+// either, all of them have just started, and no stream has begun before.
+func (c *copyIndex) awaitVersions(ctx context.Context) {
+	for interval := minVersionsInterval; ctx.Err() == nil; interval = min(2*interval, copyIndexInterval) {
+		mayLackPeers := len(c.vm.spread.Snapshot().Live) == 1 && c.vm.Now().Before(c.vm.started.Add(aloneTime))
+		allAnswered := !mayLackPeers && c.vm.spread.AskForVersions(ctx)
+		if _, known := c.vm.servers.Versions(); known || allAnswered {
+			c.vm.servers.AddVersions(nil)
+			c.vm.lacksVersions.Store(false)
+			return
+		}
+		sleep(ctx, interval) // A VM that has just started too answers once it has read the store.
+	}
+}
+
 // readSuspects restores the suspects of crashes with their ages at the time of the write. How long
 // ago that was is not known, so a cause stays blocked for the time that remained when the row was
 // written.
--- a/internal/node/entry/copyindex_test.go
+++ b/internal/node/entry/copyindex_test.go
@@ -109,7 +109,7 @@
 
 func TestRowsOfStreamsAreReadOnceTheStoreIsBack(t *testing.T) {
 	vm, store := newEraVM(t)
-	store.set(1, 5)
+	store.set(1, 5, Row{Key: versionsKey, Value: encoded(t, pool.VersionAges{"s": {"v1": 0}}), Version: 5})
 	reads := atomic.Int64{}
 	read := vm.options.Copies.Read
 	vm.options.Copies.Read = func(ctx context.Context) (Rows, error) {
--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -111,6 +111,7 @@
 	written           *writtenRows
 	ambiguous         *ambiguousKeys
 	copyIndexRead     atomic.Bool                     // The copies that earlier VMs stored are read, or can't be.
+	lacksVersions     atomic.Bool                     // The store had no versions, and the other VMs have not all answered yet.
 	storedKeys        atomic.Pointer[map[string]bool] // Of these copies; nil if they could not be read.
 	started           time.Time
 	probedAt          time.Time     // When servers were last probed; used by probeServers only.
@@ -520,10 +521,10 @@
 	return known && v.copyIndexKnown() && v.rolloutsKnown() && !v.IsLeaving()
 }
 
-// copyIndexKnown reports whether the copies that earlier VMs stored have been read, or the
+// copyIndexKnown reports whether the copies and versions that earlier VMs stored have been read, or the
 // wait for them has timed out.
 func (v *VM) copyIndexKnown() bool {
-	return v.copyIndexRead.Load() || v.Now().After(v.started.Add(copyIndexReadTimeout))
+	return (v.copyIndexRead.Load() && !v.lacksVersions.Load()) || v.Now().After(v.started.Add(copyIndexReadTimeout))
 }
 
 // IsLeaving reports whether SIGTERM has been received.
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/rescue"
@@ -275,3 +276,38 @@
 	delete(unanswered, snapshot.Cell)
 	return locations, ownAnswered, len(unanswered) == 0
 }
+
+// AskForVersions asks the other copy index VMs for the versions of servers, and reports whether all of them
+// answered. Options.OnVersions receives the versions that are known.
+func (s *Spread) AskForVersions(ctx context.Context) (allAnswered bool) {
+	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	defer cancel()
+	query := message{From: s.options.Self.ID, WantCopies: []CopyQuery{{}}}
+	body := query.encode()
+	others := slices.DeleteFunc(slices.Clone(s.Snapshot().CopyIndexVMs), func(m Member) bool { return m.ID == s.options.Self.ID })
+	answered := make(chan struct{}, len(others))
+	for _, indexVM := range others {
+		rescue.Go(s.options.Logger, "asking for versions", func() {
+			reply, err := s.options.Call(ctx, indexVM.ID, indexVM.PeerAddress, body)
+			if err != nil {
+				return
+			}
+			received, err := decode(reply)
+			if err != nil {
+				return // It has just started too, and does not know yet.
+			}
+			if received.Versions != nil {
+				s.options.OnVersions(received.Versions)
+			}
+			answered <- struct{}{}
+		})
+	}
+	for range others {
+		select {
+		case <-answered:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
