LOST: a stream whose VM is lost after its first event goes on

What callers saw: while engines of two versions served, a VM was killed just after the first event of a stream; the other VMs refused its caller until it gave up. Cause: the version of a stream was announced with what peers need only later, up to 150 ms after the first event. Without it a record tells no version, and the stream is refused. The class: a promise rests on a message that is still in a queue. Why it works: the first event is passed on once the record has been handed to the connections to the other VMs, or after 50 ms.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -226,7 +226,7 @@
 		WithdrawPreventive: v.withdrawPreventive,
 		RetryAt:            func(service string) time.Time { return v.budgetOf(service).RetryAt() },
 		Refund:             func(service string) { v.budgetOf(service).Refund() },
-		Copies:             relay.Copies{Put: v.putCopy, Find: v.findCopy, AwaitAmbiguous: v.ambiguous.await},
+		Copies:             relay.Copies{Put: v.putCopy, Find: v.findCopy, AwaitAmbiguous: v.ambiguous.await, AwaitAnnounced: v.spread.FlushAnnouncements},
 		Crashes: relay.Crashes{
 			Interrupted: v.crashes.Interrupted,
 			Completed:   v.crashes.Completed,
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -46,6 +46,18 @@
 	s.enqueue(announcement{copyLocation: &location})
 }
 
+// FlushAnnouncements sends what has been queued, and returns once it was handed to the connections to the
+// peers, or after flushTimeout.
+func (s *Spread) FlushAnnouncements(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	defer cancel()
+	s.do(ctx, func(st *state) {
+		if len(s.announcements) > 0 {
+			s.sendLoads(st)
+		}
+	})
+}
+
 // AnnounceCrash announces to all VMs the servers that terminated while they ran a content.
 func (s *Spread) AnnounceCrash(report crash.Report) {
 	s.enqueue(announcement{crashReport: &report})
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -83,6 +83,8 @@
 	// queuedTime how long after that messages may have come before. Ticks are events.
 	pauseThreshold = tickInterval + 100*time.Millisecond
 	queuedTime     = 100 * time.Millisecond
+	// flushTimeout bounds FlushAnnouncements, for which the first event of a stream waits.
+	flushTimeout = 50 * time.Millisecond
 	// seedTicks is how often, in ticks, a VM contacts its seeds even if it has peers.
 	seedTicks = 20
 	// inboxSize bounds the queues of the event loop.
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -261,11 +261,13 @@
 // before it is sent, with the place that its memory is copied to, if any, and each later copy. Find
 // serves a caller that reconnects after the loss of its VM: it returns what is known of the attempt
 // that the caller names, or else of the only request with the key. AwaitAmbiguous waits until other VMs
-// would know that a request is one of several with its key.
+// would know that a request is one of several with its key, and AwaitAnnounced until what was put has been
+// handed to the connections to the other VMs; nil waits for nothing.
 type Copies struct {
 	Put            func(request *Request, copied Copy)
 	Find           func(ctx context.Context, copyKey, origin string) (earlier Earlier, found bool)
 	AwaitAmbiguous func(ctx context.Context, copyKey string)
+	AwaitAnnounced func(ctx context.Context)
 }
 
 // Crashes records the traits of requests under which servers crash; see package crash.
@@ -287,6 +289,9 @@
 	if options.Counts.Sent == nil {
 		options.Counts.Sent = func(pool.Purpose) {}
 	}
+	if options.Copies.AwaitAnnounced == nil {
+		options.Copies.AwaitAnnounced = func(context.Context) {}
+	}
 	options.Versions.setDefaults()
 	return &Relay{options: options}
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -444,9 +444,13 @@
 	if s.request.CopyKey == "" {
 		return
 	}
-	if (dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup) || s.recordedVersion != s.request.Version {
+	isVersionNew := s.recordedVersion != s.request.Version
+	if (dispatch.BackupAddress != "" && dispatch.BackupID != s.recordedBackup) || isVersionNew {
 		s.recordBackup(dispatch)
 	}
+	if isVersionNew {
+		s.relay.options.Copies.AwaitAnnounced(ctx) // Without the version, the other VMs refuse the caller that returns.
+	}
 	s.relay.options.Copies.AwaitAmbiguous(ctx, s.request.CopyKey)
 }
 
