--- a/internal/backend/pool/limit.go
+++ b/internal/backend/pool/limit.go
@@ -169,7 +169,7 @@
 	return lease, nil
 }
 
-// mayStillTake reports whether a server still takes requests that was chosen before the lock was released.
+// mayStillTake reports whether a server that was chosen before the lock was released still takes requests.
 // Called with the lock held.
 func (p *Pool) mayStillTake(chosen *server, versions VersionRule, now time.Time) bool {
 	isExcluded := p.versionFilter(chosen.Service, versions.unbounded()).excludes(chosen)
