LOST: the first event waits until its version is written to the peers

Cause: the event waited until the record was handed to the connections to the other VMs, but that was one more queue: a goroutine of each connection writes it later. The class: a promise rests on a message that is still in a queue. Why it works: Pool.Flush returns once what was queued before has been written to the connections. What is written is sent even if the process is killed. TestFlushAwaitsThePosts checks the bytes written.

--- a/internal/node/entry/entry.go
+++ b/internal/node/entry/entry.go
@@ -263,6 +263,7 @@
 		Logger:              v.logger,
 		Call:                v.callPeer,
 		Post:                v.postPeer,
+		Flush:               v.peers.Flush,
 		Disconnect:          v.peers.Disconnect,
 		DecodeConfiguration: v.options.DecodeConfiguration,
 		ServerHeartbeat:     s.ServerHeartbeat,
--- a/internal/peer/spread/announcements.go
+++ b/internal/peer/spread/announcements.go
@@ -46,7 +46,7 @@
 	s.enqueue(announcement{copyLocation: &location})
 }
 
-// FlushAnnouncements sends what has been queued, and returns once it was handed to the connections to the
+// FlushAnnouncements sends what has been queued, and returns once it was written to the connections to the
 // peers, or after flushTimeout.
 func (s *Spread) FlushAnnouncements(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
@@ -56,6 +56,7 @@
 			s.sendLoads(st)
 		}
 	})
+	s.options.Flush(ctx)
 }
 
 // AnnounceCrash announces to all VMs the servers that terminated while they ran a content.
--- a/internal/peer/spread/spread.go
+++ b/internal/peer/spread/spread.go
@@ -121,8 +121,9 @@
 }
 
 // Options configures a Spread. Call sends a message to a peer and returns its reply, Post
-// sends one without a reply, and Disconnect closes the connection. The On functions are called
-// on the event loop or on the goroutine of a peer's message, and must not block.
+// sends one without a reply, Flush waits until those posted so far are written to the connections, and
+// Disconnect closes the connection. The On functions are called on the event loop or on the goroutine of a
+// peer's message, and must not block.
 type Options struct {
 	Self       Member
 	Seeds      []string
@@ -130,6 +131,7 @@
 	Logger     hclog.Logger
 	Call       func(ctx context.Context, peer, address string, body []byte) ([]byte, error)
 	Post       func(peer, address string, body []byte)
+	Flush      func(ctx context.Context)
 	Disconnect func(peer string)
 	// DecodeConfiguration decodes a configuration from its format in the store.
 	DecodeConfiguration func(raw []byte) (*routing.Configuration, error)
--- a/internal/peer/wire/pool.go
+++ b/internal/peer/wire/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -100,6 +102,17 @@
 	}
 }
 
+// Flush waits until the frames queued so far have been written to the connections to the peers, or have
+// been lost, or until the context ends.
+func (p *Pool) Flush(ctx context.Context) {
+	p.mu.Lock()
+	links := slices.Collect(maps.Values(p.links))
+	p.mu.Unlock()
+	for _, l := range links {
+		l.awaitWritten(ctx)
+	}
+}
+
 // Disconnect closes the connection to a peer, for one that leaves calls unanswered:
 // the connection may be dead without an error while a new one would work.
 func (p *Pool) Disconnect(peer string) {
@@ -187,9 +200,11 @@
 	wakeups chan struct{}
 
 	mu           sync.Mutex
-	pending      []Entry        // Not sent yet.
-	pendingIndex map[string]int // Position of a generation's last pending entry.
-	frames       []Frame        // Calls and posts not sent yet.
+	pending      []Entry         // Not sent yet.
+	pendingIndex map[string]int  // Position of a generation's last pending entry.
+	frames       []Frame         // Calls and posts not sent yet.
+	isWriting    bool            // Frames that have been taken from the queues are being written.
+	flushes      []chan struct{} // Closed once what was queued before has been written.
 	replies      map[uint64]chan Frame
 	unacked      int       // Batches sent and not acknowledged.
 	ackDeadline  time.Time // For the acks of the oldest of them.
@@ -271,6 +286,24 @@
 	l.wake()
 }
 
+// awaitWritten waits until the frames queued so far have been written, or the connection or the context ends.
+func (l *link) awaitWritten(ctx context.Context) {
+	written := make(chan struct{})
+	l.mu.Lock()
+	if len(l.frames) == 0 && len(l.pending) == 0 && !l.isWriting {
+		l.mu.Unlock()
+		return
+	}
+	l.flushes = append(l.flushes, written)
+	l.mu.Unlock()
+	l.wake()
+	select {
+	case <-written:
+	case <-l.ctx.Done():
+	case <-ctx.Done():
+	}
+}
+
 func (l *link) call(ctx context.Context, frame Frame) (reply Frame, err error) {
 	frame.Call = l.pool.nextCall()
 	result := make(chan Frame, 1)
@@ -337,7 +370,8 @@
 }
 
 func (l *link) flush(connection *websocket.Conn) bool {
-	for _, frame := range l.takeFrames() {
+	frames, flushes := l.takeFrames()
+	for _, frame := range frames {
 		body, err := Encode(frame)
 		if err != nil {
 			return false
@@ -350,14 +384,20 @@
 			return false
 		}
 	}
+	l.mu.Lock()
+	l.isWriting = false
+	l.mu.Unlock()
+	for _, written := range flushes {
+		close(written)
+	}
 	return true
 }
 
-// takeFrames empties the queues: one frame with all entries, then the calls and posts.
-func (l *link) takeFrames() []Frame {
+// takeFrames empties the queues: one frame with all entries, then the calls and posts. Flushes are the waits
+// that end once these have been written.
+func (l *link) takeFrames() (frames []Frame, flushes []chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	frames := []Frame{}
 	if len(l.pending) > 0 {
 		frames = append(frames, Frame{Entries: l.pending})
 		l.pending = nil
@@ -368,8 +408,10 @@
 		l.unacked++
 	}
 	frames = append(frames, l.frames...)
-	l.frames = nil
-	return frames
+	flushes = l.flushes
+	l.frames, l.flushes = nil, nil
+	l.isWriting = true
+	return frames, flushes
 }
 
 func (l *link) read(connection *websocket.Conn) {
--- a/internal/peer/wire/wire_test.go
+++ b/internal/peer/wire/wire_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -111,6 +113,57 @@
 	qt.Assert(t, <-down, qt.Equals, "vm-2")
 }
 
+// TestFlushAwaitsThePosts guards against a wait that ends while posts are still queued: for a connection
+// that is being opened, or between two writes.
+func TestFlushAwaitsThePosts(t *testing.T) {
+	var received atomic.Int64
+	address := startServer(t, &Server{Key: testKey, OnSync: func([]byte) []byte { received.Add(1); return nil }})
+	var written atomic.Int64
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(20 * time.Millisecond)
+		connection, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		return countingConn{Conn: connection, written: &written}, err
+	}}}
+	pool := NewPool(PoolOptions{Self: "vm-1", Key: testKey, HTTP: client, OnDown: func(string) {}})
+	defer pool.Close()
+	const posts, postBytes = 20, 4096
+	for i := range posts {
+		pool.Post("vm-2", address, Frame{Sync: make([]byte, postBytes)})
+		pool.Flush(context.Background())
+		qt.Assert(t, written.Load() >= int64((i+1)*postBytes), qt.IsTrue)
+	}
+	pool.Flush(context.Background()) // Nothing is queued.
+	for received.Load() < posts {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// countingConn counts the bytes that have been written.
+type countingConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+func (c countingConn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// TestFlushEndsWithItsContext guards against a wait for a peer that can't be reached.
+func TestFlushEndsWithItsContext(t *testing.T) {
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}}
+	pool := NewPool(PoolOptions{Self: "vm-1", Key: testKey, HTTP: client, OnDown: func(string) {}})
+	defer pool.Close()
+	pool.Post("vm-2", "192.0.2.1:1", Frame{Sync: []byte("news")})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	pool.Flush(ctx)
+}
+
 func FuzzFrame(f *testing.F) {
 	for _, frame := range []Frame{{Call: 1, Heartbeat: &Heartbeat{From: "vm-1"}}, {Entries: []Entry{{Generation: "g", Tokens: []generation.Token{{ID: 1, Text: "a"}}}}}} {
 		body, err := Encode(frame)
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -262,7 +262,7 @@
 // serves a caller that reconnects after the loss of its VM: it returns what is known of the attempt
 // that the caller names, or else of the only request with the key. AwaitAmbiguous waits until other VMs
 // would know that a request is one of several with its key, and AwaitAnnounced until what was put has been
-// handed to the connections to the other VMs; nil waits for nothing.
+// written to the connections to the other VMs; nil waits for nothing.
 type Copies struct {
 	Put            func(request *Request, copied Copy)
 	Find           func(ctx context.Context, copyKey, origin string) (earlier Earlier, found bool)
