LOST: a VM without the version of a returned stream asks others

What callers saw: a stream whose VM was lost was refused by a VM that had not received the version, "the version of the servers that began the stream is not known", while another VM had it. Cause: in a fleet of one cell a VM that had run for a second took what it knew for all there was. Announcements are sent once: they may be on their way, or not sent at all to a VM that the sender takes as down. The class: an optimisation that may be lost is used as the only source. With one version nothing changes. TestVersionThatAnnouncementsLackIsAskedFor failed before, for a record without a version and for none.

--- a/internal/node/entry/copyindex_test.go
+++ b/internal/node/entry/copyindex_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +18,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/peer/spread"
+	"github.com/endivespoke/endivespoke/internal/request/copies"
 	"github.com/endivespoke/endivespoke/internal/request/relay"
 )
 
@@ -135,3 +138,38 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Check(t, slices.ContainsFunc(written, func(l spread.CopyLocation) bool { return l.CopyKey == "key" }), qt.IsTrue)
 }
+
+// TestVersionThatAnnouncementsLackIsAskedFor guards against the refusal of a returned stream whose version
+// another VM knows.
+func TestVersionThatAnnouncementsLackIsAskedFor(t *testing.T) {
+	fake := &copiesFake{rows: map[string][]byte{versionsKey: encoded(t, pool.VersionAges{"s": {"v1": 0, "v2": 0}})}}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	vms := []*VM{}
+	seeds := []string{}
+	for i := range 2 {
+		server := httptest.NewUnstartedServer(nil)
+		address := server.Listener.Addr().String()
+		vm := New(Options{Settings: Settings{Name: fmt.Sprint("vm-", i), PeerAddress: address, Seeds: seeds}, Logger: hclog.NewNullLogger(), Copies: fake.table()})
+		server.Config.Handler = vm.PeerHandler()
+		server.Start()
+		t.Cleanup(server.CloseClientConnections)
+		go func() { _ = vm.spread.Serve(ctx) }()
+		(&copyIndex{vm: vm}).read(ctx)
+		vm.copyIndexRead.Store(true)
+		vms, seeds = append(vms, vm), []string{address}
+	}
+	returned, other := vms[1], vms[0]
+	for end := time.Now().Add(10 * time.Second); len(returned.spread.Snapshot().Live) < 2 && time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+	}
+	returned.started = returned.started.Add(-time.Hour) // It has long joined.
+	for _, isKnown := range []bool{true, false} {
+		origin := fmt.Sprint("r-", isKnown)
+		if isKnown {
+			returned.copies.Put("k-"+origin, copies.Record{Origin: origin, Service: "s"})
+		}
+		other.copies.Put("k-"+origin, copies.Record{Origin: origin, Service: "s", Version: "v2"})
+		found, _ := returned.findCopy(ctx, "k-"+origin, origin)
+		qt.Check(t, found, qt.DeepEquals, relay.Earlier{Origin: origin, Service: "s", Version: "v2"})
+	}
+}
--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -188,7 +188,7 @@
 	}
 	_, knowsVersions := v.servers.Versions()
 	hasJoined := v.Now().Sub(v.started) > joinTime
-	if hasJoined && v.knowsCell() && knowsVersions && v.spread.Snapshot().Cells <= 1 {
+	if hasJoined && v.knowsCell() && knowsVersions && v.spread.Snapshot().Cells <= 1 && !v.hasSeveralVersions(record.Service) {
 		return record, found
 	}
 	locations, _, _ := v.spread.LocateCopies(ctx, spread.CopyQuery{CopyKey: copyKey, Origin: origin})
@@ -198,6 +198,18 @@
 	return v.copies.FindOrigin(copyKey, origin)
 }
 
+// hasSeveralVersions reports whether the streams of a service, or of any if it is empty, may be of several
+// versions. The version of a run may then be in an announcement that is on its way or was lost.
+func (v *VM) hasSeveralVersions(service string) bool {
+	ages, _ := v.servers.Versions()
+	for name, versions := range ages {
+		if len(versions) > 1 && (service == "" || service == name) {
+			return true
+		}
+	}
+	return false
+}
+
 // knowsCell reports whether this VM knows the runs of its cell that ended before it started.
 func (v *VM) knowsCell() bool {
 	return v.Now().Sub(v.started) > copies.Retention || v.storedKeys.Load() != nil
