--- a/internal/node/entry/streams.go
+++ b/internal/node/entry/streams.go
@@ -170,7 +170,7 @@
 // findCopy returns what is known of the attempts of a request: of the one that began with the attempt
 // origin, if its caller names that, and otherwise of the only one with the key. The VMs of a cell know
 // each other's runs, and from the store those of VMs that were lost before they started; those of other
-// cells are asked.
+// cells are asked, and others of the cell too if a version is missing.
 func (v *VM) findCopy(ctx context.Context, copyKey, origin string) (earlier relay.Earlier, found bool) {
 	record, found := copies.Record{}, false
 	if origin != "" {
