Reach: the test's way through peers fails as the real one does

Cause: the test's dialThrough returned the context's error once the time was up. The function that it stands for returns tunnel.ErrUnavailable then, which package reach takes as no evidence of the server. The VM looks for a way every 20 ms and the test's deadline is 100 ms, so the fifth look may come just after it. Why it is right: the check is the same, and TestErrorsTellThePeerFromTheServer now checks that a dial without time left returns ErrUnavailable, as it did for a peer that doesn't answer in time. The product is unchanged.

--- a/internal/backend/reach/reach_test.go
+++ b/internal/backend/reach/reach_test.go
@@ -69,9 +69,10 @@
 	return nil, err
 }
 
+// dialThrough returns the errors of package tunnel, whose dial tells nothing of the server once its time is up.
 func (g *rig) dialThrough(ctx context.Context, address string) (net.Conn, error) {
 	if ctx.Err() != nil {
-		return nil, ctx.Err()
+		return nil, errors.Annotate(tunnel.ErrUnavailable, ctx.Err().Error())
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/peer/tunnel/tunnel_test.go
+++ b/internal/peer/tunnel/tunnel_test.go
@@ -226,4 +226,10 @@
 			qt.Check(t, errors.Is(err, syscall.ECONNREFUSED), qt.Equals, test.refused, qt.Commentf("%v", err))
 		})
 	}
+	t.Run("no time is left", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := tunnel.Dial(ctx, dialTCP, peer, server)
+		qt.Check(t, errors.Is(err, tunnel.ErrUnavailable), qt.IsTrue, qt.Commentf("%v", err))
+	})
 }
