Crashes: the permit of a trial that showed nothing is returned

Callers saw: "not run: part aa of its prompt may be what crashes the servers that run it, and another request is a test of it" for all requests with a part, at all VMs, for up to 13 s after the block of the part had ended.

Cause: after a block one request in 10 s, at all VMs together, is let pass as a trial. Its permit was spent when it was granted, whatever became of the request. If no server ran it, nothing was learnt of the part, and everything else was refused until the next permit. A VM that had been denied didn't ask again before that time either, and a request that needs several permits kept those that it had if it was denied one.

Fix: a request that was let pass as a trial gives its permits back if it was not sent, or if its server answered without running it to completion. Both show that the server did not crash under it. A run that is cut, hangs or whose caller leaves gives back nothing, as the server may have crashed. A VM that was denied asks again after 0.5 s at most; the rate of trials that run is bounded by the issuer as before.

The own interface spent permits on requests that admission then refused; these are returned too, and a VM whose configuration is too old takes none.

A trial whose VM ends still costs its permit.

--- a/internal/node/entry/crashes.go
+++ b/internal/node/entry/crashes.go
@@ -5,6 +5,7 @@
 
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/node/event"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
 )
 
@@ -14,6 +15,7 @@
 		Now:              v.Now,
 		Announce:         func(report crash.Report) { v.spread.AnnounceCrash(report) },
 		TakePermit:       v.takePermit,
+		ReturnPermit:     func(key string) { v.spread.ObservePermit(permit.Observation{Key: key, Unused: true}) },
 		HasTerminated:    v.servers.HasTerminated,
 		CorrelatedLosses: v.servers.CorrelatedLosses,
 		VMs:              func() int { return len(v.spread.Snapshot().Live) },
--- a/internal/node/vm/vm.go
+++ b/internal/node/vm/vm.go
@@ -167,10 +167,11 @@
 	})
 	v.permits = permit.NewIssuer(time.Now)
 	v.crashes = crash.New(crash.Options{
-		Now:        time.Now,
-		Announce:   func(crash.Report) {}, // Heartbeats carry the reports.
-		TakePermit: v.takePermit,
-		VMs:        func() int { return len(v.loop.Snapshot().Members) },
+		Now:          time.Now,
+		Announce:     func(crash.Report) {}, // Heartbeats carry the reports.
+		TakePermit:   v.takePermit,
+		ReturnPermit: func(key string) { v.permits.Observe(permit.Observation{Key: key, Unused: true}) },
+		VMs:          func() int { return len(v.loop.Snapshot().Members) },
 		OnBlocked: func(trait crash.Trait, terminations int) {
 			if trait.IsPart() { // Contents are blocked by the owner of a request, after more crashes.
 				_, beginning := trait.Field()
--- a/internal/peer/permit/permit.go
+++ b/internal/peer/permit/permit.go
@@ -105,6 +105,8 @@
 	Ended   bool `cbor:"7,keyasint,omitempty"`
 	Served  bool `cbor:"8,keyasint,omitempty"`
 	Refused bool `cbor:"9,keyasint,omitempty"`
+	// Unused returns a permit: what it was taken for was not done.
+	Unused bool `cbor:"10,keyasint,omitempty"`
 }
 
 // Issuer issues the permits of the keys whose issuer this VM is. It is safe for concurrent use.
@@ -187,6 +189,11 @@
 	}
 	b := i.buckets[o.Key]
 	switch {
+	case o.Unused:
+		if b != nil {
+			b.refill(now)
+			b.tokens = min(b.tokens+1, b.capacity())
+		}
 	case o.Bounded:
 		if b == nil {
 			b = i.bucket(o.Key, o.Rate, now)
--- a/internal/peer/permit/permit_test.go
+++ b/internal/peer/permit/permit_test.go
@@ -228,3 +228,16 @@
 	}
 	t.Fatal("the bound has not ended after 100 answers that did not name it")
 }
+
+func TestUnusedPermitMayBeTakenByAnotherVM(t *testing.T) {
+	f := newFleet(2, 0.1)
+	take := func(vm string) bool {
+		return f.issuers[0].Take(permit.Request{Key: "k", Rate: 0.1, VM: vm, Fresh: true}).Granted
+	}
+	qt.Assert(t, take("0"), qt.IsTrue)
+	qt.Assert(t, take("1"), qt.IsFalse)
+	f.issuers[0].Observe(permit.Observation{Key: "k", Unused: true})
+	qt.Check(t, take("1"), qt.IsTrue)
+	qt.Check(t, take("0"), qt.IsFalse)
+	f.issuers[0].Observe(permit.Observation{Key: "not taken here", Unused: true})
+}
--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -36,6 +36,7 @@
 //	record.Interrupted(traits, server, startedAt, time.Now())     // A run was interrupted at a server.
 //	record.Poll()                                                 // At short intervals.
 //	record.Completed(traits...)                                   // A request has run to completion.
+//	record.Inconclusive(traits...)                                // It did not run, or its server failed it.
 //	record.Merge(reports)                                         // From other VMs.
 //	if peerDigest != record.Digest() { send(record.Recurring()) } // A peer lacks some reports.
 //
@@ -92,6 +93,9 @@
 	// candidateWindow and maxCandidates bound the requests that a trial is chosen among.
 	candidateWindow = 10 * time.Second
 	maxCandidates   = 32
+	// permitRecheckInterval bounds the time until a VM asks again for a permit that it was denied:
+	// another VM may have returned it.
+	permitRecheckInterval = 500 * time.Millisecond
 	// correlationWindow is the time within which the losses of a correlated failure are
 	// detected, and correlationDelay the time after which all of them are: a check takes up
 	// to 200 ms.
@@ -141,6 +145,8 @@
 	// TakePermit takes the permit that a request needs to run as a trial or a test of a trait,
 	// from the bucket that all VMs share; nil for a fleet of one VM, which needs none.
 	TakePermit func(request permit.Request) permit.Reply
+	// ReturnPermit returns a permit to the issuer of its key; nil if TakePermit is.
+	ReturnPermit func(key string)
 	// HasTerminated reports whether the server process at which a run was interrupted has
 	// terminated. CorrelatedLosses returns how many servers were lost together with one,
 	// itself included, if they are most of its failure domain, and 0 otherwise.
@@ -196,6 +202,7 @@
 	Trait     Trait
 	Until     time.Time
 	RecheckAt time.Time
+	IsTrial   bool // The request runs as a trial; see Record.Inconclusive.
 }
 
 // Record is safe for concurrent use.
@@ -204,15 +211,15 @@
 
 	mu           sync.Mutex
 	traits       map[Trait]entry
-	digest       uint64               // Of the recurring entries.
-	suspects     map[Trait]bool       // The traits under which as many processes as their limit terminated.
-	tested       map[Trait]bool       // The contents of trials that failed.
-	causes       map[Trait]cause      // Those of them that the terminations are attributed to.
-	changed      bool                 // The suspects or their terminations have changed since.
-	trialAt      map[string]time.Time // When a permit that was denied may be asked for again, by its key.
-	trials       map[Trait]candidate  // Those that run, by the requests' contents.
-	candidates   []candidate          // The suspects of the last requests, newest last.
-	terminatedAt map[string]time.Time // By process, when its termination interrupted the first run.
+	digest       uint64                 // Of the recurring entries.
+	suspects     map[Trait]bool         // The traits under which as many processes as their limit terminated.
+	tested       map[Trait]bool         // The contents of trials that failed.
+	causes       map[Trait]cause        // Those of them that the terminations are attributed to.
+	changed      bool                   // The suspects or their terminations have changed since.
+	denials      map[string]denial      // Of permits, by their keys.
+	trials       map[Trait]runningTrial // By the requests' contents.
+	candidates   []candidate            // The suspects of the last requests, newest last.
+	terminatedAt map[string]time.Time   // By process, when its termination interrupted the first run.
 	expireAt     time.Time
 	pending      []interruption // Those whose servers are not known to have terminated, oldest first.
 	resolved     []interruption // Those whose servers have terminated, until correlationDelay.
@@ -227,6 +234,9 @@
 	if options.CorrelatedLosses == nil {
 		options.CorrelatedLosses = func(pool.Server) int { return 0 }
 	}
+	if options.ReturnPermit == nil {
+		options.ReturnPermit = func(string) {}
+	}
 	if options.VMs == nil {
 		options.VMs = func() int { return 1 }
 	}
@@ -254,8 +264,8 @@
 		suspects:     map[Trait]bool{},
 		tested:       map[Trait]bool{},
 		causes:       map[Trait]cause{},
-		trialAt:      map[string]time.Time{},
-		trials:       map[Trait]candidate{},
+		denials:      map[string]denial{},
+		trials:       map[Trait]runningTrial{},
 		terminatedAt: map[string]time.Time{},
 		recent:       recentTraits{period: recentPeriod, limit: maxRecent},
 		passed:       recentTraits{period: passedPeriod, limit: maxPassed},
@@ -523,7 +533,7 @@
 		return
 	}
 	r.expireAt = now.Add(expiryInterval)
-	maps.DeleteFunc(r.trials, func(_ Trait, c candidate) bool { return now.Sub(c.at) >= retention })
+	maps.DeleteFunc(r.trials, func(_ Trait, t runningTrial) bool { return now.Sub(t.startedAt) >= retention })
 	maps.DeleteFunc(r.terminatedAt, func(_ string, at time.Time) bool { return now.Sub(at) >= retention })
 	for trait, known := range r.traits {
 		if known.hasExpired(now) {
--- a/internal/request/crash/entry.go
+++ b/internal/request/crash/entry.go
@@ -163,6 +163,13 @@
 	return 0
 }
 
+func laterTime(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
--- a/internal/request/crash/interruption.go
+++ b/internal/request/crash/interruption.go
@@ -27,7 +27,7 @@
 	c := interruption{server: server, startedAt: startedAt, at: at}
 	for _, trait := range traits {
 		if t, found := r.trials[trait]; found {
-			c.tested = t.traits
+			c.tested = t.tested
 			delete(r.trials, trait)
 		}
 		if !r.recent.has(trait, now) {
--- a/internal/request/crash/trial.go
+++ b/internal/request/crash/trial.go
@@ -31,7 +31,20 @@
 	return "content/" + string(t.suspect)
 }
 
-// candidate is a request that may be a trial, or is one, with its traits that are not cleared.
+// runningTrial is a request that was sent as a trial.
+type runningTrial struct {
+	tested     []Trait // The suspects.
+	permitKeys []string
+	startedAt  time.Time
+}
+
+// denial is the denial of a permit.
+type denial struct {
+	recheckAt time.Time // When this VM may ask again.
+	until     time.Time // When there is a permit, unless one is returned before.
+}
+
+// candidate is a request that may be a trial, with its traits that are not cleared.
 type candidate struct {
 	content  Trait
 	traits   []Trait
@@ -79,48 +92,72 @@
 		r.mu.Unlock()
 		return verdict
 	}
-	if !slices.ContainsFunc(trials, func(t trial) bool { return r.suspects[t.suspect] }) {
-		// A recurring content whose parts are no suspects: other requests tell nothing of it.
-		tested, hasBetter = traits[:1], false
-	}
 	held := Verdict{Decision: Hold, Trait: trials[0].suspect, Until: now.Add(trials[0].interval), RecheckAt: now.Add(holdInterval)}
-	mayStart := !hasBetter
+	mayStart := true
 	for _, t := range trials {
-		startAt := now
-		if r.suspects[t.suspect] {
-			startAt = r.traits[t.suspect].last().Add(settleTime)
-		}
-		if deniedUntil := r.trialAt[t.permitKey()]; deniedUntil.After(startAt) {
-			startAt = deniedUntil
-		}
-		if startAt.After(now) {
-			held.Trait, held.Until = t.suspect, startAt
+		if startAt := r.startOf(t); startAt.After(now) {
+			held.Trait, held.Until = t.suspect, laterTime(startAt, r.denials[t.permitKey()].until)
 			mayStart = false
 		}
 	}
+	if !slices.ContainsFunc(trials, func(t trial) bool { return r.suspects[t.suspect] }) {
+		// A recurring content whose parts are no suspects: other requests tell nothing of it.
+		tested, hasBetter = traits[:1], false
+	}
 	r.mu.Unlock()
-	if !mayStart {
+	if hasBetter || !mayStart {
 		return held
 	}
+	running := runningTrial{tested: tested, startedAt: now}
 	for _, t := range trials {
 		if wait := r.takePermit(t); wait > 0 {
+			running.returnPermits(r.options.ReturnPermit)
 			held.Trait, held.Until = t.suspect, now.Add(wait)
 			r.mu.Lock()
-			maps.DeleteFunc(r.trialAt, func(_ string, at time.Time) bool { return !at.After(now) })
-			r.trialAt[t.permitKey()] = held.Until
+			maps.DeleteFunc(r.denials, func(_ string, d denial) bool { return !d.until.After(now) })
+			r.denials[t.permitKey()] = denial{recheckAt: now.Add(min(wait, permitRecheckInterval)), until: held.Until}
 			r.mu.Unlock()
 			return held
 		}
+		running.permitKeys = append(running.permitKeys, t.permitKey())
 	}
 	for _, t := range trials {
 		r.options.OnTrial(t.suspect, t.alternatives)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.trials[traits[0]] = candidate{traits: tested, at: now}
+	r.trials[traits[0]] = running
+	verdict.IsTrial = true
 	return verdict
 }
 
+// Inconclusive records that a request which was to run as a trial showed nothing: it was not sent, or
+// its server answered without running it to completion and did not terminate. Its permits are
+// returned, so that another request may be the trial at once.
+func (r *Record) Inconclusive(traits ...Trait) {
+	r.mu.Lock()
+	running := r.trials[traits[0]]
+	delete(r.trials, traits[0])
+	r.mu.Unlock()
+	running.returnPermits(r.options.ReturnPermit)
+}
+
+func (t *runningTrial) returnPermits(toIssuer func(key string)) {
+	for _, key := range t.permitKeys {
+		toIssuer(key)
+	}
+}
+
+// startOf returns when a trial may start: after the last termination of its suspect, and when a permit
+// that was denied may be asked for again. Called with the lock held.
+func (r *Record) startOf(t trial) (at time.Time) {
+	at = r.denials[t.permitKey()].recheckAt
+	if r.suspects[t.suspect] {
+		at = laterTime(at, r.traits[t.suspect].last().Add(settleTime))
+	}
+	return at
+}
+
 // IsBlocked reports whether requests with these traits are refused, and by which trait.
 func (r *Record) IsBlocked(traits ...Trait) (by Trait, blocked bool) {
 	now := r.options.Now()
--- a/internal/request/crash/trial_test.go
+++ b/internal/request/crash/trial_test.go
@@ -126,6 +126,60 @@
 	qt.Check(t, vm.Recheck("first", "part/aa").Decision, qt.Equals, crash.Run)
 }
 
+// The request of a trial is not run, and one at another VM, which was denied a permit meanwhile, is.
+func TestPermitOfATrialThatShowedNothingIsReturned(t *testing.T) {
+	f := &fleet{now: time.Unix(0, 0)}
+	issuer := permit.NewIssuer(func() time.Time { return f.now })
+	for range 2 {
+		f.vms = append(f.vms, crash.New(crash.Options{
+			Now:          func() time.Time { return f.now },
+			Announce:     func(crash.Report) {},
+			TakePermit:   issuer.Take,
+			ReturnPermit: func(key string) { issuer.Observe(permit.Observation{Key: key, Unused: true}) },
+		}))
+	}
+	for i := range 3 {
+		for _, vm := range f.vms {
+			vm.Terminated("part/aa", server(fmt.Sprint("server ", i)), f.now)
+		}
+	}
+	f.now = f.vms[0].Check("c1", "part/aa").Until
+	qt.Assert(t, f.vms[0].Recheck("c1", "part/aa").IsTrial, qt.IsTrue)
+	qt.Assert(t, f.vms[1].Check("c2", "part/aa").Decision, qt.Equals, crash.Hold)
+	f.vms[0].Inconclusive("c1", "part/aa")
+	f.vms[0].Inconclusive("c1", "part/aa") // There is no second permit.
+	f.now = f.now.Add(time.Second)
+	qt.Check(t, f.vms[1].Recheck("c2", "part/aa").Decision, qt.Equals, crash.Run)
+	qt.Check(t, f.vms[0].Check("c3", "part/aa").Decision, qt.Equals, crash.Hold)
+}
+
+// One request needs two permits and is denied the second.
+func TestPermitsOfARequestThatGetsNotAllAreReturned(t *testing.T) {
+	f := &fleet{now: time.Unix(0, 0)}
+	issuer := permit.NewIssuer(func() time.Time { return f.now })
+	denied := false
+	vm := crash.New(crash.Options{
+		Now:      func() time.Time { return f.now },
+		Announce: func(crash.Report) {},
+		TakePermit: func(request permit.Request) permit.Reply {
+			if request.Key == "content/part/aa" { // The second one.
+				denied = true
+				return permit.Reply{Wait: time.Minute}
+			}
+			return issuer.Take(request)
+		},
+		ReturnPermit: func(key string) { issuer.Observe(permit.Observation{Key: key, Unused: true}) },
+	})
+	for i := range 3 {
+		vm.Terminated("part/aa", server(fmt.Sprint("server a", i)), f.now)
+		vm.Terminated("part/bb", server(fmt.Sprint("server b", i)), f.now)
+	}
+	f.now = f.now.Add(6 * time.Second)
+	qt.Assert(t, vm.Check("c1", "part/aa", "part/bb").Decision, qt.Equals, crash.Hold)
+	qt.Assert(t, denied, qt.IsTrue)
+	qt.Check(t, vm.Check("c2", "part/bb").Decision, qt.Equals, crash.Run)
+}
+
 // The content of a failed trial comes again, so that it may have crashed the server instead of the part.
 func TestPartIsTriedAgainIfTheContentOfItsTrialComesAgain(t *testing.T) {
 	for _, again := range []bool{false, true} {
--- a/internal/request/owner/owner.go
+++ b/internal/request/owner/owner.go
@@ -144,16 +144,22 @@
 	if until, blocked := snapshot.BlockedUntil[hash]; blocked {
 		return nil, blockedProblem(until)
 	}
-	if verdict := o.options.Crashes.Check(crash.Traits(hash, submission.Spec.Beginnings())...); verdict.Trait.IsPart() {
-		return nil, beginningProblem(verdict.Until)
-	}
 	if !snapshot.Accepting(o.options.Now()) {
 		return nil, &problem.Problem{Code: problem.ConfigurationOutdated, Outcome: notRun(submission.KeyGiven), Detail: "this VM can't tell whether its configuration is current; use another", RetryAt: o.options.Now().Add(time.Second)}
 	}
+	traits := crash.Traits(hash, submission.Spec.Beginnings())
+	verdict := o.options.Crashes.Check(traits...)
+	if verdict.Trait.IsPart() {
+		return nil, beginningProblem(verdict.Until)
+	}
 	if submission.Cursor != nil && submission.Cursor.Offset > 0 {
 		event.GenerationRegenerate.Warn(o.options.Logger, "generation", submission.Cursor.Generation, "offset", submission.Cursor.Offset)
 	}
-	return o.accept(ctx, submission, hash)
+	g, refusal := o.accept(ctx, submission, hash)
+	if refusal != nil && verdict.IsTrial {
+		o.options.Crashes.Inconclusive(traits...)
+	}
+	return g, refusal
 }
 
 // accept passes admission and starts a new generation. A request that was accepted
--- a/internal/request/relay/admit.go
+++ b/internal/request/relay/admit.go
@@ -26,6 +26,7 @@
 		request.checked = true
 		switch {
 		case verdict.Decision == crash.Run:
+			request.isTrial = request.isTrial || verdict.IsTrial
 			return nil
 		case verdict.Decision == crash.Refuse:
 			return refusalFor(verdict.Trait, "%s crashes the servers that run it", verdict.Until)
@@ -35,6 +36,16 @@
 	}
 }
 
+// endTrial reports that a request which no server runs now has shown nothing as a trial, unless an
+// outcome was recorded: it was not sent, or its server answered without running it to completion.
+func (r *Relay) endTrial(request *Request) {
+	if !request.isTrial {
+		return
+	}
+	request.isTrial = false
+	r.options.Crashes.Inconclusive(request.Traits...)
+}
+
 // refusalFor returns a refusal because of a trait, whose description the reason contains.
 func refusalFor(trait crash.Trait, reason string, retryAt time.Time) *NotRun {
 	refusal := &NotRun{Kind: RefusalCrashes, RetryAt: retryAt, Reason: fmt.Sprintf(reason, "its content")}
--- a/internal/request/relay/call.go
+++ b/internal/request/relay/call.go
@@ -78,7 +78,7 @@
 // maxSends bounds the sends of one request, including those that servers refused.
 const maxSends = 8
 
-// start sends the request to one more server.
+// start sends the request to one more server, if the crash record lets it pass.
 func (c *call) start(ctx context.Context, purpose pool.Purpose) error {
 	if len(c.tried) >= maxSends {
 		return c.relay.noServer(c.request, pool.VersionRule{})
@@ -86,6 +86,17 @@
 	if refusal := c.relay.admit(ctx, c.request); refusal != nil {
 		return refusal
 	}
+	if err := c.sendOnce(ctx, purpose); err != nil {
+		if c.inFlight == 0 {
+			c.relay.endTrial(c.request)
+		}
+		return err
+	}
+	return nil
+}
+
+// sendOnce sends the request to one more server, if there is one.
+func (c *call) sendOnce(ctx context.Context, purpose pool.Purpose) error {
 	if c.request.callerGone() {
 		return &NotRun{Kind: RefusalDeadline, Reason: errCallerGone.Error()}
 	}
@@ -205,6 +216,9 @@
 // evaluate returns the answer or error that a result leads to, or neither if the request
 // continues.
 func (c *call) evaluate(ctx context.Context, result callResult) (answer *Answer, err error) {
+	if c.inFlight == 0 && (result.err == nil || errors.Is(result.err, http1.ErrNotSent)) {
+		c.relay.endTrial(c.request)
+	}
 	switch {
 	case errors.Is(result.err, http1.ErrNotSent):
 		c.sent--
--- a/internal/request/relay/relay.go
+++ b/internal/request/relay/relay.go
@@ -80,6 +80,7 @@
 	IsCallerGone func() bool
 
 	checked bool // The crash record was asked about it.
+	isTrial bool // The crash record let it pass as a trial.
 }
 
 // recordVia records that an answer came through another VM; "" if it came directly.
@@ -277,6 +278,8 @@
 	Check       func(traits ...crash.Trait) crash.Verdict
 	Recheck     func(traits ...crash.Trait) crash.Verdict
 	IsBlocked   func(traits ...crash.Trait) (by crash.Trait, blocked bool)
+	// Inconclusive is called for requests that were let pass as a trial; see crash.Record.
+	Inconclusive func(traits ...crash.Trait)
 }
 
 // Relay is safe for concurrent use.
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -24,6 +24,7 @@
 	"github.com/endivespoke/endivespoke/internal/backend/pool"
 	"github.com/endivespoke/endivespoke/internal/config/routing"
 	nodecaller "github.com/endivespoke/endivespoke/internal/node/caller"
+	"github.com/endivespoke/endivespoke/internal/peer/permit"
 	"github.com/endivespoke/endivespoke/internal/request/admission"
 	"github.com/endivespoke/endivespoke/internal/request/budget"
 	"github.com/endivespoke/endivespoke/internal/request/crash"
@@ -80,7 +81,8 @@
 	versions      relay.Versions
 	admitter      *admission.Admitter
 	logger        hclog.Logger
-	connections   *http1.Pool // Of the relay, if set.
+	connections   *http1.Pool    // Of the relay, if set.
+	permits       *permit.Issuer // Of trials, if set.
 }
 
 type script func(w http.ResponseWriter, r *http.Request)
@@ -120,7 +122,7 @@
 func (g *rig) vm(servers *pool.Pool) *relay.Relay {
 	connections := cmp.Or(g.connections, http1.New(http1.Options{}))
 	g.retries = budget.NewShared(budget.SharedOptions{Ratio: 1, Allowance: 100, Window: time.Minute, Now: time.Now})
-	g.crashes = crash.New(crash.Options{Now: time.Now, Announce: func(crash.Report) {}, HasTerminated: servers.HasTerminated})
+	g.crashes = g.newCrashRecord(servers)
 	renewals := relay.Renewals{}
 	if g.renews {
 		renewals = relay.Renewals{Copy: g.copyRun, Free: g.freeCopy}
@@ -162,11 +164,12 @@
 			AwaitAmbiguous: func(context.Context, string) {},
 		},
 		Crashes: relay.Crashes{
-			Interrupted: g.crashes.Interrupted,
-			Completed:   g.crashes.Completed,
-			Check:       g.crashes.Check,
-			Recheck:     g.crashes.Recheck,
-			IsBlocked:   g.crashes.IsBlocked,
+			Interrupted:  g.crashes.Interrupted,
+			Completed:    g.crashes.Completed,
+			Check:        g.crashes.Check,
+			Recheck:      g.crashes.Recheck,
+			IsBlocked:    g.crashes.IsBlocked,
+			Inconclusive: g.crashes.Inconclusive,
 		},
 	})
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -112,6 +112,11 @@
 	callerErr error // The caller's connection failed.
 }
 
+// wasAnswered reports whether the server answered without running the request.
+func (e *runResult) wasAnswered() bool {
+	return e.answer != nil || e.failure || e.notRun
+}
+
 // Stream relays a stream. It returns nil if the sink received all of it or a server's
 // own failure.
 func (r *Relay) Stream(ctx context.Context, request *Request, sink Sink) error {
@@ -138,6 +143,9 @@
 			r.options.Crashes.Completed(request.Traits...)
 			return nil
 		}
+		if end.wasAnswered() || end.notSent || end.noServer {
+			r.endTrial(request)
+		}
 		if end.answer != nil {
 			return s.deliver(end.answer)
 		}
