Crashes: a trial doesn't wait for a request whose caller is gone

Cause: of the requests with a suspect part the likelier sound one is to be the trial, so a request whose content has come before gave way to any other one of the last 10 s, although that one had been refused and its caller may not send it again. A caller that kept trying was refused for up to 10 s after the last other request.

TestPartIsTriedWithAContentThatCameBeforeIfNoOtherOneComes fails on the code before: not tried 3 s after the block.

Fix: from a second after its trial may start, a request whose content has come before gives way only to new contents of the last second.

--- a/internal/request/crash/crash.go
+++ b/internal/request/crash/crash.go
@@ -96,6 +96,8 @@
 	// permitRecheckInterval bounds the time until a VM asks again for a permit that it was denied:
 	// another VM may have returned it.
 	permitRecheckInterval = 500 * time.Millisecond
+	// newContentWait is how long a trial that may start waits for one whose content is new.
+	newContentWait = time.Second
 	// correlationWindow is the time within which the losses of a correlated failure are
 	// detected, and correlationDelay the time after which all of them are: a check takes up
 	// to 200 ms.
--- a/internal/request/crash/trial.go
+++ b/internal/request/crash/trial.go
@@ -87,25 +87,28 @@
 		return verdict
 	}
 	tested := append(r.uncleared(traits, minRecurring, now), traits[0])
-	hasBetter := r.hasBetterCandidate(r.candidate(traits, isNew, now))
+	own := r.candidate(traits, isNew, now)
 	if len(trials) == 0 {
 		r.mu.Unlock()
 		return verdict
 	}
 	held := Verdict{Decision: Hold, Trait: trials[0].suspect, Until: now.Add(trials[0].interval), RecheckAt: now.Add(holdInterval)}
-	mayStart := true
+	startAt := time.Time{}
 	for _, t := range trials {
-		if startAt := r.startOf(t); startAt.After(now) {
-			held.Trait, held.Until = t.suspect, laterTime(startAt, r.denials[t.permitKey()].until)
-			mayStart = false
+		at := r.startOf(t)
+		if at.After(now) {
+			held.Trait, held.Until = t.suspect, laterTime(at, r.denials[t.permitKey()].until)
 		}
+		startAt = laterTime(startAt, at)
 	}
+	hasBetter := r.hasBetterCandidate(own, startAt)
 	if !slices.ContainsFunc(trials, func(t trial) bool { return r.suspects[t.suspect] }) {
 		// A recurring content whose parts are no suspects: other requests tell nothing of it.
 		tested, hasBetter = traits[:1], false
 	}
+	mayStart := !hasBetter && !startAt.After(now)
 	r.mu.Unlock()
-	if hasBetter || !mayStart {
+	if !mayStart {
 		return held
 	}
 	running := runningTrial{tested: tested, startedAt: now}
@@ -148,13 +151,16 @@
 	}
 }
 
-// startOf returns when a trial may start: after the last termination of its suspect, and when a permit
-// that was denied may be asked for again. Called with the lock held.
+// startOf returns when a trial may start: after the block and the last terminations of its suspect, and
+// when a permit that was denied may be asked for again. Called with the lock held.
 func (r *Record) startOf(t trial) (at time.Time) {
 	at = r.denials[t.permitKey()].recheckAt
 	if r.suspects[t.suspect] {
 		at = laterTime(at, r.traits[t.suspect].last().Add(settleTime))
 	}
+	if !t.isTest() {
+		at = laterTime(at, r.causes[t.suspect].until)
+	}
 	return at
 }
 
@@ -243,15 +249,18 @@
 // hasBetterCandidate reports whether one of the last requests is the likelier sound, so that its end
 // tells more: it has some of the uncleared traits of this one and no others, and fewer of them or a
 // content that has not come before. The content of a request that crashes servers comes again.
-// Called with the lock held.
-func (r *Record) hasBetterCandidate(own candidate) (found bool) {
+// From newContentWait after startAt, when the trial may start, a content is preferred as new for
+// newContentWait only: its caller may not send it again. Called with the lock held.
+func (r *Record) hasBetterCandidate(own candidate, startAt time.Time) (found bool) {
 	r.candidates = slices.DeleteFunc(r.candidates, func(c candidate) bool { return own.at.Sub(c.at) > candidateWindow })
 	for i := range r.candidates {
 		other := &r.candidates[i]
 		// What was learned since may have cleared some of them.
 		other.traits = r.uncleared(other.traits, 1, own.at)
 		isTest := len(r.uncleared(other.traits, minRecurring, own.at)) > 0
-		isLikelier := len(other.traits) < len(own.traits) || (len(other.traits) == len(own.traits) && own.repeated && !other.repeated)
+		mayBeGone := own.at.Sub(startAt) >= newContentWait && own.at.Sub(other.at) >= newContentWait
+		isNewer := own.repeated && !other.repeated && !mayBeGone
+		isLikelier := len(other.traits) < len(own.traits) || (len(other.traits) == len(own.traits) && isNewer)
 		found = found || (isTest && isLikelier && containsAll(own.traits, other.traits))
 	}
 	return found
--- a/internal/request/crash/trial_test.go
+++ b/internal/request/crash/trial_test.go
@@ -126,6 +126,23 @@
 	qt.Check(t, vm.Recheck("first", "part/aa").Decision, qt.Equals, crash.Run)
 }
 
+// The caller of the request that is the likelier sound does not send it again.
+func TestPartIsTriedWithAContentThatCameBeforeIfNoOtherOneComes(t *testing.T) {
+	f := newFleet(1)
+	vm := f.vms[0]
+	for i := range 3 {
+		vm.Terminated("part/aa", server(fmt.Sprint("server ", i)), f.now)
+	}
+	f.now = f.now.Add(time.Second)
+	vm.Check("again", "part/aa")
+	blockEnd := vm.Check("again", "part/aa").Until
+	f.now = blockEnd.Add(-time.Second)
+	qt.Assert(t, vm.Check("gone", "part/aa").Decision, qt.Equals, crash.Refuse)
+	for f.now = blockEnd; vm.Check("again", "part/aa").Decision != crash.Run; f.now = f.now.Add(100 * time.Millisecond) {
+		qt.Assert(t, f.now.Sub(blockEnd) < contactBound, qt.IsTrue, qt.Commentf("not tried %v after the block", f.now.Sub(blockEnd)))
+	}
+}
+
 // The request of a trial is not run, and one at another VM, which was denied a permit meanwhile, is.
 func TestPermitOfATrialThatShowedNothingIsReturned(t *testing.T) {
 	f := &fleet{now: time.Unix(0, 0)}
