--- a/review/_lab2/lab.go
+++ b/review/_lab2/lab.go
@@ -227,10 +227,10 @@
 
 // worker is a backend server's process. A restart may keep its id.
 type worker struct {
-	lab                                *lab
+	lab                                 *lab
 	id, service, zone, address, version string
-	options                            []string
-	cmd                                *exec.Cmd
+	options                             []string
+	cmd                                 *exec.Cmd
 }
 
 // addWorker starts a backend server.
