--- a/review/_lab2/worker.go
+++ b/review/_lab2/worker.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -23,7 +24,7 @@
 	gap                                        time.Duration
 	prompt                                     time.Duration
 	unframed                                   bool
-	unmarked                                   bool // See fail.
+	failing                                    float64 // Share of plain requests that run and fail.
 	born                                       int64
 	beats                                      atomic.Int64
 	active                                     atomic.Int64
@@ -43,7 +44,7 @@
 	flags.DurationVar(&p.gap, "gap", 100*time.Millisecond, "between two events")
 	flags.DurationVar(&p.prompt, "prompt", 200*time.Millisecond, "time to read a prompt")
 	flags.BoolVar(&p.unframed, "unframed", false, "streams end with their connection")
-	flags.BoolVar(&p.unmarked, "unmarked", false, "plain requests run and fail with 503")
+	flags.Float64Var(&p.failing, "failing", 0, "share of plain requests that run and fail with 503")
 	_ = flags.Parse(args)
 	go p.sendHeartbeats()
 	server := &http.Server{Addr: p.address, Handler: p}
@@ -179,7 +180,8 @@
 	p.log("runs %s %s %s, %d bytes", id, r.Method, r.RequestURI, len(body))
 	time.Sleep(15 * time.Millisecond)
 	w.Header().Set("X-Response-Seal", "seal."+p.id+"."+id)
-	if p.unmarked {
+	if rand.Float64() < p.failing {
+		p.log("run %s fails: 503", id)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
