--- a/review/_lab2/lab.go
+++ b/review/_lab2/lab.go
@@ -21,7 +21,7 @@
 	clientKey   = "key-1"
 	tenantName  = "acme"
 	heartbeat   = 1200 * time.Millisecond
-	startLimit  = 10 * time.Second
+	startLimit  = 20 * time.Second
 	modelPrefix = "/draft/"
 	deskPrefix  = "/book/"
 	lookPrefix  = "/look/"
