--- a/review/_lab2/client.go
+++ b/review/_lab2/client.go
@@ -27,8 +27,13 @@
 
 // send sends one attempt to a process of the system and reads the whole answer.
 func (l *lab) send(v *vm, id, method, path, body string, change func(http.Header)) *attempt {
+	return l.sendUntil(context.Background(), v, id, method, path, body, change)
+}
+
+// sendUntil is send for a client that closes its connection when the context ends.
+func (l *lab) sendUntil(ctx context.Context, v *vm, id, method, path, body string, change func(http.Header)) *attempt {
 	a := &attempt{id: id, path: path}
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	ctx, cancel := context.WithTimeout(ctx, 30*time.Second)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+v.front+path, strings.NewReader(body))
 	if err != nil {
--- a/review/_lab2/lab.go
+++ b/review/_lab2/lab.go
@@ -41,6 +41,7 @@
 	vms       []*vm
 	workers   []*worker
 	closed    bool
+	cancels   []func() // Of the clients' attempts.
 }
 
 func newLab(record *os.File, trouble bool) (*lab, error) {
