review: case 6 with the connections of a deployment of six machines

ORDER: streams of a worker that is killed end as complete. Three crashes a run; the idle connections are those that the other machines keep.

--- a/review/_lab2/crash.go
+++ b/review/_lab2/crash.go
@@ -10,18 +10,28 @@
 func init() { cases["crash"] = crashCase }
 
 const (
-	crashStreams = 80
+	crashRounds  = 3
+	crashStreams = 90
 	crashEvents  = 60
-	// crashIdle are the connections that other callers keep to each worker, of the 290 that it accepts.
-	crashIdle = 200
+	// crashIdle are the idle connections that the four other machines of a deployment of six keep to each
+	// worker, 16 each.
+	crashIdle = 64
 )
 
 // crashCase crashes one of two workers whose streams end with their connections.
 func crashCase(l *lab) (broken bool) {
 	l.store.put("op", "config", configuration(1))
-	options := []string{"-unframed", "-events", fmt.Sprint(crashEvents)}
-	first := l.addWorker("i-model-a", "model", "a", "v1", options...)
-	l.addWorker("i-model-b", "model", "b", "v1", options...)
+	for _, zone := range []string{"a", "b"} {
+		l.addWorker("i-model-"+zone, "model", zone, "v1", "-unframed", "-events", fmt.Sprint(crashEvents))
+	}
+	l.startVMs("a", "b")
+	for round := range crashRounds {
+		broken = l.crashRound(round) || broken
+	}
+	return broken
+}
+
+func (l *lab) crashRound(round int) (broken bool) {
 	for _, w := range l.workers {
 		for range crashIdle {
 			connection, err := net.Dial("tcp", w.address)
@@ -31,23 +41,23 @@
 			defer connection.Close()
 		}
 	}
-	l.startVMs("a", "b")
 	attempts := make([]*attempt, crashStreams)
 	running := sync.WaitGroup{}
 	for i := range attempts {
 		running.Go(func() {
-			attempts[i] = l.send(l.vms[i%2], fmt.Sprintf("r%08d", i+1), "POST", fmt.Sprintf("%sjob-%d", modelPrefix, i+1), "a job file", nil)
+			attempts[i] = l.send(l.vms[i%2], fmt.Sprintf("r%d%04d", round+1, i+1), "POST", fmt.Sprintf("%sjob-%d-%d", modelPrefix, round+1, i+1), "a job file", nil)
 		})
 		time.Sleep(20 * time.Millisecond)
 	}
 	time.Sleep(seconds(1.5))
+	crashed := l.workers[round%2]
 	if l.trouble {
-		first.kill()
+		crashed.kill()
 	}
 	time.Sleep(seconds(2))
 	if l.trouble {
-		first.id = "i-model-a2" // Each start is a new incarnation, mostly with a new id.
-		first.start()
+		crashed.id = fmt.Sprintf("%s+%d", crashed.id, round+1) // Each start is a new incarnation, mostly with a new id.
+		crashed.start()
 	}
 	running.Wait()
 	requireStreams(attempts)
@@ -58,6 +68,6 @@
 			l.note("stream %s ended as complete after %d of %d events", a.id, len(a.events), crashEvents)
 		}
 	}
-	l.note("%d of %d streams ended as complete before their last event; any breaks the rule", cut, crashStreams)
+	l.note("crash %d: %d of %d streams ended as complete before their last event; any breaks the rule", round+1, cut, crashStreams)
 	return cut > 0
 }
