--- a/review/_lab2/rejoin.go
+++ b/review/_lab2/rejoin.go
@@ -36,7 +36,8 @@
 }
 
 func (l *lab) rejoinRound(round int) (broken bool) {
-	time.Sleep(seconds(2))
+	// The rounds begin at different moments between two writes of the machines, which are half a second apart.
+	time.Sleep(seconds(2) + time.Duration(round)*125*time.Millisecond)
 	first := make([]*attempt, rejoinStreams)
 	running := sync.WaitGroup{}
 	for i := range first {
