--- a/review/_lab2/crash.go
+++ b/review/_lab2/crash.go
@@ -10,9 +10,9 @@
 func init() { cases["crash"] = crashCase }
 
 const (
-	crashRounds  = 3
+	crashRounds  = 5
 	crashStreams = 90
-	crashEvents  = 60
+	crashEvents  = 45
 	// crashIdle are the idle connections that the four other machines of a deployment of six keep to each
 	// worker, 16 each.
 	crashIdle = 64
