--- a/review/_lab2/crash.go
+++ b/review/_lab2/crash.go
@@ -41,7 +41,7 @@
 	if l.trouble {
 		crashed.kill()
 	}
-	time.Sleep(seconds(2))
+	time.Sleep(seconds(1.2))
 	if l.trouble {
 		crashed.id = fmt.Sprintf("%s+%d", crashed.id, round+1) // Each start is a new incarnation, mostly with a new id.
 		crashed.start()
--- a/review/_lab2/main.go
+++ b/review/_lab2/main.go
@@ -10,7 +10,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -43,9 +45,17 @@
 	}
 	l, err := newLab(record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
+		fmt.Fprintln(record, "could not run:", err)
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	stops := make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		l.note("the case was stopped by signal %v", <-stops)
+		l.close()
+		os.Exit(2)
+	}()
 	limit := time.AfterFunc(caseLimit, func() {
 		l.note("the case took too long")
 		l.close()
@@ -54,9 +64,9 @@
 	defer limit.Stop()
 	defer l.close()
 	defer func() {
-		if reason, ok := recover().(cannotRun); ok {
-			l.note("could not run: %s", string(reason))
-			fmt.Println("could not run:", string(reason))
+		if reason := recover(); reason != nil {
+			l.note("could not run: %v", reason)
+			fmt.Println("could not run:", reason)
 			code = 2
 		}
 	}()
